Lay down the decision layers and the stand-ins

Cause: the project starts empty; the whole path needs types, decisions without I/O, and something to decide about. Change: requester (calls, jobs, outcomes), charter (interpreted state charts), tuner (configuration with one revision counter), leaser (seats, promises), queuer, router, breaker, retrier, estimator, placer, recorder, encoder (CBOR messages), keeper (table client with group commit), and stand-ins for table, objects, host list, workers, endpoints and balancer.

--- /dev/null
+++ b/breaker/breaker.go
@@ -0,0 +1,65 @@
+// Package breaker stops sending work to a host that fails it.
+//
+// A breaker opens after a number of failures in a row, rests until a stored
+// time, then lets one request through to try the host again. Its states
+// follow the chart "breaker".
+package breaker
+
+import (
+	"time"
+
+	"kumquatstall/charter"
+)
+
+// Limits configures a breaker.
+type Limits struct {
+	// Failures in a row open the breaker; 0 never opens it.
+	Failures int
+	// Rest is how long an open breaker lets nothing through.
+	Rest time.Duration
+}
+
+// Breaker is the circuit breaker of one host.
+type Breaker struct {
+	machine   charter.Machine
+	failures  int
+	openUntil time.Time
+}
+
+var chart = charter.MustLoad("breaker")
+
+// New returns a closed breaker.
+func New() Breaker { return Breaker{machine: chart.Start()} }
+
+// State returns the name of the breaker's state.
+func (b *Breaker) State() charter.State { return b.machine.State() }
+
+// Allows reports whether a request may be sent at now.
+func (b *Breaker) Allows(now time.Time) bool {
+	return b.machine.In("Closed") || b.machine.In("Open") && !now.Before(b.openUntil)
+}
+
+// Begin notes that a request is sent. It must follow Allows.
+func (b *Breaker) Begin() {
+	if b.machine.In("Open") {
+		_ = b.machine.Fire("Probe")
+	}
+}
+
+// Succeed notes a request that the host carried out.
+func (b *Breaker) Succeed() {
+	b.failures = 0
+	if b.machine.In("HalfOpen") {
+		_ = b.machine.Fire("Succeed")
+	}
+}
+
+// Fail notes a request that the host failed.
+func (b *Breaker) Fail(now time.Time, limits Limits) {
+	b.failures++
+	tripped := limits.Failures > 0 && b.failures >= limits.Failures
+	if (tripped || b.machine.In("HalfOpen")) && b.machine.Can("Trip") {
+		_ = b.machine.Fire("Trip")
+		b.openUntil = now.Add(limits.Rest)
+	}
+}
--- /dev/null
+++ b/encoder/encoder.go
@@ -0,0 +1,127 @@
+package encoder
+
+import (
+	"reflect"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// kind numbers the messages on the wire. Numbers are never reused.
+type kind uint
+
+const (
+	kindHello kind = iota + 1
+	kindProof
+	kindHeartbeat
+	kindIntroduce
+	kindCallForward
+	kindCallReply
+	kindCallCancel
+	kindConfigUpdate
+	kindConfigRequest
+	kindPromiseRequest
+	kindPromiseReply
+	kindRelay
+	kindRelayReply
+	kindWitnessRequest
+	kindWitnessReply
+	kindWitnessPull
+	kindWitnessList
+	kindJobRequest
+	kindJobReply
+)
+
+func (*Hello) kind() kind          { return kindHello }
+func (*Proof) kind() kind          { return kindProof }
+func (*Heartbeat) kind() kind      { return kindHeartbeat }
+func (*Introduce) kind() kind      { return kindIntroduce }
+func (*CallForward) kind() kind    { return kindCallForward }
+func (*CallReply) kind() kind      { return kindCallReply }
+func (*CallCancel) kind() kind     { return kindCallCancel }
+func (*ConfigUpdate) kind() kind   { return kindConfigUpdate }
+func (*ConfigRequest) kind() kind  { return kindConfigRequest }
+func (*PromiseRequest) kind() kind { return kindPromiseRequest }
+func (*PromiseReply) kind() kind   { return kindPromiseReply }
+func (*Relay) kind() kind          { return kindRelay }
+func (*RelayReply) kind() kind     { return kindRelayReply }
+func (*WitnessRequest) kind() kind { return kindWitnessRequest }
+func (*WitnessReply) kind() kind   { return kindWitnessReply }
+func (*WitnessPull) kind() kind    { return kindWitnessPull }
+func (*WitnessList) kind() kind    { return kindWitnessList }
+func (*JobRequest) kind() kind     { return kindJobRequest }
+func (*JobReply) kind() kind       { return kindJobReply }
+
+// types maps each kind to its message's type.
+var types = func() map[kind]reflect.Type {
+	byKind := make(map[kind]reflect.Type)
+	for _, message := range Samples() {
+		byKind[message.kind()] = reflect.TypeOf(message).Elem()
+	}
+	return byKind
+}()
+
+// Samples returns an empty message of every kind.
+func Samples() []Message {
+	return []Message{
+		&Hello{}, &Proof{}, &Heartbeat{}, &Introduce{}, &CallForward{}, &CallReply{}, &CallCancel{}, &ConfigUpdate{},
+		&ConfigRequest{}, &PromiseRequest{}, &PromiseReply{}, &Relay{}, &RelayReply{}, &WitnessRequest{},
+		&WitnessReply{}, &WitnessPull{}, &WitnessList{}, &JobRequest{}, &JobReply{},
+	}
+}
+
+// Limits of what a link accepts in one message.
+const (
+	maxNesting  = 16
+	maxElements = 1 << 17
+)
+
+var encodeMode, decodeMode = func() (cbor.EncMode, cbor.DecMode) {
+	encode, err := cbor.EncOptions{Time: cbor.TimeRFC3339NanoUTC, TextMarshaler: cbor.TextMarshalerTextString}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	decode, err := cbor.DecOptions{
+		MaxNestedLevels:  maxNesting,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		TextUnmarshaler:  cbor.TextUnmarshalerTextString,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return encode, decode
+}()
+
+type frame struct {
+	_    struct{} `cbor:",toarray"`
+	Kind kind
+	Body cbor.RawMessage
+}
+
+// Encode returns the bytes of a message.
+func Encode(message Message) ([]byte, error) {
+	body, err := encodeMode.Marshal(message)
+	if err != nil {
+		return nil, errors.Wrapf(err, "encode %T", message)
+	}
+	data, err := encodeMode.Marshal(frame{Kind: message.kind(), Body: body})
+	return data, errors.Wrapf(err, "encode %T", message)
+}
+
+// Decode returns the message in data.
+func Decode(data []byte) (Message, error) {
+	var f frame
+	if err := decodeMode.Unmarshal(data, &f); err != nil {
+		return nil, errors.Wrap(err, "decode frame")
+	}
+	messageType, ok := types[f.Kind]
+	if !ok {
+		return nil, errors.Newf("decode frame: kind %d is not defined", f.Kind)
+	}
+	message, _ := reflect.New(messageType).Interface().(Message)
+	if err := decodeMode.Unmarshal(f.Body, message); err != nil {
+		return nil, errors.Wrapf(err, "decode %T", message)
+	}
+	return message, nil
+}
--- /dev/null
+++ b/encoder/message.go
@@ -0,0 +1,239 @@
+// Package encoder defines the messages between entries and their encoding.
+//
+// A message travels as one binary WebSocket frame: a CBOR array of the
+// message's kind and its body. Field names are those of the Go types.
+package encoder
+
+import (
+	"net/netip"
+	"time"
+
+	"kumquatstall/keeper"
+	"kumquatstall/leaser"
+	"kumquatstall/requester"
+	"kumquatstall/tuner"
+)
+
+// Message is a message between entries.
+type Message interface{ kind() kind }
+
+// Hello is the first message of each side of a link. Proof shows knowledge of
+// the shared key for the other side's challenge.
+type Hello struct {
+	EntryID     requester.EntryID
+	DataCentre  requester.DataCentre
+	Incarnation int64
+	Address     netip.AddrPort
+	Challenge   []byte
+}
+
+// Proof answers the challenge of a Hello.
+type Proof struct {
+	MAC []byte
+}
+
+// ServiceLoad tells how busy the sender's endpoints of a service are.
+type ServiceLoad struct {
+	Service requester.Service
+	Slots   int
+	Free    int
+	// WaitMicros is the expected wait of a call that arrives now.
+	WaitMicros int64
+}
+
+// Heartbeat is sent at a fixed interval over every link.
+type Heartbeat struct {
+	// SentAt is by the sender's clock.
+	SentAt time.Time
+	// EchoSentAt is the SentAt of the last heartbeat received; EchoHeldMicros
+	// is how long ago it arrived.
+	EchoSentAt     time.Time
+	EchoHeldMicros int64
+	Holdings       []leaser.Holding
+	Loads          []ServiceLoad
+	ConfigHead     int64
+	StoreDown      bool
+	Leaving        bool
+}
+
+// PeerInfo tells where an entry is.
+type PeerInfo struct {
+	EntryID    requester.EntryID
+	DataCentre requester.DataCentre
+	Address    netip.AddrPort
+}
+
+// Introduce tells the other side which entries the sender knows.
+type Introduce struct {
+	Peers []PeerInfo
+}
+
+// Hop tells what the receiver of a forwarded call is to do.
+type Hop int
+
+// The hops.
+const (
+	// HopHome asks the holder of the request's home seat.
+	HopHome Hop = iota
+	// HopRun asks an owner of endpoints.
+	HopRun
+)
+
+// CallForward hands a call to another entry.
+type CallForward struct {
+	ID   uint64
+	Hop  Hop
+	Call requester.Call
+	// Again tells that the call may have been forwarded before.
+	Again bool
+}
+
+// CallReply answers a CallForward. NotHere tells that the receiver can't do
+// what was asked and has done nothing.
+type CallReply struct {
+	ID      uint64
+	NotHere bool
+	Answer  requester.Answer
+}
+
+// CallCancel withdraws a CallForward.
+type CallCancel struct {
+	ID uint64
+}
+
+// ConfigUpdate carries changes of configuration.
+type ConfigUpdate struct {
+	Update tuner.Update
+}
+
+// ConfigRequest asks for the changes after a revision.
+type ConfigRequest struct {
+	Since int64
+}
+
+// PromiseRequest carries a leaser.PromiseRequest.
+type PromiseRequest struct {
+	Request leaser.PromiseRequest
+}
+
+// PromiseReply carries a leaser.PromiseReply.
+type PromiseReply struct {
+	Reply leaser.PromiseReply
+}
+
+// Relay asks another entry to run a transaction for the sender.
+type Relay struct {
+	ID             uint64
+	Transaction    keeper.Transaction
+	DeadlineMicros int64
+}
+
+// RelayReply answers a Relay.
+type RelayReply struct {
+	ID     uint64
+	Result keeper.TransactResult
+	// Failed tells that the transaction's fate is not known.
+	Failed bool
+}
+
+// WitnessRequest asks another entry to remember an intent.
+type WitnessRequest struct {
+	ID        uint64
+	RequestID requester.RequestID
+}
+
+// WitnessReply answers a WitnessRequest.
+type WitnessReply struct {
+	ID      uint64
+	Granted bool
+}
+
+// WitnessPull asks for the intents remembered for a seat's requests.
+type WitnessPull struct {
+	Seat leaser.Seat
+}
+
+// WitnessList answers a WitnessPull.
+type WitnessList struct {
+	Seat       leaser.Seat
+	RequestIDs []requester.RequestID
+	// Outage tells that the sender has known of a store outage recently.
+	Outage bool
+}
+
+// JobAction tells what a JobRequest asks for.
+type JobAction int
+
+// The job actions.
+const (
+	JobSubmit JobAction = iota
+	JobCancel
+	JobStatus
+	JobList
+	WorkerList
+)
+
+// JobRequest asks the holder of a placement seat about jobs.
+type JobRequest struct {
+	ID     uint64
+	Action JobAction
+	Job    requester.Job
+}
+
+// JobReply answers a JobRequest.
+type JobReply struct {
+	ID      uint64
+	Problem Problem
+	Jobs    []requester.JobStatus `cbor:",omitempty"`
+	Workers []WorkerView          `cbor:",omitempty"`
+}
+
+// WorkerView is what operators see of a worker.
+type WorkerView struct {
+	HostID  requester.HostID
+	Rack    string
+	Total   requester.Resources
+	Taken   requester.Resources
+	Tasks   int
+	Breaker string
+	Leaving bool
+}
+
+// Problem tells why a request of an operator failed; the zero value is none.
+type Problem struct {
+	Code     ProblemCode
+	Field    string `json:",omitempty" cbor:",omitempty"`
+	Expected string `json:",omitempty" cbor:",omitempty"`
+}
+
+//go:generate go tool -modfile=../tools/go.mod stringer -type=ProblemCode -trimprefix=Problem
+
+// ProblemCode is the kind of a Problem.
+type ProblemCode int
+
+// The problem codes.
+const (
+	ProblemNone ProblemCode = iota
+	ProblemInvalid
+	ProblemNotFound
+	ProblemConflict
+	ProblemUnavailable
+	ProblemUnknown
+	ProblemUnauthorized
+	ProblemForbidden
+	ProblemTooLarge
+)
+
+// MarshalText encodes the code as its name.
+func (c ProblemCode) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
+
+// UnmarshalText decodes the name of a code.
+func (c *ProblemCode) UnmarshalText(text []byte) error {
+	for code := ProblemNone; code <= ProblemTooLarge; code++ {
+		if code.String() == string(text) {
+			*c = code
+			return nil
+		}
+	}
+	return &requester.FieldError{Field: "Code", Expected: "a defined name"}
+}
--- /dev/null
+++ b/leaser/leaser.go
@@ -0,0 +1,371 @@
+// Package leaser decides which entry holds which seat.
+//
+// Each data centre has a fixed number of seats. A seat is a row of the table
+// service: holder, epoch, deadline. The endpoints and the requests of a data
+// centre are divided among its seats by rendezvous hashing, and one more seat,
+// the placement seat, stands for its workers. Whoever holds a seat owns what
+// is divided to it. Only entries of the data centre may hold its seats.
+//
+// # Safety
+//
+// A holder counts its lease from the moment it sent a renewal that committed.
+// A claimant counts from the moment it first read the row revision that it
+// wants to replace and waits a term and a margin. Both use their own monotonic
+// clocks, so no clocks have to agree; only their rates do, within the margin.
+// Claim and renewal are compare-and-set on the same row, so that one of them
+// loses.
+//
+// # Extension
+//
+// While the table can't be reached, a holder may go on for as long as nobody
+// else can have taken the seat. Each renewal stores the table revision at
+// which the holder last read the list of members (the entries registered in
+// the data centre). A member registered at or below that revision is known to
+// the holder and must promise, for a bounded time, not to claim the seat; a
+// member registered later is a newcomer and may claim only with proof that the
+// holder is dead. So the promises of all known members, less those proven
+// dead, cover everybody who could claim. docs/design/seats.md has the table
+// of cases.
+//
+// A Leaser owns no goroutine, lock, clock or socket: its methods take the time
+// and what happened, and return what to do.
+package leaser
+
+import (
+	"encoding/json"
+	"net/netip"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"kumquatstall/charter"
+	"kumquatstall/keeper"
+	"kumquatstall/requester"
+)
+
+// Seat identifies a seat of a data centre.
+type Seat struct {
+	DataCentre requester.DataCentre
+	Number     int
+}
+
+// PlacementSeat is the number of the seat that stands for the workers.
+const PlacementSeat = 0
+
+// Options configures a Leaser. All fields but Margin must be set.
+type Options struct {
+	Self        requester.EntryID
+	Incarnation int64
+	Address     netip.AddrPort
+	DataCentre  requester.DataCentre
+	// Seats is the number of seats of the data centre, the placement seat
+	// included. It is the same on all entries.
+	Seats int
+	// Term is how long a lease lasts.
+	Term time.Duration
+	// Margin covers differing clock rates and requests on their way.
+	Margin time.Duration
+}
+
+// SeatRow is the value of a seat's row.
+type SeatRow struct {
+	Holder      requester.EntryID
+	Incarnation int64
+	Address     netip.AddrPort
+	Epoch       int64
+	// Deadline is by the holder's clock and informs operators only.
+	Deadline time.Time
+	// MembersRevision is the table revision of the member list that the
+	// holder knew.
+	MembersRevision int64
+}
+
+// MemberRow is the value of a member's row.
+type MemberRow struct {
+	EntryID     requester.EntryID
+	Incarnation int64
+	Address     netip.AddrPort
+}
+
+// Member is a registered entry of the data centre.
+type Member struct {
+	MemberRow
+	// Revision is the table revision of the registration.
+	Revision int64
+}
+
+// Holding tells other entries of a seat that its sender holds.
+type Holding struct {
+	Seat  Seat
+	Epoch int64
+}
+
+// seatState is one seat of the own data centre.
+type seatState struct {
+	machine charter.Machine
+	row     SeatRow
+	// rowRevision is 0 while the row is absent.
+	rowRevision int64
+	// seenAt is when rowRevision was first read.
+	seenAt time.Time
+	// deadline ends the own lease; zero where the seat is not held.
+	deadline time.Time
+	// ownEpoch is the epoch under which the seat is or was last held.
+	ownEpoch int64
+	// previous is the holder before the own claim.
+	previous requester.EntryID
+	// claimOpen tells that an own claim may still commit.
+	claimOpen bool
+	// promise is what was promised to another entry.
+	promise promise
+	// granted holds the promises got in the current round of extension.
+	granted   map[requester.EntryID]bool
+	round     int64
+	roundAt   time.Time
+	releaseAt time.Time
+}
+
+type promise struct {
+	holder      requester.EntryID
+	incarnation int64
+	epoch       int64
+	until       time.Time
+}
+
+// Leaser decides about the seats of one data centre.
+type Leaser struct {
+	options Options
+	chart   *charter.Chart
+	seats   []*seatState
+	members map[requester.EntryID]Member
+	// membersRevision is the table revision of the member list.
+	membersRevision int64
+	// registered is the own registration's revision, 0 before it.
+	registered   int64
+	registerOpen bool
+	renewalOpen  bool
+	renewSentAt  time.Time
+	// readOKAt is when the table last answered a read.
+	readOKAt    time.Time
+	leaving     bool
+	roundNumber int64
+	startedAt   time.Time
+	// listedEntries are the entries on the host list, where it has any.
+	listedEntries map[requester.EntryID]bool
+	hostListKnown bool
+}
+
+// New returns a Leaser that holds nothing.
+func New(options Options, now time.Time) *Leaser {
+	l := &Leaser{options: options, chart: charter.MustLoad("seat"), members: make(map[requester.EntryID]Member), startedAt: now}
+	for range options.Seats {
+		l.seats = append(l.seats, &seatState{machine: l.chart.Start()})
+	}
+	return l
+}
+
+// RowPrefix is the prefix of the rows of a data centre's seats.
+func RowPrefix(dataCentre requester.DataCentre) string { return "seat/" + string(dataCentre) + "/" }
+
+// MemberPrefix is the prefix of the rows of a data centre's members.
+func MemberPrefix(dataCentre requester.DataCentre) string {
+	return "member/" + string(dataCentre) + "/"
+}
+
+func (l *Leaser) seatKey(number int) string {
+	return RowPrefix(l.options.DataCentre) + strconv.Itoa(number)
+}
+
+func (l *Leaser) memberKey(id requester.EntryID) string {
+	return MemberPrefix(l.options.DataCentre) + string(id)
+}
+
+// ReadRequest asks for the rows that OnRows needs.
+func (l *Leaser) ReadRequest() keeper.ReadRequest {
+	return keeper.ReadRequest{Prefixes: []string{RowPrefix(l.options.DataCentre), MemberPrefix(l.options.DataCentre)}}
+}
+
+// SeatOf divides a name among the call seats of a data centre with that many
+// seats.
+func SeatOf(dataCentre requester.DataCentre, seats int, name string) Seat {
+	best, bestScore := 1, uint64(0)
+	nameHash := xxhash.Sum64String(name)
+	for number := 1; number < seats; number++ {
+		score := mix(nameHash, uint64(number))
+		if score > bestScore {
+			best, bestScore = number, score
+		}
+	}
+	return Seat{DataCentre: dataCentre, Number: best}
+}
+
+// mix combines two numbers into one that is spread evenly.
+func mix(a, b uint64) uint64 {
+	x := a ^ (b+1)*0x9E3779B97F4A7C15
+	x ^= x >> 30
+	x *= 0xBF58476D1CE4E5B9
+	x ^= x >> 27
+	x *= 0x94D049BB133111EB
+	return x ^ x>>31
+}
+
+// Holds reports whether the entry holds the seat at now, and the epoch.
+func (l *Leaser) Holds(number int, now time.Time) (epoch int64, ok bool) {
+	seat := l.seats[number]
+	if !seat.machine.In("Held", "Extended") || !now.Before(seat.deadline) {
+		return 0, false
+	}
+	return seat.ownEpoch, true
+}
+
+// Owns is Holds, but true as well while the seat is being released: what was
+// begun under it may be completed.
+func (l *Leaser) Owns(number int, now time.Time) bool {
+	seat := l.seats[number]
+	return seat.machine.In("Held", "Extended", "Releasing") && now.Before(seat.deadline)
+}
+
+// Deadline returns when the lease of a held seat ends.
+func (l *Leaser) Deadline(number int) time.Time { return l.seats[number].deadline }
+
+// Previous returns who held the seat before this entry; empty if nobody did.
+func (l *Leaser) Previous(number int) requester.EntryID { return l.seats[number].previous }
+
+// Extended reports whether the seat is held by promises and not by the table.
+func (l *Leaser) Extended(number int) bool { return l.seats[number].machine.In("Extended") }
+
+// Holdings returns the seats held at now.
+func (l *Leaser) Holdings(now time.Time) []Holding {
+	var held []Holding
+	for number := range l.seats {
+		if epoch, ok := l.Holds(number, now); ok {
+			held = append(held, Holding{Seat: Seat{DataCentre: l.options.DataCentre, Number: number}, Epoch: epoch})
+		}
+	}
+	return held
+}
+
+// Members returns the registered entries, sorted by name.
+func (l *Leaser) Members() []Member {
+	found := make([]Member, 0, len(l.members))
+	for _, member := range l.members {
+		found = append(found, member)
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].EntryID < found[j].EntryID })
+	return found
+}
+
+// Registered reports whether the entry's own registration stands in the table.
+func (l *Leaser) Registered() bool { return l.registered > 0 }
+
+// StoreDown reports whether the table has not answered for a third of a term.
+func (l *Leaser) StoreDown(now time.Time) bool {
+	return now.Sub(later(l.readOKAt, l.startedAt)) > l.options.Term/2
+}
+
+// OnHostList takes in the entries on the platform's host list.
+func (l *Leaser) OnHostList(entries []requester.EntryID) {
+	l.hostListKnown = len(entries) > 0
+	l.listedEntries = make(map[requester.EntryID]bool, len(entries))
+	for _, id := range entries {
+		l.listedEntries[id] = true
+	}
+}
+
+// OnRows takes in the rows of ReadRequest as of a table revision. sentAt is
+// when the read was sent.
+func (l *Leaser) OnRows(now, sentAt time.Time, result keeper.ReadResult) error {
+	l.readOKAt = now
+	if result.Revision >= l.membersRevision {
+		l.members = make(map[requester.EntryID]Member)
+		l.membersRevision = result.Revision
+	}
+	seen := make(map[int]bool)
+	for _, row := range result.Rows {
+		if strings.HasPrefix(row.Key, MemberPrefix(l.options.DataCentre)) {
+			var member MemberRow
+			if err := json.Unmarshal(row.Value, &member); err != nil {
+				return &RowError{Key: row.Key, Cause: err}
+			}
+			if result.Revision >= l.membersRevision {
+				l.members[member.EntryID] = Member{MemberRow: member, Revision: row.Revision}
+			}
+			continue
+		}
+		number, err := strconv.Atoi(strings.TrimPrefix(row.Key, RowPrefix(l.options.DataCentre)))
+		if err != nil || number < 0 || number >= len(l.seats) {
+			continue
+		}
+		seen[number] = true
+		if err := l.onSeatRow(now, number, row); err != nil {
+			return err
+		}
+	}
+	own, ok := l.members[l.options.Self]
+	if ok && own.Incarnation == l.options.Incarnation {
+		l.registered = own.Revision
+	} else if !l.registerOpen {
+		l.registered = 0
+	}
+	return nil
+}
+
+// RowError reports a row whose value can't be read.
+type RowError struct {
+	Key   string
+	Cause error
+}
+
+func (e *RowError) Error() string { return "row " + e.Key + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *RowError) Unwrap() error { return e.Cause }
+
+// onSeatRow takes in a seat's row. Rows older than what is known are ignored.
+func (l *Leaser) onSeatRow(now time.Time, number int, row keeper.Row) error {
+	seat := l.seats[number]
+	if row.Revision <= seat.rowRevision {
+		return nil
+	}
+	var value SeatRow
+	if err := json.Unmarshal(row.Value, &value); err != nil {
+		return &RowError{Key: row.Key, Cause: err}
+	}
+	seat.row = value
+	seat.rowRevision = row.Revision
+	seat.seenAt = now
+	if !l.mine(value) {
+		l.lose(seat)
+	}
+	if !seat.machine.In("Claiming") {
+		// An unresolved claim named an older revision and can't commit now.
+		seat.claimOpen = false
+	}
+	return nil
+}
+
+// mine reports whether a row names this very process as holder.
+func (l *Leaser) mine(row SeatRow) bool {
+	return row.Holder == l.options.Self && row.Incarnation == l.options.Incarnation
+}
+
+// lose gives up a seat that another entry has taken or may take.
+func (l *Leaser) lose(seat *seatState) {
+	event := charter.Event("Lost")
+	if !seat.machine.Can(event) {
+		return
+	}
+	_ = seat.machine.Fire(event)
+	seat.deadline = time.Time{}
+	seat.granted = nil
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/recorder/recorder.go
@@ -0,0 +1,212 @@
+// Package recorder keeps the records by which all attempts of a request meet.
+//
+// A call that must not run twice has one home: the entry that holds the seat
+// its RequestID falls to. The home's Book joins duplicates to the first
+// attempt and gives them the same answer. Before the call is dispatched its
+// intent is recorded outside the home: as a row of the table or, while the
+// table can't be reached, in the Witnesses of other entries. A later home
+// finds the intent and does not run the call again.
+//
+// Nothing here does input or output or reads a clock.
+package recorder
+
+import (
+	"time"
+
+	"kumquatstall/requester"
+)
+
+// Origin tells whom an answer goes to.
+type Origin struct {
+	// Token is the caller's connection at this entry; 0 where the call came
+	// from a peer or from a home.
+	Token uint64
+	// Peer forwarded the call under ID.
+	Peer requester.EntryID
+	ID   uint64
+	// Home tells that the answer completes the record of this request.
+	Home requester.RequestID
+}
+
+// Verdict tells what to do with an attempt.
+type Verdict int
+
+// The verdicts.
+const (
+	// VerdictNew tells that the attempt is the first: run it.
+	VerdictNew Verdict = iota
+	// VerdictJoined tells that the attempt waits for an earlier one.
+	VerdictJoined
+	// VerdictEnded tells that an earlier attempt has ended.
+	VerdictEnded
+)
+
+type record struct {
+	call    requester.Call
+	answer  requester.Answer
+	waiters []Origin
+	ended   bool
+	// expires is when the record may be forgotten; set once ended.
+	expires time.Time
+	// intentRevision is the table's revision of the intent row, if any.
+	intentRevision int64
+}
+
+// Book holds the records of the requests at home here.
+type Book struct {
+	records map[requester.RequestID]*record
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book { return &Book{records: make(map[requester.RequestID]*record)} }
+
+// Len returns the number of records.
+func (b *Book) Len() int { return len(b.records) }
+
+// Begin takes in an attempt. With VerdictEnded it returns the answer.
+func (b *Book) Begin(call requester.Call, origin Origin) (Verdict, requester.Answer) {
+	known, ok := b.records[call.RequestID]
+	if !ok {
+		b.records[call.RequestID] = &record{call: call, waiters: []Origin{origin}}
+		return VerdictNew, requester.Answer{}
+	}
+	if known.ended {
+		return VerdictEnded, known.answer
+	}
+	known.waiters = append(known.waiters, origin)
+	return VerdictJoined, requester.Answer{}
+}
+
+// SetIntent notes the table's revision of a request's intent row.
+func (b *Book) SetIntent(id requester.RequestID, revision int64) {
+	if known, ok := b.records[id]; ok {
+		known.intentRevision = revision
+	}
+}
+
+// Finish ends a request and returns who waits for the answer. An answer that
+// proves that nothing ran is not kept: the request may be tried again.
+func (b *Book) Finish(id requester.RequestID, answer requester.Answer, expires time.Time) []Origin {
+	known, ok := b.records[id]
+	if !ok || known.ended {
+		return nil
+	}
+	waiters := known.waiters
+	known.waiters = nil
+	known.ended = true
+	known.answer = answer
+	known.expires = expires
+	if answer.Outcome.ProvesNotRun() && known.intentRevision == 0 {
+		delete(b.records, id)
+	}
+	return waiters
+}
+
+// Restart makes an ended record that proves nothing ran new again, so that the
+// same home may try once more under the intent it holds already.
+func (b *Book) Restart(call requester.Call, origin Origin) bool {
+	known, ok := b.records[call.RequestID]
+	if !ok || !known.ended || !known.answer.Outcome.ProvesNotRun() {
+		return false
+	}
+	known.ended = false
+	known.call = call
+	known.waiters = []Origin{origin}
+	return true
+}
+
+// Leave takes a waiter off a request and reports whether it was the last.
+func (b *Book) Leave(id requester.RequestID, origin Origin) (last bool) {
+	known, ok := b.records[id]
+	if !ok || known.ended {
+		return false
+	}
+	for i, waiter := range known.waiters {
+		if waiter == origin {
+			known.waiters = append(known.waiters[:i], known.waiters[i+1:]...)
+			break
+		}
+	}
+	return len(known.waiters) == 0
+}
+
+// Pending returns the requests of which keep is true that have not ended.
+func (b *Book) Pending(keep func(requester.RequestID) bool) int {
+	count := 0
+	for id, known := range b.records {
+		if !known.ended && keep(id) {
+			count++
+		}
+	}
+	return count
+}
+
+// IntentRow names an intent row that has served its time.
+type IntentRow struct {
+	RequestID requester.RequestID
+	Revision  int64
+}
+
+// Expire forgets the records whose time is over and returns their intent rows.
+func (b *Book) Expire(now time.Time) []IntentRow {
+	var rows []IntentRow
+	for id, known := range b.records {
+		if !known.ended || now.Before(known.expires) {
+			continue
+		}
+		delete(b.records, id)
+		if known.intentRevision > 0 {
+			rows = append(rows, IntentRow{RequestID: id, Revision: known.intentRevision})
+		}
+	}
+	return rows
+}
+
+// Witnesses holds the intents that other entries' homes recorded here.
+type Witnesses struct {
+	byID map[requester.RequestID]witness
+}
+
+type witness struct {
+	home    requester.EntryID
+	expires time.Time
+}
+
+// NewWitnesses returns an empty set.
+func NewWitnesses() *Witnesses { return &Witnesses{byID: make(map[requester.RequestID]witness)} }
+
+// Record notes an intent of a home's, until expires. It reports false where
+// another home has recorded the request.
+func (w *Witnesses) Record(id requester.RequestID, home requester.EntryID, expires time.Time) bool {
+	if known, ok := w.byID[id]; ok && known.home != home {
+		return false
+	}
+	w.byID[id] = witness{home: home, expires: expires}
+	return true
+}
+
+// Has reports whether an intent of the request is known.
+func (w *Witnesses) Has(id requester.RequestID) bool {
+	_, ok := w.byID[id]
+	return ok
+}
+
+// Select returns the requests of which keep is true.
+func (w *Witnesses) Select(keep func(requester.RequestID) bool) []requester.RequestID {
+	var found []requester.RequestID
+	for id := range w.byID {
+		if keep(id) {
+			found = append(found, id)
+		}
+	}
+	return found
+}
+
+// Expire forgets the intents whose time is over.
+func (w *Witnesses) Expire(now time.Time) {
+	for id, known := range w.byID {
+		if !now.Before(known.expires) {
+			delete(w.byID, id)
+		}
+	}
+}
--- /dev/null
+++ b/requester/job.go
@@ -0,0 +1,166 @@
+package requester
+
+import (
+	"strconv"
+	"time"
+)
+
+//go:generate go tool -modfile=../tools/go.mod stringer -type=JobShape -trimprefix=Shape
+//go:generate go tool -modfile=../tools/go.mod stringer -type=JobState -trimprefix=Job
+
+// Resources is an amount of what a worker has and a task takes.
+type Resources struct {
+	// MilliCores is processor time, in thousandths of a core.
+	MilliCores int64
+	// MemoryMB is memory, in binary megabytes.
+	MemoryMB int64
+	// Accelerators is a count of whole devices.
+	Accelerators int64 `json:",omitempty" cbor:",omitempty"`
+}
+
+// Add returns r + s.
+func (r Resources) Add(s Resources) Resources {
+	return Resources{r.MilliCores + s.MilliCores, r.MemoryMB + s.MemoryMB, r.Accelerators + s.Accelerators}
+}
+
+// Sub returns r - s.
+func (r Resources) Sub(s Resources) Resources {
+	return Resources{r.MilliCores - s.MilliCores, r.MemoryMB - s.MemoryMB, r.Accelerators - s.Accelerators}
+}
+
+// Fits reports whether r is no larger than room in any dimension.
+func (r Resources) Fits(room Resources) bool {
+	return r.MilliCores <= room.MilliCores && r.MemoryMB <= room.MemoryMB && r.Accelerators <= room.Accelerators
+}
+
+// Max returns the larger of r and s in each dimension.
+func (r Resources) Max(s Resources) Resources {
+	return Resources{max(r.MilliCores, s.MilliCores), max(r.MemoryMB, s.MemoryMB), max(r.Accelerators, s.Accelerators)}
+}
+
+// DominantShare returns the largest share of total that r takes in any
+// dimension, between 0 and 1 where r fits total.
+func (r Resources) DominantShare(total Resources) float64 {
+	return max(ratio(r.MilliCores, total.MilliCores), ratio(r.MemoryMB, total.MemoryMB), ratio(r.Accelerators, total.Accelerators))
+}
+
+func ratio(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// JobShape tells how the tasks of a job relate.
+type JobShape int
+
+// The shapes of jobs.
+const (
+	// ShapeBatch is a set of tasks that run independently.
+	ShapeBatch JobShape = iota
+	// ShapeGang is a set of tasks that start together or not at all.
+	ShapeGang
+	// ShapeService is a set of replicas that are kept running.
+	ShapeService
+)
+
+var jobShapes = []JobShape{ShapeBatch, ShapeGang, ShapeService}
+
+// MarshalText encodes the shape as its name.
+func (s JobShape) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText decodes the name of a shape.
+func (s *JobShape) UnmarshalText(text []byte) error { return unmarshalEnum(s, jobShapes, "Shape", text) }
+
+// JobState is where a job stands.
+type JobState int
+
+// The states of a job.
+const (
+	JobPending JobState = iota
+	JobRunning
+	JobSucceeded
+	JobFailed
+	JobCancelled
+)
+
+var jobStates = []JobState{JobPending, JobRunning, JobSucceeded, JobFailed, JobCancelled}
+
+// Ended reports whether the state is final.
+func (s JobState) Ended() bool { return s >= JobSucceeded }
+
+// MarshalText encodes the state as its name.
+func (s JobState) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText decodes the name of a state.
+func (s *JobState) UnmarshalText(text []byte) error { return unmarshalEnum(s, jobStates, "State", text) }
+
+// Job is a set of tasks to run on the workers of one data centre.
+type Job struct {
+	JobID      JobID
+	Trade      Trade
+	Kind       Kind
+	Service    Service `json:",omitempty" cbor:",omitempty"`
+	DataCentre DataCentre
+	Shape      JobShape
+	Urgency    Urgency
+	// Tasks is the number of tasks or replicas.
+	Tasks int
+	// Need is what one task is declared to take.
+	Need Resources
+	// RunMillis is the declared run time of one task, in milliseconds.
+	RunMillis int64 `json:",omitempty" cbor:",omitempty"`
+	// Payload is handed to the worker with each task, unread.
+	Payload []byte `json:",omitempty" cbor:",omitempty"`
+	// SubmittedAt is set by the entry that accepts the job.
+	SubmittedAt time.Time `json:",omitzero" cbor:",omitempty"`
+}
+
+// MaxJobTasks bounds the tasks of one job.
+const MaxJobTasks = 4096
+
+// Validate checks the job. The error is a *FieldError.
+func (j *Job) Validate() error {
+	if err := checkName("JobID", string(j.JobID)); err != nil {
+		return err
+	}
+	if err := checkName("Trade", string(j.Trade)); err != nil {
+		return err
+	}
+	if err := checkName("Kind", string(j.Kind)); err != nil {
+		return err
+	}
+	if j.Shape < ShapeBatch || j.Shape > ShapeService {
+		return &FieldError{Field: "Shape", Expected: "one of Batch, Gang, Service"}
+	}
+	if !j.Urgency.Valid() {
+		return &FieldError{Field: "Urgency", Expected: "one of Low, Normal, Urgent"}
+	}
+	if j.Tasks < 1 || j.Tasks > MaxJobTasks {
+		return &FieldError{Field: "Tasks", Expected: "a count between 1 and " + strconv.Itoa(MaxJobTasks)}
+	}
+	if j.Need.MilliCores < 1 {
+		return &FieldError{Field: "Need.MilliCores", Expected: "at least 1"}
+	}
+	if j.Need.MemoryMB < 1 {
+		return &FieldError{Field: "Need.MemoryMB", Expected: "at least 1"}
+	}
+	if j.Need.Accelerators < 0 {
+		return &FieldError{Field: "Need.Accelerators", Expected: "at least 0"}
+	}
+	if j.RunMillis < 0 {
+		return &FieldError{Field: "RunMillis", Expected: "at least 0"}
+	}
+	return nil
+}
+
+// JobStatus is what an operator is told about a job.
+type JobStatus struct {
+	Job
+	State     JobState
+	Reason    Reason `json:",omitempty" cbor:",omitempty"`
+	Waiting   int
+	Running   int
+	Succeeded int
+	Failed    int
+}
--- /dev/null
+++ b/requester/requester.go
@@ -0,0 +1,146 @@
+// Package requester defines what callers ask of the scheduler and what they
+// are told: calls, jobs, resources, outcomes and reasons.
+//
+// It is the lowest layer of the module. Every other package shares its types
+// and it imports none of them.
+//
+// A call is one request to one instance (an endpoint) of a service. A job is a
+// set of tasks that run on workers: a batch, a gang whose tasks must all run
+// at once, or a long-running service whose replicas are kept up. Each request
+// ends in exactly one Outcome; the set is closed.
+package requester
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Identifiers. Each is an opaque, non-empty name chosen outside this module.
+type (
+	// DataCentre names a data centre.
+	DataCentre string
+	// Trade names a tenant: a group of users with its own weight and quota.
+	Trade string
+	// Service names a set of interchangeable endpoints.
+	Service string
+	// Kind names a class of calls or tasks that cost about the same.
+	Kind string
+	// EntryID names an entry host of the scheduler.
+	EntryID string
+	// HostID names a worker or an endpoint host.
+	HostID string
+	// RequestID names one request; every attempt of the request carries it.
+	RequestID string
+	// JobID names one job.
+	JobID string
+)
+
+// MaxNameLength bounds every identifier, in bytes.
+const MaxNameLength = 128
+
+// Call is one request to a service.
+type Call struct {
+	RequestID RequestID
+	Trade     Trade
+	Service   Service
+	Kind      Kind
+	Urgency   Urgency
+	// Idempotent tells that running the call twice is harmless.
+	Idempotent bool
+	// Exclusive tells that the call must never run in two places at once.
+	Exclusive bool
+	// Deadline is the time after which the caller has no use for an answer.
+	Deadline time.Time
+	// Attempt counts the caller's own tries, from 1.
+	Attempt int
+	// DataCentre, where set, is the data centre that arbitrates the request.
+	// Every attempt must name the same one.
+	DataCentre DataCentre `json:",omitempty" cbor:",omitempty"`
+	Payload    []byte     `json:",omitempty" cbor:",omitempty"`
+}
+
+// NeedsHome reports whether all attempts of the call have to meet at one
+// entry, because a second execution would do harm.
+func (c *Call) NeedsHome() bool { return !c.Idempotent || c.Exclusive }
+
+// Validate checks the call at time now. The error is a *FieldError.
+func (c *Call) Validate(now time.Time, maxLifetime time.Time) error {
+	if err := checkName("RequestID", string(c.RequestID)); err != nil {
+		return err
+	}
+	if err := checkName("Trade", string(c.Trade)); err != nil {
+		return err
+	}
+	if err := checkName("Service", string(c.Service)); err != nil {
+		return err
+	}
+	if err := checkName("Kind", string(c.Kind)); err != nil {
+		return err
+	}
+	if !c.Urgency.Valid() {
+		return &FieldError{Field: "Urgency", Expected: "one of Low, Normal, Urgent"}
+	}
+	if c.Attempt < 1 {
+		return &FieldError{Field: "Attempt", Expected: "a count of at least 1"}
+	}
+	if c.Deadline.IsZero() {
+		return &FieldError{Field: "Deadline", Expected: "an RFC 3339 time"}
+	}
+	if !c.Deadline.After(now) {
+		return &FieldError{Field: "Deadline", Expected: "a time that has not passed"}
+	}
+	if c.Deadline.After(maxLifetime) {
+		return &FieldError{Field: "Deadline", Expected: "a time before " + maxLifetime.UTC().Format(time.RFC3339)}
+	}
+	return nil
+}
+
+// Answer is what a caller is told about a call.
+type Answer struct {
+	RequestID RequestID
+	Outcome   Outcome
+	Reason    Reason `json:",omitempty" cbor:",omitempty"`
+	Detail    string `json:",omitempty" cbor:",omitempty"`
+	Payload   []byte `json:",omitempty" cbor:",omitempty"`
+	// ServedBy is the endpoint that answered.
+	ServedBy HostID `json:",omitempty" cbor:",omitempty"`
+	// StartedAt is when the endpoint was given the call.
+	StartedAt time.Time `json:",omitzero" cbor:",omitempty"`
+	// Attempts counts the executions that the scheduler started.
+	Attempts int `json:",omitempty" cbor:",omitempty"`
+}
+
+// FieldError tells which field of a request is wrong and what was expected.
+type FieldError struct {
+	Field    string
+	Expected string
+}
+
+func (e *FieldError) Error() string { return e.Field + ": expected " + e.Expected }
+
+// AsFieldError returns the *FieldError in err's chain, or nil.
+func AsFieldError(err error) *FieldError {
+	var fieldError *FieldError
+	if errors.As(err, &fieldError) {
+		return fieldError
+	}
+	return nil
+}
+
+// checkName checks that an identifier is present, short and printable.
+func checkName(field, value string) error {
+	if value == "" {
+		return &FieldError{Field: field, Expected: "a name"}
+	}
+	if len(value) > MaxNameLength {
+		return &FieldError{Field: field, Expected: "a name of at most 128 bytes"}
+	}
+	for i := range len(value) {
+		b := value[i]
+		if b <= ' ' || b > '~' || b == '/' {
+			return &FieldError{Field: field, Expected: "printable ASCII without spaces or '/'"}
+		}
+	}
+	return nil
+}
