--- a/charter/charter.go
+++ b/charter/charter.go
@@ -33,20 +33,20 @@
 }
 
 type chartFile struct {
-	Name    string
-	Initial State
-	States  []stateFile
+	Name    string      `yaml:"Name"`
+	Initial State       `yaml:"Initial"`
+	States  []stateFile `yaml:"States"`
 }
 
 type stateFile struct {
-	Name  State
-	Final bool
-	On    []transitionFile
+	Name  State            `yaml:"Name"`
+	Final bool             `yaml:"Final"`
+	On    []transitionFile `yaml:"On"`
 }
 
 type transitionFile struct {
-	Event Event
-	To    State
+	Event Event `yaml:"Event"`
+	To    State `yaml:"To"`
 }
 
 // MustLoad returns the embedded chart of that name. It panics where the chart
--- /dev/null
+++ b/cmd/kumquatstall/client.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatstall/configurer"
+	"kumquatstall/reporter"
+	"kumquatstall/server"
+)
+
+// remote is what every operator's command needs to reach an entry.
+type remote struct {
+	Entry     []string        `required:"" env:"KUMQUATSTALL_ENTRY" placeholder:"ADDRESS" help:"Address of an entry; the first that answers is used."`
+	Token     string          `env:"KUMQUATSTALL_TOKEN" help:"Bearer token."`
+	Authority string          `type:"path" help:"Certificate authority of the entries; turns TLS on."`
+	Output    reporter.Format `enum:"text,json" default:"text" help:"How to print: ${enum}."`
+	Timeout   time.Duration   `default:"15s" help:"How long to wait for an answer."`
+}
+
+// answer is an entry's answer.
+type answer struct {
+	status int
+	body   []byte
+}
+
+// send sends a request to the first entry that can be reached. A request that
+// may have reached an entry is not sent to another.
+func (r *remote) send(method, path string, body any) (answer, error) {
+	var data []byte
+	if body != nil {
+		var err error
+		if data, err = json.Marshal(body); err != nil {
+			return answer{}, errors.Wrap(err, "encode request")
+		}
+	}
+	client, scheme, err := r.client()
+	if err != nil {
+		return answer{}, err
+	}
+	var last error
+	for _, entry := range r.Entry {
+		got, sent, err := r.sendTo(client, scheme+"://"+entry, method, path, data)
+		if err == nil {
+			return got, nil
+		}
+		last = err
+		if sent && method != http.MethodGet {
+			return answer{}, &exitError{status: exitUnknown, cause: errors.Wrap(err, "the request may have taken effect")}
+		}
+	}
+	return answer{}, last
+}
+
+func (r *remote) client() (*http.Client, string, error) {
+	if r.Authority == "" {
+		return http.DefaultClient, "http", nil
+	}
+	pool, err := server.Authority(&configurer.TLS{Authority: r.Authority})
+	if err != nil {
+		return nil, "", err
+	}
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}
+	return &http.Client{Transport: transport}, "https", nil
+}
+
+// sendTo sends to one entry; sent tells that the entry may have got it.
+func (r *remote) sendTo(client *http.Client, base, method, path string, data []byte) (got answer, sent bool, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), r.Timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, base+path, bytes.NewReader(data))
+	if err != nil {
+		return answer{}, false, errors.Wrap(err, "make request")
+	}
+	if r.Token != "" {
+		request.Header.Set("Authorization", "Bearer "+r.Token)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{}, !isDialError(err), errors.Wrapf(err, "%s %s", method, base+path)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, body: body}, true, errors.Wrap(err, "read answer")
+}
+
+// fetch sends a request and decodes the answer; one that reports a problem
+// becomes an error with an exit status.
+func (r *remote) fetch(method, path string, body, value any) error {
+	got, err := r.send(method, path, body)
+	if err != nil {
+		return err
+	}
+	if got.status >= http.StatusBadRequest {
+		return problemError(got)
+	}
+	return errors.Wrap(json.Unmarshal(got.body, value), "decode answer")
+}
+
+func problemError(got answer) error {
+	var problem server.ProblemBody
+	if err := json.Unmarshal(got.body, &problem); err != nil {
+		return errors.Newf("entry answered with status %d", got.status)
+	}
+	cause := errors.Newf("%s: %s: expected %s", problem.Code, problem.Field, problem.Expected)
+	if problem.Current != nil {
+		current, err := json.Marshal(problem.Current)
+		if err == nil {
+			cause = errors.Newf("%s: %s: expected %s; in force is %s", problem.Code, problem.Field, problem.Expected, current)
+		}
+	}
+	switch got.status {
+	case http.StatusConflict:
+		return &exitError{status: exitConflict, cause: cause}
+	case http.StatusGatewayTimeout:
+		return &exitError{status: exitUnknown, cause: cause}
+	default:
+		return cause
+	}
+}
+
+// print writes a value as JSON, or by text.
+func (r *remote) print(value any, text func(io.Writer)) error {
+	if r.Output == reporter.FormatJSON {
+		return reporter.WriteJSON(os.Stdout, value)
+	}
+	text(os.Stdout)
+	return nil
+}
+
+func printf(w io.Writer, format string, arguments ...any) {
+	_, _ = fmt.Fprintf(w, format, arguments...)
+}
--- /dev/null
+++ b/cmd/kumquatstall/dev.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/schollz/progressbar/v3"
+
+	"kumquatstall/loader"
+	"kumquatstall/reporter"
+	"kumquatstall/stager"
+)
+
+type devCommand struct {
+	For        time.Duration   `default:"15s" help:"How long work is driven."`
+	Seed       uint64          `default:"1" help:"Seed of the work."`
+	Deployment string          `enum:"chikugo,brennan,both" default:"both" help:"Which deployment to run: ${enum}."`
+	Report     reporter.Format `enum:"text,json" default:"text" help:"How to report: ${enum}."`
+	Scale      float64         `default:"0.25" help:"Share of today's endpoints, workers and load."`
+	LogLevel   string          `enum:"debug,info,warn,error" default:"error" help:"Log level of the entries: ${enum}."`
+	Hold       bool            `help:"Keep the deployment running afterwards, until interrupted, and print its addresses."`
+}
+
+// Run runs the deployments and reports.
+func (c *devCommand) Run() error {
+	if c.For <= 0 {
+		return errors.New("--for: expected a time above 0")
+	}
+	if !(c.Scale > 0 && c.Scale <= 1) {
+		return errors.New("--scale: expected a share above 0 and at most 1")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	log := zerolog.New(os.Stderr).Level(parseLevel(c.LogLevel)).With().Timestamp().Logger()
+	report := &reporter.Dev{Seed: c.Seed, Seconds: c.For.Seconds()}
+	var mu sync.Mutex
+	bar := c.progress()
+	var group sync.WaitGroup
+	var first error
+	for _, rehearsal := range c.rehearsals(log) {
+		group.Go(func() {
+			verdict, deployment, err := rehearsal.run(ctx, c.Seed, c.For)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil && first == nil {
+				first = err
+			}
+			report.Add(verdict)
+			report.Overloaded += rehearsal.overUses
+			report.Violations += rehearsal.violations
+			report.Deployments = append(report.Deployments, deployment)
+		})
+	}
+	group.Wait()
+	_ = bar.Finish()
+	if first != nil {
+		return first
+	}
+	if err := report.Write(os.Stdout, c.Report); err != nil {
+		return err
+	}
+	if !report.Clean() {
+		return errors.New("something was lost, doubled, over-used or falsely answered")
+	}
+	return nil
+}
+
+func parseLevel(name string) zerolog.Level {
+	level, err := zerolog.ParseLevel(name)
+	if err != nil {
+		return zerolog.InfoLevel
+	}
+	return level
+}
+
+// progress shows how far the run is, on standard error.
+func (c *devCommand) progress() *progressbar.ProgressBar {
+	steps := int(c.For / (100 * time.Millisecond))
+	bar := progressbar.NewOptions(steps,
+		progressbar.OptionSetWriter(os.Stderr),
+		progressbar.OptionSetDescription("driving work"),
+		progressbar.OptionClearOnFinish(),
+	)
+	go func() {
+		for range steps {
+			time.Sleep(100 * time.Millisecond)
+			_ = bar.Add(1)
+		}
+	}()
+	return bar
+}
+
+func (c *devCommand) rehearsals(log zerolog.Logger) []*rehearsal {
+	var rehearsals []*rehearsal
+	if c.Deployment != "brennan" {
+		rehearsals = append(rehearsals, &rehearsal{plan: stager.Chikugo(c.Scale), workload: loader.Chikugo(c.Scale), log: log, hold: c.Hold})
+	}
+	if c.Deployment != "chikugo" {
+		rehearsals = append(rehearsals, &rehearsal{plan: stager.Brennan(c.Scale), workload: loader.Brennan(c.Scale), log: log, hold: c.Hold})
+	}
+	return rehearsals
+}
--- /dev/null
+++ b/cmd/kumquatstall/entry.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"kumquatstall/configurer"
+	"kumquatstall/runner"
+)
+
+// shutdownTimeout bounds a graceful shutdown.
+const shutdownTimeout = 90 * time.Second
+
+type entryCommand struct {
+	Config string `required:"" type:"path" help:"Settings file."`
+}
+
+// Run runs an entry until it is told to stop.
+func (c *entryCommand) Run() error {
+	settings, err := configurer.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	entry, err := runner.Start(settings, newLog(settings.Log.Level))
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-signals:
+	case <-entry.Done():
+		return errors.New("entry ended")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	return entry.Shutdown(ctx)
+}
+
+func newLog(level string) zerolog.Logger {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil || level == "" {
+		parsed = zerolog.InfoLevel
+	}
+	return zerolog.New(os.Stderr).Level(parsed).With().Timestamp().Logger()
+}
+
+type configCommand struct {
+	Check configCheckCommand `cmd:"" help:"Check a settings file in full."`
+}
+
+type configCheckCommand struct {
+	File string `arg:"" type:"path" help:"Settings file."`
+}
+
+// Run checks a settings file.
+func (c *configCheckCommand) Run() error {
+	if _, err := configurer.Load(c.File); err != nil {
+		return err
+	}
+	fmt.Println(c.File + ": settings are right")
+	return nil
+}
--- /dev/null
+++ b/cmd/kumquatstall/operate.go
@@ -0,0 +1,393 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+	"github.com/google/uuid"
+
+	"kumquatstall/decider"
+	"kumquatstall/requester"
+	"kumquatstall/tuner"
+)
+
+// isDialError reports whether a request failed before a connection stood.
+func isDialError(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
+// itemCommands work on one kind of configuration.
+type itemCommands struct {
+	path string
+
+	List    itemListCommand    `cmd:"" help:"List all."`
+	Get     itemGetCommand     `cmd:"" help:"Print one."`
+	Put     itemPutCommand     `cmd:"" help:"Create or replace one from a YAML or JSON file."`
+	Delete  itemDeleteCommand  `cmd:"" help:"Delete one."`
+	History itemHistoryCommand `cmd:"" help:"List the accepted changes."`
+}
+
+// AfterApply tells the commands which kind they work on.
+func (c *itemCommands) AfterApply() error {
+	c.List.path, c.Get.path, c.Put.path, c.Delete.path = c.path, c.path, c.path, c.path
+	return nil
+}
+
+type itemListCommand struct {
+	remote
+	path string
+}
+
+// Run lists the items of a kind.
+func (c *itemListCommand) Run() error {
+	var items []tuner.Item
+	if err := c.fetch(http.MethodGet, "/v1/"+c.path, nil, &items); err != nil {
+		return err
+	}
+	return c.print(items, func(w io.Writer) {
+		for _, item := range items {
+			printf(w, "%s\trevision %d\n", item.Name, item.Revision)
+		}
+	})
+}
+
+type itemGetCommand struct {
+	remote
+	path string
+	Name string `arg:"" help:"Name."`
+}
+
+// Run prints an item.
+func (c *itemGetCommand) Run() error {
+	var item tuner.Item
+	if err := c.fetch(http.MethodGet, "/v1/"+c.path+"/"+url.PathEscape(c.Name), nil, &item); err != nil {
+		return err
+	}
+	return c.print(item, func(w io.Writer) {
+		printf(w, "# revision %d\n", item.Revision)
+		data, err := json.Marshal(bodyOf(item))
+		if err != nil {
+			return
+		}
+		text, err := yaml.JSONToYAML(data)
+		if err == nil {
+			printf(w, "%s", text)
+		}
+	})
+}
+
+// bodyOf returns the part of an item that its kind has.
+func bodyOf(item tuner.Item) any {
+	switch item.Kind {
+	case tuner.ItemProfile:
+		return item.Profile
+	case tuner.ItemTrade:
+		return item.Trade
+	case tuner.ItemService:
+		return item.Service
+	default:
+		return item.Mark
+	}
+}
+
+type itemPutCommand struct {
+	remote
+	path     string
+	Name     string `arg:"" help:"Name."`
+	File     string `arg:"" type:"existingfile" help:"YAML or JSON file."`
+	Revision int64  `default:"-1" help:"Revision that was read; a change since then is a conflict. -1 replaces any."`
+}
+
+// Run puts an item.
+func (c *itemPutCommand) Run() error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return errors.Wrap(err, "read file")
+	}
+	data, err := yaml.YAMLToJSON(text)
+	if err != nil {
+		return errors.Wrapf(err, "%s: expected YAML", c.File)
+	}
+	return c.change(&c.remote, http.MethodPut, c.path, c.Name, c.Revision, json.RawMessage(data))
+}
+
+func (*itemPutCommand) change(r *remote, method, path, name string, revision int64, body any) error {
+	return changeItem(r, method, "/v1/"+path+"/"+url.PathEscape(name), revision, body)
+}
+
+// changeItem sends a change and prints what is in force then.
+func changeItem(r *remote, method, path string, revision int64, body any) error {
+	if revision >= 0 {
+		path += "?Revision=" + strconv.FormatInt(revision, 10)
+	}
+	var item tuner.Item
+	if err := r.fetch(method, path, body, &item); err != nil {
+		return err
+	}
+	return r.print(item, func(w io.Writer) { printf(w, "%s is in force as revision %d\n", item.Name, item.Revision) })
+}
+
+type itemDeleteCommand struct {
+	remote
+	path     string
+	Name     string `arg:"" help:"Name."`
+	Revision int64  `default:"-1" help:"Revision that was read; -1 deletes any."`
+}
+
+// Run deletes an item.
+func (c *itemDeleteCommand) Run() error {
+	return changeItem(&c.remote, http.MethodDelete, "/v1/"+c.path+"/"+url.PathEscape(c.Name), c.Revision, nil)
+}
+
+type itemHistoryCommand struct {
+	remote
+}
+
+// Run lists the accepted changes.
+func (c *itemHistoryCommand) Run() error {
+	var changes []tuner.Change
+	if err := c.fetch(http.MethodGet, "/v1/history", nil, &changes); err != nil {
+		return err
+	}
+	return c.print(changes, func(w io.Writer) {
+		for _, change := range changes {
+			printf(w, "%d\t%s\t%s\t%s\t%s\n", change.Revision, change.At.Format(time.RFC3339), change.Item.Kind, change.Item.Name, change.By)
+		}
+	})
+}
+
+type hostCommands struct {
+	List   hostListCommand   `cmd:"" help:"List the hosts of the entry's data centre."`
+	Leave  hostLeaveCommand  `cmd:"" help:"Mark a host as leaving."`
+	Return hostReturnCommand `cmd:"" help:"Take the mark back."`
+}
+
+type hostListCommand struct {
+	remote
+}
+
+// Run lists hosts.
+func (c *hostListCommand) Run() error {
+	var hosts []decider.HostView
+	if err := c.fetch(http.MethodGet, "/v1/hosts", nil, &hosts); err != nil {
+		return err
+	}
+	return c.print(hosts, func(w io.Writer) {
+		for _, host := range hosts {
+			state := "active"
+			if host.Leaving {
+				state = "leaving"
+			}
+			printf(w, "%s\t%s\t%s\t%s%s\n", host.HostID, host.Role, state, host.Rack, host.Service)
+		}
+	})
+}
+
+type hostLeaveCommand struct {
+	remote
+	HostID string `arg:"" help:"Host."`
+}
+
+// Run marks a host as leaving.
+func (c *hostLeaveCommand) Run() error {
+	return changeItem(&c.remote, http.MethodPost, "/v1/hosts/"+url.PathEscape(c.HostID)+"/leave", -1, nil)
+}
+
+type hostReturnCommand struct {
+	remote
+	HostID string `arg:"" help:"Host."`
+}
+
+// Run takes the mark of a host back.
+func (c *hostReturnCommand) Run() error {
+	return changeItem(&c.remote, http.MethodPost, "/v1/hosts/"+url.PathEscape(c.HostID)+"/return", -1, nil)
+}
+
+type jobCommands struct {
+	Submit jobSubmitCommand `cmd:"" help:"Submit a job from a YAML or JSON file."`
+	Status jobStatusCommand `cmd:"" help:"Show a job."`
+	List   jobListCommand   `cmd:"" help:"List the jobs of a data centre."`
+	Cancel jobCancelCommand `cmd:"" help:"Cancel a job."`
+}
+
+type jobSubmitCommand struct {
+	remote
+	File string `arg:"" type:"existingfile" help:"YAML or JSON file."`
+}
+
+// Run submits a job.
+func (c *jobSubmitCommand) Run() error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return errors.Wrap(err, "read file")
+	}
+	data, err := yaml.YAMLToJSON(text)
+	if err != nil {
+		return errors.Wrapf(err, "%s: expected YAML", c.File)
+	}
+	return c.job(http.MethodPost, "/v1/jobs", json.RawMessage(data))
+}
+
+// job sends a request about one job and prints the job.
+func (r *remote) job(method, path string, body any) error {
+	var status requester.JobStatus
+	if err := r.fetch(method, path, body, &status); err != nil {
+		return err
+	}
+	return r.print(status, func(w io.Writer) { printJob(w, status) })
+}
+
+func printJob(w io.Writer, status requester.JobStatus) {
+	printf(w, "%s\t%s\t%s\t%s\twaiting %d, running %d, succeeded %d, failed %d", status.JobID, status.Trade, status.Shape, status.State,
+		status.Waiting, status.Running, status.Succeeded, status.Failed)
+	if status.Reason != requester.ReasonNone {
+		printf(w, " (%s)", status.Reason)
+	}
+	printf(w, "\n")
+}
+
+type jobNamed struct {
+	remote
+	JobID      string `arg:"" help:"Job."`
+	DataCentre string `help:"Data centre of the job; the entry's own if unset."`
+}
+
+func (c *jobNamed) jobPath() string {
+	return "/v1/jobs/" + url.PathEscape(c.JobID) + "?DataCentre=" + url.QueryEscape(c.DataCentre)
+}
+
+type jobStatusCommand struct{ jobNamed }
+
+// Run shows a job.
+func (c *jobStatusCommand) Run() error { return c.job(http.MethodGet, c.jobPath(), nil) }
+
+type jobCancelCommand struct{ jobNamed }
+
+// Run cancels a job.
+func (c *jobCancelCommand) Run() error { return c.job(http.MethodDelete, c.jobPath(), nil) }
+
+type jobListCommand struct {
+	remote
+	DataCentre string `help:"Data centre; the entry's own if unset."`
+}
+
+// Run lists jobs.
+func (c *jobListCommand) Run() error {
+	var statuses []requester.JobStatus
+	if err := c.fetch(http.MethodGet, "/v1/jobs?DataCentre="+url.QueryEscape(c.DataCentre), nil, &statuses); err != nil {
+		return err
+	}
+	return c.print(statuses, func(w io.Writer) {
+		for _, status := range statuses {
+			printJob(w, status)
+		}
+	})
+}
+
+type callCommand struct {
+	remote
+	Service    string        `arg:"" help:"Service."`
+	Trade      string        `required:"" help:"Trade."`
+	Kind       string        `required:"" help:"Kind of call."`
+	RequestID  string        `help:"Name of the request; drawn if unset."`
+	Urgency    string        `enum:"Low,Normal,Urgent" default:"Normal" help:"Urgency: ${enum}."`
+	Idempotent bool          `help:"Running the call twice is harmless."`
+	Exclusive  bool          `help:"The call must never run in two places."`
+	Within     time.Duration `default:"5s" help:"Deadline, from now."`
+	Attempt    int           `default:"1" help:"How often the request has been sent, this time included."`
+	DataCentre string        `help:"Data centre that arbitrates the request."`
+	Payload    string        `help:"Payload."`
+}
+
+// Run sends a call.
+func (c *callCommand) Run() error {
+	var urgency requester.Urgency
+	if err := urgency.UnmarshalText([]byte(c.Urgency)); err != nil {
+		return err
+	}
+	if c.RequestID == "" {
+		c.RequestID = uuid.NewString()
+	}
+	call := requester.Call{
+		RequestID:  requester.RequestID(c.RequestID),
+		Trade:      requester.Trade(c.Trade),
+		Service:    requester.Service(c.Service),
+		Kind:       requester.Kind(c.Kind),
+		Urgency:    urgency,
+		Idempotent: c.Idempotent,
+		Exclusive:  c.Exclusive,
+		Deadline:   time.Now().Add(c.Within),
+		Attempt:    c.Attempt,
+		DataCentre: requester.DataCentre(c.DataCentre),
+		Payload:    []byte(c.Payload),
+	}
+	got, err := c.send(http.MethodPost, "/v1/calls", call)
+	if err != nil {
+		return err
+	}
+	var told requester.Answer
+	if err := json.Unmarshal(got.body, &told); err != nil || told.Outcome == requester.OutcomePending {
+		return problemError(got)
+	}
+	if err := c.print(told, func(w io.Writer) {
+		printf(w, "%s %s %s\n%s\n", told.RequestID, told.Outcome, told.Reason, told.Payload)
+	}); err != nil {
+		return err
+	}
+	return outcomeError(told)
+}
+
+// outcomeError turns an outcome into an exit status.
+func outcomeError(told requester.Answer) error {
+	switch {
+	case told.Outcome == requester.OutcomeAnswered:
+		return nil
+	case told.Outcome.ProvesNotRun():
+		return &exitError{status: exitNotRun, cause: errors.Newf("the call was not run: %s", told.Reason)}
+	default:
+		return &exitError{status: exitUnknown, cause: errors.Newf("the call may have run: %s", told.Reason)}
+	}
+}
+
+type statusCommand struct {
+	remote
+}
+
+// Run shows what an entry knows.
+func (c *statusCommand) Run() error {
+	var view decider.View
+	if err := c.fetch(http.MethodGet, "/v1/status", nil, &view); err != nil {
+		return err
+	}
+	return c.print(view, func(w io.Writer) {
+		printf(w, "%s in %s: ready %t, draining %t, store down %t, configuration revision %d\n",
+			view.EntryID, view.DataCentre, view.Ready, view.Draining, view.StoreDown, view.ConfigRevision)
+		for _, seat := range view.Seats {
+			printf(w, "seat %d\tepoch %d\textended %t\n", seat.Number, seat.Epoch, seat.Extended)
+		}
+		for _, peer := range view.Peers {
+			printf(w, "peer %s\t%s\tconnected %t\tround trip %d us\trevision %d\n",
+				peer.EntryID, peer.DataCentre, peer.Connected, peer.RoundTripMicros, peer.ConfigRevision)
+		}
+		for _, service := range view.Services {
+			printf(w, "service %s\tprofile %s\t%d endpoints\t%d waiting\n", service.Service, service.Profile, len(service.Endpoints), service.Waiting)
+		}
+	})
+}
+
+type reportCommands struct {
+	Burn burnCommand `cmd:"" help:"Report how fast service-level budgets burn."`
+}
+
+type burnCommand struct {
+	remote
+}
--- /dev/null
+++ b/cmd/kumquatstall/rehearsal.go
@@ -0,0 +1,217 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"kumquatstall/auditor"
+	"kumquatstall/loader"
+	"kumquatstall/reporter"
+	"kumquatstall/requester"
+	"kumquatstall/stager"
+	"kumquatstall/tuner"
+)
+
+// rehearsal is one deployment under mixed work, with an operator who changes
+// a profile and marks a host as leaving meanwhile.
+type rehearsal struct {
+	plan     stager.Plan
+	workload loader.Workload
+	log      zerolog.Logger
+	hold     bool
+
+	overUses   int64
+	violations int64
+}
+
+// Bounds of a rehearsal.
+const (
+	readyTimeout    = 30 * time.Second
+	inForceTimeout  = 10 * time.Second
+	drainTimeout    = 60 * time.Second
+	jobsEndTimeout  = 20 * time.Second
+	leaveGrace      = 4 * time.Second
+	packingInterval = 200 * time.Millisecond
+)
+
+func (r *rehearsal) run(ctx context.Context, seed uint64, length time.Duration) (auditor.Verdict, reporter.Deployment, error) {
+	result := reporter.Deployment{Name: r.plan.Name}
+	deployment, err := stager.Start(r.plan, r.log)
+	if err != nil {
+		return auditor.Verdict{}, result, err
+	}
+	defer deployment.Close()
+	result.Entries = len(deployment.Entries)
+	readyCtx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := deployment.AwaitReady(readyCtx); err != nil {
+		return auditor.Verdict{}, result, err
+	}
+	audit := auditor.New()
+	load := loader.New(deployment.Balancer.Address(), audit, r.plan.Name)
+	until := time.Now().Add(length)
+	operated := make(chan error, 1)
+	go func() { operated <- r.operate(ctx, deployment, audit, length, &result) }()
+	watchCtx, stopWatch := context.WithCancel(ctx)
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		result.Packing = watchPacking(watchCtx, deployment)
+	}()
+	load.Run(ctx, r.workload, seed, until)
+	stopWatch()
+	<-watched
+	if err := <-operated; err != nil {
+		return auditor.Verdict{}, result, err
+	}
+	result.Jobs = awaitJobs(ctx, deployment, r.plan)
+	return r.finish(ctx, deployment, audit, &result)
+}
+
+// finish shuts the deployment down gracefully and audits it.
+func (r *rehearsal) finish(ctx context.Context, deployment *stager.Deployment, audit *auditor.Auditor, result *reporter.Deployment) (auditor.Verdict, reporter.Deployment, error) {
+	for _, entry := range deployment.Entries {
+		result.TasksPlaced += entry.View().Stats.TasksPlaced
+	}
+	if r.hold {
+		fmt.Fprintf(os.Stderr, "\n%s: balancer %s\n", r.plan.Name, deployment.Balancer.Address())
+		for _, entry := range deployment.Entries {
+			fmt.Fprintf(os.Stderr, "%s: entry %s at %s\n", r.plan.Name, entry.View().EntryID, entry.Address())
+		}
+		<-ctx.Done()
+	}
+	r.violations = deployment.Violations()
+	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
+	defer cancel()
+	if err := deployment.Shutdown(shutdownCtx); err != nil {
+		return auditor.Verdict{}, *result, err
+	}
+	r.overUses = deployment.OverUses()
+	result.TableTransactions = deployment.Table.Transactions.Load()
+	result.TableReads = deployment.Table.Reads.Load()
+	return audit.Check(deployment.Ledger.Executions()), *result, nil
+}
+
+// operate changes a profile after a third of the run and marks an endpoint as
+// leaving after half of it, and measures when each is in force everywhere.
+func (r *rehearsal) operate(ctx context.Context, deployment *stager.Deployment, audit *auditor.Auditor, length time.Duration, result *reporter.Deployment) error {
+	base := "http://" + deployment.Balancer.Address().String()
+	time.Sleep(length / 3)
+	profile := tuner.DefaultProfile()
+	profile.Name = "festival-peak"
+	profile.QueueBound = 4000
+	took, err := r.change(ctx, deployment, http.MethodPut, base+"/v1/profiles/festival-peak", profile)
+	if err != nil {
+		return err
+	}
+	result.ProfileMillis = took
+	time.Sleep(length / 6)
+	leaving := requester.HostID(string(r.plan.Sites[0].Name) + "-endpoint-00")
+	took, err = r.change(ctx, deployment, http.MethodPost, base+"/v1/hosts/"+string(leaving)+"/leave", nil)
+	if err != nil {
+		return err
+	}
+	result.LeaveMillis = took
+	audit.Leave(leaving, time.Now().Add(leaveGrace))
+	return nil
+}
+
+// change makes a change through the balancer and returns how long it took,
+// from sending it, to be in force on every entry, in milliseconds.
+func (r *rehearsal) change(ctx context.Context, deployment *stager.Deployment, method, url string, body any) (float64, error) {
+	ctx, cancel := context.WithTimeout(ctx, inForceTimeout)
+	defer cancel()
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, errors.Wrap(err, "encode change")
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
+	if err != nil {
+		return 0, errors.Wrap(err, "make change")
+	}
+	sentAt := time.Now()
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, errors.Wrap(err, "send change")
+	}
+	defer response.Body.Close()
+	var item tuner.Item
+	if err := json.NewDecoder(response.Body).Decode(&item); err != nil || response.StatusCode != http.StatusOK {
+		return 0, errors.Newf("change was answered with status %d", response.StatusCode)
+	}
+	err = deployment.Await(ctx, "change in force", func() bool {
+		for _, entry := range deployment.Entries {
+			if entry.View().ConfigRevision < item.Revision {
+				return false
+			}
+		}
+		return true
+	})
+	return float64(time.Since(sentAt).Microseconds()) / 1000, err
+}
+
+// watchPacking returns the highest packing seen.
+func watchPacking(ctx context.Context, deployment *stager.Deployment) float64 {
+	highest := 0.0
+	for {
+		for _, entry := range deployment.Entries {
+			highest = max(highest, entry.View().Packing)
+		}
+		select {
+		case <-ctx.Done():
+			return highest
+		case <-time.After(packingInterval):
+		}
+	}
+}
+
+// awaitJobs waits for the jobs that end by themselves and counts all by state.
+func awaitJobs(ctx context.Context, deployment *stager.Deployment, plan stager.Plan) []reporter.JobCount {
+	ctx, cancel := context.WithTimeout(ctx, jobsEndTimeout)
+	defer cancel()
+	counts := make(map[requester.JobState]int)
+	_ = deployment.Await(ctx, "jobs ended", func() bool {
+		clear(counts)
+		ended := true
+		for _, site := range plan.Sites {
+			for _, status := range listJobs(ctx, deployment, site.Name) {
+				counts[status.State]++
+				ended = ended && (status.State.Ended() || status.Shape == requester.ShapeService && status.Running == status.Tasks)
+			}
+		}
+		return ended
+	})
+	var list []reporter.JobCount
+	for state := requester.JobPending; state <= requester.JobCancelled; state++ {
+		if counts[state] > 0 {
+			list = append(list, reporter.JobCount{State: state, Jobs: counts[state]})
+		}
+	}
+	return list
+}
+
+func listJobs(ctx context.Context, deployment *stager.Deployment, dataCentre requester.DataCentre) []requester.JobStatus {
+	url := "http://" + deployment.Balancer.Address().String() + "/v1/jobs?DataCentre=" + string(dataCentre)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil
+	}
+	defer response.Body.Close()
+	var statuses []requester.JobStatus
+	if json.NewDecoder(response.Body).Decode(&statuses) != nil {
+		return nil
+	}
+	return statuses
+}
--- a/keeper/hostrole_string.go
+++ b/keeper/hostrole_string.go
@@ -10,11 +10,12 @@
 	var x [1]struct{}
 	_ = x[RoleWorker-0]
 	_ = x[RoleEndpoint-1]
+	_ = x[RoleEntry-2]
 }
 
-const _HostRole_name = "WorkerEndpoint"
+const _HostRole_name = "WorkerEndpointEntry"
 
-var _HostRole_index = [...]uint8{0, 6, 14}
+var _HostRole_index = [...]uint8{0, 6, 14, 19}
 
 func (i HostRole) String() string {
 	idx := int(i) - 0
--- a/keeper/hosts.go
+++ b/keeper/hosts.go
@@ -23,6 +23,7 @@
 const (
 	RoleWorker HostRole = iota
 	RoleEndpoint
+	RoleEntry
 )
 
 // Host is one host on the platform's list.
@@ -78,7 +79,7 @@
 
 // UnmarshalText decodes the name of a role.
 func (r *HostRole) UnmarshalText(text []byte) error {
-	for _, role := range []HostRole{RoleWorker, RoleEndpoint} {
+	for _, role := range []HostRole{RoleWorker, RoleEndpoint, RoleEntry} {
 		if role.String() == string(text) {
 			*r = role
 			return nil
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -369,3 +369,17 @@
 	}
 	return b
 }
+
+// Choose draws one of names by a key, by rendezvous hashing: a name that is
+// added or removed moves only the keys that fall to it.
+func Choose(names []string, key string) string {
+	best, bestScore := "", uint64(0)
+	keyHash := xxhash.Sum64String(key)
+	for _, name := range names {
+		score := mix(keyHash, xxhash.Sum64String(name))
+		if best == "" || score > bestScore || score == bestScore && name < best {
+			best, bestScore = name, score
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/loader/loader.go
@@ -0,0 +1,265 @@
+// Package loader drives calls and jobs against a deployment.
+//
+// Calls arrive by a Poisson process of a fixed seed, open loop: a slow system
+// does not slow its callers down. What callers are told goes to an auditor.
+package loader
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatstall/auditor"
+	"kumquatstall/requester"
+	"kumquatstall/standin"
+)
+
+// Stream is a flow of calls of one kind.
+type Stream struct {
+	Trade         requester.Trade
+	Service       requester.Service
+	Kind          requester.Kind
+	Urgency       requester.Urgency
+	Idempotent    bool
+	Exclusive     bool
+	RatePerSecond float64
+	// WorkMillis is the mean time that a call takes at an endpoint; times
+	// vary log-normally.
+	WorkMillis     float64
+	DeadlineMillis int64
+	// DataCentres, where not empty, are the data centres that calls name.
+	DataCentres []requester.DataCentre
+	// Attempts bounds how often a caller sends a call that was not run.
+	Attempts int
+}
+
+// JobStream is a flow of jobs of one kind.
+type JobStream struct {
+	Trade         requester.Trade
+	Kind          requester.Kind
+	Shape         requester.JobShape
+	Urgency       requester.Urgency
+	Tasks         int
+	Need          requester.Resources
+	RunMillis     int64
+	RatePerSecond float64
+	DataCentres   []requester.DataCentre
+}
+
+// Workload is what is driven at one deployment.
+type Workload struct {
+	Streams []Stream
+	Jobs    []JobStream
+}
+
+// workSigma is the deviation of the logarithm of a call's time.
+const workSigma = 0.4
+
+// lostGrace is how long after its deadline a call's answer is waited for.
+const lostGrace = 3 * time.Second
+
+// Loader drives one workload.
+type Loader struct {
+	target  netip.AddrPort
+	client  *http.Client
+	auditor *auditor.Auditor
+	prefix  string
+	group   sync.WaitGroup
+
+	// Sent and Ended count the calls.
+	Sent  atomic.Int64
+	Ended atomic.Int64
+
+	mu   sync.Mutex
+	jobs []requester.JobStatus
+}
+
+// New returns a loader of calls to target; prefix makes its names unique.
+func New(target netip.AddrPort, auditor *auditor.Auditor, prefix string) *Loader {
+	const connections = 1024
+	transport := &http.Transport{MaxIdleConnsPerHost: connections, IdleConnTimeout: 30 * time.Second}
+	return &Loader{target: target, client: &http.Client{Transport: transport}, auditor: auditor, prefix: prefix}
+}
+
+// Run drives the workload until the time has come, then waits for all answers.
+func (l *Loader) Run(ctx context.Context, workload Workload, seed uint64, until time.Time) {
+	var sources sync.WaitGroup
+	for i, stream := range workload.Streams {
+		random := rand.New(rand.NewPCG(seed, uint64(i)))
+		sources.Go(func() { l.drive(ctx, i, stream, random, until) })
+	}
+	for i, stream := range workload.Jobs {
+		random := rand.New(rand.NewPCG(seed, uint64(1000+i)))
+		sources.Go(func() { l.driveJobs(ctx, i, stream, random, until) })
+	}
+	sources.Wait()
+	l.group.Wait()
+	l.client.CloseIdleConnections()
+}
+
+// Jobs returns the jobs that were accepted, as they were then.
+func (l *Loader) Jobs() []requester.JobStatus {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]requester.JobStatus(nil), l.jobs...)
+}
+
+// arrivals calls arrive at the times of a Poisson process.
+func arrivals(ctx context.Context, rate float64, random *rand.Rand, until time.Time, arrive func(n int)) {
+	if rate <= 0 {
+		return
+	}
+	next := time.Now()
+	for n := 0; ; n++ {
+		next = next.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		if !next.Before(until) {
+			return
+		}
+		timer := time.NewTimer(time.Until(next))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+		arrive(n)
+	}
+}
+
+func (l *Loader) drive(ctx context.Context, index int, stream Stream, random *rand.Rand, until time.Time) {
+	arrivals(ctx, stream.RatePerSecond, random, until, func(n int) {
+		call := stream.draw(random)
+		call.RequestID = requester.RequestID(fmt.Sprintf("%s-%s-%d-%d", l.prefix, stream.Kind, index, n))
+		l.group.Go(func() { l.call(ctx, call, max(1, stream.Attempts)) })
+	})
+}
+
+// draw makes one call of the stream.
+func (s *Stream) draw(random *rand.Rand) requester.Call {
+	factor := math.Exp(random.NormFloat64()*workSigma - workSigma*workSigma/2)
+	work := standin.CallWork{WorkMicros: int64(s.WorkMillis * 1000 * factor)}
+	payload, err := json.Marshal(work)
+	if err != nil {
+		panic(err)
+	}
+	call := requester.Call{
+		Trade:      s.Trade,
+		Service:    s.Service,
+		Kind:       s.Kind,
+		Urgency:    s.Urgency,
+		Idempotent: s.Idempotent,
+		Exclusive:  s.Exclusive,
+		Attempt:    1,
+		Payload:    payload,
+		Deadline:   time.Now().Add(time.Duration(s.DeadlineMillis) * time.Millisecond),
+	}
+	if len(s.DataCentres) > 0 {
+		call.DataCentre = s.DataCentres[random.IntN(len(s.DataCentres))]
+	}
+	return call
+}
+
+// call sends a call, again while it is told that it was not run.
+func (l *Loader) call(ctx context.Context, call requester.Call, attempts int) {
+	l.Sent.Add(1)
+	defer l.Ended.Add(1)
+	for {
+		sentAt := time.Now()
+		answer, err := l.send(ctx, call)
+		l.auditor.Tell(auditor.Told{Call: call, Answer: answer, SentAt: sentAt, Lost: err != nil})
+		again := err == nil && answer.Outcome == requester.OutcomeNotRun
+		if !again || call.Attempt >= attempts || !time.Now().Before(call.Deadline) {
+			return
+		}
+		call.Attempt++
+	}
+}
+
+// send sends one attempt. An error tells that no truthful answer came.
+func (l *Loader) send(ctx context.Context, call requester.Call) (requester.Answer, error) {
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline.Add(lostGrace))
+	defer cancel()
+	var answer requester.Answer
+	status, err := l.post(ctx, "/v1/calls", call, &answer)
+	if err != nil {
+		return answer, err
+	}
+	if status == http.StatusBadGateway {
+		// The balancer lost the entry; the caller can't know more.
+		answer = requester.Answer{RequestID: call.RequestID, Outcome: requester.OutcomeUnknown}
+	}
+	if answer.Outcome == requester.OutcomePending {
+		return answer, errors.Newf("status %d without an outcome", status)
+	}
+	return answer, nil
+}
+
+func (l *Loader) post(ctx context.Context, path string, body, answer any) (int, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, errors.Wrap(err, "encode request")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.target.String()+path, bytes.NewReader(data))
+	if err != nil {
+		return 0, errors.Wrap(err, "make request")
+	}
+	response, err := l.client.Do(request)
+	if err != nil {
+		return 0, errors.Wrapf(err, "send to %s", l.target)
+	}
+	defer response.Body.Close()
+	data, err = io.ReadAll(response.Body)
+	if err != nil {
+		return 0, errors.Wrapf(err, "read answer of %s", l.target)
+	}
+	if response.StatusCode == http.StatusBadGateway {
+		return response.StatusCode, nil
+	}
+	return response.StatusCode, errors.Wrap(json.Unmarshal(data, answer), "decode answer")
+}
+
+func (l *Loader) driveJobs(ctx context.Context, index int, stream JobStream, random *rand.Rand, until time.Time) {
+	arrivals(ctx, stream.RatePerSecond, random, until, func(n int) {
+		job := requester.Job{
+			JobID:     requester.JobID(fmt.Sprintf("%s-%s-%d-%d", l.prefix, stream.Kind, index, n)),
+			Trade:     stream.Trade,
+			Kind:      stream.Kind,
+			Shape:     stream.Shape,
+			Urgency:   stream.Urgency,
+			Tasks:     stream.Tasks,
+			Need:      stream.Need,
+			RunMillis: stream.RunMillis,
+		}
+		if len(stream.DataCentres) > 0 {
+			job.DataCentre = stream.DataCentres[random.IntN(len(stream.DataCentres))]
+		}
+		l.group.Go(func() { l.submit(ctx, job) })
+	})
+}
+
+// submitTimeout bounds one submission of a job.
+const submitTimeout = 10 * time.Second
+
+func (l *Loader) submit(ctx context.Context, job requester.Job) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	var status requester.JobStatus
+	code, err := l.post(ctx, "/v1/jobs", job, &status)
+	if err != nil || code != http.StatusCreated {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.jobs = append(l.jobs, status)
+}
--- a/placer/job.go
+++ b/placer/job.go
@@ -243,14 +243,20 @@
 	f.changed = append(f.changed, j)
 }
 
-// Forget drops the jobs that ended before a time and returns their names, so
-// that their rows can be deleted.
-func (f *Fleet) Forget(before time.Time) []requester.JobID {
-	var forgotten []requester.JobID
+// Forgotten names a job that was dropped and its row's revision.
+type Forgotten struct {
+	JobID       requester.JobID
+	RowRevision int64
+}
+
+// Forget drops the jobs that ended before a time and returns them, so that
+// their rows can be deleted.
+func (f *Fleet) Forget(before time.Time) []Forgotten {
+	var forgotten []Forgotten
 	for id, j := range f.jobs {
 		if j.state.Ended() && j.endedAt.Before(before) && j.version == j.saved && j.running == 0 && len(j.acks) == 0 {
 			delete(f.jobs, id)
-			forgotten = append(forgotten, id)
+			forgotten = append(forgotten, Forgotten{JobID: id, RowRevision: j.rowRevision})
 		}
 	}
 	return forgotten
--- a/requester/job.go
+++ b/requester/job.go
@@ -70,7 +70,9 @@
 func (s JobShape) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
 // UnmarshalText decodes the name of a shape.
-func (s *JobShape) UnmarshalText(text []byte) error { return unmarshalEnum(s, jobShapes, "Shape", text) }
+func (s *JobShape) UnmarshalText(text []byte) error {
+	return unmarshalEnum(s, jobShapes, "Shape", text)
+}
 
 // JobState is where a job stands.
 type JobState int
@@ -93,7 +95,9 @@
 func (s JobState) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
 // UnmarshalText decodes the name of a state.
-func (s *JobState) UnmarshalText(text []byte) error { return unmarshalEnum(s, jobStates, "State", text) }
+func (s *JobState) UnmarshalText(text []byte) error {
+	return unmarshalEnum(s, jobStates, "State", text)
+}
 
 // Job is a set of tasks to run on the workers of one data centre.
 type Job struct {
@@ -121,13 +125,13 @@
 
 // Validate checks the job. The error is a *FieldError.
 func (j *Job) Validate() error {
-	if err := checkName("JobID", string(j.JobID)); err != nil {
+	if err := CheckName("JobID", string(j.JobID)); err != nil {
 		return err
 	}
-	if err := checkName("Trade", string(j.Trade)); err != nil {
+	if err := CheckName("Trade", string(j.Trade)); err != nil {
 		return err
 	}
-	if err := checkName("Kind", string(j.Kind)); err != nil {
+	if err := CheckName("Kind", string(j.Kind)); err != nil {
 		return err
 	}
 	if j.Shape < ShapeBatch || j.Shape > ShapeService {
--- a/requester/outcome.go
+++ b/requester/outcome.go
@@ -39,7 +39,9 @@
 func (o Outcome) MarshalText() ([]byte, error) { return []byte(o.String()), nil }
 
 // UnmarshalText decodes the name of an outcome.
-func (o *Outcome) UnmarshalText(text []byte) error { return unmarshalEnum(o, outcomes, "Outcome", text) }
+func (o *Outcome) UnmarshalText(text []byte) error {
+	return unmarshalEnum(o, outcomes, "Outcome", text)
+}
 
 // Reason tells why a request was refused or not run.
 type Reason int
@@ -112,7 +114,9 @@
 func (u Urgency) MarshalText() ([]byte, error) { return []byte(u.String()), nil }
 
 // UnmarshalText decodes the name of an urgency.
-func (u *Urgency) UnmarshalText(text []byte) error { return unmarshalEnum(u, urgencies, "Urgency", text) }
+func (u *Urgency) UnmarshalText(text []byte) error {
+	return unmarshalEnum(u, urgencies, "Urgency", text)
+}
 
 type named interface {
 	comparable
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -66,16 +66,16 @@
 
 // Validate checks the call at time now. The error is a *FieldError.
 func (c *Call) Validate(now time.Time, maxLifetime time.Time) error {
-	if err := checkName("RequestID", string(c.RequestID)); err != nil {
+	if err := CheckName("RequestID", string(c.RequestID)); err != nil {
 		return err
 	}
-	if err := checkName("Trade", string(c.Trade)); err != nil {
+	if err := CheckName("Trade", string(c.Trade)); err != nil {
 		return err
 	}
-	if err := checkName("Service", string(c.Service)); err != nil {
+	if err := CheckName("Service", string(c.Service)); err != nil {
 		return err
 	}
-	if err := checkName("Kind", string(c.Kind)); err != nil {
+	if err := CheckName("Kind", string(c.Kind)); err != nil {
 		return err
 	}
 	if !c.Urgency.Valid() {
@@ -101,8 +101,11 @@
 	RequestID RequestID
 	Outcome   Outcome
 	Reason    Reason `json:",omitempty" cbor:",omitempty"`
-	Detail    string `json:",omitempty" cbor:",omitempty"`
-	Payload   []byte `json:",omitempty" cbor:",omitempty"`
+	// Field names the wrong field where Reason is ReasonInvalid; Detail then
+	// tells what was expected.
+	Field   string `json:",omitempty" cbor:",omitempty"`
+	Detail  string `json:",omitempty" cbor:",omitempty"`
+	Payload []byte `json:",omitempty" cbor:",omitempty"`
 	// ServedBy is the endpoint that answered.
 	ServedBy HostID `json:",omitempty" cbor:",omitempty"`
 	// StartedAt is when the endpoint was given the call.
@@ -128,8 +131,8 @@
 	return nil
 }
 
-// checkName checks that an identifier is present, short and printable.
-func checkName(field, value string) error {
+// CheckName checks that an identifier is present, short and printable.
+func CheckName(field, value string) error {
 	if value == "" {
 		return &FieldError{Field: field, Expected: "a name"}
 	}
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -208,6 +208,7 @@
 	body := AnswerBody(id)
 	switch {
 	case hits(faults.FailEvery, count):
+		w.Header().Set(router.HeaderRequestID, string(id))
 		http.Error(w, "stand-in failure", http.StatusInternalServerError)
 	case hits(faults.SilentEvery, count):
 		<-r.Context().Done()
--- a/tuner/profile.go
+++ b/tuner/profile.go
@@ -90,8 +90,8 @@
 // Validate checks the item; store resolves the names it refers to. The error
 // is a *requester.FieldError.
 func (i Item) Validate(store *Store) error {
-	if i.Name == "" || len(i.Name) > requester.MaxNameLength {
-		return &requester.FieldError{Field: "Name", Expected: "a name of at most 128 bytes"}
+	if err := requester.CheckName("Name", i.Name); err != nil {
+		return err
 	}
 	if i.Deleted {
 		return nil
--- a/tuner/tuner.go
+++ b/tuner/tuner.go
@@ -126,6 +126,7 @@
 	head int64
 	// headRowRevision is the table's revision of the head row.
 	headRowRevision int64
+	version         int64
 }
 
 // NewStore returns an empty configuration.
@@ -134,6 +135,9 @@
 // Head returns the revision up to which every change is known.
 func (s *Store) Head() int64 { return s.head }
 
+// Version grows whenever anything in the store changes.
+func (s *Store) Version() int64 { return s.version }
+
 // HeadRowRevision returns the table's revision of the head row.
 func (s *Store) HeadRowRevision() int64 { return s.headRowRevision }
 
@@ -196,6 +200,9 @@
 		s.headRowRevision = update.HeadRowRevision
 		changed = true
 	}
+	if changed {
+		s.version++
+	}
 	return changed
 }
 
@@ -236,7 +243,9 @@
 	Current Item
 }
 
-func (e *StaleError) Error() string { return "item " + e.Current.Name + " has changed since it was read" }
+func (e *StaleError) Error() string {
+	return "item " + e.Current.Name + " has changed since it was read"
+}
 
 // Propose returns the transaction that changes an item, and the change it
 // makes when committed. expected is the item's revision that the operator
@@ -297,3 +306,17 @@
 	}
 	return data
 }
+
+// DecodeHistory decodes the rows below HistoryPrefix, oldest change first.
+func DecodeHistory(rows []keeper.Row) ([]Change, error) {
+	changes := make([]Change, 0, len(rows))
+	for _, row := range rows {
+		var change Change
+		if err := json.Unmarshal(row.Value, &change); err != nil {
+			return nil, errors.Wrapf(err, "decode row %s", row.Key)
+		}
+		changes = append(changes, change)
+	}
+	sort.Slice(changes, func(i, j int) bool { return changes[i].Revision < changes[j].Revision })
+	return changes, nil
+}
