--- a/decider/core.go
+++ b/decider/core.go
@@ -67,9 +67,6 @@
 	MaxCallLifetime time.Duration
 	// JobRetention is how long an ended job is remembered; default 10 min.
 	JobRetention time.Duration
-	// Mutation breaks one rule on purpose, for tests that show that the
-	// checks find it.
-	Mutation Mutation
 }
 
 func (o Options) withDefaults() Options {
@@ -95,26 +92,6 @@
 	return o
 }
 
-// Mutation is a rule to break on purpose.
-type Mutation int
-
-// The mutations.
-const (
-	MutationNone Mutation = iota
-	// MutationSkipIntent dispatches calls without recording their intent.
-	MutationSkipIntent
-	// MutationSkipPromises extends leases without asking anybody.
-	MutationSkipPromises
-	// MutationFreeLostSlots gives a slot back when the connection is lost.
-	MutationFreeLostSlots
-	// MutationRetryAll retries calls that are not idempotent.
-	MutationRetryAll
-	// MutationApplyAnyRevision applies configuration of lower revisions.
-	MutationApplyAnyRevision
-	// MutationIgnoreLease goes on sending after the lease has ended.
-	MutationIgnoreLease
-)
-
 // Core is the decision core of one entry.
 type Core struct {
 	options Options
@@ -163,13 +140,15 @@
 	sweptAt      time.Time
 	savedAt      time.Time
 	saveOpen     bool
-	ownedKey     string
-	outageAt     time.Time
-	memberLostAt time.Time
-	startedAt    time.Time
-	draining     bool
-	stopped      bool
-	stats        Stats
+	// storingIntents tells that witnessed intents are being written.
+	storingIntents bool
+	ownedKey       string
+	outageAt       time.Time
+	memberLostAt   time.Time
+	startedAt      time.Time
+	draining       bool
+	stopped        bool
+	stats          Stats
 }
 
 // Stats counts what the core did.
@@ -302,6 +281,7 @@
 	c.heartbeat()
 	c.checkPeers()
 	c.tickSeats()
+	c.storeWitnessed()
 	c.tickOwnership()
 	c.tickPools()
 	c.tickFleet()
--- a/decider/home.go
+++ b/decider/home.go
@@ -23,6 +23,8 @@
 	pending map[requester.EntryID]bool
 	// outage tells that intents may have been witnessed not long ago.
 	outage bool
+	// watched tells that a member has run for long enough to know.
+	watched bool
 }
 
 // intent is a request whose intent is being recorded.
@@ -122,6 +124,7 @@
 		Seat:       message.Seat,
 		RequestIDs: ids,
 		Outage:     c.recently(c.outageAt),
+		Watched:    !c.recently(c.startedAt),
 	}})
 }
 
@@ -137,6 +140,7 @@
 	}
 	delete(home.pending, p.info.EntryID)
 	home.outage = home.outage || message.Outage
+	home.watched = home.watched || message.Watched
 	expires := c.now.Add(c.options.RequestHorizon)
 	for _, id := range message.RequestIDs {
 		c.witnesses.Record(id, p.info.EntryID, expires)
@@ -153,8 +157,10 @@
 	if c.leaser.StoreDown(c.now) || len(home.pending) > 0 {
 		return false
 	}
-	witnessesLost := c.recently(c.memberLostAt) || c.recently(c.startedAt)
-	return !(home.outage || c.recently(c.outageAt)) || !witnessesLost
+	started := c.recently(c.startedAt)
+	outage := home.outage || c.recently(c.outageAt) || started && !home.watched
+	witnessesLost := started || c.recently(c.memberLostAt)
+	return !outage || !witnessesLost
 }
 
 // beginHome takes in an attempt of a request at home here.
@@ -182,10 +188,6 @@
 		c.finishHome(call.RequestID, duplicate(call.RequestID))
 		return
 	}
-	if c.options.Mutation == MutationSkipIntent {
-		c.startHome(call)
-		return
-	}
 	c.recordIntent(&intent{call: call, repeated: repeated})
 }
 
@@ -274,6 +276,7 @@
 		return
 	}
 	if in.wanted == 0 {
+		c.book.SetWitnessed(in.call.RequestID)
 		c.intentRecorded(in)
 		return
 	}
@@ -338,6 +341,7 @@
 	in.granted++
 	if in.granted == in.wanted {
 		c.stats.IntentsWitness++
+		c.book.SetWitnessed(in.call.RequestID)
 		c.intentRecorded(in)
 	}
 }
@@ -363,7 +367,7 @@
 // startHome sends a call whose intent is recorded to an endpoint. The seat
 // must still be held: a later home may already have been asked.
 func (c *Core) startHome(call requester.Call) {
-	if !c.leaser.Owns(c.homeOf(&call).Number, c.now) && c.options.Mutation != MutationIgnoreLease {
+	if !c.leaser.Owns(c.homeOf(&call).Number, c.now) {
 		c.finishHome(call.RequestID, requester.Answer{
 			RequestID: call.RequestID,
 			Outcome:   requester.OutcomeNotRun,
@@ -383,7 +387,55 @@
 	}
 }
 
-// maxDeletes bounds the intent rows deleted at once.
+// storeWitnessed writes the intents that were recorded with witnesses to the
+// table once it can be reached again: a later home then finds them there, even
+// when the witnesses are gone.
+func (c *Core) storeWitnessed() {
+	if c.storingIntents || c.leaser.StoreDown(c.now) {
+		return
+	}
+	ids := c.book.Witnessed(maxDeletes)
+	if len(ids) == 0 {
+		return
+	}
+	var transaction keeper.Transaction
+	for _, id := range ids {
+		row, err := json.Marshal(intentRow{RequestID: id, Home: c.options.Self, At: c.now})
+		if err != nil {
+			c.violate("intent", err.Error())
+			return
+		}
+		key := c.intentKey(id)
+		transaction.Conditions = append(transaction.Conditions, keeper.Condition{Key: key})
+		transaction.Writes = append(transaction.Writes, keeper.Write{Key: key, Value: row})
+	}
+	c.storingIntents = true
+	c.transact(transaction, c.now.Add(c.options.SeatTerm), func(result keeper.TransactResult, failure TableFailure) {
+		c.storingIntents = false
+		if failure != TableOK {
+			return
+		}
+		if !result.Committed {
+			c.intentsStand(result.Conflicts)
+			return
+		}
+		for _, id := range ids {
+			c.book.SetStored(id, result.Revision)
+		}
+	})
+}
+
+// intentsStand notes the intents whose rows stand in the table already.
+func (c *Core) intentsStand(rows []keeper.Row) {
+	for _, row := range rows {
+		var known intentRow
+		if row.Revision > 0 && json.Unmarshal(row.Value, &known) == nil {
+			c.book.SetStored(known.RequestID, row.Revision)
+		}
+	}
+}
+
+// maxDeletes bounds the intent rows deleted or written at once.
 const maxDeletes = 256
 
 // deleteIntents deletes the rows of intents that have served their time.
--- a/decider/peers.go
+++ b/decider/peers.go
@@ -26,6 +26,8 @@
 	configHead  int64
 	// lastSentAt is the SentAt of the last heartbeat heard.
 	lastSentAt time.Time
+	// met tells that a heartbeat of the peer has arrived.
+	met bool
 	// roundTrip and offset are measured by heartbeats; offset is what the
 	// peer's clock is ahead.
 	roundTrip time.Duration
@@ -132,6 +134,7 @@
 			Refused:     p.refused,
 			Incarnation: p.incarnation,
 			Leaving:     p.leaving,
+			Met:         p.met,
 		})
 	}
 	return peers
@@ -211,6 +214,7 @@
 
 func (c *Core) onHeartbeat(p *peer, message *encoder.Heartbeat) {
 	p.heardAt = c.now
+	p.met = true
 	p.lastSentAt = message.SentAt
 	p.holdings = message.Holdings
 	p.leaving = message.Leaving
--- a/decider/receive.go
+++ b/decider/receive.go
@@ -19,11 +19,12 @@
 	origin recorder.Origin
 	// to is the peer that has the call; empty while none has.
 	to requester.EntryID
-	// sent tells that some peer may have begun to carry the call out.
-	sent bool
+	// sent tells that some peer may have begun to carry the call out; begun
+	// tells so of a peer before the one that has it now.
+	sent  bool
+	begun bool
 	// avoid are the peers that could not carry it out.
 	avoid map[requester.EntryID]bool
-	tries int
 }
 
 // Pauses and bounds of forwarding.
@@ -153,7 +154,7 @@
 	}
 	if to == c.options.Self {
 		c.dropForward(f)
-		c.run(f.call, f.origin)
+		c.run(f.call, f.origin, f.sent)
 		return
 	}
 	c.sendForward(f, to)
@@ -230,13 +231,12 @@
 }
 
 func (c *Core) sendForward(f *forward, to requester.EntryID) {
-	again := f.sent
+	f.begun = f.sent
 	f.to = to
 	f.sent = true
-	f.tries++
 	c.keepForward(f)
 	c.stats.Forwarded++
-	c.emit(Send{To: to, Message: &encoder.CallForward{ID: f.id, Hop: f.hop, Call: f.call, Again: again}})
+	c.emit(Send{To: to, Message: &encoder.CallForward{ID: f.id, Hop: f.hop, Call: f.call, Again: f.begun}})
 }
 
 // onForwarded takes in a call from a peer.
@@ -249,7 +249,7 @@
 			c.notHere(origin)
 			return
 		}
-		c.run(call, origin)
+		c.run(call, origin, false)
 		return
 	}
 	if holder, ok := c.holderOf(c.homeOf(&call)); !ok || holder != c.options.Self {
@@ -271,9 +271,7 @@
 	}
 	if message.NotHere {
 		c.avoid(f, p.info.EntryID)
-		// What was sent before this try remains unknown.
-		f.sent = f.tries > 1
-		f.tries--
+		f.sent = f.begun
 		c.search(f)
 		return
 	}
@@ -282,6 +280,10 @@
 	if !answer.StartedAt.IsZero() {
 		answer.StartedAt = answer.StartedAt.Add(-p.offset)
 	}
+	if f.hop == encoder.HopRun && f.begun && answer.Outcome.ProvesNotRun() {
+		// The peer speaks for itself only.
+		answer.Outcome = requester.OutcomeUnknown
+	}
 	c.reply(f.origin, answer)
 }
 
--- a/decider/run.go
+++ b/decider/run.go
@@ -136,12 +136,17 @@
 
 func (c *Core) runTime(call *requester.Call) time.Duration { return c.durations.Mean(callKey(call)) }
 
-// run takes in a call for the endpoints owned here.
-func (c *Core) run(call requester.Call, origin recorder.Origin) {
+// run takes in a call for the endpoints owned here. sent tells that another
+// entry may have begun to run it.
+func (c *Core) run(call requester.Call, origin recorder.Origin, sent bool) {
 	sp := c.pool(call.Service)
-	e := &execution{id: c.id(), call: call, origin: origin, machine: callChart.Start()}
+	e := &execution{id: c.id(), call: call, origin: origin, machine: callChart.Start(), sent: sent}
 	if reason := c.admit(sp, &call); reason != requester.ReasonNone {
-		c.endExecution(e, requester.OutcomeRefused, reason, "")
+		outcome := requester.OutcomeRefused
+		if sent {
+			outcome = requester.OutcomeUnknown
+		}
+		c.endExecution(e, outcome, reason, "")
 		return
 	}
 	c.budgets.Earn(call.Trade, sp.profile.RetryBudget)
@@ -275,10 +280,10 @@
 func (c *Core) mayDispatch(e *execution, host requester.HostID) bool {
 	if e.sent && e.call.NeedsHome() && !e.call.Idempotent {
 		c.violate("second dispatch of a call that is not idempotent", string(e.call.RequestID))
-		return c.options.Mutation == MutationRetryAll
+		return false
 	}
 	if _, held := c.leaser.Holds(c.hostSeats[host], c.now); !held {
-		return c.options.Mutation == MutationIgnoreLease
+		return false
 	}
 	return c.now.Before(e.call.Deadline)
 }
@@ -393,9 +398,6 @@
 // that its slot stays taken.
 func (c *Core) onLost(sp *servicePool, e *execution, event AttemptDone, live bool) {
 	sp.pool.Lose(c.now, event.AttemptID)
-	if c.options.Mutation == MutationFreeLostSlots {
-		sp.pool.Finish(c.now, event.AttemptID, true)
-	}
 	if !live {
 		return
 	}
@@ -409,7 +411,7 @@
 // retry runs a call once more if that does no harm and is worth it; else the
 // call ends.
 func (c *Core) retry(sp *servicePool, e *execution, detail string) {
-	harmless := e.call.Idempotent || !e.sent || c.options.Mutation == MutationRetryAll
+	harmless := e.call.Idempotent || !e.sent
 	worth := e.started < sp.profile.MaxAttempts && c.now.Add(c.runTime(&e.call)).Before(e.call.Deadline)
 	if harmless && worth && c.budgets.Spend(e.call.Trade) {
 		c.stats.Retried++
--- a/decider/seats.go
+++ b/decider/seats.go
@@ -301,6 +301,9 @@
 	if number != leaser.PlacementSeat && c.book.Pending(own) > 0 {
 		return true
 	}
+	if !c.leaser.StoreDown(c.now) && len(c.book.Witnessed(1)) > 0 {
+		return true
+	}
 	for _, e := range c.attempts {
 		if c.hostSeats[e.endpoint] == number {
 			return true
--- a/encoder/message.go
+++ b/encoder/message.go
@@ -157,8 +157,10 @@
 type WitnessList struct {
 	Seat       leaser.Seat
 	RequestIDs []requester.RequestID
-	// Outage tells that the sender has known of a store outage recently.
-	Outage bool
+	// Outage tells that the sender has known of a store outage recently;
+	// Watched that it has run for long enough to know.
+	Outage  bool
+	Watched bool
 }
 
 // JobAction tells what a JobRequest asks for.
--- a/leaser/decide.go
+++ b/leaser/decide.go
@@ -23,6 +23,9 @@
 	Incarnation int64
 	// Leaving tells that the peer is shutting down.
 	Leaving bool
+	// Met tells that the peer has sent a heartbeat to this entry: it knows
+	// of it.
+	Met bool
 }
 
 // Purpose tells what a transaction of the leaser is for.
@@ -87,13 +90,33 @@
 	if step, ok := l.renew(now); ok {
 		decision.Steps = append(decision.Steps, step)
 	}
-	if !l.leaving && !l.StoreDown(now) {
+	if l.introducedAt.IsZero() && l.metAll(peers) {
+		l.introducedAt = now
+	}
+	if !l.leaving && !l.StoreDown(now) && !l.introducedAt.IsZero() {
 		decision.Steps = append(decision.Steps, l.claims(now, peers)...)
 	}
 	l.extend(now, peers, &decision)
 	return decision
 }
 
+// metAll reports whether every member listed has been met or is dead.
+func (l *Leaser) metAll(peers []Peer) bool {
+	met := make(map[requester.EntryID]bool, len(peers))
+	for _, peer := range peers {
+		met[peer.EntryID] = peer.Met
+	}
+	for id, member := range l.members {
+		if id == l.options.Self || met[id] {
+			continue
+		}
+		if !l.provenDead(SeatRow{Holder: id, Incarnation: member.Incarnation}, peers) {
+			return false
+		}
+	}
+	return true
+}
+
 // lapse gives up the seats whose lease has ended.
 func (l *Leaser) lapse(now time.Time) {
 	for _, seat := range l.seats {
@@ -101,6 +124,7 @@
 			_ = seat.machine.Fire("Lapse")
 			seat.deadline = time.Time{}
 			seat.granted = nil
+			seat.adopted = false
 		}
 	}
 }
@@ -234,7 +258,13 @@
 	if now.Before(seat.promise.until) {
 		return false
 	}
-	if seat.rowRevision == 0 || seat.row.Holder == "" {
+	if seat.rowRevision == 0 {
+		return true
+	}
+	if now.Before(l.introducedAt.Add(l.options.Term + l.options.Margin)) {
+		return false
+	}
+	if seat.row.Holder == "" {
 		return true
 	}
 	if now.Before(l.vacantAt(seat)) {
@@ -254,7 +284,7 @@
 	if member, ok := l.members[row.Holder]; ok && member.Incarnation > row.Incarnation {
 		return true
 	}
-	if l.hostListKnown && !l.listedEntries[row.Holder] {
+	if l.gone(row.Holder) {
 		return true
 	}
 	for _, peer := range peers {
@@ -420,6 +450,7 @@
 			continue
 		}
 		_ = seat.machine.Fire("Renewed")
+		seat.adopted = false
 		seat.deadline = later(seat.deadline, step.SentAt.Add(l.options.Term))
 		seat.granted = nil
 	}
@@ -522,6 +553,9 @@
 // adoptable reports whether the seat's holder is dead, its lease over, and
 // this entry first in line, while the table is down.
 func (l *Leaser) adoptable(now time.Time, number int, seat *seatState, peers []Peer) bool {
+	if number == PlacementSeat || l.introducedAt.IsZero() {
+		return false
+	}
 	if !seat.machine.In("Vacant") || seat.claimOpen || l.leaving || !l.StoreDown(now) || seat.rowRevision == 0 {
 		return false
 	}
@@ -582,7 +616,7 @@
 		// The row must still name the holder, or be older than its claim.
 		return epoch > seat.row.Epoch || seat.row.Holder == request.Holder && seat.row.Incarnation == request.Incarnation
 	}
-	if epoch != seat.row.Epoch+1 || now.Before(l.vacantAt(seat)) {
+	if !l.StoreDown(now) || epoch != seat.row.Epoch+1 || now.Before(l.vacantAt(seat)) {
 		return false
 	}
 	return seat.row.Holder == "" || l.provenDead(seat.row, peers)
@@ -607,7 +641,7 @@
 func (l *Leaser) completeRounds(now time.Time, sent PromiseRequest, peers []Peer) {
 	for _, wanted := range sent.Seats {
 		seat := l.seats[wanted.Seat.Number]
-		if seat.granted == nil || seat.round != sent.Round || !l.allPromised(seat, peers) {
+		if seat.granted == nil || seat.round != sent.Round || !l.allPromised(seat, sent.Adopt || seat.adopted, peers) {
 			continue
 		}
 		deadline := seat.roundAt.Add(l.options.Term)
@@ -623,6 +657,7 @@
 		}
 		if seat.machine.In("Vacant") && !now.Before(seat.promise.until) {
 			_ = seat.machine.Fire("Adopt")
+			seat.adopted = true
 			seat.previous = seat.row.Holder
 			seat.ownEpoch = wanted.Epoch
 			seat.deadline = deadline
@@ -630,20 +665,44 @@
 	}
 }
 
-// allPromised reports whether all members known have promised or are dead.
-func (l *Leaser) allPromised(seat *seatState, peers []Peer) bool {
+// allPromised reports whether everybody who could claim the seat has promised
+// or is dead. Towards its own seat a holder need not ask a member that has
+// started anew: that one is a newcomer. An adopter has to ask it, and every
+// peer it knows of.
+func (l *Leaser) allPromised(seat *seatState, adopt bool, peers []Peer) bool {
 	for id, member := range l.members {
 		if id == l.options.Self || seat.granted[id] {
 			continue
 		}
 		row := SeatRow{Holder: id, Incarnation: member.Incarnation}
-		if !l.provenDead(row, peers) {
+		if adopt && !l.absent(id, peers) || !adopt && !l.provenDead(row, peers) {
+			return false
+		}
+	}
+	if !adopt {
+		return true
+	}
+	for _, peer := range peers {
+		if !seat.granted[peer.EntryID] && !l.absent(peer.EntryID, peers) {
 			return false
 		}
 	}
 	return true
 }
 
+// absent reports whether no process of an entry, of any incarnation, runs.
+func (l *Leaser) absent(id requester.EntryID, peers []Peer) bool {
+	if l.gone(id) {
+		return true
+	}
+	for _, peer := range peers {
+		if peer.EntryID == id {
+			return peer.Refused && !peer.Connected
+		}
+	}
+	return false
+}
+
 // StaleMembers returns registered entries that are proven dead, so that their
 // registrations can be removed. A removed entry that lives after all can't
 // claim before it has registered again.
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -24,8 +24,18 @@
 // the holder and must promise, for a bounded time, not to claim the seat; a
 // member registered later is a newcomer and may claim only with proof that the
 // holder is dead. So the promises of all known members, less those proven
-// dead, cover everybody who could claim. docs/design/seats.md has the table
-// of cases.
+// dead, cover everybody who could claim.
+//
+// # Adoption
+//
+// A call seat whose holder has died while the table can't be reached may be
+// adopted by the promise of everybody. The dead holder may have renewed after
+// the adopter last read the table, and so may have known members that the
+// adopter does not. Therefore an entry claims nothing before it has met, by an
+// exchange of heartbeats, every member listed when it registered, or has proof
+// of its death, and then waits a term and a margin: an adoption that began
+// before the meeting has ended by then or was extended with its promise.
+// docs/design/seats.md has the table of cases.
 //
 // A Leaser owns no goroutine, lock, clock or socket: its methods take the time
 // and what happened, and return what to do.
@@ -117,6 +127,8 @@
 	ownEpoch int64
 	// previous is the holder before the own claim.
 	previous requester.EntryID
+	// adopted tells that the table does not name this entry as holder.
+	adopted bool
 	// claimOpen tells that an own claim may still commit.
 	claimOpen bool
 	// promise is what was promised to another entry.
@@ -153,14 +165,17 @@
 	leaving     bool
 	roundNumber int64
 	startedAt   time.Time
-	// listedEntries are the entries on the host list, where it has any.
-	listedEntries map[requester.EntryID]bool
-	hostListKnown bool
+	// introducedAt is when every member listed had been met or was dead;
+	// zero before.
+	introducedAt time.Time
+	// listed tells, for each entry that the host list has named, whether it
+	// does so still. The list lags: an entry never named may be a new one.
+	listed map[requester.EntryID]bool
 }
 
 // New returns a Leaser that holds nothing.
 func New(options Options, now time.Time) *Leaser {
-	l := &Leaser{options: options, chart: charter.MustLoad("seat"), members: make(map[requester.EntryID]Member), startedAt: now}
+	l := &Leaser{options: options, chart: charter.MustLoad("seat"), members: make(map[requester.EntryID]Member), listed: make(map[requester.EntryID]bool), startedAt: now}
 	for range options.Seats {
 		l.seats = append(l.seats, &seatState{machine: l.chart.Start()})
 	}
@@ -268,13 +283,20 @@
 
 // OnHostList takes in the entries on the platform's host list.
 func (l *Leaser) OnHostList(entries []requester.EntryID) {
-	l.hostListKnown = len(entries) > 0
-	l.listedEntries = make(map[requester.EntryID]bool, len(entries))
+	for id := range l.listed {
+		l.listed[id] = false
+	}
 	for _, id := range entries {
-		l.listedEntries[id] = true
+		l.listed[id] = true
 	}
 }
 
+// gone reports whether an entry was on the host list once and is not any more.
+func (l *Leaser) gone(id requester.EntryID) bool {
+	listed, known := l.listed[id]
+	return known && !listed
+}
+
 // OnRows takes in the rows of ReadRequest as of a table revision. sentAt is
 // when the read was sent.
 func (l *Leaser) OnRows(now, sentAt time.Time, result keeper.ReadResult) error {
@@ -361,6 +383,7 @@
 	_ = seat.machine.Fire(event)
 	seat.deadline = time.Time{}
 	seat.granted = nil
+	seat.adopted = false
 }
 
 func later(a, b time.Time) time.Time {
--- a/placer/job.go
+++ b/placer/job.go
@@ -1,7 +1,9 @@
 package placer
 
 import (
+	"cmp"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -259,5 +261,6 @@
 			forgotten = append(forgotten, Forgotten{JobID: id, RowRevision: j.rowRevision})
 		}
 	}
+	slices.SortFunc(forgotten, func(a, b Forgotten) int { return cmp.Compare(a.JobID, b.JobID) })
 	return forgotten
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -25,7 +25,9 @@
 package placer
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 
 	"kumquatstall/breaker"
@@ -46,6 +48,16 @@
 	Epoch int64
 }
 
+// Compare orders TaskIDs by job, task and run.
+func (t TaskID) Compare(other TaskID) int {
+	return cmp.Or(
+		cmp.Compare(t.Job, other.Job),
+		cmp.Compare(t.Index, other.Index),
+		cmp.Compare(t.Epoch, other.Epoch),
+		cmp.Compare(t.Run, other.Run),
+	)
+}
+
 // RunState is where a run of a task stands on its worker.
 type RunState int
 
@@ -323,13 +335,24 @@
 // drain asks a leaving worker to checkpoint and stop what would run long.
 // Batch tasks finish; replicas of services move.
 func (f *Fleet) drain(w *worker) {
-	for _, t := range w.tasks {
+	for _, t := range w.sortedTasks() {
 		if t.job.spec.Shape == requester.ShapeService && t.machine.Can("Stop") {
 			f.replaceReplica(t)
 		}
 	}
 }
 
+// sortedTasks returns the tasks on a worker in the order of their names, so
+// that decisions do not depend on the order of a map.
+func (w *worker) sortedTasks() []*task {
+	tasks := make([]*task, 0, len(w.tasks))
+	for _, t := range w.tasks {
+		tasks = append(tasks, t)
+	}
+	slices.SortFunc(tasks, func(a, b *task) int { return a.id.Compare(b.id) })
+	return tasks
+}
+
 // replaceReplica wants a new replica before it stops the old one: the old
 // task is stopped once the new one runs.
 func (f *Fleet) replaceReplica(old *task) {
--- a/placer/sync.go
+++ b/placer/sync.go
@@ -118,8 +118,8 @@
 	for _, start := range w.starts {
 		present[start.Task] = true
 	}
-	for id, t := range w.tasks {
-		if !present[id] {
+	for _, t := range w.sortedTasks() {
+		if !present[t.id] {
 			f.lapseTask(now, t)
 		}
 	}
@@ -267,7 +267,7 @@
 
 func cheapest(w *worker) *task {
 	var best *task
-	for _, t := range w.tasks {
+	for _, t := range w.sortedTasks() {
 		if !t.machine.Can("Stop") {
 			continue
 		}
@@ -361,7 +361,7 @@
 		for id := range w.foreign {
 			f.dropForeign(w, id)
 		}
-		for _, t := range w.tasks {
+		for _, t := range w.sortedTasks() {
 			f.lapseTask(now, t)
 			lapsed++
 		}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -11,6 +11,8 @@
 package recorder
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"kumquatstall/requester"
@@ -50,11 +52,16 @@
 	expires time.Time
 	// intentRevision is the table's revision of the intent row, if any.
 	intentRevision int64
+	// witnessed tells that the intent is with witnesses and not yet in the
+	// table.
+	witnessed bool
 }
 
 // Book holds the records of the requests at home here.
 type Book struct {
 	records map[requester.RequestID]*record
+	// witnessed counts the records whose intent is with witnesses only.
+	witnessed int
 }
 
 // NewBook returns an empty book.
@@ -84,6 +91,39 @@
 	}
 }
 
+// SetWitnessed notes that a request's intent is with witnesses only.
+func (b *Book) SetWitnessed(id requester.RequestID) {
+	if known, ok := b.records[id]; ok {
+		known.witnessed = true
+		b.witnessed++
+	}
+}
+
+// SetStored notes that a witnessed intent now stands in the table; revision
+// is 0 where another home wrote the row.
+func (b *Book) SetStored(id requester.RequestID, revision int64) {
+	if known, ok := b.records[id]; ok && known.witnessed {
+		known.witnessed = false
+		known.intentRevision = revision
+		b.witnessed--
+	}
+}
+
+// Witnessed returns up to limit requests whose intent is with witnesses only.
+func (b *Book) Witnessed(limit int) []requester.RequestID {
+	if b.witnessed == 0 {
+		return nil
+	}
+	var found []requester.RequestID
+	for id, known := range b.records {
+		if known.witnessed {
+			found = append(found, id)
+		}
+	}
+	slices.Sort(found)
+	return found[:min(limit, len(found))]
+}
+
 // Finish ends a request and returns who waits for the answer. An answer that
 // proves that nothing ran is not kept: the request may be tried again.
 func (b *Book) Finish(id requester.RequestID, answer requester.Answer, expires time.Time) []Origin {
@@ -96,7 +136,7 @@
 	known.ended = true
 	known.answer = answer
 	known.expires = expires
-	if answer.Outcome.ProvesNotRun() && known.intentRevision == 0 {
+	if answer.Outcome.ProvesNotRun() && known.intentRevision == 0 && !known.witnessed {
 		delete(b.records, id)
 	}
 	return waiters
@@ -121,12 +161,11 @@
 	if !ok || known.ended {
 		return false
 	}
-	for i, waiter := range known.waiters {
-		if waiter == origin {
-			known.waiters = append(known.waiters[:i], known.waiters[i+1:]...)
-			break
-		}
+	i := slices.Index(known.waiters, origin)
+	if i < 0 {
+		return false
 	}
+	known.waiters = slices.Delete(known.waiters, i, i+1)
 	return len(known.waiters) == 0
 }
 
@@ -155,10 +194,14 @@
 			continue
 		}
 		delete(b.records, id)
+		if known.witnessed {
+			b.witnessed--
+		}
 		if known.intentRevision > 0 {
 			rows = append(rows, IntentRow{RequestID: id, Revision: known.intentRevision})
 		}
 	}
+	slices.SortFunc(rows, func(a, b IntentRow) int { return cmp.Compare(a.RequestID, b.RequestID) })
 	return rows
 }
 
@@ -199,6 +242,7 @@
 			found = append(found, id)
 		}
 	}
+	slices.Sort(found)
 	return found
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -285,8 +285,10 @@
 	if !ok {
 		return nil
 	}
+	reported := make(map[requester.RequestID]bool)
 	running := make(map[requester.RequestID]int)
 	for _, requestID := range status.Running {
+		reported[requestID] = true
 		running[requestID]++
 	}
 	for _, attempt := range e.attempts {
@@ -298,9 +300,10 @@
 	}
 	var ended []Attempt
 	for attemptID, attempt := range e.attempts {
-		// The margin leaves time for a request still on its way.
+		// The margin leaves time for a request still on its way. Another
+		// attempt of the same request may be running in its place.
 		sure := !attempt.lostAt.IsZero() && sentAt.After(attempt.lostAt.Add(p.limits.Margin))
-		if sure && running[attempt.RequestID] < 0 {
+		if sure && !reported[attempt.RequestID] {
 			ended = append(ended, *attempt)
 			delete(e.attempts, attemptID)
 			delete(p.attempts, attemptID)
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,10 +52,9 @@
 	usageSeen bool
 }
 
-// Worker is a stand-in for a host that runs tasks under leases. It needs no
-// goroutine of its own: state is brought up to date whenever it is asked.
-type Worker struct {
-	server
+// Runtime is what runs on a worker, without a server. It needs no goroutine of
+// its own: state is brought up to date whenever it is asked.
+type Runtime struct {
 	hostID requester.HostID
 	total  requester.Resources
 
@@ -69,9 +69,20 @@
 	overUses int64
 }
 
+// NewRuntime returns a worker's runtime that started at boot.
+func NewRuntime(hostID requester.HostID, total requester.Resources, boot time.Time) *Runtime {
+	return &Runtime{hostID: hostID, total: total, boot: boot.UnixNano(), tasks: make(map[placer.TaskID]*workerTask)}
+}
+
+// Worker is a stand-in for a host that runs tasks under leases.
+type Worker struct {
+	server
+	*Runtime
+}
+
 // NewWorker starts a worker on loopback.
 func NewWorker(hostID requester.HostID, total requester.Resources) (*Worker, error) {
-	w := &Worker{hostID: hostID, total: total, boot: time.Now().UnixNano(), tasks: make(map[placer.TaskID]*workerTask)}
+	w := &Worker{Runtime: NewRuntime(hostID, total, time.Now())}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/sync", w.serveSync)
 	mux.HandleFunc("PUT /faults", func(rw http.ResponseWriter, r *http.Request) { serveFaults(rw, r, w.SetFaults) })
@@ -79,33 +90,33 @@
 }
 
 // SetFaults replaces the faults.
-func (w *Worker) SetFaults(faults WorkerFaults) {
+func (w *Runtime) SetFaults(faults WorkerFaults) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.faults = faults
 }
 
-// Runs returns the task runs that have ended.
-func (w *Worker) Runs() []TaskRun {
+// Runs returns the task runs that have ended by now.
+func (w *Runtime) Runs(now time.Time) []TaskRun {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.advance(time.Now())
+	w.advance(now)
 	return append([]TaskRun(nil), w.runs...)
 }
 
 // OverUses returns how often the worker was given more than it can hold.
-func (w *Worker) OverUses() int64 {
+func (w *Runtime) OverUses() int64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.overUses
 }
 
 // Taken returns the share of the worker that running tasks take in their
-// dominant dimension.
-func (w *Worker) Taken() float64 {
+// dominant dimension at now.
+func (w *Runtime) Taken(now time.Time) float64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.advance(time.Now())
+	w.advance(now)
 	return w.reserved().DominantShare(w.total)
 }
 
@@ -121,12 +132,12 @@
 	if !decodeJSON(rw, r, &request) {
 		return
 	}
-	encodeJSON(rw, w.sync(request, time.Now()))
+	encodeJSON(rw, w.Sync(request, time.Now()))
 }
 
-// sync carries out one request of a holder and reports all tasks. A request
+// Sync carries out one request of a holder and reports all tasks. A request
 // of an older epoch changes nothing.
-func (w *Worker) sync(request placer.SyncRequest, now time.Time) placer.SyncReport {
+func (w *Runtime) Sync(request placer.SyncRequest, now time.Time) placer.SyncReport {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
@@ -160,10 +171,11 @@
 		}
 		report.Tasks = append(report.Tasks, placer.TaskReport{Task: id, Job: task.start.Job, State: task.state, Need: task.start.Need, Use: task.usage(now)})
 	}
+	slices.SortFunc(report.Tasks, func(a, b placer.TaskReport) int { return a.Task.Compare(b.Task) })
 	return report
 }
 
-func (w *Worker) begin(start placer.TaskStart, now time.Time) {
+func (w *Runtime) begin(start placer.TaskStart, now time.Time) {
 	if _, ok := w.tasks[start.Task]; ok {
 		return
 	}
@@ -189,7 +201,7 @@
 }
 
 // advance ends the tasks whose time is up and those whose lease has lapsed.
-func (w *Worker) advance(now time.Time) {
+func (w *Runtime) advance(now time.Time) {
 	for _, task := range w.tasks {
 		if task.state != placer.RunRunning {
 			continue
@@ -208,7 +220,7 @@
 	}
 }
 
-func (w *Worker) finish(task *workerTask, state placer.RunState, at time.Time) {
+func (w *Runtime) finish(task *workerTask, state placer.RunState, at time.Time) {
 	task.state = state
 	task.ended = at
 	w.note(task)
@@ -216,12 +228,12 @@
 }
 
 // note gives a task's change the next sequence number.
-func (w *Worker) note(task *workerTask) {
+func (w *Runtime) note(task *workerTask) {
 	w.sequence++
 	task.changed = w.sequence
 }
 
-func (w *Worker) reserved() requester.Resources {
+func (w *Runtime) reserved() requester.Resources {
 	var sum requester.Resources
 	for _, task := range w.tasks {
 		if task.state == placer.RunRunning {
