--- a/decider/randomised_test.go
+++ b/decider/randomised_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"strconv"
 	"testing"
@@ -66,7 +67,7 @@
 	for range 3 {
 		w.sendCall(w.drawCall(w.calls))
 	}
-	if w.chance(0.1) {
+	if w.chance(0.15) {
 		w.submitJob(len(w.jobs))
 	}
 	if w.chance(0.1) {
@@ -82,13 +83,28 @@
 	}
 }
 
+// faultKinds is the number of kinds of faults.
+const faultKinds = 10
+
+// drawKinds chooses the kinds of faults of a run: all of them, or a few, since
+// one kind can hide what another would show.
+func drawKinds(random *rand.Rand) []int {
+	kinds := random.Perm(faultKinds)
+	if random.IntN(3) == 0 {
+		return kinds
+	}
+	return kinds[:1+random.IntN(3)]
+}
+
 // drawFault starts one fault and plans its end.
 func (w *world) drawFault() {
 	n := w.nodes[w.random.IntN(len(w.nodes))]
 	length := time.Duration(200+w.random.IntN(8000)) * time.Millisecond
-	switch w.random.IntN(10) {
-	case 0, 1:
+	switch w.kinds[w.random.IntN(len(w.kinds))] {
+	case 0:
 		w.crash(n, length)
+	case 1:
+		w.cutWorker(length)
 	case 2:
 		if n.core != nil {
 			n.pausedUntil = w.now.Add(length)
@@ -180,6 +196,13 @@
 	}
 }
 
+// cutWorker cuts a worker off from all entries.
+func (w *world) cutWorker(length time.Duration) {
+	host := w.hosts[w.random.IntN(len(w.hosts))]
+	w.workerCutUntil[host.HostID] = w.now.Add(length)
+	w.note("%s is cut off for %s", host.HostID, length)
+}
+
 func (w *world) slowEndpoint(length time.Duration) {
 	host := w.hosts[w.random.IntN(len(w.hosts))]
 	if endpoint, ok := w.endpoints[host.HostID]; ok {
@@ -195,6 +218,7 @@
 	w.storeDown = false
 	w.faults = faultRates{}
 	clear(w.cut)
+	clear(w.workerCutUntil)
 	for _, n := range w.nodes {
 		n.cutFromDB = false
 		n.pausedUntil = w.now
--- a/decider/world_test.go
+++ b/decider/world_test.go
@@ -50,10 +50,13 @@
 	refused   map[requester.JobID]bool
 	// cut holds pairs of nodes that can't reach each other; silent links
 	// stay open without carrying anything.
-	cut    map[[2]int]bool
-	faults faultRates
-	healed bool
-	mutate mutation
+	cut map[[2]int]bool
+	// workerCutUntil tells until when a worker can't be reached.
+	workerCutUntil map[requester.HostID]time.Time
+	kinds          []int
+	faults         faultRates
+	healed         bool
+	mutate         mutation
 }
 
 // faultRates are the chances of faults that concern single requests.
@@ -162,7 +165,10 @@
 		jobs:      make(map[requester.JobID]requester.Job),
 		refused:   make(map[requester.JobID]bool),
 		cut:       make(map[[2]int]bool),
+
+		workerCutUntil: make(map[requester.HostID]time.Time),
 	}
+	w.kinds = drawKinds(w.random)
 	for site := range testSites {
 		w.addHosts(site)
 	}
@@ -581,6 +587,15 @@
 }
 
 func (w *world) execute(n *node, incarnation int64, endpoint *fakeEndpoint, command StartAttempt) {
+	for _, other := range w.nodes {
+		if other == n || other.core == nil || other.dataCentre != n.dataCentre {
+			continue
+		}
+		number := other.core.seatOf(other.dataCentre, string(endpoint.host.HostID)).Number
+		if _, held := other.core.leaser.Holds(number, w.clock(other)); held {
+			w.fail("%s sends to %s, which %s owns", n.id, endpoint.host.HostID, other.id)
+		}
+	}
 	endpoint.next++
 	serial := endpoint.next
 	call := w.original(command.Call)
@@ -590,7 +605,7 @@
 		w.note("%s is over-used by %s", endpoint.host.HostID, n.id)
 	}
 	work := time.Duration(float64(1+w.random.IntN(60))*endpoint.slow) * time.Millisecond
-	if left := command.Call.Deadline.Sub(w.clock(n)); work > left {
+	if left := command.Call.Deadline.Sub(w.clock(n)); work > left && w.mutate != mutationSendAfterLease {
 		work = left
 	}
 	execution := standin.Execution{
@@ -644,6 +659,10 @@
 	sync := command.Sync
 	w.after(w.delay(), func() {
 		done := SyncDone{Sync: sync}
+		if w.now.Before(w.workerCutUntil[sync.Worker]) {
+			w.after(500*time.Millisecond, func() { w.deliver(n, incarnation, SyncDone{Sync: sync, Failed: true}) })
+			return
+		}
 		request := sync.Request
 		request.Deadline = request.Deadline.Add(-n.skew)
 		if w.mutate == mutationWorkersKeepLapsedTasks {
--- a/placer/place.go
+++ b/placer/place.go
@@ -310,6 +310,7 @@
 	t.run++
 	t.id = TaskID{Job: t.job.spec.JobID, Index: t.index, Run: t.run, Epoch: f.epoch}
 	f.occupy(t, w, need, now)
+	f.checkRoom(w)
 	w.breaker.Begin()
 	w.starts = append(w.starts, TaskStart{
 		Task:      t.id,
@@ -334,6 +335,10 @@
 	t.job.running++
 	state := f.trade(t.job.spec.Trade)
 	state.taken = state.taken.Add(need)
+}
+
+// checkRoom verifies that a worker holds what it was given.
+func (f *Fleet) checkRoom(w *worker) {
 	if !w.taken.Fits(w.info.Total) && !w.gone {
 		f.violation = "worker " + string(w.info.HostID) + " was given more than it holds"
 	}
