--- a/decider/world_test.go
+++ b/decider/world_test.go
@@ -131,7 +131,6 @@
 	call   requester.Call
 	sentAt time.Time
 	node   *node
-	work   time.Duration
 }
 
 const (
