--- a/auditor/auditor.go
+++ b/auditor/auditor.go
@@ -92,6 +92,19 @@
 	}
 }
 
+// Outcomes counts the attempts told so far by outcome.
+func (a *Auditor) Outcomes() map[requester.Outcome]int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	counts := make(map[requester.Outcome]int64)
+	for _, t := range a.series {
+		for outcome, count := range t.outcomes {
+			counts[outcome] += count
+		}
+	}
+	return counts
+}
+
 // Leave notes that a host is to get no new work from a time on.
 func (a *Auditor) Leave(id requester.HostID, from time.Time) {
 	a.mu.Lock()
--- a/configurer/check.go
+++ b/configurer/check.go
@@ -104,6 +104,7 @@
 		{"RequestHorizonMillis", t.RequestHorizonMillis, 1000},
 		{"MaxCallLifetimeMillis", t.MaxCallLifetimeMillis, 1},
 		{"JobRetentionMillis", t.JobRetentionMillis, 1},
+		{"NoticeMillis", t.NoticeMillis, 1},
 	}
 	for _, time := range times {
 		ok := time.millis == 0 || time.millis >= time.least && time.millis <= maxMillis
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -122,6 +122,9 @@
 	RequestHorizonMillis  int64 `yaml:"RequestHorizonMillis,omitempty"`
 	MaxCallLifetimeMillis int64 `yaml:"MaxCallLifetimeMillis,omitempty"`
 	JobRetentionMillis    int64 `yaml:"JobRetentionMillis,omitempty"`
+	// NoticeMillis is how long an entry that shuts down still accepts
+	// calls, so that the balancer notices.
+	NoticeMillis int64 `yaml:"NoticeMillis,omitempty"`
 }
 
 // Limits bounds what the HTTP listener accepts; 0 means the default.
@@ -145,6 +148,8 @@
 	DefaultMaxHeaderBytes = 16 << 10
 	DefaultMaxConnections = 4096
 	DefaultIdleMillis     = 60_000
+	// DefaultNoticeMillis is longer than balancers take between two looks.
+	DefaultNoticeMillis = 2000
 )
 
 // Problem is one thing wrong with the settings.
@@ -196,6 +201,9 @@
 		settings.Advertise = settings.Listen
 	}
 	settings.Limits.fill()
+	if settings.Timing.NoticeMillis == 0 {
+		settings.Timing.NoticeMillis = DefaultNoticeMillis
+	}
 	return settings, nil
 }
 
--- a/decider/core.go
+++ b/decider/core.go
@@ -108,22 +108,24 @@
 	durations *estimator.Durations
 	peers     map[requester.EntryID]*peer
 	// peerOrder holds the peers sorted by name.
-	peerOrder  []*peer
-	directory  map[leaser.Seat]holder
-	homes      map[int]*homeSeat
-	pools      map[requester.Service]*servicePool
-	forwards   map[uint64]*forward
-	executions map[uint64]*execution
-	attempts   map[uint64]*execution
-	byOrigin   map[recorder.Origin]uint64
-	tokens     map[uint64]requester.RequestID
-	intents    map[requester.RequestID]*intent
-	witnessing map[uint64]*intent
-	tableDone  map[uint64]func(result keeper.TransactResult, failure TableFailure)
-	readDone   map[uint64]func(result keeper.ReadResult, failed bool)
-	relays     map[uint64]*relay
-	jobAsks    map[uint64]*jobAsk
-	sentRounds map[int64]leaser.PromiseRequest
+	peerOrder []*peer
+	directory map[leaser.Seat]holder
+	homes     map[int]*homeSeat
+	// formerHomes are the seats last given up.
+	formerHomes map[int]*homeSeat
+	pools       map[requester.Service]*servicePool
+	forwards    map[uint64]*forward
+	executions  map[uint64]*execution
+	attempts    map[uint64]*execution
+	byOrigin    map[recorder.Origin]uint64
+	tokens      map[uint64]requester.RequestID
+	intents     map[requester.RequestID]*intent
+	witnessing  map[uint64]*intent
+	tableDone   map[uint64]func(result keeper.TransactResult, failure TableFailure)
+	readDone    map[uint64]func(result keeper.ReadResult, failed bool)
+	relays      map[uint64]*relay
+	jobAsks     map[uint64]*jobAsk
+	sentRounds  map[int64]leaser.PromiseRequest
 
 	hosts     []keeper.Host
 	hostSeats map[requester.HostID]int
@@ -188,29 +190,30 @@
 			Term:        options.SeatTerm,
 			Margin:      options.Margin,
 		}, now),
-		config:     tuner.NewStore(),
-		book:       recorder.NewBook(),
-		witnesses:  recorder.NewWitnesses(),
-		budgets:    retrier.New(),
-		durations:  estimator.NewDurations(initialRunTime),
-		peers:      make(map[requester.EntryID]*peer),
-		directory:  make(map[leaser.Seat]holder),
-		homes:      make(map[int]*homeSeat),
-		pools:      make(map[requester.Service]*servicePool),
-		forwards:   make(map[uint64]*forward),
-		executions: make(map[uint64]*execution),
-		attempts:   make(map[uint64]*execution),
-		byOrigin:   make(map[recorder.Origin]uint64),
-		tokens:     make(map[uint64]requester.RequestID),
-		intents:    make(map[requester.RequestID]*intent),
-		witnessing: make(map[uint64]*intent),
-		tableDone:  make(map[uint64]func(keeper.TransactResult, TableFailure)),
-		readDone:   make(map[uint64]func(keeper.ReadResult, bool)),
-		relays:     make(map[uint64]*relay),
-		jobAsks:    make(map[uint64]*jobAsk),
-		sentRounds: make(map[int64]leaser.PromiseRequest),
-		hostSeats:  make(map[requester.HostID]int),
-		startedAt:  now,
+		config:      tuner.NewStore(),
+		book:        recorder.NewBook(),
+		witnesses:   recorder.NewWitnesses(),
+		budgets:     retrier.New(),
+		durations:   estimator.NewDurations(initialRunTime),
+		peers:       make(map[requester.EntryID]*peer),
+		directory:   make(map[leaser.Seat]holder),
+		homes:       make(map[int]*homeSeat),
+		formerHomes: make(map[int]*homeSeat),
+		pools:       make(map[requester.Service]*servicePool),
+		forwards:    make(map[uint64]*forward),
+		executions:  make(map[uint64]*execution),
+		attempts:    make(map[uint64]*execution),
+		byOrigin:    make(map[recorder.Origin]uint64),
+		tokens:      make(map[uint64]requester.RequestID),
+		intents:     make(map[requester.RequestID]*intent),
+		witnessing:  make(map[uint64]*intent),
+		tableDone:   make(map[uint64]func(keeper.TransactResult, TableFailure)),
+		readDone:    make(map[uint64]func(keeper.ReadResult, bool)),
+		relays:      make(map[uint64]*relay),
+		jobAsks:     make(map[uint64]*jobAsk),
+		sentRounds:  make(map[int64]leaser.PromiseRequest),
+		hostSeats:   make(map[requester.HostID]int),
+		startedAt:   now,
 	}
 }
 
--- a/decider/home.go
+++ b/decider/home.go
@@ -25,6 +25,8 @@
 	outage bool
 	// watched tells that a member has run for long enough to know.
 	watched bool
+	// complete tells that the home before has told all it knew.
+	complete bool
 }
 
 // intent is a request whose intent is being recorded.
@@ -50,6 +52,9 @@
 	// intentTimeout bounds how long the table is waited for before
 	// witnesses are asked.
 	intentTimeout = 400 * time.Millisecond
+	// handoverTimeout bounds how long a new home waits to hear from the home
+	// before and from witnesses.
+	handoverTimeout = 300 * time.Millisecond
 	// witnessTimeout bounds how long witnesses are waited for.
 	witnessTimeout = 400 * time.Millisecond
 	// wantedWitnesses is how many other entries remember an intent.
@@ -76,6 +81,7 @@
 	for number := range c.homes {
 		if !held[number] && !c.leaser.Owns(number, c.now) {
 			c.stats.SeatsLost++
+			c.formerHomes[number] = c.homes[number]
 			delete(c.homes, number)
 		}
 	}
@@ -103,7 +109,10 @@
 }
 
 func (c *Core) pullSeat(id requester.EntryID, number int) {
-	c.emit(Send{To: id, Message: &encoder.WitnessPull{Seat: leaser.Seat{DataCentre: c.options.DataCentre, Number: number}}})
+	c.emit(Send{To: id, Message: &encoder.WitnessPull{
+		Seat:  leaser.Seat{DataCentre: c.options.DataCentre, Number: number},
+		Epoch: c.homes[number].epoch,
+	}})
 }
 
 // pullWitnesses asks a peer that has just been reached for the intents that
@@ -117,15 +126,21 @@
 }
 
 func (c *Core) onWitnessPull(p *peer, message *encoder.WitnessPull) {
-	ids := c.witnesses.Select(func(id requester.RequestID) bool {
+	ofSeat := func(id requester.RequestID) bool {
 		return c.seatOf(message.Seat.DataCentre, string(id)) == message.Seat
-	})
-	c.emit(Send{To: p.info.EntryID, Message: &encoder.WitnessList{
+	}
+	list := &encoder.WitnessList{
 		Seat:       message.Seat,
-		RequestIDs: ids,
+		RequestIDs: c.witnesses.Select(ofSeat),
 		Outage:     c.recently(c.outageAt),
 		Watched:    !c.recently(c.startedAt),
-	}})
+	}
+	former, ok := c.formerHomes[message.Seat.Number]
+	if ok && message.Seat.DataCentre == c.options.DataCentre && former.epoch == message.Epoch-1 && c.book.Pending(ofSeat) == 0 {
+		list.Complete = c.mayRunRepeated(former)
+		list.Ended = c.book.Select(ofSeat)
+	}
+	c.emit(Send{To: p.info.EntryID, Message: list})
 }
 
 // recently reports whether a time lies within the horizon of requests.
@@ -141,7 +156,11 @@
 	delete(home.pending, p.info.EntryID)
 	home.outage = home.outage || message.Outage
 	home.watched = home.watched || message.Watched
+	home.complete = home.complete || message.Complete
 	expires := c.now.Add(c.options.RequestHorizon)
+	for _, ended := range message.Ended {
+		c.book.Inherit(ended, expires)
+	}
 	for _, id := range message.RequestIDs {
 		c.witnesses.Record(id, p.info.EntryID, expires)
 	}
@@ -151,7 +170,7 @@
 // it has been the home for longer than requests live; or nobody was before;
 // or the table, and every witness there may have been, can be asked.
 func (c *Core) mayRunRepeated(home *homeSeat) bool {
-	if home.first || c.now.Sub(home.since) >= c.options.RequestHorizon {
+	if home.first || home.complete || c.now.Sub(home.since) >= c.options.RequestHorizon {
 		return true
 	}
 	if c.leaser.StoreDown(c.now) || len(home.pending) > 0 {
@@ -168,7 +187,11 @@
 	seat := c.homeOf(&call)
 	home, ok := c.homes[seat.Number]
 	if !ok || seat.DataCentre != c.options.DataCentre {
-		c.refuseHome(call, origin, repeated, requester.ReasonNoHome)
+		c.homeElsewhere(call, origin, repeated)
+		return
+	}
+	if repeated && !c.mayRunRepeated(home) && c.now.Sub(home.since) < handoverTimeout {
+		c.at(c.now.Add(searchInterval), func() { c.beginHome(call, origin, repeated) })
 		return
 	}
 	verdict, answer := c.book.Begin(call, origin)
@@ -196,13 +219,13 @@
 	return requester.Answer{RequestID: id, Outcome: requester.OutcomeUnknown, Reason: requester.ReasonDuplicate}
 }
 
-// refuseHome ends a call that can't be arbitrated here.
-func (c *Core) refuseHome(call requester.Call, origin recorder.Origin, repeated bool, reason requester.Reason) {
-	outcome := requester.OutcomeNotRun
-	if repeated {
-		outcome = requester.OutcomeUnknown
+// homeElsewhere gives back a call whose home is not here any more.
+func (c *Core) homeElsewhere(call requester.Call, origin recorder.Origin, repeated bool) {
+	if origin.Peer != "" {
+		c.notHere(origin)
+		return
 	}
-	c.reply(origin, requester.Answer{RequestID: call.RequestID, Outcome: outcome, Reason: reason})
+	c.search(&forward{id: c.id(), hop: encoder.HopHome, call: call, origin: origin, sent: repeated})
 }
 
 // recordIntent records the intent in the table or, while that can't be
@@ -263,7 +286,7 @@
 // than requests live, so that its book is all there is to know.
 func (c *Core) homeOld(in *intent) bool {
 	home, ok := c.homes[c.homeOf(&in.call).Number]
-	return ok && (home.first || c.now.Sub(home.since) >= c.options.RequestHorizon)
+	return ok && (home.first || home.complete || c.now.Sub(home.since) >= c.options.RequestHorizon)
 }
 
 // askWitnesses asks other entries to remember an intent. Those of the own
--- a/decider/run.go
+++ b/decider/run.go
@@ -228,21 +228,39 @@
 		if !ok {
 			return
 		}
-		e := c.executions[item.ID]
-		c.forgetExecution(e)
-		if e.origin.Peer != "" && !e.sent {
-			c.notHere(e.origin)
-			continue
-		}
-		c.routeRun(&forward{id: c.id(), hop: encoder.HopRun, call: e.call, origin: e.origin, sent: e.sent})
+		c.handOn(c.executions[item.ID])
+	}
+}
+
+// handOn gives a call that can't run here to another entry.
+func (c *Core) handOn(e *execution) {
+	c.forgetExecution(e)
+	if e.origin.Peer != "" && !e.sent {
+		c.notHere(e.origin)
+		return
 	}
+	c.search(&forward{id: c.id(), hop: encoder.HopRun, call: e.call, origin: e.origin, sent: e.sent})
 }
 
 // dispatch gives a call to an endpoint.
 func (c *Core) dispatch(sp *servicePool, e *execution) {
+	if !c.now.Before(e.call.Deadline) {
+		c.endExecution(e, c.notRunOutcome(e), requester.ReasonDeadline, "")
+		return
+	}
 	host, ok := sp.pool.Pick(c.now, e.tried)
-	if !ok || !c.mayDispatch(e, host) {
-		c.endExecution(e, c.notRunOutcome(e), requester.ReasonNoEndpoint, "")
+	if !ok {
+		c.handOn(e)
+		return
+	}
+	if _, held := c.leaser.Holds(c.hostSeats[host], c.now); !held {
+		c.ownedKey = ""
+		c.handOn(e)
+		return
+	}
+	if e.sent && !e.call.Idempotent {
+		c.violate("second dispatch of a call that is not idempotent", string(e.call.RequestID))
+		c.endExecution(e, requester.OutcomeUnknown, requester.ReasonEndpointFailed, "")
 		return
 	}
 	e.attempt = c.id()
@@ -276,18 +294,6 @@
 	})
 }
 
-// mayDispatch checks what must hold before a call is sent to an endpoint.
-func (c *Core) mayDispatch(e *execution, host requester.HostID) bool {
-	if e.sent && e.call.NeedsHome() && !e.call.Idempotent {
-		c.violate("second dispatch of a call that is not idempotent", string(e.call.RequestID))
-		return false
-	}
-	if _, held := c.leaser.Holds(c.hostSeats[host], c.now); !held {
-		return false
-	}
-	return c.now.Before(e.call.Deadline)
-}
-
 // notRunOutcome is NotRun where nothing of the call reached an endpoint.
 func (c *Core) notRunOutcome(e *execution) requester.Outcome {
 	if e.sent {
--- a/decider/seats.go
+++ b/decider/seats.go
@@ -131,6 +131,7 @@
 			err = errTable
 		}
 		c.leaser.OnResult(c.now, step, result, err, failure == TableNotTried)
+		c.tickOwnership()
 	}
 	c.transact(step.Transaction, step.Deadline, done)
 	if step.Purpose == leaser.PurposeRenew && c.leaser.StoreDown(c.now) {
@@ -281,6 +282,7 @@
 func (c *Core) release(number int) {
 	if c.leaser.Release(number, c.now) {
 		c.ownedKey = ""
+		c.tickOwnership()
 	}
 }
 
--- a/encoder/message.go
+++ b/encoder/message.go
@@ -10,6 +10,7 @@
 
 	"kumquatstall/keeper"
 	"kumquatstall/leaser"
+	"kumquatstall/recorder"
 	"kumquatstall/requester"
 	"kumquatstall/tuner"
 )
@@ -148,9 +149,11 @@
 	Granted bool
 }
 
-// WitnessPull asks for the intents remembered for a seat's requests.
+// WitnessPull asks for what is remembered of a seat's requests by a new home
+// that holds the seat at Epoch.
 type WitnessPull struct {
-	Seat leaser.Seat
+	Seat  leaser.Seat
+	Epoch int64
 }
 
 // WitnessList answers a WitnessPull.
@@ -161,6 +164,10 @@
 	// Watched that it has run for long enough to know.
 	Outage  bool
 	Watched bool
+	// Complete tells that the sender was the home at the epoch before, and
+	// that Ended holds every request that it, or an earlier home, ran.
+	Complete bool
+	Ended    []recorder.Ended `cbor:",omitempty"`
 }
 
 // JobAction tells what a JobRequest asks for.
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -96,10 +96,12 @@
 
 // link is one open connection.
 type link struct {
-	peer   requester.EntryID
-	conn   *websocket.Conn
-	queue  chan encoder.Message
-	cancel context.CancelFunc
+	peer     requester.EntryID
+	dialer   requester.EntryID
+	openedAt time.Time
+	conn     *websocket.Conn
+	queue    chan encoder.Message
+	cancel   context.CancelFunc
 }
 
 // dial is the effort to reach a peer.
@@ -201,21 +203,32 @@
 			return
 		}
 		pause = redialInterval
-		l.mu.Lock()
-		_, linked := l.links[id]
-		info := l.dials[id].info
-		l.mu.Unlock()
-		if linked {
+		if l.linked(id) {
 			continue
 		}
-		if id < l.options.Self.EntryID && !sleep(l.ctx, yieldFor-redialInterval) {
-			return
+		if id < l.options.Self.EntryID {
+			if !sleep(l.ctx, yieldFor-redialInterval) {
+				return
+			}
+			if l.linked(id) {
+				continue
+			}
 		}
+		l.mu.Lock()
+		info := l.dials[id].info
+		l.mu.Unlock()
 		err := l.dialOnce(info)
 		l.noteRefused(id, errors.Is(err, syscall.ECONNREFUSED))
 	}
 }
 
+func (l *Linker) linked(id requester.EntryID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, linked := l.links[id]
+	return linked
+}
+
 // noteRefused reports a change in whether a peer refuses connections.
 func (l *Linker) noteRefused(id requester.EntryID, refused bool) {
 	l.mu.Lock()
@@ -245,7 +258,7 @@
 		_ = conn.CloseNow()
 		return errors.Wrapf(err, "handshake with %s at %s", info.EntryID, info.Address)
 	}
-	l.adopt(conn, hello)
+	l.adopt(conn, hello, l.options.Self.EntryID)
 	return nil
 }
 
@@ -262,7 +275,7 @@
 		_ = conn.CloseNow()
 		return
 	}
-	l.adopt(conn, hello)
+	l.adopt(conn, hello, hello.EntryID)
 }
 
 // handshake exchanges names and proofs.
@@ -314,18 +327,27 @@
 	return mac.Sum(nil)
 }
 
-// adopt makes a connection the current link to its peer.
-func (l *Linker) adopt(conn *websocket.Conn, hello *encoder.Hello) {
+// adopt makes a connection the current link to its peer. Where both sides have
+// dialed at the same time, the link of the one with the lower name stays.
+func (l *Linker) adopt(conn *websocket.Conn, hello *encoder.Hello, dialer requester.EntryID) {
 	ctx, cancel := context.WithCancel(l.ctx)
-	current := &link{peer: hello.EntryID, conn: conn, queue: make(chan encoder.Message, queueLength), cancel: cancel}
+	current := &link{
+		peer:     hello.EntryID,
+		dialer:   dialer,
+		openedAt: time.Now(),
+		conn:     conn,
+		queue:    make(chan encoder.Message, queueLength),
+		cancel:   cancel,
+	}
 	l.mu.Lock()
-	if l.closed {
+	old := l.links[hello.EntryID]
+	crossed := old != nil && old.dialer < dialer && time.Since(old.openedAt) < yieldFor
+	if l.closed || crossed {
 		l.mu.Unlock()
 		cancel()
 		_ = conn.CloseNow()
 		return
 	}
-	old := l.links[hello.EntryID]
 	l.links[hello.EntryID] = current
 	l.group.Add(2)
 	// The handler learns of the link before anyone can replace it again.
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -94,14 +94,20 @@
 
 // Run drives the workload until the time has come, then waits for all answers.
 func (l *Loader) Run(ctx context.Context, workload Workload, seed uint64, until time.Time) {
+	l.Drive(ctx, ctx, workload, seed, until)
+}
+
+// Drive is Run with a context of its own for the arrival of new work: when
+// arrive ends, what has been sent goes on.
+func (l *Loader) Drive(arrive, ctx context.Context, workload Workload, seed uint64, until time.Time) {
 	var sources sync.WaitGroup
 	for i, stream := range workload.Streams {
 		random := rand.New(rand.NewPCG(seed, uint64(i)))
-		sources.Go(func() { l.drive(ctx, i, stream, random, until) })
+		sources.Go(func() { l.drive(arrive, ctx, i, stream, random, until) })
 	}
 	for i, stream := range workload.Jobs {
 		random := rand.New(rand.NewPCG(seed, uint64(1000+i)))
-		sources.Go(func() { l.driveJobs(ctx, i, stream, random, until) })
+		sources.Go(func() { l.driveJobs(arrive, ctx, i, stream, random, until) })
 	}
 	sources.Wait()
 	l.group.Wait()
@@ -137,8 +143,8 @@
 	}
 }
 
-func (l *Loader) drive(ctx context.Context, index int, stream Stream, random *rand.Rand, until time.Time) {
-	arrivals(ctx, stream.RatePerSecond, random, until, func(n int) {
+func (l *Loader) drive(arrive, ctx context.Context, index int, stream Stream, random *rand.Rand, until time.Time) {
+	arrivals(arrive, stream.RatePerSecond, random, until, func(n int) {
 		call := stream.draw(random)
 		call.RequestID = requester.RequestID(fmt.Sprintf("%s-%s-%d-%d", l.prefix, stream.Kind, index, n))
 		l.group.Go(func() { l.call(ctx, call, max(1, stream.Attempts)) })
@@ -229,8 +235,8 @@
 	return response.StatusCode, errors.Wrap(json.Unmarshal(data, answer), "decode answer")
 }
 
-func (l *Loader) driveJobs(ctx context.Context, index int, stream JobStream, random *rand.Rand, until time.Time) {
-	arrivals(ctx, stream.RatePerSecond, random, until, func(n int) {
+func (l *Loader) driveJobs(arrive, ctx context.Context, index int, stream JobStream, random *rand.Rand, until time.Time) {
+	arrivals(arrive, stream.RatePerSecond, random, until, func(n int) {
 		job := requester.Job{
 			JobID:     requester.JobID(fmt.Sprintf("%s-%s-%d-%d", l.prefix, stream.Kind, index, n)),
 			Trade:     stream.Trade,
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -142,6 +142,40 @@
 	return waiters
 }
 
+// Ended is a request that has ended, as one home tells the next.
+type Ended struct {
+	RequestID requester.RequestID
+	Answer    requester.Answer
+	// IntentRevision is the table's revision of the intent's row, if any.
+	IntentRevision int64
+}
+
+// Select returns the ended requests of which keep is true.
+func (b *Book) Select(keep func(requester.RequestID) bool) []Ended {
+	var ended []Ended
+	for id, known := range b.records {
+		if known.ended && keep(id) {
+			ended = append(ended, Ended{RequestID: id, Answer: known.answer, IntentRevision: known.intentRevision})
+		}
+	}
+	slices.SortFunc(ended, func(a, b Ended) int { return cmp.Compare(a.RequestID, b.RequestID) })
+	return ended
+}
+
+// Inherit takes in a request that ended at an earlier home.
+func (b *Book) Inherit(ended Ended, expires time.Time) {
+	if _, ok := b.records[ended.RequestID]; ok {
+		return
+	}
+	b.records[ended.RequestID] = &record{
+		call:           requester.Call{RequestID: ended.RequestID},
+		answer:         ended.Answer,
+		ended:          true,
+		expires:        expires,
+		intentRevision: ended.IntentRevision,
+	}
+}
+
 // Restart makes an ended record that proves nothing ran new again, so that the
 // same home may try once more under the intent it holds already.
 func (b *Book) Restart(call requester.Call, origin Origin) bool {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -176,18 +176,31 @@
 func (e *Entry) View() *decider.View { return e.view.Load() }
 
 // Shutdown stops the entry gracefully: it gives up its seats, ends what runs
-// and leaves. It returns when that is done or the context ends.
+// and leaves. Calls are accepted, and handed on, until the balancer must have
+// seen that the entry is not ready. It returns when that is done or the
+// context ends.
 func (e *Entry) Shutdown(ctx context.Context) error {
 	e.mailbox.post(decider.Drain{})
-	select {
-	case <-e.stopped:
-	case <-ctx.Done():
+	noticed := time.NewTimer(configurer.Millis(e.settings.Timing.NoticeMillis))
+	defer noticed.Stop()
+	if await(ctx, e.stopped) {
+		await(ctx, noticed.C)
 	}
 	e.server.Shutdown(ctx)
 	e.Close()
 	return errors.Wrap(ctx.Err(), "shut down before all work had ended")
 }
 
+// await waits for a channel and reports false where the context ended first.
+func await[T any](ctx context.Context, channel <-chan T) bool {
+	select {
+	case <-channel:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Close ends the entry at once.
 func (e *Entry) Close() {
 	e.server.Close()
--- /dev/null
+++ b/stager/api_test.go
@@ -0,0 +1,131 @@
+package stager
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"kumquatstall/configurer"
+)
+
+// testTimeout is generous: tests wait on conditions and not on time.
+const testTimeout = 60 * time.Second
+
+// smallPlan is a deployment that starts quickly.
+func smallPlan() Plan {
+	plan := Brennan(0.1)
+	plan.Seats = 4
+	plan.HostListLag = 10 * time.Millisecond
+	plan.Timing = configurer.Timing{SeatTermMillis: 1000, TaskTermMillis: 1500, MarginMillis: 150, HeartbeatMillis: 150, SyncMillis: 200, HostListMillis: 200, NoticeMillis: 1000}
+	return plan
+}
+
+func startSmall(t *testing.T, ctx context.Context) *Deployment {
+	t.Helper()
+	deployment, err := Start(smallPlan(), zerolog.New(io.Discard))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(deployment.Close)
+	if err := deployment.AwaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return deployment
+}
+
+// example is a request of docs/API.md and the answer that it is to get.
+type example struct {
+	method string
+	path   string
+	body   string
+	status int
+	answer string
+}
+
+var exampleBlocks = regexp.MustCompile("(?s)```request\n(.*?)```\n+```response\n(.*?)```")
+
+func examples(t *testing.T) []example {
+	t.Helper()
+	text, err := os.ReadFile("../docs/API.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var found []example
+	for _, match := range exampleBlocks.FindAllStringSubmatch(string(text), -1) {
+		line, body, _ := strings.Cut(match[1], "\n")
+		method, path, _ := strings.Cut(line, " ")
+		statusLine, answer, _ := strings.Cut(match[2], "\n")
+		status, err := strconv.Atoi(statusLine)
+		if err != nil {
+			t.Fatalf("example %s: status %q", line, statusLine)
+		}
+		found = append(found, example{method, path, body, status, answer})
+	}
+	return found
+}
+
+// TestAPIExamples runs the examples of docs/API.md in order.
+func TestAPIExamples(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	deployment := startSmall(t, ctx)
+	list := examples(t)
+	is.True(len(list) >= 15) // the page has examples
+	base := "http://" + deployment.Entries[0].Address().String()
+	for _, e := range list {
+		deadline := time.Now().Add(30 * time.Second).UTC().Format(time.RFC3339Nano)
+		body := strings.ReplaceAll(e.body, "DEADLINE", deadline)
+		request, err := http.NewRequestWithContext(ctx, e.method, base+e.path, bytes.NewReader([]byte(body)))
+		is.NoErr(err)
+		response, err := http.DefaultClient.Do(request)
+		is.NoErr(err)
+		got, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		_ = response.Body.Close()
+		if response.StatusCode != e.status {
+			t.Fatalf("%s %s: status %d, want %d: %s", e.method, e.path, response.StatusCode, e.status, got)
+		}
+		if strings.TrimSpace(e.answer) == "" {
+			continue
+		}
+		var want, have any
+		is.NoErr(json.Unmarshal([]byte(e.answer), &want))
+		is.NoErr(json.Unmarshal(got, &have))
+		if path := missing(want, have, ""); path != "" {
+			t.Errorf("%s %s: answer differs at %s: %s", e.method, e.path, path, got)
+		}
+	}
+}
+
+// missing returns the path at which have lacks what want holds, or "".
+func missing(want, have any, path string) string {
+	wanted, ok := want.(map[string]any)
+	if !ok {
+		if want != have {
+			return path
+		}
+		return ""
+	}
+	fields, ok := have.(map[string]any)
+	if !ok {
+		return path
+	}
+	for key, value := range wanted {
+		if at := missing(value, fields[key], path+"."+key); at != "" {
+			return at
+		}
+	}
+	return ""
+}
