Add kumquatload: scenarios, policies, comparisons, plots

Change: package experimenter (scenarios, policies, faults, reports, SVG plots), command kumquatload with run and compare, twelve scenarios; the profile gets QueueOrder and EndpointChoice so that FIFO, random endpoint and first fit are policies to compare with.

--- a/auditor/auditor.go
+++ b/auditor/auditor.go
@@ -41,6 +41,14 @@
 	told   map[requester.RequestID][]Told
 	series map[Series]*tally
 	marks  map[requester.HostID]time.Time
+	points []Point
+}
+
+// Point is the wait of one call that was answered.
+type Point struct {
+	Series Series
+	SentAt time.Time
+	Wait   time.Duration
 }
 
 type tally struct {
@@ -89,6 +97,7 @@
 	if told.Answer.Outcome == requester.OutcomeAnswered {
 		wait := told.Answer.StartedAt.Sub(told.SentAt)
 		_ = t.waits.RecordValue(min(maxWaitMicros, max(1, wait.Microseconds())))
+		a.points = append(a.points, Point{Series: series, SentAt: told.SentAt, Wait: wait})
 	}
 }
 
@@ -105,6 +114,13 @@
 	return counts
 }
 
+// Points returns the waits of all calls that were answered.
+func (a *Auditor) Points() []Point {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.points)
+}
+
 // Leave notes that a host is to get no new work from a time on.
 func (a *Auditor) Leave(id requester.HostID, from time.Time) {
 	a.mu.Lock()
--- a/decider/core.go
+++ b/decider/core.go
@@ -368,6 +368,7 @@
 func routerLimits(profile tuner.Profile, options Options) router.Limits {
 	return router.Limits{
 		Breaker:       breakerLimits(profile),
+		Random:        profile.EndpointChoice == tuner.ChooseRandom,
 		SettleTimeout: options.MaxCallLifetime,
 		Margin:        options.Margin,
 	}
--- a/decider/jobs.go
+++ b/decider/jobs.go
@@ -91,6 +91,7 @@
 		TaskAttempts: profile.TaskAttempts,
 		Headroom:     profile.Headroom,
 		Spread:       profile.Placement == tuner.PlacementSpread,
+		FirstFit:     profile.Placement == tuner.PlacementFirstFit,
 		Weight:       c.config.WeightOf,
 		Quota:        c.config.QuotaOf,
 	}
--- a/decider/run.go
+++ b/decider/run.go
@@ -63,6 +63,7 @@
 
 func (c *Core) queuePolicy(profile tuner.Profile) queuer.Policy {
 	return queuer.Policy{
+		Fifo:   profile.QueueOrder == tuner.QueueFifo,
 		Bound:  profile.QueueBound,
 		Floors: [requester.UrgencyCount]float64{profile.FloorLow, profile.FloorNormal, 0},
 		Weight: c.config.WeightOf,
--- /dev/null
+++ b/experimenter/inject.go
@@ -0,0 +1,146 @@
+package experimenter
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"kumquatstall/requester"
+	"kumquatstall/runner"
+	"kumquatstall/standin"
+)
+
+// inject starts and ends the scenario's faults.
+func (r *trial) inject(ctx context.Context) error {
+	var group sync.WaitGroup
+	failed := make(chan error, len(r.scenario.Faults))
+	for _, fault := range r.scenario.Faults {
+		group.Go(func() {
+			if !sleepUntil(ctx, r.startedAt.Add(time.Duration(fault.AtMillis)*time.Millisecond)) {
+				return
+			}
+			if err := r.injectOne(ctx, fault); err != nil {
+				failed <- err
+			}
+		})
+	}
+	group.Wait()
+	select {
+	case err := <-failed:
+		return err
+	default:
+		return nil
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (r *trial) injectOne(ctx context.Context, fault Fault) error {
+	end := time.Now().Add(time.Duration(fault.ForMillis) * time.Millisecond)
+	switch fault.Kind {
+	case FaultStoreDown:
+		r.deployment.Table.SetFaults(standin.TableFaults{Down: true})
+		sleepUntil(ctx, end)
+		r.deployment.Table.SetFaults(standin.TableFaults{})
+	case FaultStoreSlow:
+		r.deployment.Table.SetFaults(standin.TableFaults{DelayMillis: fault.Value})
+		sleepUntil(ctx, end)
+		r.deployment.Table.SetFaults(standin.TableFaults{})
+	case FaultLostAnswers:
+		r.deployment.Table.SetFaults(standin.TableFaults{LoseEvery: fault.Value})
+		sleepUntil(ctx, end)
+		r.deployment.Table.SetFaults(standin.TableFaults{})
+	case FaultBlackHole:
+		r.setWorkers(fault.Value, standin.WorkerFaults{FailAll: true})
+		sleepUntil(ctx, end)
+		r.setWorkers(fault.Value, standin.WorkerFaults{})
+	case FaultFailing:
+		r.setEndpoints(fault.Value, standin.EndpointFaults{FailEvery: 1})
+		sleepUntil(ctx, end)
+		r.setEndpoints(fault.Value, standin.EndpointFaults{})
+	case FaultSlow:
+		const factor = 10
+		r.setEndpoints(fault.Value, standin.EndpointFaults{SlowFactor: factor})
+		sleepUntil(ctx, end)
+		r.setEndpoints(fault.Value, standin.EndpointFaults{})
+	case FaultKillEntry:
+		for range fault.Value {
+			r.remove(func(entry *runner.Entry) error {
+				entry.Close()
+				return nil
+			})
+		}
+	case FaultReplace:
+		return r.replace(ctx, fault.Value)
+	case FaultCancelJobs:
+		r.cancelJobs(ctx)
+	}
+	return nil
+}
+
+func (r *trial) setWorkers(count int64, faults standin.WorkerFaults) {
+	for _, worker := range r.deployment.Workers[:min(int(count), len(r.deployment.Workers))] {
+		worker.SetFaults(faults)
+	}
+}
+
+func (r *trial) setEndpoints(count int64, faults standin.EndpointFaults) {
+	for _, endpoint := range r.deployment.Endpoints[:min(int(count), len(r.deployment.Endpoints))] {
+		endpoint.SetFaults(faults)
+	}
+}
+
+// remove takes the first entry out and ends it.
+func (r *trial) remove(end func(*runner.Entry) error) {
+	entry := r.deployment.Entries[0]
+	stats := entry.View().Stats
+	r.counters.violations += stats.Violations
+	r.counters.placed += stats.TasksPlaced
+	r.counters.lapsed += stats.TasksLapsed
+	r.deployment.Entries = r.deployment.Entries[1:]
+	_ = end(entry)
+	r.refreshBalancer()
+}
+
+// replace shuts entries down gracefully and starts new ones in their place.
+func (r *trial) replace(ctx context.Context, count int64) error {
+	for range count {
+		dataCentre := r.deployment.Entries[0].View().DataCentre
+		r.remove(func(entry *runner.Entry) error { return entry.Shutdown(ctx) })
+		r.entries++
+		id := requester.EntryID(fmt.Sprintf("%s-replacement-%d", dataCentre, r.entries))
+		if _, err := r.deployment.StartEntry(dataCentre, id); err != nil {
+			return err
+		}
+		r.refreshBalancer()
+	}
+	return nil
+}
+
+func (r *trial) cancelJobs(ctx context.Context) {
+	for _, status := range r.load.Jobs() {
+		var ended requester.JobStatus
+		_ = r.post(ctx, http.MethodDelete, "/v1/jobs/"+string(status.JobID)+"?DataCentre="+string(status.DataCentre), nil, &ended)
+	}
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- /dev/null
+++ b/experimenter/report.go
@@ -0,0 +1,85 @@
+package experimenter
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatstall/auditor"
+	"kumquatstall/reporter"
+)
+
+// Write writes the report.
+func (r *Report) Write(w io.Writer, format reporter.Format) error {
+	if format == reporter.FormatJSON {
+		return reporter.WriteJSON(w, r)
+	}
+	fmt.Fprintf(w, "scenario %s, seed %d, scale %.2f of today's size, %d s\n\n", r.Scenario, r.Seed, r.Scale, r.Seconds)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(t, "trade\tkind\tpolicy\toffered\tanswered\trefused\tnot run\tunknown\tlost\tdoubled\twait p50 ms\twait p99 ms\t\n")
+	for _, series := range r.series() {
+		for i := range r.Runs {
+			run := &r.Runs[i]
+			c, ok := run.class(series)
+			if !ok {
+				continue
+			}
+			fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t\n",
+				c.Trade, c.Kind, run.Policy, c.Offered, c.Answered, c.Refused, c.NotRun, c.Unknown, c.Lost, c.Doubled, c.WaitP50Ms, c.WaitP99Ms)
+		}
+	}
+	if err := t.Flush(); err != nil {
+		return errors.Wrap(err, "write report")
+	}
+	fmt.Fprintln(w)
+	t = tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(t, "policy\tgoodput /s\tpacking\tjobs\tsucceeded\tfailed\tcancelled\topen\tplaced\tlapsed\toverloaded\tviolations\ttable writes /s\treads /s\tcores\t\n")
+	for _, run := range r.Runs {
+		j := run.Jobs
+		fmt.Fprintf(t, "%s\t%.1f\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.2f\t\n",
+			run.Policy, run.Goodput, run.Packing, j.Submitted, j.Succeeded, j.Failed, j.Cancelled, j.Open, j.TasksPlaced, j.TasksLapsed,
+			run.Overloaded, run.Violations, run.TablePerSecond.Transactions, run.TablePerSecond.Reads, run.ControlCoreShare)
+	}
+	if err := t.Flush(); err != nil {
+		return errors.Wrap(err, "write report")
+	}
+	for _, run := range r.Runs {
+		for _, finding := range run.Findings {
+			fmt.Fprintf(w, "FOUND under %s: %s\n", run.Policy, finding)
+		}
+	}
+	return nil
+}
+
+// series lists the trades and kinds of all runs, in the order of the first
+// run that has them.
+func (r *Report) series() []auditor.Series {
+	var list []auditor.Series
+	seen := make(map[auditor.Series]bool)
+	for _, run := range r.Runs {
+		for _, class := range run.Classes {
+			series := auditor.Series{Trade: class.Trade, Kind: class.Kind}
+			if !seen[series] {
+				seen[series] = true
+				list = append(list, series)
+			}
+		}
+	}
+	return list
+}
+
+// Clean reports whether nothing that must never happen did.
+func (r *Report) Clean() bool {
+	for _, run := range r.Runs {
+		bad := run.Overloaded + run.Violations
+		for _, class := range run.Classes {
+			bad += class.Lost + class.Doubled
+		}
+		if bad > 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/experimenter/run.go
@@ -0,0 +1,289 @@
+package experimenter
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"kumquatstall/auditor"
+	"kumquatstall/loader"
+	"kumquatstall/requester"
+	"kumquatstall/stager"
+	"kumquatstall/tuner"
+)
+
+// Run is the result of a scenario under one policy.
+type Run struct {
+	Policy string
+	// Packing is the mean share of the workers that tasks took, 0 to 1,
+	// while any ran.
+	Packing float64
+	// Goodput is the number of calls answered in a second.
+	Goodput    float64
+	Classes    []auditor.Class
+	Overloaded int64
+	Violations int64
+	Findings   []auditor.Finding
+	Jobs       JobResult
+	// ControlCoreShare is the processor time of the whole process, entries
+	// and stand-ins together, in cores.
+	ControlCoreShare float64
+	TablePerSecond   TableRates
+	// Points and PackingPoints are for plots.
+	Points        []auditor.Point `json:"-"`
+	PackingPoints []PackingPoint  `json:"-"`
+	StartedAt     time.Time       `json:"-"`
+}
+
+// JobResult counts jobs by how they ended.
+type JobResult struct {
+	Submitted int
+	Succeeded int
+	Failed    int
+	Cancelled int
+	Open      int
+	// MeanMillis is the mean time from submission to success.
+	TasksPlaced int64
+	TasksLapsed int64
+}
+
+// TableRates are requests to the table service in a second.
+type TableRates struct {
+	Transactions float64
+	Reads        float64
+}
+
+// PackingPoint is the packing at a time.
+type PackingPoint struct {
+	At      time.Time
+	Packing float64
+}
+
+// Report is the result of a scenario.
+type Report struct {
+	Scenario string
+	Seed     uint64
+	Scale    float64
+	Seconds  int64
+	Runs     []Run
+}
+
+// Bounds of a run.
+const (
+	readyTimeout   = 60 * time.Second
+	changeTimeout  = 10 * time.Second
+	drainTimeout   = 60 * time.Second
+	jobsTimeout    = 10 * time.Second
+	sampleInterval = 100 * time.Millisecond
+)
+
+// trial carries out one run.
+type trial struct {
+	scenario   *Scenario
+	policy     Policy
+	deployment *stager.Deployment
+	audit      *auditor.Auditor
+	load       *loader.Loader
+	startedAt  time.Time
+	entries    int
+	counters   tally
+}
+
+// tally keeps the counters of entries that have ended.
+type tally struct {
+	violations int64
+	placed     int64
+	lapsed     int64
+}
+
+// Execute runs a scenario under a policy.
+func Execute(ctx context.Context, scenario *Scenario, policy Policy, seed uint64, log zerolog.Logger) (Run, error) {
+	deployment, err := stager.Start(scenario.plan(), log)
+	if err != nil {
+		return Run{}, err
+	}
+	defer deployment.Close()
+	readyCtx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := deployment.AwaitReady(readyCtx); err != nil {
+		return Run{}, err
+	}
+	r := &trial{scenario: scenario, policy: policy, deployment: deployment, audit: auditor.New()}
+	if err := r.setPolicy(ctx); err != nil {
+		return Run{}, err
+	}
+	return r.run(ctx, seed)
+}
+
+// setPolicy puts the policy's profile in force on every entry.
+func (r *trial) setPolicy(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	profile := r.policy.Profile
+	profile.Name = tuner.DefaultProfileName
+	var item tuner.Item
+	if err := r.post(ctx, http.MethodPut, "/v1/profiles/"+profile.Name, profile, &item); err != nil {
+		return err
+	}
+	return r.deployment.Await(ctx, "policy in force", func() bool {
+		for _, entry := range r.deployment.Entries {
+			if entry.View().ConfigRevision < item.Revision {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (r *trial) post(ctx context.Context, method, path string, body, answer any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode request")
+	}
+	url := "http://" + r.deployment.Balancer.Address().String() + path
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
+	if err != nil {
+		return errors.Wrap(err, "make request")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "send request")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("%s %s: status %d", method, path, response.StatusCode)
+	}
+	return errors.Wrap(json.NewDecoder(response.Body).Decode(answer), "decode answer")
+}
+
+func (r *trial) run(ctx context.Context, seed uint64) (Run, error) {
+	result := Run{Policy: r.policy.Name, StartedAt: time.Now()}
+	r.startedAt = result.StartedAt
+	r.load = loader.New(r.deployment.Balancer.Address(), r.audit, r.scenario.Name)
+	until := r.startedAt.Add(time.Duration(r.scenario.Seconds) * time.Second)
+	writes, reads := r.deployment.Table.Transactions.Load(), r.deployment.Table.Reads.Load()
+	processor := processorTime()
+	sampleCtx, stopSampling := context.WithCancel(ctx)
+	sampled := make(chan struct{})
+	go func() {
+		defer close(sampled)
+		result.PackingPoints = r.sample(sampleCtx)
+	}()
+	faults := make(chan error, 1)
+	go func() { faults <- r.inject(ctx) }()
+	r.load.Run(ctx, r.scenario.workload(!r.policy.WithoutFloods), seed, until)
+	stopSampling()
+	<-sampled
+	seconds := time.Since(r.startedAt).Seconds()
+	result.ControlCoreShare = (processorTime() - processor).Seconds() / seconds
+	result.TablePerSecond.Transactions = float64(r.deployment.Table.Transactions.Load()-writes) / seconds
+	result.TablePerSecond.Reads = float64(r.deployment.Table.Reads.Load()-reads) / seconds
+	if err := <-faults; err != nil {
+		return result, err
+	}
+	result.Jobs = r.jobs(ctx)
+	return result, r.finish(ctx, &result, seconds)
+}
+
+// finish shuts the deployment down and audits the run.
+func (r *trial) finish(ctx context.Context, result *Run, seconds float64) error {
+	for _, entry := range r.deployment.Entries {
+		stats := entry.View().Stats
+		r.counters.violations += stats.Violations
+		r.counters.placed += stats.TasksPlaced
+		r.counters.lapsed += stats.TasksLapsed
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
+	defer cancel()
+	if err := r.deployment.Shutdown(ctx); err != nil {
+		return err
+	}
+	verdict := r.audit.Check(r.deployment.Ledger.Executions())
+	result.Classes = verdict.Classes
+	result.Findings = verdict.Findings
+	result.Overloaded = r.deployment.OverUses()
+	result.Violations = r.counters.violations + verdict.FalselyNotRun + verdict.Wrong + verdict.Late
+	result.Jobs.TasksPlaced = r.counters.placed
+	result.Jobs.TasksLapsed = r.counters.lapsed
+	result.Points = r.audit.Points()
+	for _, class := range verdict.Classes {
+		result.Goodput += float64(class.Answered) / seconds
+	}
+	busy := 0
+	for _, point := range result.PackingPoints {
+		if point.Packing > 0 {
+			result.Packing += point.Packing
+			busy++
+		}
+	}
+	result.Packing /= float64(max(1, busy))
+	return nil
+}
+
+// sample watches the packing over all data centres.
+func (r *trial) sample(ctx context.Context) []PackingPoint {
+	var points []PackingPoint
+	for {
+		now := time.Now()
+		sum := 0.0
+		for _, worker := range r.deployment.Workers {
+			sum += worker.Taken(now)
+		}
+		points = append(points, PackingPoint{At: now, Packing: sum / float64(max(1, len(r.deployment.Workers)))})
+		select {
+		case <-ctx.Done():
+			return points
+		case <-time.After(sampleInterval):
+		}
+	}
+}
+
+// jobs counts the jobs by how they ended, after some time to end.
+func (r *trial) jobs(ctx context.Context) JobResult {
+	result := JobResult{Submitted: len(r.load.Jobs())}
+	ctx, cancel := context.WithTimeout(ctx, jobsTimeout)
+	defer cancel()
+	_ = r.deployment.Await(ctx, "jobs ended", func() bool {
+		result = JobResult{Submitted: result.Submitted}
+		for _, site := range r.deployment.Plan.Sites {
+			var statuses []requester.JobStatus
+			if r.post(ctx, http.MethodGet, "/v1/jobs?DataCentre="+string(site.Name), nil, &statuses) != nil {
+				return false
+			}
+			for _, status := range statuses {
+				result.count(status)
+			}
+		}
+		return result.Open == 0
+	})
+	return result
+}
+
+func (j *JobResult) count(status requester.JobStatus) {
+	switch status.State {
+	case requester.JobSucceeded:
+		j.Succeeded++
+	case requester.JobFailed:
+		j.Failed++
+	case requester.JobCancelled:
+		j.Cancelled++
+	default:
+		if status.Shape != requester.ShapeService {
+			j.Open++
+		}
+	}
+}
+
+func (r *trial) refreshBalancer() {
+	addresses := make([]netip.AddrPort, 0, len(r.deployment.Entries))
+	for _, entry := range r.deployment.Entries {
+		addresses = append(addresses, entry.Address())
+	}
+	r.deployment.Balancer.SetEntries(addresses)
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -27,34 +27,61 @@
 
 // Stream is a flow of calls of one kind.
 type Stream struct {
-	Trade         requester.Trade
-	Service       requester.Service
-	Kind          requester.Kind
-	Urgency       requester.Urgency
-	Idempotent    bool
-	Exclusive     bool
-	RatePerSecond float64
+	Trade         requester.Trade   `yaml:"Trade"`
+	Service       requester.Service `yaml:"Service"`
+	Kind          requester.Kind    `yaml:"Kind"`
+	Urgency       requester.Urgency `yaml:"Urgency"`
+	Idempotent    bool              `yaml:"Idempotent"`
+	Exclusive     bool              `yaml:"Exclusive"`
+	RatePerSecond float64           `yaml:"RatePerSecond"`
 	// WorkMillis is the mean time that a call takes at an endpoint; times
 	// vary log-normally.
-	WorkMillis     float64
-	DeadlineMillis int64
+	WorkMillis     float64 `yaml:"WorkMillis"`
+	DeadlineMillis int64   `yaml:"DeadlineMillis"`
 	// DataCentres, where not empty, are the data centres that calls name.
-	DataCentres []requester.DataCentre
+	DataCentres []requester.DataCentre `yaml:"DataCentres"`
 	// Attempts bounds how often a caller sends a call that was not run.
-	Attempts int
+	Attempts int `yaml:"Attempts"`
+	// FromMillis and ToMillis bound when calls arrive, from the start of
+	// the run; a ToMillis of 0 means until its end.
+	FromMillis int64 `yaml:"FromMillis"`
+	ToMillis   int64 `yaml:"ToMillis"`
 }
 
 // JobStream is a flow of jobs of one kind.
 type JobStream struct {
-	Trade         requester.Trade
-	Kind          requester.Kind
-	Shape         requester.JobShape
-	Urgency       requester.Urgency
-	Tasks         int
-	Need          requester.Resources
-	RunMillis     int64
-	RatePerSecond float64
-	DataCentres   []requester.DataCentre
+	Trade         requester.Trade        `yaml:"Trade"`
+	Kind          requester.Kind         `yaml:"Kind"`
+	Shape         requester.JobShape     `yaml:"Shape"`
+	Urgency       requester.Urgency      `yaml:"Urgency"`
+	Tasks         int                    `yaml:"Tasks"`
+	Need          requester.Resources    `yaml:"Need"`
+	RunMillis     int64                  `yaml:"RunMillis"`
+	RatePerSecond float64                `yaml:"RatePerSecond"`
+	DataCentres   []requester.DataCentre `yaml:"DataCentres"`
+	// SizeSigma and RunSigma are the deviations of the logarithms of what
+	// tasks really use and how long they really run, over what is declared.
+	SizeSigma float64 `yaml:"SizeSigma"`
+	RunSigma  float64 `yaml:"RunSigma"`
+}
+
+// payload tells the stand-in worker what tasks of a job really take.
+func (s *JobStream) payload(random *rand.Rand) []byte {
+	size := math.Exp(random.NormFloat64() * s.SizeSigma)
+	run := math.Exp(random.NormFloat64() * s.RunSigma)
+	work := standin.TaskWork{
+		RunMicros: int64(float64(s.RunMillis) * 1000 * run),
+		Use: requester.Resources{
+			MilliCores:   int64(float64(s.Need.MilliCores) * size),
+			MemoryMB:     int64(float64(s.Need.MemoryMB) * size),
+			Accelerators: s.Need.Accelerators,
+		},
+	}
+	data, err := json.Marshal(work)
+	if err != nil {
+		panic(err)
+	}
+	return data
 }
 
 // Workload is what is driven at one deployment.
@@ -122,11 +149,11 @@
 }
 
 // arrivals calls arrive at the times of a Poisson process.
-func arrivals(ctx context.Context, rate float64, random *rand.Rand, until time.Time, arrive func(n int)) {
+func arrivals(ctx context.Context, rate float64, random *rand.Rand, from, until time.Time, arrive func(n int)) {
 	if rate <= 0 {
 		return
 	}
-	next := time.Now()
+	next := from
 	for n := 0; ; n++ {
 		next = next.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
 		if !next.Before(until) {
@@ -144,7 +171,11 @@
 }
 
 func (l *Loader) drive(arrive, ctx context.Context, index int, stream Stream, random *rand.Rand, until time.Time) {
-	arrivals(arrive, stream.RatePerSecond, random, until, func(n int) {
+	from := time.Now().Add(time.Duration(stream.FromMillis) * time.Millisecond)
+	if end := time.Now().Add(time.Duration(stream.ToMillis) * time.Millisecond); stream.ToMillis > 0 && end.Before(until) {
+		until = end
+	}
+	arrivals(arrive, stream.RatePerSecond, random, from, until, func(n int) {
 		call := stream.draw(random)
 		call.RequestID = requester.RequestID(fmt.Sprintf("%s-%s-%d-%d", l.prefix, stream.Kind, index, n))
 		l.group.Go(func() { l.call(ctx, call, max(1, stream.Attempts)) })
@@ -236,7 +267,7 @@
 }
 
 func (l *Loader) driveJobs(arrive, ctx context.Context, index int, stream JobStream, random *rand.Rand, until time.Time) {
-	arrivals(arrive, stream.RatePerSecond, random, until, func(n int) {
+	arrivals(arrive, stream.RatePerSecond, random, time.Now(), until, func(n int) {
 		job := requester.Job{
 			JobID:     requester.JobID(fmt.Sprintf("%s-%s-%d-%d", l.prefix, stream.Kind, index, n)),
 			Trade:     stream.Trade,
@@ -246,6 +277,7 @@
 			Tasks:     stream.Tasks,
 			Need:      stream.Need,
 			RunMillis: stream.RunMillis,
+			Payload:   stream.payload(random),
 		}
 		if len(stream.DataCentres) > 0 {
 			job.DataCentre = stream.DataCentres[random.IntN(len(stream.DataCentres))]
--- a/placer/place.go
+++ b/placer/place.go
@@ -223,6 +223,9 @@
 		if !f.usable(w, r.now) || !need.Fits(f.usableTotal(w).Sub(w.taken)) {
 			continue
 		}
+		if f.limits.FirstFit {
+			return w
+		}
 		score := f.score(t, w, need)
 		if best == nil || score < bestScore {
 			best, bestScore = w, score
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -161,6 +161,8 @@
 	Headroom float64
 	// Spread levels the load over workers instead of packing it.
 	Spread bool
+	// FirstFit takes the first worker with room.
+	FirstFit bool
 	// Weight returns a trade's weight; nil means 1.
 	Weight func(requester.Trade) float64
 	// Quota returns a trade's quota; nil or a zero dimension is unbounded.
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -22,6 +22,7 @@
 
 // Item is one call that waits.
 type Item struct {
+	// ID grows with each call that arrives.
 	ID       uint64
 	Trade    requester.Trade
 	Urgency  requester.Urgency
@@ -32,6 +33,8 @@
 // Policy is what a Queue has to know of the profile in force. The zero value
 // of a field means no bound, no floor and equal weights.
 type Policy struct {
+	// Fifo starts calls by arrival alone.
+	Fifo bool
 	// Bound bounds the calls of one trade.
 	Bound int
 	// Floors are the shares of a trade's slot time kept by each urgency.
@@ -113,6 +116,9 @@
 // lower urgency, scaled up by the share of the slots that the trade gets
 // while others wait, and never more than all the work there is.
 func (q *Queue) WorkAhead(trade requester.Trade, urgency requester.Urgency) time.Duration {
+	if q.policy.Fifo {
+		return q.Work()
+	}
 	var own time.Duration
 	if tq, ok := q.trades[trade]; ok {
 		for u := urgency; u < requester.UrgencyCount; u++ {
@@ -191,6 +197,9 @@
 
 // Pop takes out the call that is to start next. ok is false where none waits.
 func (q *Queue) Pop() (item Item, ok bool) {
+	if q.policy.Fifo {
+		return q.popOldest()
+	}
 	tq := q.nextTrade()
 	if tq == nil {
 		return Item{}, false
@@ -204,6 +213,26 @@
 	return n.item, true
 }
 
+// popOldest takes out the call that arrived first.
+func (q *Queue) popOldest() (Item, bool) {
+	var oldest *node
+	for _, tq := range q.active {
+		for i := range tq.classes {
+			if tq.classes[i].live == 0 {
+				continue
+			}
+			if n := tq.classes[i].head(); oldest == nil || n.item.ID < oldest.item.ID {
+				oldest = n
+			}
+		}
+	}
+	if oldest == nil {
+		return Item{}, false
+	}
+	q.forget(oldest)
+	return oldest.item, true
+}
+
 // Correct replaces the cost that a call was charged by what it took.
 func (q *Queue) Correct(trade requester.Trade, urgency requester.Urgency, charged, took time.Duration) {
 	if tq, ok := q.trades[trade]; ok {
--- a/requester/job.go
+++ b/requester/job.go
@@ -11,11 +11,11 @@
 // Resources is an amount of what a worker has and a task takes.
 type Resources struct {
 	// MilliCores is processor time, in thousandths of a core.
-	MilliCores int64
+	MilliCores int64 `yaml:"MilliCores"`
 	// MemoryMB is memory, in binary megabytes.
-	MemoryMB int64
+	MemoryMB int64 `yaml:"MemoryMB"`
 	// Accelerators is a count of whole devices.
-	Accelerators int64 `json:",omitempty" cbor:",omitempty"`
+	Accelerators int64 `json:",omitempty" cbor:",omitempty" yaml:"Accelerators"`
 }
 
 // Add returns r + s.
--- a/router/router.go
+++ b/router/router.go
@@ -51,6 +51,9 @@
 type Limits struct {
 	// Breaker configures the breaker of each endpoint.
 	Breaker breaker.Limits
+	// Random gives calls to any endpoint with a free slot instead of the
+	// one with the most.
+	Random bool
 	// SettleTimeout bounds how long an endpoint that does not report may
 	// still run what an earlier owner gave it.
 	SettleTimeout time.Duration
@@ -97,6 +100,7 @@
 	endpoints map[requester.HostID]*endpoint
 	order     []*endpoint
 	attempts  map[uint64]*endpoint
+	draws     uint64
 }
 
 // NewPool returns a pool without endpoints.
@@ -180,6 +184,9 @@
 // Pick returns the usable endpoint with the most free slots that is not among
 // tried; where all are, tried ones count too. ok is false where there is none.
 func (p *Pool) Pick(now time.Time, tried []requester.HostID) (id requester.HostID, ok bool) {
+	if p.limits.Random {
+		return p.pickAny(now, tried)
+	}
 	var best, fallback *endpoint
 	for _, e := range p.order {
 		if e.free() <= 0 || !e.usable(now) {
@@ -204,6 +211,23 @@
 	return best.info.HostID, true
 }
 
+// pickAny returns an endpoint with a free slot, drawn by the number of attempts
+// so far, so that the same events always draw the same.
+func (p *Pool) pickAny(now time.Time, tried []requester.HostID) (requester.HostID, bool) {
+	var open []requester.HostID
+	for _, e := range p.order {
+		if e.free() > 0 && e.usable(now) && !contains(tried, e.info.HostID) {
+			open = append(open, e.info.HostID)
+		}
+	}
+	if len(open) == 0 {
+		return "", false
+	}
+	p.draws++
+	const multiplier = 0x9E3779B97F4A7C15
+	return open[(p.draws*multiplier>>32)%uint64(len(open))], true
+}
+
 func contains(ids []requester.HostID, id requester.HostID) bool {
 	for _, other := range ids {
 		if other == id {
--- a/standin/balancer.go
+++ b/standin/balancer.go
@@ -19,14 +19,14 @@
 // one of the entries that say they are ready, in turn.
 type Balancer struct {
 	server
-	entries []netip.AddrPort
 	client  *http.Client
 	next    atomic.Int64
 	cancel  context.CancelFunc
 	watched chan struct{}
 
-	mu    sync.Mutex
-	ready []netip.AddrPort
+	mu      sync.Mutex
+	entries []netip.AddrPort
+	ready   []netip.AddrPort
 }
 
 // NewBalancer starts a balancer on loopback in front of entries.
@@ -49,6 +49,13 @@
 	return b, nil
 }
 
+// SetEntries replaces the entries.
+func (b *Balancer) SetEntries(entries []netip.AddrPort) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.entries = entries
+}
+
 // Close ends the balancer.
 func (b *Balancer) Close() {
 	b.cancel()
@@ -68,8 +75,11 @@
 	ticker := time.NewTicker(healthInterval)
 	defer ticker.Stop()
 	for {
+		b.mu.Lock()
+		entries := b.entries
+		b.mu.Unlock()
 		var ready []netip.AddrPort
-		for _, entry := range b.entries {
+		for _, entry := range entries {
 			if b.healthy(ctx, entry) {
 				ready = append(ready, entry)
 			}
--- a/tuner/placement_string.go
+++ b/tuner/placement_string.go
@@ -10,11 +10,12 @@
 	var x [1]struct{}
 	_ = x[PlacementPack-0]
 	_ = x[PlacementSpread-1]
+	_ = x[PlacementFirstFit-2]
 }
 
-const _Placement_name = "PackSpread"
+const _Placement_name = "PackSpreadFirstFit"
 
-var _Placement_index = [...]uint8{0, 4, 10}
+var _Placement_index = [...]uint8{0, 4, 10, 18}
 
 func (i Placement) String() string {
 	idx := int(i) - 0
--- a/tuner/profile.go
+++ b/tuner/profile.go
@@ -1,11 +1,67 @@
 package tuner
 
 import (
+	"strings"
+
 	"kumquatstall/requester"
 )
 
 //go:generate go tool -modfile=../tools/go.mod stringer -type=Placement -trimprefix=Placement
 
+//go:generate go tool -modfile=../tools/go.mod stringer -type=QueueOrder -trimprefix=Queue
+//go:generate go tool -modfile=../tools/go.mod stringer -type=EndpointChoice -trimprefix=Choose
+
+// QueueOrder tells in which order calls start that wait.
+type QueueOrder int
+
+// The orders.
+const (
+	// QueueFair shares slot time between trades and goes by urgency.
+	QueueFair QueueOrder = iota
+	// QueueFifo goes by arrival alone; a baseline to compare with.
+	QueueFifo
+)
+
+// MarshalText encodes the order as its name.
+func (o QueueOrder) MarshalText() ([]byte, error) { return []byte(o.String()), nil }
+
+// UnmarshalText decodes the name of an order.
+func (o *QueueOrder) UnmarshalText(text []byte) error {
+	return unmarshalName(o, text, "QueueOrder", QueueFair, QueueFifo)
+}
+
+// EndpointChoice tells which endpoint a call is given to.
+type EndpointChoice int
+
+// The choices.
+const (
+	// ChooseLeastLoaded takes the endpoint with the most free slots.
+	ChooseLeastLoaded EndpointChoice = iota
+	// ChooseRandom takes any endpoint with a free slot; a baseline.
+	ChooseRandom
+)
+
+// MarshalText encodes the choice as its name.
+func (c EndpointChoice) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
+
+// UnmarshalText decodes the name of a choice.
+func (c *EndpointChoice) UnmarshalText(text []byte) error {
+	return unmarshalName(c, text, "EndpointChoice", ChooseLeastLoaded, ChooseRandom)
+}
+
+// unmarshalName sets target to the value of that name.
+func unmarshalName[T interface{ String() string }](target *T, text []byte, field string, values ...T) error {
+	names := make([]string, len(values))
+	for i, value := range values {
+		if value.String() == string(text) {
+			*target = value
+			return nil
+		}
+		names[i] = value.String()
+	}
+	return &requester.FieldError{Field: field, Expected: "one of " + strings.Join(names, ", ")}
+}
+
 // Placement tells how tasks are laid over workers.
 type Placement int
 
@@ -15,6 +71,8 @@
 	PlacementPack Placement = iota
 	// PlacementSpread levels the load over workers.
 	PlacementSpread
+	// PlacementFirstFit takes the first worker with room; a baseline.
+	PlacementFirstFit
 )
 
 // MarshalText encodes the placement as its name.
@@ -22,13 +80,7 @@
 
 // UnmarshalText decodes the name of a placement.
 func (p *Placement) UnmarshalText(text []byte) error {
-	for _, placement := range []Placement{PlacementPack, PlacementSpread} {
-		if placement.String() == string(text) {
-			*p = placement
-			return nil
-		}
-	}
-	return &requester.FieldError{Field: "Placement", Expected: "one of Pack, Spread"}
+	return unmarshalName(p, text, "Placement", PlacementPack, PlacementSpread, PlacementFirstFit)
 }
 
 // Profile is a named policy that services pick.
@@ -52,6 +104,10 @@
 	// BreakerMillis is how long an endpoint or worker rests before one
 	// request tries it again, in milliseconds.
 	BreakerMillis int64
+	// QueueOrder tells in which order calls start that wait.
+	QueueOrder QueueOrder
+	// EndpointChoice tells which endpoint a call is given to.
+	EndpointChoice EndpointChoice
 	// Placement tells how tasks are laid over workers.
 	Placement Placement
 	// Headroom is the share of each worker that tasks leave free, 0 to 0.5.
