Keep slots free for more urgent calls, by their demand of late

Ruled out: queue order (unlocks were first in line), links (p50 1 ms without flood). Change: per service and urgency the demand in slots is measured; less urgent calls leave demand + 2*sqrt(demand) slots free, at most ReserveShare (0.25) of them. The table client may use half a second of its rate at once.

--- a/auditor/auditor.go
+++ b/auditor/auditor.go
@@ -24,8 +24,9 @@
 	Answer requester.Answer
 	// SentAt is when the attempt was sent.
 	SentAt time.Time
-	// Lost tells that no answer came at all.
-	Lost bool
+	// Lost tells that no answer came at all, and Detail why.
+	Lost   bool
+	Detail string
 }
 
 // Series names the calls that are counted together.
@@ -206,6 +207,9 @@
 	}
 	notRun := true
 	for _, told := range attempts {
+		if told.Lost {
+			verdict.find(Finding{"got no answer: " + told.Detail, id, ""})
+		}
 		notRun = notRun && !told.Lost && told.Answer.Outcome.ProvesNotRun()
 		if told.Answer.Outcome == requester.OutcomeAnswered && string(told.Answer.Payload) != string(standin.AnswerBody(id)) {
 			verdict.Wrong++
--- /dev/null
+++ b/decider/demand.go
@@ -0,0 +1,69 @@
+package decider
+
+import (
+	"math"
+	"time"
+
+	"kumquatstall/requester"
+)
+
+// demand measures how many slots the calls of each urgency would keep busy.
+type demand struct {
+	// arrived is the slot time of the calls since rolledAt.
+	arrived [requester.UrgencyCount]time.Duration
+	// slots is the smoothed demand, in slots.
+	slots    [requester.UrgencyCount]float64
+	rolledAt time.Time
+}
+
+const (
+	// demandInterval separates updates of the demand.
+	demandInterval = 500 * time.Millisecond
+	// demandGain is the weight of the newest interval.
+	demandGain = 0.1
+	// demandIgnored is the demand below which a class counts as absent.
+	demandIgnored = 0.001
+)
+
+// add counts a call that arrived.
+func (d *demand) add(urgency requester.Urgency, run time.Duration) { d.arrived[urgency] += run }
+
+// roll updates the smoothed demand when an interval has passed.
+func (d *demand) roll(now time.Time) {
+	passed := now.Sub(d.rolledAt)
+	if passed < demandInterval {
+		return
+	}
+	for urgency := range d.arrived {
+		latest := float64(d.arrived[urgency]) / float64(passed)
+		d.slots[urgency] += demandGain * (latest - d.slots[urgency])
+		d.arrived[urgency] = 0
+	}
+	d.rolledAt = now
+}
+
+// reserve returns how many of an entry's slots calls of an urgency leave free
+// for more urgent ones: their demand and two deviations of it, which for
+// arrivals at random are twice its square root.
+func (d *demand) reserve(urgency requester.Urgency, slots int, share float64) int {
+	var above float64
+	for u := urgency + 1; u < requester.UrgencyCount; u++ {
+		above += d.slots[u]
+	}
+	most := int(math.Round(share * float64(slots)))
+	if above < demandIgnored || most == 0 {
+		return 0
+	}
+	return min(most, int(math.Ceil(above+2*math.Sqrt(above))))
+}
+
+// leastUrgency returns the lowest urgency whose calls may take one of the
+// free slots.
+func (sp *servicePool) leastUrgency(slots, free int) requester.Urgency {
+	for urgency := requester.UrgencyLow; urgency < requester.UrgencyUrgent; urgency++ {
+		if free > sp.demand.reserve(urgency, slots, sp.profile.ReserveShare) {
+			return urgency
+		}
+	}
+	return requester.UrgencyUrgent
+}
--- a/decider/run.go
+++ b/decider/run.go
@@ -23,6 +23,7 @@
 	profile tuner.Profile
 	pool    *router.Pool
 	queue   *queuer.Queue
+	demand  demand
 }
 
 // execution is a call at the entry that runs it.
@@ -151,6 +152,7 @@
 		return
 	}
 	c.budgets.Earn(call.Trade, sp.profile.RetryBudget)
+	sp.demand.add(call.Urgency, c.runTime(&call))
 	c.executions[e.id] = e
 	c.byOrigin[origin] = e.id
 	c.enqueue(sp, e)
@@ -213,7 +215,7 @@
 		if free <= 0 {
 			return
 		}
-		item, ok := sp.queue.Pop()
+		item, ok := sp.queue.Pop(sp.leastUrgency(slots, free))
 		if !ok {
 			return
 		}
@@ -225,7 +227,7 @@
 // owned any more to other entries.
 func (c *Core) reroute(sp *servicePool) {
 	for {
-		item, ok := sp.queue.Pop()
+		item, ok := sp.queue.Pop(requester.UrgencyLow)
 		if !ok {
 			return
 		}
@@ -431,6 +433,7 @@
 // tickPools asks endpoints in doubt and gives back what has expired.
 func (c *Core) tickPools() {
 	for _, sp := range c.pools {
+		sp.demand.roll(c.now)
 		for _, info := range sp.pool.Doubtful(c.now) {
 			c.emit(AskStatus{Endpoint: info})
 		}
--- a/experimenter/policy.go
+++ b/experimenter/policy.go
@@ -31,6 +31,7 @@
 	{"no-shedding", func(p *Policy) { p.Profile.Shedding = false }},
 	{"no-retries", func(p *Policy) { p.Profile.MaxAttempts = 1 }},
 	{"free-retries", func(p *Policy) { p.Profile.RetryBudget = 1; p.Profile.MaxAttempts = 10 }},
+	{"no-reserve", func(p *Policy) { p.Profile.ReserveShare = 0 }},
 	{"no-floors", func(p *Policy) { p.Profile.FloorLow, p.Profile.FloorNormal = 0, 0 }},
 }
 
--- a/keeper/client.go
+++ b/keeper/client.go
@@ -38,8 +38,9 @@
 	defaultReadsPerSecond  = 100
 	defaultQueueLength     = 4096
 	defaultCallTimeout     = time.Second
-	// writeBurst lets an idle client commit a few groups without delay.
-	writeBurst = 8
+	// burstSeconds is how much of its rate a client that was idle may use at
+	// once, in seconds, so that single transactions go without delay.
+	burstSeconds = 0.5
 	// maxGroup bounds the transactions that are committed together.
 	maxGroup = 128
 )
@@ -98,7 +99,7 @@
 		options:    options,
 		writes:     make(chan *pendingTransaction, options.QueueLength),
 		reads:      make(chan *pendingRead, options.QueueLength),
-		writeLimit: rate.NewLimiter(rate.Limit(options.WritesPerSecond), writeBurst),
+		writeLimit: rate.NewLimiter(rate.Limit(options.WritesPerSecond), max(1, int(options.WritesPerSecond*burstSeconds))),
 		readLimit:  rate.NewLimiter(rate.Limit(options.ReadsPerSecond), int(options.ReadsPerSecond)),
 		cancel:     cancel,
 		done:       make(chan struct{}),
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -214,7 +214,11 @@
 	for {
 		sentAt := time.Now()
 		answer, err := l.send(ctx, call)
-		l.auditor.Tell(auditor.Told{Call: call, Answer: answer, SentAt: sentAt, Lost: err != nil})
+		told := auditor.Told{Call: call, Answer: answer, SentAt: sentAt, Lost: err != nil}
+		if err != nil {
+			told.Detail = err.Error()
+		}
+		l.auditor.Tell(told)
 		again := err == nil && answer.Outcome == requester.OutcomeNotRun
 		if !again || call.Attempt >= attempts || !time.Now().Before(call.Deadline) {
 			return
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -15,6 +15,7 @@
 package queuer
 
 import (
+	"math"
 	"time"
 
 	"kumquatstall/requester"
@@ -195,16 +196,17 @@
 	}
 }
 
-// Pop takes out the call that is to start next. ok is false where none waits.
-func (q *Queue) Pop() (item Item, ok bool) {
+// Pop takes out the call that is to start next, among those of at least an
+// urgency. ok is false where none waits.
+func (q *Queue) Pop(least requester.Urgency) (item Item, ok bool) {
 	if q.policy.Fifo {
 		return q.popOldest()
 	}
-	tq := q.nextTrade()
+	tq := q.nextTrade(least)
 	if tq == nil {
 		return Item{}, false
 	}
-	c := q.nextClass(tq)
+	c := q.nextClass(tq, least)
 	n := c.head()
 	q.virtual = max(q.virtual, tq.virtual)
 	q.forget(n)
@@ -265,22 +267,22 @@
 	return q.policy.Weight(trade)
 }
 
-// nextTrade returns the trade to serve next, or nil.
-func (q *Queue) nextTrade() *tradeQueue {
-	if len(q.active) == 0 {
-		return nil
-	}
-	least := q.active[0].virtual
-	for _, tq := range q.active[1:] {
-		least = min(least, tq.virtual)
+// nextTrade returns the trade to serve next, among those with a call of at
+// least an urgency, or nil.
+func (q *Queue) nextTrade(least requester.Urgency) *tradeQueue {
+	lowest := math.Inf(1)
+	for _, tq := range q.active {
+		if tq.mostUrgent() >= least {
+			lowest = min(lowest, tq.virtual)
+		}
 	}
 	var best *tradeQueue
 	var bestUrgency requester.Urgency
 	for _, tq := range q.active {
-		if tq.virtual > least+float64(quantum) {
+		urgency := tq.mostUrgent()
+		if urgency < least || tq.virtual > lowest+float64(quantum) {
 			continue
 		}
-		urgency := tq.mostUrgent()
 		if best == nil || urgency > bestUrgency || urgency == bestUrgency && tq.virtual < best.virtual {
 			best, bestUrgency = tq, urgency
 		}
@@ -297,14 +299,15 @@
 	return requester.UrgencyLow
 }
 
-// nextClass returns the class of the trade to serve next: the least urgent
-// one that is below its floor, else the most urgent one.
-func (q *Queue) nextClass(tq *tradeQueue) *class {
+// nextClass returns the class of the trade to serve next, among those of at
+// least an urgency: the least urgent one that is below its floor, else the
+// most urgent one.
+func (q *Queue) nextClass(tq *tradeQueue, least requester.Urgency) *class {
 	var served time.Duration
 	for i := range tq.classes {
 		served += tq.classes[i].served
 	}
-	for i := range tq.classes {
+	for i := int(least); i < len(tq.classes); i++ {
 		c := &tq.classes[i]
 		if c.live > 0 && q.policy.Floors[i] > 0 && float64(c.served) < q.policy.Floors[i]*float64(served) {
 			return c
--- a/tuner/profile.go
+++ b/tuner/profile.go
@@ -92,6 +92,10 @@
 	// its less urgent calls keep while more urgent ones wait, 0 to 0.5.
 	FloorLow    float64
 	FloorNormal float64
+	// ReserveShare bounds the share of an entry's slots that less urgent
+	// calls leave free for more urgent ones, 0 to 0.5. How much of it is
+	// kept follows what more urgent calls took of late.
+	ReserveShare float64
 	// Shedding refuses calls on arrival that can't start in time.
 	Shedding bool
 	// MaxAttempts bounds the executions of one idempotent call.
@@ -131,6 +135,7 @@
 		QueueBound:       2000,
 		FloorLow:         0.05,
 		FloorNormal:      0.15,
+		ReserveShare:     0.25,
 		Shedding:         true,
 		MaxAttempts:      3,
 		RetryBudget:      0.1,
@@ -200,6 +205,7 @@
 		{"Profile.QueueBound", "a count between 1 and 1000000", p.QueueBound >= 1 && p.QueueBound <= 1_000_000},
 		{"Profile.FloorLow", "a share between 0 and 0.5", inRange(p.FloorLow, 0, 0.5)},
 		{"Profile.FloorNormal", "a share between 0 and 0.5", inRange(p.FloorNormal, 0, 0.5)},
+		{"Profile.ReserveShare", "a share between 0 and 0.5", inRange(p.ReserveShare, 0, 0.5)},
 		{"Profile.MaxAttempts", "a count between 1 and 10", p.MaxAttempts >= 1 && p.MaxAttempts <= 10},
 		{"Profile.RetryBudget", "a share between 0 and 1", inRange(p.RetryBudget, 0, 1)},
 		{"Profile.BreakerFailures", "a count between 0 and 1000", p.BreakerFailures >= 0 && p.BreakerFailures <= 1000},
