Reserve slots at every urgency; don't start what can't end in time

Cause: Low calls were let in while Normal ones had eaten the slots kept for Urgent (seen in a trace of waiting unlocks: 8 slots, busy 4 Low, 3 Normal, 0 Urgent, none free); calls were started that ended Unknown at their deadline; in flood-urgent a reserve of free slots starved Normal calls of other trades (116 of 132 answered). Change: calls of an urgency and below may hold all slots but the reserve for what is above, checked from the top down; a call whose expected run time does not fit before its deadline ends NotRun instead of being started.

--- a/decider/demand.go
+++ b/decider/demand.go
@@ -57,13 +57,20 @@
 	return min(most, int(math.Ceil(above+2*math.Sqrt(above))))
 }
 
-// leastUrgency returns the lowest urgency whose calls may take one of the
-// free slots.
-func (sp *servicePool) leastUrgency(slots, free int) requester.Urgency {
-	for urgency := requester.UrgencyLow; urgency < requester.UrgencyUrgent; urgency++ {
-		if free > sp.demand.reserve(urgency, slots, sp.profile.ReserveShare) {
-			return urgency
+// leastUrgency returns the lowest urgency whose calls may take a free slot.
+// Calls of an urgency and below it may hold all slots but the reserve for what
+// is above; the rule has to hold at each urgency above as well. It limits what
+// they hold and not what is free, so that a flood of more urgent calls does
+// not keep them out.
+func (sp *servicePool) leastUrgency(slots int) requester.Urgency {
+	held := sp.busy[requester.UrgencyLow] + sp.busy[requester.UrgencyNormal]
+	least := requester.UrgencyUrgent
+	for urgency := requester.UrgencyNormal; urgency >= requester.UrgencyLow; urgency-- {
+		if held >= slots-sp.demand.reserve(urgency, slots, sp.profile.ReserveShare) {
+			break
 		}
+		least = urgency
+		held -= sp.busy[urgency]
 	}
-	return requester.UrgencyUrgent
+	return least
 }
--- a/decider/run.go
+++ b/decider/run.go
@@ -24,6 +24,8 @@
 	pool    *router.Pool
 	queue   *queuer.Queue
 	demand  demand
+	// busy counts the executions that hold a slot, by urgency.
+	busy [requester.UrgencyCount]int
 }
 
 // execution is a call at the entry that runs it.
@@ -171,8 +173,9 @@
 	if free > sp.queue.Len() || slots == 0 {
 		return requester.ReasonNone
 	}
+	slots -= sp.demand.reserve(call.Urgency, slots, sp.profile.ReserveShare)
 	wait := sp.queue.WorkAhead(call.Trade, call.Urgency) / time.Duration(slots)
-	if c.now.Add(wait).After(call.Deadline) {
+	if c.now.Add(wait + c.runTime(call)).After(call.Deadline) {
 		return requester.ReasonDeadline
 	}
 	return requester.ReasonNone
@@ -215,7 +218,7 @@
 		if free <= 0 {
 			return
 		}
-		item, ok := sp.queue.Pop(sp.leastUrgency(slots, free))
+		item, ok := sp.queue.Pop(sp.leastUrgency(slots))
 		if !ok {
 			return
 		}
@@ -247,7 +250,7 @@
 
 // dispatch gives a call to an endpoint.
 func (c *Core) dispatch(sp *servicePool, e *execution) {
-	if !c.now.Before(e.call.Deadline) {
+	if c.tooLate(sp, e) {
 		c.endExecution(e, c.notRunOutcome(e), requester.ReasonDeadline, "")
 		return
 	}
@@ -287,6 +290,7 @@
 		c.violate("endpoint slots", string(id))
 	}
 	c.attempts[e.attempt] = e
+	sp.busy[e.call.Urgency]++
 	c.stats.Dispatched++
 	c.emit(StartAttempt{
 		AttemptID: e.attempt,
@@ -297,6 +301,16 @@
 	})
 }
 
+// tooLate reports whether a call can't end before its deadline: running it
+// would waste a slot and leave the caller without an answer.
+func (c *Core) tooLate(sp *servicePool, e *execution) bool {
+	end := c.now
+	if sp.profile.Shedding {
+		end = end.Add(c.runTime(&e.call))
+	}
+	return !end.Before(e.call.Deadline)
+}
+
 // notRunOutcome is NotRun where nothing of the call reached an endpoint.
 func (c *Core) notRunOutcome(e *execution) requester.Outcome {
 	if e.sent {
@@ -369,6 +383,7 @@
 		return
 	}
 	delete(c.attempts, event.AttemptID)
+	sp.busy[e.call.Urgency]--
 	failed := event.Kind == ResultFailed || event.Kind == ResultNotSent
 	sp.pool.Finish(c.now, event.AttemptID, failed)
 	if event.Kind == ResultAnswered || event.Kind == ResultFailed {
@@ -454,8 +469,12 @@
 	sortByID(ended, func(a router.Attempt) uint64 { return a.ID })
 	for _, attempt := range ended {
 		e, ok := c.attempts[attempt.ID]
+		if !ok {
+			continue
+		}
 		delete(c.attempts, attempt.ID)
-		if ok && e.waiting && c.executions[e.id] == e {
+		sp.busy[e.call.Urgency]--
+		if e.waiting && c.executions[e.id] == e {
 			e.waiting = false
 			c.retry(sp, e, "connection lost")
 		}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -240,6 +240,9 @@
 		// The balancer lost the entry; the caller can't know more.
 		answer = requester.Answer{RequestID: call.RequestID, Outcome: requester.OutcomeUnknown}
 	}
+	if status == http.StatusBadRequest {
+		answer = requester.Answer{RequestID: call.RequestID, Outcome: requester.OutcomeRefused, Reason: requester.ReasonInvalid}
+	}
 	if answer.Outcome == requester.OutcomePending {
 		return answer, errors.Newf("status %d without an outcome", status)
 	}
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -228,8 +228,8 @@
 // pollInterval separates looks at a condition that is waited for.
 const pollInterval = 20 * time.Millisecond
 
-// AwaitReady waits until every seat is held and every entry is ready and
-// linked to all others.
+// AwaitReady waits until every seat is held, by entries that each have their
+// share, and every entry is ready and linked to all others.
 func (d *Deployment) AwaitReady(ctx context.Context) error {
 	wanted := len(d.Plan.Sites) * d.Plan.Seats
 	return d.Await(ctx, "all seats held and all entries linked", func() bool {
@@ -237,7 +237,7 @@
 		for _, entry := range d.Entries {
 			view := entry.View()
 			held += len(view.Seats)
-			if !view.Ready || !linked(entry, len(d.Entries)-1) {
+			if !view.Ready || !linked(entry, len(d.Entries)-1) || len(view.Seats) > d.fairShare(view.DataCentre) {
 				return false
 			}
 		}
@@ -245,6 +245,17 @@
 	})
 }
 
+// fairShare returns the most seats that an entry of a data centre should hold.
+func (d *Deployment) fairShare(dataCentre requester.DataCentre) int {
+	entries := 0
+	for _, entry := range d.Entries {
+		if entry.View().DataCentre == dataCentre {
+			entries++
+		}
+	}
+	return (d.Plan.Seats + entries - 1) / entries
+}
+
 func linked(entry *runner.Entry, peers int) bool {
 	count := 0
 	for _, peer := range entry.View().Peers {
