Hand seats over faster, and give back what a released seat has not begun

A vacated seat was found by the next read only; a newcomer counted for a fair share before it may claim; a released seat waited for requests that waited for its own endpoints. Change: heartbeats tell of vacated seats and whether the sender may claim; requests that nobody has begun go back and the next home runs them under the intent that stands; after a failed answer the table is not waited for; an estimate is doubted whenever it turns a call away, and nothing is turned away while nothing else waits. Tried and reverted: nothing.

--- a/decider/core.go
+++ b/decider/core.go
@@ -133,9 +133,13 @@
 	fleet     *placer.Fleet
 	fleetSeat int64
 
-	readOpen     bool
-	readAt       time.Time
-	everRead     bool
+	readOpen bool
+	readAt   time.Time
+	everRead bool
+	// tableDoubtful tells that the table's last answer failed to come.
+	tableDoubtful bool
+	// vacated counts the seats that this entry has left.
+	vacated      int64
 	hostsAskedAt time.Time
 	hostsOpen    bool
 	heartbeatAt  time.Time
--- a/decider/home.go
+++ b/decider/home.go
@@ -1,7 +1,9 @@
 package decider
 
 import (
+	"cmp"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 
@@ -51,7 +53,7 @@
 const (
 	// intentTimeout bounds how long the table is waited for before
 	// witnesses are asked.
-	intentTimeout = 400 * time.Millisecond
+	intentTimeout = 250 * time.Millisecond
 	// handoverTimeout bounds how long a new home waits to hear from the home
 	// before and from witnesses.
 	handoverTimeout = 300 * time.Millisecond
@@ -233,8 +235,8 @@
 func (c *Core) recordIntent(in *intent) {
 	id := in.call.RequestID
 	c.intents[id] = in
-	if c.leaser.StoreDown(c.now) {
-		c.askWitnesses(in)
+	if c.tableDoubtful || c.leaser.StoreDown(c.now) {
+		c.afterTable(in)
 		return
 	}
 	row, err := json.Marshal(intentRow{RequestID: id, Home: c.options.Self, At: c.now})
@@ -268,11 +270,8 @@
 	case failure != TableOK:
 		// The row may still appear; it names this home and does no harm.
 		c.outageAt = c.now
-		if in.repeated && !c.homeOld(in) {
-			c.endIntent(in, duplicate(id))
-			return
-		}
-		c.askWitnesses(in)
+		c.tableDoubtful = true
+		c.afterTable(in)
 	case !result.Committed:
 		c.endIntent(in, duplicate(id))
 	default:
@@ -282,6 +281,16 @@
 	}
 }
 
+// afterTable goes on without the table. An earlier attempt may have left its
+// intent there, unless this home knows of all there were.
+func (c *Core) afterTable(in *intent) {
+	if in.repeated && !c.homeOld(in) {
+		c.endIntent(in, duplicate(in.call.RequestID))
+		return
+	}
+	c.askWitnesses(in)
+}
+
 // homeOld reports whether this entry has been the request's home for longer
 // than requests live, so that its book is all there is to know.
 func (c *Core) homeOld(in *intent) bool {
@@ -402,6 +411,38 @@
 	c.routeRun(&forward{id: c.id(), hop: encoder.HopRun, call: call, origin: origin})
 }
 
+// handBackHomes gives up the requests at home under a seat that is being
+// released and that nobody has begun to run. Their intents stand; the next home
+// learns that they did not run, and runs them.
+func (c *Core) handBackHomes(number int) {
+	var waiting []recorder.Origin
+	for origin := range c.byOrigin {
+		if origin.Home != "" && c.seatOf(c.options.DataCentre, string(origin.Home)).Number == number {
+			waiting = append(waiting, origin)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b recorder.Origin) int { return cmp.Compare(a.Home, b.Home) })
+	for _, origin := range waiting {
+		key := c.byOrigin[origin]
+		if f, ok := c.forwards[key]; ok && f.to == "" && !f.sent {
+			c.dropForward(f)
+			c.handBackHome(f.call)
+		}
+		if e, ok := c.executions[key]; ok && !e.sent && c.pool(e.call.Service).queue.Remove(e.id) {
+			c.forgetExecution(e)
+			c.handBackHome(e.call)
+		}
+	}
+}
+
+// handBackHome sends the attempts of a request on to its next home.
+func (c *Core) handBackHome(call requester.Call) {
+	answer := requester.Answer{RequestID: call.RequestID, Outcome: requester.OutcomeNotRun, Reason: requester.ReasonDraining}
+	for _, origin := range c.book.Finish(call.RequestID, answer, c.now.Add(c.options.RequestHorizon)) {
+		c.homeElsewhere(call, origin, call.Attempt > 1)
+	}
+}
+
 // finishHome ends a request and answers all its attempts.
 func (c *Core) finishHome(id requester.RequestID, answer requester.Answer) {
 	expires := c.now.Add(c.options.RequestHorizon)
--- a/decider/peers.go
+++ b/decider/peers.go
@@ -24,6 +24,8 @@
 	holdings    []leaser.Holding
 	loads       map[requester.Service]*encoder.ServiceLoad
 	configHead  int64
+	vacated     int64
+	mayClaim    bool
 	// lastSentAt is the SentAt of the last heartbeat heard.
 	lastSentAt time.Time
 	// met tells that a heartbeat of the peer has arrived.
@@ -134,6 +136,7 @@
 			Refused:     p.refused,
 			Incarnation: p.incarnation,
 			Leaving:     p.leaving,
+			MayClaim:    p.mayClaim,
 			Met:         p.met,
 		})
 	}
@@ -204,6 +207,8 @@
 		ConfigHead: c.config.Head(),
 		StoreDown:  c.leaser.StoreDown(c.now),
 		Leaving:    c.draining,
+		Vacated:    c.vacated,
+		MayClaim:   c.leaser.MayClaim(c.now),
 	}
 	if !p.lastSentAt.IsZero() {
 		message.EchoSentAt = p.lastSentAt
@@ -219,10 +224,15 @@
 	p.holdings = message.Holdings
 	p.leaving = message.Leaving
 	p.storeDown = message.StoreDown
+	p.mayClaim = message.MayClaim
 	p.configHead = message.ConfigHead
 	if message.StoreDown {
 		c.outageAt = c.now
 	}
+	if message.Vacated != p.vacated {
+		p.vacated = message.Vacated
+		c.readAt = time.Time{}
+	}
 	c.measure(p, message)
 	p.loads = make(map[requester.Service]*encoder.ServiceLoad, len(message.Loads))
 	for i := range message.Loads {
--- a/decider/run.go
+++ b/decider/run.go
@@ -176,6 +176,7 @@
 	slots -= sp.demand.reserve(call.Urgency, slots, sp.profile.ReserveShare)
 	wait := sp.queue.WorkAhead(call.Trade, call.Urgency) / time.Duration(slots)
 	if c.now.Add(wait + c.runTime(call)).After(call.Deadline) {
+		c.durations.Doubt(callKey(call))
 		return requester.ReasonDeadline
 	}
 	return requester.ReasonNone
@@ -302,13 +303,18 @@
 }
 
 // tooLate reports whether a call can't end before its deadline: running it
-// would waste a slot and leave the caller without an answer.
+// would waste a slot that others wait for and leave the caller without an
+// answer. An estimate that keeps calls from running can't be corrected by
+// them, so that it is doubted each time.
 func (c *Core) tooLate(sp *servicePool, e *execution) bool {
-	end := c.now
-	if sp.profile.Shedding {
-		end = end.Add(c.runTime(&e.call))
+	if !c.now.Before(e.call.Deadline) {
+		return true
 	}
-	return !end.Before(e.call.Deadline)
+	if !sp.profile.Shedding || sp.queue.Len() == 0 || c.now.Add(c.runTime(&e.call)).Before(e.call.Deadline) {
+		return false
+	}
+	c.durations.Doubt(callKey(&e.call))
+	return true
 }
 
 // notRunOutcome is NotRun where nothing of the call reached an endpoint.
--- a/decider/seats.go
+++ b/decider/seats.go
@@ -35,6 +35,7 @@
 	sentAt := c.now
 	c.read(request, c.now.Add(c.options.SeatTerm), func(result keeper.ReadResult, failed bool) {
 		c.readOpen = false
+		c.tableDoubtful = failed
 		if failed {
 			c.outageAt = c.now
 			return
@@ -132,6 +133,12 @@
 		}
 		c.leaser.OnResult(c.now, step, result, err, failure == TableNotTried)
 		c.tickOwnership()
+		if step.Purpose == leaser.PurposeRelease && failure == TableOK {
+			// The others are told at once, so that a seat is not vacant for
+			// longer than need be.
+			c.vacated++
+			c.beat()
+		}
 	}
 	c.transact(step.Transaction, step.Deadline, done)
 	if step.Purpose == leaser.PurposeRenew && c.leaser.StoreDown(c.now) {
@@ -289,7 +296,11 @@
 // vacateReleased leaves the seats whose work has ended.
 func (c *Core) vacateReleased() {
 	for number := range c.seatCount() {
-		if _, releasing := c.leaser.Releasing(number); releasing && !c.seatBusy(number) {
+		if _, releasing := c.leaser.Releasing(number); !releasing {
+			continue
+		}
+		c.handBackHomes(number)
+		if !c.seatBusy(number) {
 			c.runStep(c.leaser.Vacate(number, c.now))
 		}
 	}
--- a/encoder/message.go
+++ b/encoder/message.go
@@ -55,6 +55,10 @@
 	ConfigHead     int64
 	StoreDown      bool
 	Leaving        bool
+	// Vacated counts the seats that the sender has left for others to claim.
+	Vacated int64
+	// MayClaim tells that the sender could take a vacant seat.
+	MayClaim bool
 }
 
 // PeerInfo tells where an entry is.
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -58,6 +58,17 @@
 	e.deviation += weight * (math.Abs(difference) - e.deviation)
 }
 
+// doubtFactor is what remains of an estimate that was doubted.
+const doubtFactor = 0.98
+
+// Doubt lowers an estimate because of which something was not run, and which
+// can't be corrected by what is not run.
+func (d *Durations) Doubt(key Key) {
+	if e, ok := d.byKey[key]; ok {
+		e.mean *= doubtFactor
+	}
+}
+
 // Mean returns the expected duration.
 func (d *Durations) Mean(key Key) time.Duration {
 	if e, ok := d.byKey[key]; ok {
--- a/leaser/decide.go
+++ b/leaser/decide.go
@@ -23,6 +23,8 @@
 	Incarnation int64
 	// Leaving tells that the peer is shutting down.
 	Leaving bool
+	// MayClaim tells that the peer could take a vacant seat.
+	MayClaim bool
 	// Met tells that the peer has sent a heartbeat to this entry: it knows
 	// of it.
 	Met bool
@@ -90,9 +92,7 @@
 	if step, ok := l.renew(now); ok {
 		decision.Steps = append(decision.Steps, step)
 	}
-	if l.introducedAt.IsZero() && l.metAll(peers) {
-		l.introducedAt = now
-	}
+	l.introduce(now, peers)
 	if !l.leaving && !l.StoreDown(now) && !l.introducedAt.IsZero() {
 		decision.Steps = append(decision.Steps, l.claims(now, peers)...)
 	}
@@ -100,6 +100,28 @@
 	return decision
 }
 
+// introduce notes when every member has been met. Where no seat has ever been
+// held there was nothing to adopt, and no need to wait.
+func (l *Leaser) introduce(now time.Time, peers []Peer) {
+	if !l.introducedAt.IsZero() || !l.metAll(peers) {
+		return
+	}
+	l.introducedAt = now
+	for _, seat := range l.seats {
+		if seat.rowRevision > 0 {
+			return
+		}
+	}
+	l.introducedAt = now.Add(-l.options.Term - l.options.Margin)
+}
+
+// MayClaim reports whether the entry could take a vacant seat now. Others
+// count on it only if so.
+func (l *Leaser) MayClaim(now time.Time) bool {
+	introduced := !l.introducedAt.IsZero() && !now.Before(l.introducedAt.Add(l.options.Term+l.options.Margin))
+	return introduced && l.registered > 0 && !l.leaving && !l.StoreDown(now)
+}
+
 // metAll reports whether every member listed has been met or is dead.
 func (l *Leaser) metAll(peers []Peer) bool {
 	met := make(map[requester.EntryID]bool, len(peers))
@@ -221,7 +243,7 @@
 	candidates := []requester.EntryID{l.options.Self}
 	for _, peer := range peers {
 		_, member := l.members[peer.EntryID]
-		if member && peer.Connected && !peer.Leaving {
+		if member && peer.Connected && peer.MayClaim {
 			candidates = append(candidates, peer.EntryID)
 		}
 	}
@@ -261,7 +283,7 @@
 	if seat.rowRevision == 0 {
 		return true
 	}
-	if now.Before(l.introducedAt.Add(l.options.Term + l.options.Margin)) {
+	if !l.MayClaim(now) {
 		return false
 	}
 	if seat.row.Holder == "" {
