Keep serving while the successors of an entry that stops may not claim yet

Cause: in host-replacement three entries of a data centre stop within a second; the last one gave its seats up while the replacements had to wait a term before they may claim, so that all seats were vacant for 3.4 s (trace: entry-2 released at 53.9, replacement-1 claimed at 57.35). Change: an entry that shuts down serves on until another one may claim, for at most four terms.

--- a/decider/core.go
+++ b/decider/core.go
@@ -153,8 +153,11 @@
 	memberLostAt   time.Time
 	startedAt      time.Time
 	draining       bool
-	stopped        bool
-	stats          Stats
+	drainedAt      time.Time
+	// handingOver tells that an entry that shuts down gives up its seats.
+	handingOver bool
+	stopped     bool
+	stats       Stats
 }
 
 // Stats counts what the core did.
--- a/decider/peers.go
+++ b/decider/peers.go
@@ -206,7 +206,7 @@
 		Loads:      c.loads(),
 		ConfigHead: c.config.Head(),
 		StoreDown:  c.leaser.StoreDown(c.now),
-		Leaving:    c.draining,
+		Leaving:    c.handingOver,
 		Vacated:    c.vacated,
 		MayClaim:   c.leaser.MayClaim(c.now),
 	}
--- a/decider/run.go
+++ b/decider/run.go
@@ -92,7 +92,7 @@
 // get calls.
 func (c *Core) canRun(service requester.Service) bool {
 	sp, ok := c.pools[service]
-	if !ok || c.draining {
+	if !ok || c.handingOver {
 		return false
 	}
 	slots, _ := sp.pool.Slots(c.now)
@@ -115,7 +115,7 @@
 // loads tells how busy the endpoints owned here are.
 func (c *Core) loads() []encoder.ServiceLoad {
 	var loads []encoder.ServiceLoad
-	if c.draining {
+	if c.handingOver {
 		return loads
 	}
 	for service, sp := range c.pools {
--- a/decider/seats.go
+++ b/decider/seats.go
@@ -354,16 +354,38 @@
 // drain starts a graceful shutdown.
 func (c *Core) drain() {
 	c.draining = true
+	c.drainedAt = c.now
 	c.leaser.Leave()
 	c.beat()
 }
 
+// handOverTerms is how many lease terms an entry that shuts down waits for
+// another one that may claim its seats.
+const handOverTerms = 4
+
+// mayHandOver reports whether another entry may claim the seats at once, or
+// none is about to: while a newcomer waits to be allowed, seats are served here.
+func (c *Core) mayHandOver() bool {
+	coming := false
+	for _, p := range c.leaserPeers() {
+		if p.Connected && p.MayClaim {
+			return true
+		}
+		coming = coming || p.Connected && !p.Leaving
+	}
+	return !coming || c.now.Sub(c.drainedAt) > handOverTerms*c.options.SeatTerm
+}
+
 // tickDrain goes on with a graceful shutdown: seats are released, what runs
 // here ends, and the registration is withdrawn last.
 func (c *Core) tickDrain() {
 	if !c.draining || c.stopped {
 		return
 	}
+	if !c.handingOver && !c.mayHandOver() {
+		return
+	}
+	c.handingOver = true
 	busy := len(c.executions)+len(c.forwards)+len(c.tokens) > 0
 	for number := range c.seatCount() {
 		if _, held := c.leaser.Holds(number, c.now); held {
