Test the layers for what was found, and measure a placement

Cause: every failure found gets a test of its own; the target for a placement is 20,000 a second with 2,800 workers.

--- /dev/null
+++ b/keeper/client_test.go
@@ -0,0 +1,126 @@
+package keeper
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+)
+
+// fakeTable keeps rows and loses the answers that it is told to lose.
+type fakeTable struct {
+	mu       sync.Mutex
+	rows     map[string]Row
+	revision int64
+	lose     int
+	requests int
+}
+
+func (t *fakeTable) transact(_ context.Context, transaction Transaction) (TransactResult, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.requests++
+	var conflicts []Row
+	for _, condition := range transaction.Conditions {
+		row := t.rows[condition.Key]
+		row.Key = condition.Key
+		if row.Revision != condition.Revision {
+			conflicts = append(conflicts, row)
+		}
+	}
+	if len(conflicts) > 0 {
+		return TransactResult{Conflicts: conflicts}, nil
+	}
+	t.revision++
+	for _, write := range transaction.Writes {
+		t.rows[write.Key] = Row{Key: write.Key, Value: write.Value, Revision: t.revision}
+	}
+	if t.lose > 0 {
+		t.lose--
+		return TransactResult{}, errors.New("answer lost")
+	}
+	return TransactResult{Committed: true, Revision: t.revision}, nil
+}
+
+func (t *fakeTable) read(context.Context, ReadRequest) (ReadResult, error) {
+	return ReadResult{}, errors.New("not read in these tests")
+}
+
+type transactOutcome struct {
+	result TransactResult
+	err    error
+}
+
+func insert(key, value string) Transaction {
+	return Transaction{Conditions: []Condition{{Key: key}}, Writes: []Write{{Key: key, Value: []byte(value)}}}
+}
+
+// run sends transactions at once and returns their results in order.
+func run(client *Client, transactions ...Transaction) []transactOutcome {
+	outcomes := make([]transactOutcome, len(transactions))
+	var group sync.WaitGroup
+	for i, transaction := range transactions {
+		group.Add(1)
+		client.Transact(transaction, time.Now().Add(time.Minute), func(result TransactResult, err error) {
+			outcomes[i] = transactOutcome{result, err}
+			group.Done()
+		})
+	}
+	group.Wait()
+	return outcomes
+}
+
+func startClient(t *testing.T, table *fakeTable) *Client {
+	t.Helper()
+	client := start(table, Options{WritesPerSecond: 10_000})
+	t.Cleanup(func() {
+		client.Close()
+		<-client.Done()
+		goleak.VerifyNone(t)
+	})
+	return client
+}
+
+// TestLostAnswerIsResolved checks that a transaction whose answer was lost
+// after it had committed is reported as committed, once.
+func TestLostAnswerIsResolved(t *testing.T) {
+	is := is.New(t)
+	table := &fakeTable{rows: make(map[string]Row), lose: 2}
+	client := startClient(t, table)
+	outcome := run(client, insert("k", "mine"))[0]
+	is.NoErr(outcome.err)
+	is.True(outcome.result.Committed)
+	is.Equal(outcome.result.Revision, int64(1))
+}
+
+// TestConflictSparesTheGroup checks that one transaction that lost does not
+// fail those it was grouped with.
+func TestConflictSparesTheGroup(t *testing.T) {
+	is := is.New(t)
+	table := &fakeTable{rows: map[string]Row{"taken": {Key: "taken", Value: []byte("theirs"), Revision: 7}}, revision: 7}
+	client := startClient(t, table)
+	outcomes := run(client, insert("a", "1"), insert("taken", "mine"), insert("b", "2"))
+	is.True(outcomes[0].result.Committed)
+	is.True(!outcomes[1].result.Committed)
+	is.Equal(outcomes[1].result.Conflicts[0].Revision, int64(7))
+	is.True(outcomes[2].result.Committed)
+}
+
+// TestGroupsManyTransactions checks that waiting transactions share requests.
+func TestGroupsManyTransactions(t *testing.T) {
+	is := is.New(t)
+	table := &fakeTable{rows: make(map[string]Row), lose: 1}
+	client := startClient(t, table)
+	var transactions []Transaction
+	for i := range 100 {
+		transactions = append(transactions, insert(string(rune('a'+i)), "v"))
+	}
+	for _, outcome := range run(client, transactions...) {
+		is.True(outcome.result.Committed)
+	}
+	is.True(table.requests < len(transactions)/2)
+}
--- a/placer/job.go
+++ b/placer/job.go
@@ -53,7 +53,7 @@
 // of the job if it were empty. It is true while no worker is known.
 func (f *Fleet) CanHold(spec requester.Job) bool {
 	for _, w := range f.order {
-		if !w.info.Leaving && spec.Need.Fits(f.usableTotal(w)) {
+		if !w.info.Leaving && spec.Need.Fits(w.usable) {
 			return true
 		}
 	}
--- a/placer/place.go
+++ b/placer/place.go
@@ -165,11 +165,11 @@
 		if w == nil {
 			break
 		}
-		w.taken = w.taken.Add(need)
+		r.fleet.take(w, need)
 		chosen = append(chosen, w)
 	}
 	for _, w := range chosen {
-		w.taken = w.taken.Sub(need)
+		r.fleet.give(w, need)
 	}
 	if len(chosen) < len(j.waiting) || !r.fleet.withinQuota(j, need, len(chosen)) {
 		return false
@@ -189,7 +189,7 @@
 	key := estimator.Key{Owner: string(j.spec.Trade), Kind: j.spec.Kind}
 	need := f.sizes.Need(key, j.spec.Need)
 	for _, w := range f.order {
-		if need.Fits(f.usableTotal(w)) {
+		if need.Fits(w.usable) {
 			return need
 		}
 	}
@@ -219,8 +219,12 @@
 	}
 	var best *worker
 	var bestScore float64
-	for _, w := range f.order {
-		if !f.usable(w, r.now) || !need.Fits(f.usableTotal(w).Sub(w.taken)) {
+	for i := range f.room {
+		if !need.Fits(f.room[i]) {
+			continue
+		}
+		w := f.order[i]
+		if !f.usable(w, r.now) {
 			continue
 		}
 		if f.limits.FirstFit {
@@ -254,7 +258,7 @@
 // score rates a worker for a task; lower is better. Best fit leaves the least
 // room over; spreading leaves the most.
 func (f *Fleet) score(t *task, w *worker, need requester.Resources) float64 {
-	left := f.usableTotal(w).Sub(w.taken).Sub(need)
+	left := w.usable.Sub(w.taken).Sub(need)
 	score := leftover(left, w.info.Total)
 	if f.limits.Spread {
 		score = -score
@@ -334,12 +338,34 @@
 	t.need = need
 	t.started = now
 	w.tasks[t.id] = t
-	w.taken = w.taken.Add(need)
+	f.take(w, need)
 	t.job.running++
 	state := f.trade(t.job.spec.Trade)
 	state.taken = state.taken.Add(need)
 }
 
+// take counts an amount as taken of a worker.
+func (f *Fleet) take(w *worker, amount requester.Resources) {
+	w.taken = w.taken.Add(amount)
+	f.room[w.index] = w.usable.Sub(w.taken)
+}
+
+// give counts an amount as free again.
+func (f *Fleet) give(w *worker, amount requester.Resources) {
+	w.taken = w.taken.Sub(amount)
+	f.room[w.index] = w.usable.Sub(w.taken)
+}
+
+// indexWorkers brings the table of rooms in line with the list of workers.
+func (f *Fleet) indexWorkers() {
+	f.room = f.room[:0]
+	for i, w := range f.order {
+		w.index = i
+		w.usable = f.usableTotal(w)
+		f.room = append(f.room, w.usable.Sub(w.taken))
+	}
+}
+
 // checkRoom verifies that a worker holds what it was given.
 func (f *Fleet) checkRoom(w *worker) {
 	if !w.taken.Fits(w.info.Total) && !w.gone {
@@ -354,7 +380,7 @@
 		return
 	}
 	delete(w.tasks, t.id)
-	w.taken = w.taken.Sub(t.need)
+	f.give(w, t.need)
 	t.worker = nil
 	t.job.running--
 	state := f.trade(t.job.spec.Trade)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -175,6 +175,10 @@
 	breaker breaker.Breaker
 	tasks   map[TaskID]*task
 	taken   requester.Resources
+	// usable is what tasks may take: the total less the headroom.
+	usable requester.Resources
+	// index is the worker's place in the fleet's order.
+	index int
 	// leaseUntil is when the lease given out last has lapsed, by the
 	// holder's clock and without margin.
 	leaseUntil time.Time
@@ -254,6 +258,9 @@
 	started time.Time
 	workers map[requester.HostID]*worker
 	order   []*worker
+	// room is what is free on each worker of order, side by side in memory
+	// since every placement looks at all of it.
+	room    []requester.Resources
 	total   requester.Resources
 	jobs    map[requester.JobID]*job
 	trades  map[requester.Trade]*tradeState
@@ -279,7 +286,10 @@
 }
 
 // SetLimits changes the limits; they govern what waits already.
-func (f *Fleet) SetLimits(limits Limits) { f.limits = limits }
+func (f *Fleet) SetLimits(limits Limits) {
+	f.limits = limits
+	f.indexWorkers()
+}
 
 // Violation returns a broken invariant, or an empty string.
 func (f *Fleet) Violation() string { return f.violation }
@@ -332,6 +342,7 @@
 		kept = append(kept, w)
 	}
 	f.order = kept
+	f.indexWorkers()
 }
 
 // drain asks a leaving worker to checkpoint and stop what would run long.
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,167 @@
+package placer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"kumquatstall/requester"
+)
+
+var testStart = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func testLimits() Limits {
+	return Limits{LeaseTerm: 6 * time.Second, Margin: 300 * time.Millisecond, SyncInterval: time.Second, TaskAttempts: 3}
+}
+
+// newFleet returns a fleet whose workers have all reported, empty.
+func newFleet(workers int, total requester.Resources) *Fleet {
+	f := New("entry", 1, testStart, testLimits())
+	infos := make([]WorkerInfo, workers)
+	for i := range infos {
+		infos[i] = WorkerInfo{HostID: requester.HostID(fmt.Sprintf("w%04d", i)), Rack: fmt.Sprintf("r%d", i/6), Total: total}
+	}
+	f.SetWorkers(testStart, infos)
+	syncAll(f, testStart)
+	return f
+}
+
+// syncAll lets every worker answer a sync with nothing to tell.
+func syncAll(f *Fleet, now time.Time) []Sync {
+	syncs := f.Syncs(now)
+	for _, sync := range syncs {
+		f.OnReport(now, sync, SyncReport{Now: now, Epoch: sync.Request.Epoch, Boot: 1, Sequence: 1})
+	}
+	return syncs
+}
+
+func testJob(id string, shape requester.JobShape, tasks int, need requester.Resources) JobRow {
+	return JobRow{Version: 1, Job: requester.Job{
+		JobID: requester.JobID(id), Trade: "trade", Kind: "kind", Shape: shape, Tasks: tasks, Need: need, RunMillis: 1000,
+	}}
+}
+
+func TestPlaceHoldsWhatFits(t *testing.T) {
+	tests := []struct {
+		name    string
+		workers int
+		job     JobRow
+		placed  int
+	}{
+		{"batch fits", 2, testJob("j", requester.ShapeBatch, 4, requester.Resources{MilliCores: 4000, MemoryMB: 100}), 4},
+		{"batch fits in part", 2, testJob("j", requester.ShapeBatch, 5, requester.Resources{MilliCores: 4000, MemoryMB: 100}), 4},
+		{"memory is the bound", 2, testJob("j", requester.ShapeBatch, 9, requester.Resources{MilliCores: 1, MemoryMB: 3000}), 4},
+		{"gang fits", 2, testJob("j", requester.ShapeGang, 4, requester.Resources{MilliCores: 4000, MemoryMB: 100}), 4},
+		{"gang does not fit whole", 2, testJob("j", requester.ShapeGang, 5, requester.Resources{MilliCores: 4000, MemoryMB: 100}), 0},
+		{"task is larger than any worker", 2, testJob("j", requester.ShapeBatch, 1, requester.Resources{MilliCores: 9000, MemoryMB: 100}), 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(test.workers, requester.Resources{MilliCores: 8000, MemoryMB: 8000})
+			f.Add(test.job, 1, false)
+			is.Equal(f.Place(testStart), test.placed)
+			is.Equal(f.Violation(), "")
+		})
+	}
+}
+
+func TestTooLargeJobEndsWithReason(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, requester.Resources{MilliCores: 8000, MemoryMB: 8000})
+	f.Add(testJob("j", requester.ShapeBatch, 1, requester.Resources{MilliCores: 9000, MemoryMB: 1}), 1, false)
+	f.Place(testStart)
+	status, ok := f.Status("j")
+	is.True(ok)
+	is.Equal(status.State, requester.JobFailed)
+	is.Equal(status.Reason, requester.ReasonTooLarge)
+}
+
+// TestSilentWorkerKeepsItsTasks checks that a task runs again only after the
+// lease of its silent worker has lapsed.
+func TestSilentWorkerKeepsItsTasks(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, requester.Resources{MilliCores: 8000, MemoryMB: 8000})
+	f.Add(testJob("j", requester.ShapeBatch, 1, requester.Resources{MilliCores: 100, MemoryMB: 1}), 1, false)
+	is.Equal(f.Place(testStart), 1)
+	sent := f.Syncs(testStart)
+	is.Equal(len(sent), 1)
+	f.OnSyncFailed(testStart.Add(time.Second), sent[0])
+	limits := testLimits()
+	lapse := testStart.Add(limits.LeaseTerm + limits.Margin)
+	is.Equal(f.Lapse(lapse.Add(-time.Millisecond)), 0) // the worker may still run it
+	for _, sync := range f.Syncs(testStart.Add(3 * time.Second)) {
+		is.True(!sync.Request.Deadline.After(testStart.Add(limits.LeaseTerm))) // the lease is not extended
+	}
+	is.Equal(f.Lapse(lapse), 1)
+}
+
+// TestFullReportSettlesWhatRuns checks that a new holder takes over wanted
+// runs and stops others, and that the room of both counts.
+func TestFullReportSettlesWhatRuns(t *testing.T) {
+	is := is.New(t)
+	f := New("entry", 2, testStart, testLimits())
+	f.Add(testJob("wanted", requester.ShapeBatch, 1, requester.Resources{MilliCores: 1000, MemoryMB: 1}), 1, true)
+	f.SetWorkers(testStart, []WorkerInfo{{HostID: "w", Total: requester.Resources{MilliCores: 8000, MemoryMB: 8000}}})
+	is.True(f.Recovering(testStart))
+	is.Equal(f.Place(testStart), 0) // the worker may run it already
+	sync := f.Syncs(testStart)[0]
+	need := requester.Resources{MilliCores: 1000, MemoryMB: 1}
+	f.OnReport(testStart, sync, SyncReport{Boot: 1, Sequence: 5, Tasks: []TaskReport{
+		{Task: TaskID{Job: "wanted", Run: 1, Epoch: 1}, Job: "wanted", State: RunRunning, Need: need},
+		{Task: TaskID{Job: "unknown", Run: 1, Epoch: 1}, Job: "unknown", State: RunRunning, Need: need},
+	}})
+	is.True(!f.Recovering(testStart))
+	is.Equal(f.Workers()[0].Taken.MilliCores, int64(2000))
+	next := f.Syncs(testStart.Add(time.Second))
+	is.Equal(len(next), 1)
+	is.Equal(next[0].Request.Stops, []TaskID{{Job: "unknown", Run: 1, Epoch: 1}})
+}
+
+// BenchmarkPlace measures one placement with workers that hold tasks already.
+func BenchmarkPlace(b *testing.B) {
+	for _, workers := range []int{350, 700, 1400, 2800} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) { benchmarkPlace(b, workers) })
+	}
+}
+
+func benchmarkPlace(b *testing.B, workers int) {
+	const tasksPerWorker = 18
+	random := rand.New(rand.NewPCG(1, 1))
+	f := newFleet(workers, requester.Resources{MilliCores: 32_000, MemoryMB: 128 << 10})
+	draw := func() requester.Resources {
+		return requester.Resources{MilliCores: 200 + random.Int64N(1400), MemoryMB: 500 + random.Int64N(6000)}
+	}
+	for i := range workers * tasksPerWorker / 50 {
+		f.Add(testJob(fmt.Sprintf("fill%d", i), requester.ShapeBatch, 50, draw()), 1, false)
+	}
+	for f.Place(testStart) > 0 {
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	placed := 0
+	for i := 0; placed < b.N; i++ {
+		id := fmt.Sprintf("job%d", i)
+		f.Add(testJob(id, requester.ShapeBatch, 50, draw()), 1, false)
+		placed += max(1, f.Place(testStart))
+		b.StopTimer()
+		f.release(requester.JobID(id))
+		b.StartTimer()
+	}
+}
+
+// release frees what a job holds at once, as if its workers had confirmed.
+func (f *Fleet) release(id requester.JobID) {
+	f.Cancel(id, testStart)
+	for _, t := range f.jobs[id].tasks {
+		f.vacate(t)
+	}
+	delete(f.jobs, id)
+	for _, w := range f.order {
+		w.starts, w.stops = nil, nil
+	}
+	f.changed = nil
+}
--- a/placer/sync.go
+++ b/placer/sync.go
@@ -131,7 +131,7 @@
 }
 
 func (f *Fleet) dropForeign(w *worker, id TaskID) {
-	w.taken = w.taken.Sub(w.foreign[id])
+	f.give(w, w.foreign[id])
 	delete(w.foreign, id)
 }
 
@@ -205,7 +205,7 @@
 	if run.State == RunRunning {
 		if !counted {
 			w.foreign[run.Task] = run.Need
-			w.taken = w.taken.Add(run.Need)
+			f.take(w, run.Need)
 		}
 		w.stops = append(w.stops, run.Task)
 		return
@@ -241,7 +241,7 @@
 func (f *Fleet) grow(t *task, need requester.Resources) {
 	delta := need.Sub(t.need)
 	t.need = need
-	t.worker.taken = t.worker.taken.Add(delta)
+	f.take(t.worker, delta)
 	state := f.trade(t.job.spec.Trade)
 	state.taken = state.taken.Add(delta)
 }
