--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -189,7 +189,7 @@
 // Parse decodes and checks settings; path names them in errors.
 func Parse(path string, data []byte) (*Settings, error) {
 	settings := &Settings{}
-	if err := yaml.UnmarshalWithOptions(data, settings, yaml.Strict()); err != nil {
+	if err := decode(data, settings); err != nil {
 		return nil, &ProblemsError{Problems: []Problem{decodeProblem(path, err)}}
 	}
 	c := checker{file: path}
@@ -207,6 +207,17 @@
 	return settings, nil
 }
 
+// decode decodes strictly. The YAML library panics on some malformed tags,
+// which is an error of the document like any other.
+func decode(data []byte, settings *Settings) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = errors.Newf("malformed document: %v", cause)
+		}
+	}()
+	return yaml.UnmarshalWithOptions(data, settings, yaml.Strict())
+}
+
 // decodeProblem makes a Problem of what the decoder reports. Its message
 // names the key and the line.
 func decodeProblem(path string, err error) Problem {
