Throttle before stopping, and go on from checkpoints

Cause: workers can checkpoint and throttle; over-use was relieved by stopping alone, and a stopped task began anew. Change: tasks over a worker's processors are throttled to what they declared, those over its memory are stopped at a checkpoint, and the next run goes on from there; the stand-in worker does both.

--- a/placer/place.go
+++ b/placer/place.go
@@ -324,8 +324,10 @@
 		Job:       t.job.spec.JobID,
 		Need:      need,
 		RunMillis: t.job.spec.RunMillis,
-		Forever:   t.job.spec.Shape == requester.ShapeService,
-		Payload:   t.job.spec.Payload,
+
+		ProgressMicros: t.progress.Microseconds(),
+		Forever:        t.job.spec.Shape == requester.ShapeService,
+		Payload:        t.job.spec.Payload,
 	})
 	if t.job.state == requester.JobPending {
 		t.job.state = requester.JobRunning
@@ -336,6 +338,7 @@
 func (f *Fleet) occupy(t *task, w *worker, need requester.Resources, now time.Time) {
 	t.worker = w
 	t.need = need
+	t.throttled = false
 	t.started = now
 	w.tasks[t.id] = t
 	f.take(w, need)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -93,6 +93,8 @@
 	Need requester.Resources
 	// RunMillis is the declared run time, in milliseconds.
 	RunMillis int64 `json:",omitempty"`
+	// ProgressMicros is run time that an earlier run has checkpointed.
+	ProgressMicros int64 `json:",omitempty"`
 	// Forever tells that the task runs until it is stopped.
 	Forever bool   `json:",omitempty"`
 	Payload []byte `json:",omitempty"`
@@ -109,8 +111,16 @@
 	// Since asks for changes after that sequence number only; 0 for all.
 	Since  int64
 	Starts []TaskStart `json:",omitempty"`
-	Stops  []TaskID    `json:",omitempty"`
-	Acks   []TaskID    `json:",omitempty"`
+	// Stops are to be checkpointed and stopped.
+	Stops     []TaskID   `json:",omitempty"`
+	Throttles []Throttle `json:",omitempty"`
+	Acks      []TaskID   `json:",omitempty"`
+}
+
+// Throttle bounds the processor time of a running task.
+type Throttle struct {
+	Task       TaskID
+	MilliCores int64
 }
 
 // TaskReport is a worker's account of one run.
@@ -121,6 +131,8 @@
 	Need  requester.Resources
 	// Use is what the run was seen to use, some time ago.
 	Use requester.Resources `json:",omitzero"`
+	// ProgressMicros is the run time checkpointed by a stopped run.
+	ProgressMicros int64 `json:",omitempty"`
 }
 
 // SyncReport is a worker's answer to a sync.
@@ -196,7 +208,9 @@
 	gone     bool
 	starts   []TaskStart
 	stops    []TaskID
-	acks     []TaskID
+	// throttles are bounds still to be sent.
+	throttles []Throttle
+	acks      []TaskID
 }
 
 // task is one task of a job.
@@ -210,6 +224,10 @@
 	need    requester.Resources
 	use     requester.Resources
 	started time.Time
+	// progress is run time that earlier runs have checkpointed.
+	progress time.Duration
+	// throttled tells that the task's processor time is bounded.
+	throttled bool
 	// failures counts failing runs.
 	failures int
 	// failedOn are the workers on which the task failed.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -165,3 +165,45 @@
 	}
 	f.changed = nil
 }
+
+// TestOverUseIsRelieved checks that tasks which use more than the worker has
+// are throttled to what they declared, and stopped at a checkpoint where
+// memory is short; the next run goes on from there.
+func TestOverUseIsRelieved(t *testing.T) {
+	tests := []struct {
+		name      string
+		use       requester.Resources
+		throttled int
+		stopped   int
+	}{
+		{"within", requester.Resources{MilliCores: 2000, MemoryMB: 2000}, 0, 0},
+		{"processors", requester.Resources{MilliCores: 3500, MemoryMB: 2000}, 4, 0},
+		{"memory", requester.Resources{MilliCores: 2000, MemoryMB: 2500}, 0, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(1, requester.Resources{MilliCores: 8000, MemoryMB: 8000})
+			f.Add(testJob("j", requester.ShapeBatch, 4, requester.Resources{MilliCores: 2000, MemoryMB: 2000}), 1, false)
+			is.Equal(f.Place(testStart), 4)
+			sync := f.Syncs(testStart)[0]
+			report := SyncReport{Boot: 1, Sequence: 2}
+			for _, start := range sync.Request.Starts {
+				report.Tasks = append(report.Tasks, TaskReport{Task: start.Task, Job: "j", State: RunRunning, Need: start.Need, Use: test.use})
+			}
+			now := testStart.Add(2 * time.Second)
+			f.OnReport(now, sync, report)
+			next := f.Syncs(now)
+			is.Equal(len(next), 1)
+			is.Equal(len(next[0].Request.Throttles), test.throttled)
+			is.Equal(len(next[0].Request.Stops), test.stopped)
+			is.True(f.Workers()[0].Taken.MilliCores <= 8000)
+			if test.stopped == 0 {
+				return
+			}
+			stopped := TaskReport{Task: next[0].Request.Stops[0], Job: "j", State: RunStopped, ProgressMicros: 700_000}
+			f.OnReport(now, next[0], SyncReport{Boot: 1, Sequence: 3, Tasks: []TaskReport{stopped}})
+			is.Equal(f.jobs["j"].waiting[0].progress, 700*time.Millisecond)
+		})
+	}
+}
--- a/placer/sync.go
+++ b/placer/sync.go
@@ -28,7 +28,7 @@
 func (f *Fleet) Syncs(now time.Time) []Sync {
 	var syncs []Sync
 	for _, w := range f.order {
-		urgent := !w.silent && len(w.starts)+len(w.stops)+len(w.acks) > 0
+		urgent := !w.silent && len(w.starts)+len(w.stops)+len(w.throttles)+len(w.acks) > 0
 		due := now.Sub(w.syncedAt) >= f.limits.SyncInterval
 		if w.syncOpen || w.gone || !urgent && !due {
 			continue
@@ -52,9 +52,12 @@
 		Starts:   starts,
 		Stops:    w.stops,
 		Acks:     w.acks,
+
+		Throttles: w.throttles,
 	}
 	w.starts = w.starts[len(starts):]
 	w.stops = nil
+	w.throttles = nil
 	w.acks = nil
 	w.syncOpen = true
 	w.syncedAt = now
@@ -72,6 +75,7 @@
 	w.silent = true
 	w.sequence = 0
 	w.stops = append(sync.Request.Stops, w.stops...)
+	w.throttles = append(sync.Request.Throttles, w.throttles...)
 	w.acks = append(sync.Request.Acks, w.acks...)
 	// Sending a start twice is harmless: the worker knows its TaskID.
 	w.starts = append(sync.Request.Starts, w.starts...)
@@ -168,6 +172,7 @@
 	case RunFailed:
 		f.onFailed(now, t)
 	case RunStopped, RunLapsed:
+		t.progress = max(t.progress, time.Duration(run.ProgressMicros)*time.Microsecond)
 		f.acknowledge(t)
 		f.again(now, t)
 	}
@@ -232,12 +237,12 @@
 		return
 	}
 	f.sizes.Observe(estimator.Key{Owner: string(t.job.spec.Trade), Kind: t.job.spec.Kind}, use)
-	if larger := t.need.Max(use); larger != t.need {
+	if larger := t.need.Max(use); larger != t.need && !t.throttled {
 		f.grow(t, larger)
 	}
 }
 
-// grow reserves more for a task that uses more than was reserved.
+// grow changes what is reserved for a running task.
 func (f *Fleet) grow(t *task, need requester.Resources) {
 	delta := need.Sub(t.need)
 	t.need = need
@@ -246,9 +251,11 @@
 	state.taken = state.taken.Add(delta)
 }
 
-// relieve stops the least urgent, newest tasks of a worker on which tasks use
-// more than it has.
+// relieve helps a worker on which tasks use more than it has: it throttles the
+// least urgent, newest ones to what they declared, and where that is not
+// enough, or memory is short, it stops them at a checkpoint.
 func (f *Fleet) relieve(w *worker) {
+	f.throttle(w)
 	taken := w.taken
 	for _, t := range w.tasks {
 		if t.machine.In("Stopping") {
@@ -265,10 +272,33 @@
 	}
 }
 
+// throttle bounds tasks to the processor time that they declared until the
+// worker's is enough.
+func (f *Fleet) throttle(w *worker) {
+	for w.taken.MilliCores > w.info.Total.MilliCores {
+		t := cheapestOf(w, func(t *task) bool {
+			return t.machine.In("Running") && !t.throttled && t.need.MilliCores > t.job.spec.Need.MilliCores
+		})
+		if t == nil {
+			return
+		}
+		bound := t.need
+		bound.MilliCores = t.job.spec.Need.MilliCores
+		f.grow(t, bound)
+		t.throttled = true
+		w.throttles = append(w.throttles, Throttle{Task: t.id, MilliCores: bound.MilliCores})
+	}
+}
+
 func cheapest(w *worker) *task {
+	return cheapestOf(w, func(t *task) bool { return t.machine.Can("Stop") })
+}
+
+// cheapestOf returns the least urgent, newest task that may be chosen.
+func cheapestOf(w *worker, may func(*task) bool) *task {
 	var best *task
 	for _, t := range w.sortedTasks() {
-		if !t.machine.Can("Stop") {
+		if !may(t) {
 			continue
 		}
 		if best == nil || cheaper(t, best) {
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -158,6 +158,12 @@
 			w.finish(task, placer.RunStopped, now)
 		}
 	}
+	for _, throttle := range request.Throttles {
+		if task, ok := w.tasks[throttle.Task]; ok && task.state == placer.RunRunning {
+			task.throttle(throttle.MilliCores, now)
+			w.note(task)
+		}
+	}
 	report := placer.SyncReport{Now: now, Epoch: w.epoch, Boot: w.boot}
 	if now.Before(request.Deadline) {
 		for _, start := range request.Starts {
@@ -169,7 +175,7 @@
 		if task.changed <= request.Since && request.Since > 0 {
 			continue
 		}
-		report.Tasks = append(report.Tasks, placer.TaskReport{Task: id, Job: task.start.Job, State: task.state, Need: task.start.Need, Use: task.usage(now)})
+		report.Tasks = append(report.Tasks, placer.TaskReport{Task: id, Job: task.start.Job, State: task.state, Need: task.start.Need, Use: task.usage(now), ProgressMicros: task.progress()})
 	}
 	slices.SortFunc(report.Tasks, func(a, b placer.TaskReport) int { return a.Task.Compare(b.Task) })
 	return report
@@ -188,7 +194,7 @@
 	if start.Forever {
 		task.endsAt = now.AddDate(1, 0, 0)
 	} else {
-		task.endsAt = now.Add(time.Duration(work.RunMicros) * time.Microsecond)
+		task.endsAt = now.Add(time.Duration(max(0, work.RunMicros-start.ProgressMicros)) * time.Microsecond)
 	}
 	w.tasks[start.Task] = task
 	w.note(task)
@@ -243,6 +249,25 @@
 	return sum
 }
 
+// throttle bounds the task's processor time; what is left takes longer.
+func (t *workerTask) throttle(milliCores int64, now time.Time) {
+	used := t.work.Use.MilliCores
+	if used <= milliCores || milliCores <= 0 {
+		return
+	}
+	t.work.Use.MilliCores = milliCores
+	left := float64(t.endsAt.Sub(now)) * float64(used) / float64(milliCores)
+	t.endsAt = now.Add(time.Duration(left))
+}
+
+// progress is the run time that a stopped task has checkpointed.
+func (t *workerTask) progress() int64 {
+	if t.state != placer.RunStopped {
+		return 0
+	}
+	return t.start.ProgressMicros + t.ended.Sub(t.started).Microseconds()
+}
+
 // usage reports what the task uses, as known UsageLag ago.
 func (t *workerTask) usage(now time.Time) requester.Resources {
 	if t.state != placer.RunRunning || now.Sub(t.started) < UsageLag {
