--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -141,5 +141,5 @@
 	reply = l.OnPromiseRequest(now, PromiseRequest{Holder: "third", Incarnation: 1, Round: 1, Seats: wanted}, nil)
 	is.Equal(len(reply.Granted), 0)
 	is.True(!l.claimable(now, l.seats[1], nil))
-	is.True(now.Add(testTerm+testMargin).Equal(l.seats[1].promise.until))
+	is.True(now.Add(testTerm + testMargin).Equal(l.seats[1].promise.until))
 }
