Exchange requests with a deployment in one place, drop what nothing uses

Cause: reading the whole change again, the command dev, its list of jobs and the experiments each wrote the same JSON exchange with the balancer and the same wait for a revision; OnRows took a time that it never used, an intent counted what nobody read, a put went through a method that only called another, and a comment described a field that is not there. Change: Deployment.Exchange and Deployment.AwaitRevision serve all three; the rest is gone. A list of jobs that can't be had is asked for again instead of counting as no jobs. Conclusion: assertions and bounds are as they were.

--- a/cmd/kumquatstall/operate.go
+++ b/cmd/kumquatstall/operate.go
@@ -117,11 +117,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "%s: expected YAML", c.File)
 	}
-	return c.change(&c.remote, http.MethodPut, c.path, c.Name, c.Revision, json.RawMessage(data))
-}
-
-func (*itemPutCommand) change(r *remote, method, path, name string, revision int64, body any) error {
-	return changeItem(r, method, "/v1/"+path+"/"+url.PathEscape(name), revision, body)
+	return changeItem(&c.remote, http.MethodPut, "/v1/"+c.path+"/"+url.PathEscape(c.Name), c.Revision, json.RawMessage(data))
 }
 
 // changeItem sends a change and prints what is in force then.
--- a/cmd/kumquatstall/rehearsal.go
+++ b/cmd/kumquatstall/rehearsal.go
@@ -1,15 +1,12 @@
 package main
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"kumquatstall/auditor"
@@ -103,19 +100,18 @@
 // operate changes a profile after a third of the run and marks an endpoint as
 // leaving after half of it, and measures when each is in force everywhere.
 func (r *rehearsal) operate(ctx context.Context, deployment *stager.Deployment, audit *auditor.Auditor, length time.Duration, result *reporter.Deployment) error {
-	base := "http://" + deployment.Balancer.Address().String()
 	time.Sleep(length / 3)
 	profile := tuner.DefaultProfile()
 	profile.Name = "festival-peak"
 	profile.QueueBound = 4000
-	took, err := r.change(ctx, deployment, http.MethodPut, base+"/v1/profiles/festival-peak", profile)
+	took, err := r.change(ctx, deployment, http.MethodPut, "/v1/profiles/festival-peak", profile)
 	if err != nil {
 		return err
 	}
 	result.ProfileMillis = took
 	time.Sleep(length / 6)
 	leaving := requester.HostID(string(r.plan.Sites[0].Name) + "-endpoint-00")
-	took, err = r.change(ctx, deployment, http.MethodPost, base+"/v1/hosts/"+string(leaving)+"/leave", nil)
+	took, err = r.change(ctx, deployment, http.MethodPost, "/v1/hosts/"+string(leaving)+"/leave", nil)
 	if err != nil {
 		return err
 	}
@@ -126,35 +122,15 @@
 
 // change makes a change through the balancer and returns how long it took,
 // from sending it, to be in force on every entry, in milliseconds.
-func (r *rehearsal) change(ctx context.Context, deployment *stager.Deployment, method, url string, body any) (float64, error) {
+func (r *rehearsal) change(ctx context.Context, deployment *stager.Deployment, method, path string, body any) (float64, error) {
 	ctx, cancel := context.WithTimeout(ctx, inForceTimeout)
 	defer cancel()
-	data, err := json.Marshal(body)
-	if err != nil {
-		return 0, errors.Wrap(err, "encode change")
-	}
-	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
-	if err != nil {
-		return 0, errors.Wrap(err, "make change")
-	}
 	sentAt := time.Now()
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return 0, errors.Wrap(err, "send change")
-	}
-	defer response.Body.Close()
 	var item tuner.Item
-	if err := json.NewDecoder(response.Body).Decode(&item); err != nil || response.StatusCode != http.StatusOK {
-		return 0, errors.Newf("change was answered with status %d", response.StatusCode)
+	if err := deployment.Exchange(ctx, method, path, body, &item); err != nil {
+		return 0, err
 	}
-	err = deployment.Await(ctx, "change in force", func() bool {
-		for _, entry := range deployment.Entries {
-			if entry.View().ConfigRevision < item.Revision {
-				return false
-			}
-		}
-		return true
-	})
+	err := deployment.AwaitRevision(ctx, item.Revision)
 	return float64(time.Since(sentAt).Microseconds()) / 1000, err
 }
 
@@ -182,7 +158,11 @@
 		clear(counts)
 		ended := true
 		for _, site := range plan.Sites {
-			for _, status := range listJobs(ctx, deployment, site.Name) {
+			var statuses []requester.JobStatus
+			if deployment.Exchange(ctx, http.MethodGet, "/v1/jobs?DataCentre="+string(site.Name), nil, &statuses) != nil {
+				return false
+			}
+			for _, status := range statuses {
 				counts[status.State]++
 				ended = ended && (status.State.Ended() || status.Shape == requester.ShapeService && status.Running == status.Tasks)
 			}
@@ -197,21 +177,3 @@
 	}
 	return list
 }
-
-func listJobs(ctx context.Context, deployment *stager.Deployment, dataCentre requester.DataCentre) []requester.JobStatus {
-	url := "http://" + deployment.Balancer.Address().String() + "/v1/jobs?DataCentre=" + string(dataCentre)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return nil
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil
-	}
-	defer response.Body.Close()
-	var statuses []requester.JobStatus
-	if json.NewDecoder(response.Body).Decode(&statuses) != nil {
-		return nil
-	}
-	return statuses
-}
--- a/decider/home.go
+++ b/decider/home.go
@@ -38,7 +38,6 @@
 	// granted counts the witnesses; wanted is how many are needed.
 	granted int
 	wanted  int
-	asked   int
 	ids     []uint64
 }
 
@@ -316,7 +315,6 @@
 		id := c.id()
 		c.witnessing[id] = in
 		in.ids = append(in.ids, id)
-		in.asked++
 		c.emit(Send{To: p.info.EntryID, Message: &encoder.WitnessRequest{ID: id, RequestID: in.call.RequestID}})
 	}
 	c.at(c.now.Add(witnessTimeout), func() {
--- a/decider/seats.go
+++ b/decider/seats.go
@@ -32,7 +32,6 @@
 	request := c.leaser.ReadRequest()
 	request.Keys = []string{tuner.HeadKey}
 	request.Prefixes = []string{leaser.RowPrefix(c.options.DataCentre), "member/"}
-	sentAt := c.now
 	c.read(request, c.now.Add(c.options.SeatTerm), func(result keeper.ReadResult, failed bool) {
 		c.readOpen = false
 		c.tableDoubtful = failed
@@ -40,13 +39,13 @@
 			c.outageAt = c.now
 			return
 		}
-		c.onTableRead(sentAt, result)
+		c.onTableRead(result)
 	})
 }
 
-func (c *Core) onTableRead(sentAt time.Time, result keeper.ReadResult) {
+func (c *Core) onTableRead(result keeper.ReadResult) {
 	members := len(c.leaser.Members())
-	if err := c.leaser.OnRows(c.now, sentAt, result); err != nil {
+	if err := c.leaser.OnRows(c.now, result); err != nil {
 		c.violate("table row", err.Error())
 		return
 	}
--- a/experimenter/run.go
+++ b/experimenter/run.go
@@ -1,14 +1,11 @@
 package experimenter
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/netip"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"kumquatstall/auditor"
@@ -48,7 +45,7 @@
 	Failed    int
 	Cancelled int
 	Open      int
-	// MeanMillis is the mean time from submission to success.
+	// TasksPlaced and TasksLapsed count runs of tasks, of all jobs.
 	TasksPlaced int64
 	TasksLapsed int64
 }
@@ -128,38 +125,10 @@
 	profile := r.policy.Profile
 	profile.Name = tuner.DefaultProfileName
 	var item tuner.Item
-	if err := r.post(ctx, http.MethodPut, "/v1/profiles/"+profile.Name, profile, &item); err != nil {
+	if err := r.deployment.Exchange(ctx, http.MethodPut, "/v1/profiles/"+profile.Name, profile, &item); err != nil {
 		return err
 	}
-	return r.deployment.Await(ctx, "policy in force", func() bool {
-		for _, entry := range r.deployment.Entries {
-			if entry.View().ConfigRevision < item.Revision {
-				return false
-			}
-		}
-		return true
-	})
-}
-
-func (r *trial) post(ctx context.Context, method, path string, body, answer any) error {
-	data, err := json.Marshal(body)
-	if err != nil {
-		return errors.Wrap(err, "encode request")
-	}
-	url := "http://" + r.deployment.Balancer.Address().String() + path
-	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
-	if err != nil {
-		return errors.Wrap(err, "make request")
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return errors.Wrap(err, "send request")
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return errors.Newf("%s %s: status %d", method, path, response.StatusCode)
-	}
-	return errors.Wrap(json.NewDecoder(response.Body).Decode(answer), "decode answer")
+	return r.deployment.AwaitRevision(ctx, item.Revision)
 }
 
 func (r *trial) run(ctx context.Context, seed uint64) (Run, error) {
@@ -253,7 +222,7 @@
 		result = JobResult{Submitted: result.Submitted}
 		for _, site := range r.deployment.Plan.Sites {
 			var statuses []requester.JobStatus
-			if r.post(ctx, http.MethodGet, "/v1/jobs?DataCentre="+string(site.Name), nil, &statuses) != nil {
+			if r.deployment.Exchange(ctx, http.MethodGet, "/v1/jobs?DataCentre="+string(site.Name), nil, &statuses) != nil {
 				return false
 			}
 			for _, status := range statuses {
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -297,9 +297,8 @@
 	return known && !listed
 }
 
-// OnRows takes in the rows of ReadRequest as of a table revision. sentAt is
-// when the read was sent.
-func (l *Leaser) OnRows(now, sentAt time.Time, result keeper.ReadResult) error {
+// OnRows takes in the rows of ReadRequest as of a table revision.
+func (l *Leaser) OnRows(now time.Time, result keeper.ReadResult) error {
 	l.readOKAt = now
 	if result.Revision >= l.membersRevision {
 		l.members = make(map[requester.EntryID]Member)
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -34,7 +34,7 @@
 
 func feed(t *testing.T, l *Leaser, now time.Time, revision int64, rows ...keeper.Row) {
 	t.Helper()
-	if err := l.OnRows(now, now, keeper.ReadResult{Rows: rows, Revision: revision}); err != nil {
+	if err := l.OnRows(now, keeper.ReadResult{Rows: rows, Revision: revision}); err != nil {
 		t.Fatal(err)
 	}
 }
