--- a/cmd/kumquatstall/main.go
+++ b/cmd/kumquatstall/main.go
@@ -36,6 +36,7 @@
 
 type commandLine struct {
 	Entry   entryCommand   `cmd:"" help:"Run an entry."`
+	Serve   serveCommand   `cmd:"" help:"Run an entry that runs jobs on the users' platform."`
 	Dev     devCommand     `cmd:"" help:"Run a whole deployment in one process, with stand-ins, under mixed work, and report."`
 	Config  configCommand  `cmd:"" help:"Work on settings files."`
 	Profile itemCommands   `cmd:"" help:"Read and change profiles."`
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -209,7 +209,7 @@
 
 // decode decodes strictly. The YAML library panics on some malformed tags,
 // which is an error of the document like any other.
-func decode(data []byte, settings *Settings) (err error) {
+func decode(data []byte, settings any) (err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			err = errors.Newf("malformed document: %v", cause)
--- /dev/null
+++ b/dispatcher/accept.go
@@ -0,0 +1,137 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatstall/keeper"
+	"kumquatstall/requester"
+	"kumquatstall/scheduler"
+)
+
+//go:generate go tool -modfile=../tools/go.mod stringer -type=Outcome -trimprefix=Outcome
+
+// Outcome is what became of a request about a job.
+type Outcome int
+
+// The outcomes.
+const (
+	// OutcomeDone: the job is stored, or its cancelling is.
+	OutcomeDone Outcome = iota
+	// OutcomeUnavailable: nothing was done; the store can't be reached.
+	OutcomeUnavailable
+	// OutcomeUnknown: it may have been done, or may still be.
+	OutcomeUnknown
+	// OutcomeNotFound: there is no such job.
+	OutcomeNotFound
+)
+
+// acceptTimeout bounds how long the store is tried for one request. A caller
+// is better off at another entry after that.
+const acceptTimeout = 1200 * time.Millisecond
+
+// Submit stores a job. A job of that id that is there already is left as it
+// is: the request counts as done.
+func (d *Dispatcher) Submit(ctx context.Context, job scheduler.Job) Outcome {
+	if _, known := d.board.state(job.JobID); known {
+		return OutcomeDone
+	}
+	if !d.storeInTouch() {
+		return OutcomeUnavailable
+	}
+	job.AcceptedAt = time.Now().UTC().Truncate(time.Millisecond)
+	state := scheduler.EncodeRow(scheduler.StateRow{Queue: job.Queue, State: scheduler.StateQueued, Timed: job.Occurrences > 0})
+	jobKey, stateKey := scheduler.JobKey(job.JobID), scheduler.StateKey(job.JobID)
+	transaction := keeper.Transaction{
+		Conditions: []keeper.Condition{{Key: jobKey}, {Key: stateKey}},
+		Writes:     []keeper.Write{{Key: jobKey, Value: scheduler.EncodeRow(job)}, {Key: stateKey, Value: state}},
+	}
+	result, outcome := d.transact(ctx, transaction)
+	if outcome != OutcomeDone {
+		return outcome
+	}
+	if result.Committed {
+		change := Change{Row: keeper.Row{Key: stateKey, Value: state, Revision: result.Revision}}
+		if err := d.board.take(d.clock.Now(), change); err != nil {
+			d.log.Error().Str("Event", "row").Str("Key", stateKey).Err(err).Msg("row can't be read")
+		}
+	}
+	return OutcomeDone
+}
+
+// transact runs a transaction and tells whether its fate is known.
+func (d *Dispatcher) transact(ctx context.Context, transaction keeper.Transaction) (keeper.TransactResult, Outcome) {
+	deadline := time.Now().Add(acceptTimeout)
+	if limit, ok := ctx.Deadline(); ok && limit.Before(deadline) {
+		deadline = limit
+	}
+	type answer struct {
+		result keeper.TransactResult
+		err    error
+	}
+	answered := make(chan answer, 1)
+	d.table.Transact(transaction, deadline, func(result keeper.TransactResult, err error) {
+		answered <- answer{result, err}
+	})
+	got := <-answered
+	switch {
+	case got.err == nil:
+		return got.result, OutcomeDone
+	case errors.Is(got.err, keeper.ErrUnresolved):
+		return got.result, OutcomeUnknown
+	default:
+		return got.result, OutcomeUnavailable
+	}
+}
+
+// Cancel stores that a job is to be cancelled.
+func (d *Dispatcher) Cancel(ctx context.Context, id requester.JobID) Outcome {
+	state, outcome := d.State(ctx, id)
+	if outcome != OutcomeDone || state.State.Ended() {
+		return outcome
+	}
+	if !d.storeInTouch() {
+		return OutcomeUnavailable
+	}
+	key := scheduler.CancelKey(id)
+	_, outcome = d.transact(ctx, keeper.Transaction{
+		Conditions: []keeper.Condition{{Key: key}},
+		Writes:     []keeper.Write{{Key: key, Value: []byte{1}}},
+	})
+	// A conflict means that it is marked already.
+	return outcome
+}
+
+// State returns where a job stands.
+func (d *Dispatcher) State(ctx context.Context, id requester.JobID) (scheduler.StateRow, Outcome) {
+	if row, ok := d.board.state(id); ok {
+		return row, OutcomeDone
+	}
+	// It may have been accepted elsewhere a moment ago.
+	var row scheduler.StateRow
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	result, err := d.platform.Read(ctx, keeper.ReadRequest{Keys: []string{scheduler.StateKey(id)}})
+	if err != nil {
+		return row, OutcomeUnavailable
+	}
+	if len(result.Rows) == 0 {
+		return row, OutcomeNotFound
+	}
+	change := Change{Row: result.Rows[0]}
+	if err := d.board.take(d.clock.Now(), change); err != nil {
+		d.log.Error().Str("Event", "row").Str("Key", change.Row.Key).Err(err).Msg("row can't be read")
+		return row, OutcomeUnavailable
+	}
+	row, _ = d.board.state(id)
+	return row, OutcomeDone
+}
+
+// Pending returns how many jobs of a queue wait for their first task.
+func (d *Dispatcher) Pending(queue string) int { return d.board.pendingOf(queue) }
+
+// RetryAfter is when a refused caller should come back: the store is tried
+// again all the time, and a caller who comes early is told so at once.
+func (d *Dispatcher) RetryAfter() time.Duration { return time.Second }
--- /dev/null
+++ b/dispatcher/advise.go
@@ -0,0 +1,134 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatstall/encoder"
+	"kumquatstall/requester"
+	"kumquatstall/scheduler"
+)
+
+// Bounds of questions for advice.
+const (
+	// adviceTimeout bounds a question, waiting at the service included.
+	adviceTimeout = 3 * time.Second
+	// adviceDepth is how many questions one host may have open: the service
+	// answers them one by one, and the next one should be there already.
+	adviceDepth = 2
+)
+
+// adviser is an entry that asks for advice.
+type adviser struct {
+	id   requester.EntryID
+	open int
+}
+
+// advisers are the entries by which the owner asks.
+type advisers []*adviser
+
+func (a *advisers) add(id requester.EntryID) {
+	for _, known := range *a {
+		if known.id == id {
+			return
+		}
+	}
+	*a = append(*a, &adviser{id: id})
+}
+
+func (a *advisers) remove(id requester.EntryID) {
+	for i, known := range *a {
+		if known.id == id {
+			*a = append((*a)[:i], (*a)[i+1:]...)
+			return
+		}
+	}
+}
+
+// free returns how many more questions can be asked now.
+func (a advisers) free() int {
+	count := 0
+	for _, known := range a {
+		count += adviceDepth - known.open
+	}
+	return count
+}
+
+// idlest returns the adviser with the fewest questions.
+func (a advisers) idlest() *adviser {
+	var best *adviser
+	for _, known := range a {
+		if best == nil || known.open < best.open {
+			best = known
+		}
+	}
+	return best
+}
+
+// askedAdvice is a question on its way.
+type askedAdvice struct {
+	order   scheduler.AdviceOrder
+	adviser *adviser
+	until   time.Time
+}
+
+// ask sends the questions that the core wants asked.
+func (s *session) ask(now time.Time) {
+	for id, asked := range s.asked {
+		if now.After(asked.until) {
+			s.advised(id, nil, true)
+		}
+	}
+	for _, order := range s.core.Advise(now, s.advisers.free()) {
+		chosen := s.advisers.idlest()
+		chosen.open++
+		s.askNumber++
+		id := s.askNumber
+		s.asked[id] = askedAdvice{order: order, adviser: chosen, until: now.Add(adviceTimeout + storeTimeout)}
+		if chosen.id != s.dispatcher.options.Self {
+			s.dispatcher.linker.Send(chosen.id, &encoder.AdviceRequest{ID: id, Step: order.Step, Workers: order.Workers})
+			continue
+		}
+		s.goDo(func() {
+			ctx, cancel := context.WithTimeout(s.ctx, adviceTimeout)
+			defer cancel()
+			allowed, err := s.dispatcher.platform.Ask(ctx, order.Step, order.Workers)
+			s.post(func() { s.advised(id, allowed, err != nil) })
+		})
+	}
+}
+
+func (s *session) adviceReplied(_ requester.EntryID, reply *encoder.AdviceReply) {
+	s.advised(reply.ID, reply.Allowed, reply.Failed)
+}
+
+// advised takes in the answer to a question; the first one counts.
+func (s *session) advised(id uint64, allowed []scheduler.Ticket, failed bool) {
+	asked, ok := s.asked[id]
+	if !ok {
+		return
+	}
+	delete(s.asked, id)
+	asked.adviser.open--
+	now := s.dispatcher.clock.Now()
+	if failed {
+		s.dispatcher.counters.adviceFailed.Add(1)
+	} else {
+		s.dispatcher.counters.adviceTime.Observe(now.Sub(asked.order.AskedAt))
+	}
+	s.core.Advised(now, asked.order, allowed, failed)
+}
+
+// adviserLost takes back the questions that an entry was to ask.
+func (s *session) adviserLost(id requester.EntryID) {
+	s.advisers.remove(id)
+	for number, asked := range s.asked {
+		if asked.adviser.id == id {
+			s.advised(number, nil, true)
+		}
+	}
+}
+
+func isGone(err error) bool { return errors.Is(err, ErrHistoryGone) }
--- /dev/null
+++ b/dispatcher/board.go
@@ -0,0 +1,169 @@
+package dispatcher
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"kumquatstall/keeper"
+	"kumquatstall/requester"
+	"kumquatstall/scheduler"
+)
+
+// ownerKey is the key of the owner's row.
+const ownerKey = scheduler.StatePrefix + "@owner"
+
+// ownerRow names the owner of the cell.
+type ownerRow struct {
+	_       struct{} `cbor:",toarray"`
+	Holder  requester.EntryID
+	Address netip.AddrPort
+	Epoch   int64
+	// Counter rises with each commit, so that no two rows are the same.
+	Counter int64
+	// Released tells that the holder has given the cell up.
+	Released bool
+}
+
+// ownerView is the owner's row as this entry has seen it.
+type ownerView struct {
+	row      ownerRow
+	revision int64
+	// since is when this entry first saw this revision.
+	since time.Time
+	known bool
+}
+
+type shownState struct {
+	row      scheduler.StateRow
+	revision int64
+}
+
+// board holds the states of jobs and the owner's row, as the store has them.
+type board struct {
+	mu      sync.Mutex
+	states  map[requester.JobID]shownState
+	pending map[string]int
+	owner   ownerView
+}
+
+func newBoard() *board {
+	return &board{states: make(map[requester.JobID]shownState), pending: make(map[string]int)}
+}
+
+// take takes in a row of the states; older ones than known change nothing.
+func (b *board) take(now time.Time, change Change) error {
+	if change.Row.Key == ownerKey {
+		return b.takeOwner(now, change.Row)
+	}
+	id := requester.JobID(change.Row.Key[len(scheduler.StatePrefix):])
+	var row scheduler.StateRow
+	if !change.Removed {
+		if err := scheduler.DecodeRow(change.Row.Value, &row); err != nil {
+			return err
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old, known := b.states[id]
+	if known && old.revision >= change.Row.Revision {
+		return nil
+	}
+	if known && waits(old.row) {
+		b.pending[old.row.Queue]--
+	}
+	if change.Removed {
+		delete(b.states, id)
+		return nil
+	}
+	b.states[id] = shownState{row: row, revision: change.Row.Revision}
+	if waits(row) {
+		b.pending[row.Queue]++
+	}
+	return nil
+}
+
+// waits reports whether a job counts as pending.
+func waits(row scheduler.StateRow) bool { return row.State == scheduler.StateQueued && !row.Timed }
+
+func (b *board) takeOwner(now time.Time, row keeper.Row) error {
+	var owner ownerRow
+	if err := scheduler.DecodeRow(row.Value, &owner); err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.owner.known && row.Revision <= b.owner.revision {
+		return nil
+	}
+	b.owner = ownerView{row: owner, revision: row.Revision, since: now, known: true}
+	return nil
+}
+
+func (b *board) ownerView() ownerView {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.owner
+}
+
+func (b *board) state(id requester.JobID) (scheduler.StateRow, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	shown, ok := b.states[id]
+	return shown.row, ok
+}
+
+func (b *board) pendingOf(queue string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pending[queue]
+}
+
+// stateRow returns the stored row of a job, nil where it isn't known.
+func (b *board) stateRow(id requester.JobID) []byte {
+	if row, ok := b.state(id); ok {
+		return scheduler.EncodeRow(row)
+	}
+	return nil
+}
+
+// replace takes in all rows at once, after changes may have been missed.
+func (b *board) replace(now time.Time, rows []keeper.Row, revision int64) error {
+	listed := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		listed[row.Key] = true
+		if err := b.take(now, Change{Row: row}); err != nil {
+			return err
+		}
+	}
+	b.mu.Lock()
+	var gone []requester.JobID
+	for id, shown := range b.states {
+		if !listed[scheduler.StateKey(id)] && shown.revision <= revision {
+			gone = append(gone, id)
+		}
+	}
+	b.mu.Unlock()
+	for _, id := range gone {
+		if err := b.take(now, Change{Row: keeper.Row{Key: scheduler.StateKey(id), Revision: revision + 1}, Removed: true}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// endedBefore returns up to limit jobs that ended before a time.
+func (b *board) endedBefore(before time.Time, limit int) []requester.JobID {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var ids []requester.JobID
+	for id, shown := range b.states {
+		if len(ids) == limit {
+			break
+		}
+		if shown.row.State.Ended() && shown.row.EndedAt < before.Unix() {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/dispatcher/claim.go
@@ -0,0 +1,171 @@
+package dispatcher
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"kumquatstall/encoder"
+	"kumquatstall/keeper"
+	"kumquatstall/requester"
+	"kumquatstall/scheduler"
+)
+
+// Intervals of claiming.
+const (
+	claimInterval = 100 * time.Millisecond
+	// claimSpread draws claimants apart, so that few meet.
+	claimSpread = 60 * time.Millisecond
+	// ownerMargin is kept between the time at which an owner stops giving
+	// orders and the time at which others may claim.
+	ownerMargin = 300 * time.Millisecond
+)
+
+// claimLoop claims the cell when nobody owns it, and owns it for a session.
+func (d *Dispatcher) claimLoop() {
+	for d.pause(claimInterval + rand.N(claimSpread)) {
+		owner := d.board.ownerView()
+		d.linkOwner(owner)
+		if d.draining.Load() || !d.storeInTouch() || !d.mayClaim(owner) {
+			continue
+		}
+		row, revision, ok := d.claim(owner)
+		if !ok {
+			continue
+		}
+		s := newSession(d, row, revision)
+		d.session.Store(s)
+		s.run()
+		d.session.Store(nil)
+	}
+}
+
+// mayClaim reports whether the owner that was seen last may be replaced. The
+// successor counts on nothing that a former owner promises: claiming early
+// costs time, not safety.
+func (d *Dispatcher) mayClaim(owner ownerView) bool {
+	if !owner.known || owner.row.Released || owner.row.Holder == d.options.Self {
+		return true
+	}
+	if d.clock.Now().Sub(owner.since) >= d.options.OwnerTerm+ownerMargin {
+		return true
+	}
+	refuses := d.ownerRefuses.Load()
+	return refuses != nil && *refuses == owner.row.Holder
+}
+
+// claim raises the epoch by compare-and-set.
+func (d *Dispatcher) claim(owner ownerView) (ownerRow, int64, bool) {
+	row := ownerRow{Holder: d.options.Self, Address: d.options.Address, Epoch: owner.row.Epoch + 1}
+	value := scheduler.EncodeRow(row)
+	ctx, cancel := context.WithTimeout(d.ctx, storeTimeout)
+	defer cancel()
+	result, err := d.platform.Transact(ctx, keeper.Transaction{
+		Conditions: []keeper.Condition{{Key: ownerKey, Revision: owner.revision}},
+		Writes:     []keeper.Write{{Key: ownerKey, Value: value}},
+	})
+	if err != nil {
+		d.log.Warn().Str("Event", "claim").Int64("Epoch", row.Epoch).Err(err).Msg("claim got no answer")
+		return row, 0, false
+	}
+	revision := result.Revision
+	if !result.Committed {
+		current, mine := conflictAt(result, ownerKey, value)
+		if err := d.board.take(d.clock.Now(), Change{Row: current}); err != nil {
+			d.log.Error().Str("Event", "row").Str("Key", ownerKey).Err(err).Msg("row can't be read")
+		}
+		if !mine {
+			return row, 0, false
+		}
+		revision = current.Revision
+	}
+	change := Change{Row: keeper.Row{Key: ownerKey, Value: value, Revision: revision}}
+	if err := d.board.take(d.clock.Now(), change); err != nil {
+		d.log.Error().Str("Event", "row").Str("Key", ownerKey).Err(err).Msg("row can't be read")
+	}
+	d.ownerRefuses.Store(nil)
+	return row, revision, true
+}
+
+// conflictAt returns the row that a transaction met, and whether it is the one
+// that the transaction wanted to write.
+func conflictAt(result keeper.TransactResult, key string, value []byte) (keeper.Row, bool) {
+	for _, row := range result.Conflicts {
+		if row.Key == key {
+			return row, row.Revision != 0 && string(row.Value) == string(value)
+		}
+	}
+	return keeper.Row{Key: key}, false
+}
+
+// linkOwner keeps a link to the owner, over which it spreads questions.
+func (d *Dispatcher) linkOwner(owner ownerView) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, dialed := range d.links {
+		if dialed && id != owner.row.Holder {
+			d.linker.Forget(id)
+			d.linker.Drop(id)
+			delete(d.links, id)
+		}
+	}
+	if !owner.known || owner.row.Holder == d.options.Self || d.links[owner.row.Holder] {
+		return
+	}
+	d.links[owner.row.Holder] = true
+	d.linker.Dial([]encoder.PeerInfo{{EntryID: owner.row.Holder, Address: owner.row.Address}})
+}
+
+// PeerUp implements linker.Handler.
+func (d *Dispatcher) PeerUp(peer encoder.PeerInfo, _ int64) {
+	d.log.Info().Str("Event", "link").Str("Peer", string(peer.EntryID)).Msg("link up")
+	d.toSession(func(s *session) { s.advisers.add(peer.EntryID) })
+}
+
+// PeerDown implements linker.Handler.
+func (d *Dispatcher) PeerDown(id requester.EntryID) {
+	d.log.Info().Str("Event", "link").Str("Peer", string(id)).Msg("link down")
+	d.toSession(func(s *session) { s.adviserLost(id) })
+}
+
+// PeerRefused implements linker.Handler: a host that refuses connections runs
+// no entry.
+func (d *Dispatcher) PeerRefused(id requester.EntryID, refused bool) {
+	if refused {
+		d.ownerRefuses.Store(&id)
+	} else {
+		d.ownerRefuses.Store(nil)
+	}
+}
+
+// PeerMessage implements linker.Handler.
+func (d *Dispatcher) PeerMessage(from requester.EntryID, message encoder.Message) {
+	switch message := message.(type) {
+	case *encoder.AdviceRequest:
+		d.group.Add(1)
+		go func() {
+			defer d.group.Done()
+			d.adviseFor(from, message)
+		}()
+	case *encoder.AdviceReply:
+		d.toSession(func(s *session) { s.adviceReplied(from, message) })
+	}
+}
+
+// adviseFor asks for advice on behalf of the owner.
+func (d *Dispatcher) adviseFor(owner requester.EntryID, request *encoder.AdviceRequest) {
+	ctx, cancel := context.WithTimeout(d.ctx, adviceTimeout)
+	defer cancel()
+	allowed, err := d.platform.Ask(ctx, request.Step, request.Workers)
+	if err != nil {
+		d.counters.adviceFailed.Add(1)
+	}
+	d.linker.Send(owner, &encoder.AdviceReply{ID: request.ID, Allowed: allowed, Failed: err != nil})
+}
+
+// toSession lets the control goroutine of the present session do something.
+func (d *Dispatcher) toSession(do func(*session)) {
+	if s := d.session.Load(); s != nil {
+		s.post(func() { do(s) })
+	}
+}
--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,244 @@
+// Package dispatcher runs jobs at one entry.
+//
+// Every entry accepts, cancels and shows jobs; it needs the store and the
+// configuration for that, and no other entry. One entry at a time owns the
+// cell: it runs the core of package scheduler and gives orders to workers.
+//
+// # Rows
+//
+// The rows of jobs, of their states and of their progress lie in one table
+// space, so that one transaction may touch all of them. The owner's row is
+// among the states. Each of the owner's commits requires that row as the owner
+// wrote it last and writes it anew; a commit is a renewal, and an entry that
+// has lost the row can't write at all.
+//
+// # Goroutines
+//
+// One goroutine follows the configuration, one the states, one decides whether
+// to claim the cell. A session (the time as owner) has one control goroutine,
+// which alone uses the core; orders, looks and commits run on goroutines of
+// their own and post what comes of them.
+package dispatcher
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"kumquatstall/encoder"
+	"kumquatstall/keeper"
+	"kumquatstall/linker"
+	"kumquatstall/requester"
+	"kumquatstall/scheduler"
+)
+
+// Change is a row that was written, or removed.
+type Change struct {
+	Row     keeper.Row
+	Removed bool
+}
+
+// Store keeps the rows. Keys begin with the name of a table and a slash.
+type Store interface {
+	keeper.Table
+	// List returns the rows below a table's prefix, and a revision after
+	// which changes are missing from them.
+	List(ctx context.Context, prefix string) ([]keeper.Row, int64, error)
+	// Watch returns what has changed below a table's prefix after a revision
+	// and the revision from which to go on. It waits for a change until the
+	// given time. The error is ErrHistoryGone where changes were dropped.
+	Watch(ctx context.Context, prefix string, after int64, until time.Time) ([]Change, int64, error)
+}
+
+// Workers takes orders to workers.
+type Workers interface {
+	Start(ctx context.Context, order scheduler.StartOrder) scheduler.OrderResult
+	Stop(ctx context.Context, order scheduler.StopOrder) scheduler.OrderResult
+	Look(ctx context.Context, order scheduler.LookOrder, wait time.Duration) (*scheduler.Report, scheduler.OrderResult)
+}
+
+// Adviser tells which workers may run a step. It answers one question at a
+// time for each host.
+type Adviser interface {
+	Ask(ctx context.Context, step scheduler.StepName, workers []requester.HostID) ([]scheduler.Ticket, error)
+}
+
+// Platform is the world outside.
+type Platform interface {
+	Store
+	Workers
+	Adviser
+	// Config reads the newest configuration; nil where there is none yet.
+	Config(ctx context.Context) (*Config, int64, error)
+	// WatchConfig waits for a change of the configuration after a revision;
+	// nil where none came.
+	WatchConfig(ctx context.Context, after int64, until time.Time) (*Config, int64, error)
+	// ListWorkers returns the workers on the platform's list.
+	ListWorkers(ctx context.Context) ([]scheduler.WorkerInfo, error)
+}
+
+// Options configures a Dispatcher. A zero duration means its default.
+type Options struct {
+	Self       requester.EntryID
+	DataCentre requester.DataCentre
+	// Address is where other entries reach this one's links.
+	Address netip.AddrPort
+	// OwnerTerm is how long an owner's row stands without renewal before
+	// others may claim; default 2 s.
+	OwnerTerm time.Duration
+	// LongestLease is the longest that a worker grants; default 10 s.
+	LongestLease time.Duration
+	// WritesPerSecond bounds this entry's writes; default 60.
+	WritesPerSecond float64
+	// ReadsPerSecond bounds this entry's reads of single rows; default 100.
+	ReadsPerSecond float64
+	// StateRetention is how long an ended job is shown; default 3 min.
+	StateRetention time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	if o.OwnerTerm <= 0 {
+		o.OwnerTerm = 2 * time.Second
+	}
+	if o.LongestLease <= 0 {
+		o.LongestLease = 10 * time.Second
+	}
+	if o.WritesPerSecond <= 0 {
+		o.WritesPerSecond = 60
+	}
+	if o.ReadsPerSecond <= 0 {
+		o.ReadsPerSecond = 100
+	}
+	if o.StateRetention <= 0 {
+		o.StateRetention = 3 * time.Minute
+	}
+	return o
+}
+
+// Dispatcher runs jobs at one entry.
+type Dispatcher struct {
+	options  Options
+	platform Platform
+	log      zerolog.Logger
+	clock    Clock
+	board    *board
+	table    *keeper.Client
+	linker   *linker.Linker
+	config   atomic.Pointer[Config]
+	session  atomic.Pointer[session]
+	draining atomic.Bool
+	// storeSeen is when the store last answered a watch, by the clock.
+	storeSeen atomic.Int64
+	// ownerRefuses holds the owner whose host refuses connections.
+	ownerRefuses atomic.Pointer[requester.EntryID]
+	counters     counters
+	ctx          context.Context
+	cancel       context.CancelFunc
+	group        sync.WaitGroup
+	done         chan struct{}
+
+	mu    sync.Mutex
+	links map[requester.EntryID]bool
+}
+
+var _ linker.Handler = (*Dispatcher)(nil)
+
+// maxTransaction bounds the conditions and writes of one transaction.
+const maxTransaction = 90
+
+// Start starts the parts of an entry. clock may be nil.
+func Start(options Options, platform Platform, clock Clock, log zerolog.Logger) *Dispatcher {
+	if clock == nil {
+		clock = NewClock()
+	}
+	options = options.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Dispatcher{
+		options:  options,
+		platform: platform,
+		log:      log,
+		clock:    clock,
+		board:    newBoard(),
+		ctx:      ctx,
+		cancel:   cancel,
+		done:     make(chan struct{}),
+		links:    make(map[requester.EntryID]bool),
+	}
+	d.table = keeper.Start(platform, keeper.Options{
+		WritesPerSecond: options.WritesPerSecond,
+		ReadsPerSecond:  options.ReadsPerSecond,
+		MaxEntries:      maxTransaction,
+		CallTimeout:     storeTimeout,
+	})
+	self := encoder.PeerInfo{EntryID: options.Self, DataCentre: options.DataCentre, Address: options.Address}
+	d.linker = linker.New(linker.Options{Self: self, Incarnation: time.Now().UnixNano()}, d)
+	for _, part := range []func(){d.followConfig, d.followStates, d.claimLoop} {
+		d.group.Add(1)
+		go func() {
+			defer d.group.Done()
+			part()
+		}()
+	}
+	return d
+}
+
+// Links serves links from other entries.
+func (d *Dispatcher) Links() *linker.Linker { return d.linker }
+
+// inTouch is how long ago the store may have answered for the entry to take
+// work.
+const inTouch = 1200 * time.Millisecond
+
+// Ready reports whether the entry can take work.
+func (d *Dispatcher) Ready() bool {
+	return !d.draining.Load() && d.config.Load() != nil && d.storeInTouch()
+}
+
+func (d *Dispatcher) storeInTouch() bool {
+	seen := d.storeSeen.Load()
+	return seen != 0 && d.clock.Now().Sub(time.Unix(0, seen)) < inTouch
+}
+
+// Drain makes the entry not ready and gives up the cell, if this entry owns
+// it. Requests are still served.
+func (d *Dispatcher) Drain(ctx context.Context) {
+	d.draining.Store(true)
+	d.log.Info().Str("Event", "draining").Msg("entry drains")
+	if s := d.session.Load(); s != nil {
+		s.release()
+		select {
+		case <-s.done:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// Close ends all parts.
+func (d *Dispatcher) Close() {
+	d.cancel()
+	d.linker.Close()
+	d.table.Close()
+	<-d.linker.Done()
+	<-d.table.Done()
+	d.group.Wait()
+	close(d.done)
+}
+
+// Done is closed when all parts have ended.
+func (d *Dispatcher) Done() <-chan struct{} { return d.done }
+
+// pause waits, and reports false where the entry is closing.
+func (d *Dispatcher) pause(wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-d.ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/dispatcher/follow.go
@@ -0,0 +1,127 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatstall/scheduler"
+)
+
+// ErrHistoryGone reports that changes were dropped before they were read.
+var ErrHistoryGone = errors.New("history of changes is gone")
+
+// Intervals and bounds of what is followed.
+const (
+	// storeTimeout bounds one call to the store.
+	storeTimeout = 800 * time.Millisecond
+	// watchWait is how long a watch waits for a change. It is short against
+	// the time in which an entry has to notice that the store is out of reach.
+	watchWait = 500 * time.Millisecond
+	// configWait is how long a watch of the configuration waits; changes must
+	// be in force within 2 s, also where a watch goes silent.
+	configWait = 600 * time.Millisecond
+	// statesInterval separates watches of the states: what has changed in
+	// the meantime comes together.
+	statesInterval = 120 * time.Millisecond
+	// retryInterval separates attempts at a store that doesn't answer.
+	retryInterval = 100 * time.Millisecond
+)
+
+// followConfig keeps the newest configuration in force.
+func (d *Dispatcher) followConfig() {
+	var revision int64
+	known := false
+	var failing bool
+	for d.ctx.Err() == nil {
+		var config *Config
+		var err error
+		if !known {
+			ctx, cancel := context.WithTimeout(d.ctx, storeTimeout)
+			config, revision, err = d.platform.Config(ctx)
+			cancel()
+		} else {
+			ctx, cancel := context.WithTimeout(d.ctx, configWait+storeTimeout)
+			config, revision, err = d.platform.WatchConfig(ctx, revision, time.Now().Add(configWait))
+			cancel()
+		}
+		d.noteDependency("config", err, &failing)
+		if err != nil {
+			// Changes may have been missed: read it again.
+			known = false
+			if !d.pause(retryInterval) {
+				return
+			}
+			continue
+		}
+		known = true
+		d.put(config)
+	}
+}
+
+// followStates keeps the board.
+func (d *Dispatcher) followStates() {
+	var revision int64
+	known := false
+	var failing bool
+	for d.ctx.Err() == nil {
+		var err error
+		if !known {
+			revision, err = d.loadStates()
+		} else {
+			revision, err = d.watchStates(revision)
+		}
+		d.noteDependency("store", err, &failing)
+		wait := statesInterval
+		if err != nil {
+			known = known && !errors.Is(err, ErrHistoryGone)
+			wait = retryInterval
+		} else {
+			known = true
+			d.storeSeen.Store(d.clock.Now().UnixNano())
+		}
+		if !d.pause(wait) {
+			return
+		}
+	}
+}
+
+func (d *Dispatcher) loadStates() (int64, error) {
+	ctx, cancel := context.WithTimeout(d.ctx, 2*storeTimeout)
+	defer cancel()
+	rows, revision, err := d.platform.List(ctx, scheduler.StatePrefix)
+	if err != nil {
+		return 0, err
+	}
+	return revision, d.board.replace(d.clock.Now(), rows, revision)
+}
+
+func (d *Dispatcher) watchStates(after int64) (int64, error) {
+	ctx, cancel := context.WithTimeout(d.ctx, watchWait+storeTimeout)
+	defer cancel()
+	changes, revision, err := d.platform.Watch(ctx, scheduler.StatePrefix, after, time.Now().Add(watchWait))
+	if err != nil {
+		return after, err
+	}
+	now := d.clock.Now()
+	for _, change := range changes {
+		if err := d.board.take(now, change); err != nil {
+			d.log.Error().Str("Event", "row").Str("Key", change.Row.Key).Err(err).Msg("row can't be read")
+		}
+	}
+	return revision, nil
+}
+
+// noteDependency logs when something outside is lost or regained.
+func (d *Dispatcher) noteDependency(name string, err error, failing *bool) {
+	if (err != nil) == *failing || d.ctx.Err() != nil {
+		return
+	}
+	*failing = err != nil
+	if err != nil {
+		d.log.Warn().Str("Event", "lost").Str("Dependency", name).Err(err).Msg("dependency lost")
+	} else {
+		d.log.Info().Str("Event", "regained").Str("Dependency", name).Msg("dependency regained")
+	}
+}
--- a/encoder/encoder.go
+++ b/encoder/encoder.go
@@ -30,6 +30,8 @@
 	kindWitnessList
 	kindJobRequest
 	kindJobReply
+	kindAdviceRequest
+	kindAdviceReply
 )
 
 func (*Hello) kind() kind          { return kindHello }
@@ -51,6 +53,8 @@
 func (*WitnessList) kind() kind    { return kindWitnessList }
 func (*JobRequest) kind() kind     { return kindJobRequest }
 func (*JobReply) kind() kind       { return kindJobReply }
+func (*AdviceRequest) kind() kind  { return kindAdviceRequest }
+func (*AdviceReply) kind() kind    { return kindAdviceReply }
 
 // types maps each kind to its message's type.
 var types = func() map[kind]reflect.Type {
@@ -66,7 +70,7 @@
 	return []Message{
 		&Hello{}, &Proof{}, &Heartbeat{}, &Introduce{}, &CallForward{}, &CallReply{}, &CallCancel{}, &ConfigUpdate{},
 		&ConfigRequest{}, &PromiseRequest{}, &PromiseReply{}, &Relay{}, &RelayReply{}, &WitnessRequest{},
-		&WitnessReply{}, &WitnessPull{}, &WitnessList{}, &JobRequest{}, &JobReply{},
+		&WitnessReply{}, &WitnessPull{}, &WitnessList{}, &JobRequest{}, &JobReply{}, &AdviceRequest{}, &AdviceReply{},
 	}
 }
 
--- a/encoder/message.go
+++ b/encoder/message.go
@@ -12,6 +12,7 @@
 	"kumquatstall/leaser"
 	"kumquatstall/recorder"
 	"kumquatstall/requester"
+	"kumquatstall/scheduler"
 	"kumquatstall/tuner"
 )
 
@@ -201,6 +202,20 @@
 	Workers []WorkerView          `cbor:",omitempty"`
 }
 
+// AdviceRequest asks an entry to ask which workers may run a step.
+type AdviceRequest struct {
+	ID      uint64
+	Step    scheduler.StepName
+	Workers []requester.HostID
+}
+
+// AdviceReply answers an AdviceRequest.
+type AdviceReply struct {
+	ID      uint64
+	Allowed []scheduler.Ticket `cbor:",omitempty"`
+	Failed  bool               `cbor:",omitempty"`
+}
+
 // WorkerView is what operators see of a worker.
 type WorkerView struct {
 	HostID  requester.HostID
--- a/keeper/client.go
+++ b/keeper/client.go
@@ -20,6 +20,9 @@
 	QueueLength int
 	// CallTimeout bounds one request to the service; default 1 s.
 	CallTimeout time.Duration
+	// MaxEntries bounds the conditions and writes of one request; default
+	// unbounded.
+	MaxEntries int
 	// Observe is told of every request to the service; it may be nil.
 	Observe func(operation Operation, err error)
 }
@@ -48,6 +51,10 @@
 // ErrOverloaded reports that the client's queue is full.
 var ErrOverloaded = errors.New("table client queue is full")
 
+// ErrNotDone marks an error of a Table that proves that a transaction was not
+// applied and won't be.
+var ErrNotDone = errors.New("transaction was not applied")
+
 // ErrUnresolved reports that a transaction's fate was not known at its
 // deadline. It may have taken effect, or may still do so.
 var ErrUnresolved = errors.New("transaction not resolved before its deadline")
@@ -75,7 +82,7 @@
 // Client is the client of the table service. Its methods are safe for
 // concurrent use.
 type Client struct {
-	table   table
+	table   Table
 	options Options
 	writes  chan *pendingTransaction
 	reads   chan *pendingRead
@@ -88,10 +95,11 @@
 
 // New starts a client of the service at address.
 func New(address netip.AddrPort, options Options) *Client {
-	return start(newHTTPTable(address), options)
+	return Start(newHTTPTable(address), options)
 }
 
-func start(table table, options Options) *Client {
+// Start starts a client of any table.
+func Start(table Table, options Options) *Client {
 	options = options.withDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Client{
@@ -185,7 +193,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
 	defer cancel()
-	result, err := c.table.read(callCtx, pending.request)
+	result, err := c.table.Read(callCtx, pending.request)
 	c.options.Observe(OperationRead, err)
 	pending.done(result, err)
 }
@@ -253,7 +261,7 @@
 // commitGroup sends the waiting transactions that touch disjoint keys as one,
 // and returns those still unresolved.
 func (c *Client) commitGroup(ctx context.Context, waiting []*pendingTransaction) ([]*pendingTransaction, error) {
-	group, rest := disjoint(waiting)
+	group, rest := disjoint(waiting, c.options.MaxEntries)
 	var merged Transaction
 	for _, pending := range group {
 		merged.Conditions = append(merged.Conditions, pending.transaction.Conditions...)
@@ -261,11 +269,11 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
 	defer cancel()
-	result, err := c.table.transact(callCtx, merged)
+	result, err := c.table.Transact(callCtx, merged)
 	c.options.Observe(OperationTransact, err)
 	if err != nil {
 		for _, pending := range group {
-			pending.sent = true
+			pending.sent = pending.sent || !errors.Is(err, ErrNotDone)
 		}
 		return append(group, rest...), err
 	}
@@ -326,11 +334,13 @@
 }
 
 // disjoint splits off the longest prefix-closed set of transactions that share
-// no key, keeping the order of those that do.
-func disjoint(waiting []*pendingTransaction) (group, rest []*pendingTransaction) {
+// no key and fit one request, keeping the order of those that don't.
+func disjoint(waiting []*pendingTransaction, maxEntries int) (group, rest []*pendingTransaction) {
 	taken := make(map[string]bool)
+	entries := 0
 	for _, pending := range waiting {
-		clash := false
+		entries += len(pending.transaction.Conditions) + len(pending.transaction.Writes)
+		clash := maxEntries > 0 && entries > maxEntries && len(group) > 0
 		for _, condition := range pending.transaction.Conditions {
 			clash = clash || taken[condition.Key]
 		}
--- a/keeper/client_test.go
+++ b/keeper/client_test.go
@@ -20,7 +20,7 @@
 	requests int
 }
 
-func (t *fakeTable) transact(_ context.Context, transaction Transaction) (TransactResult, error) {
+func (t *fakeTable) Transact(_ context.Context, transaction Transaction) (TransactResult, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.requests++
@@ -46,7 +46,7 @@
 	return TransactResult{Committed: true, Revision: t.revision}, nil
 }
 
-func (t *fakeTable) read(context.Context, ReadRequest) (ReadResult, error) {
+func (t *fakeTable) Read(context.Context, ReadRequest) (ReadResult, error) {
 	return ReadResult{}, errors.New("not read in these tests")
 }
 
@@ -76,7 +76,7 @@
 
 func startClient(t *testing.T, table *fakeTable) *Client {
 	t.Helper()
-	client := start(table, Options{WritesPerSecond: 10_000})
+	client := Start(table, Options{WritesPerSecond: 10_000})
 	t.Cleanup(func() {
 		client.Close()
 		<-client.Done()
--- a/keeper/table.go
+++ b/keeper/table.go
@@ -73,10 +73,13 @@
 	Revision int64
 }
 
-// table is the service as the client needs it.
-type table interface {
-	transact(ctx context.Context, transaction Transaction) (TransactResult, error)
-	read(ctx context.Context, request ReadRequest) (ReadResult, error)
+// Table is the service as the client needs it.
+type Table interface {
+	// Transact applies a transaction. An error that is ErrNotDone proves that
+	// it was not applied and won't be; any other leaves that open.
+	Transact(ctx context.Context, transaction Transaction) (TransactResult, error)
+	// Read returns rows as of one moment for each key and each prefix.
+	Read(ctx context.Context, request ReadRequest) (ReadResult, error)
 }
 
 // maxTableAnswer bounds one answer of the service, in bytes.
@@ -88,20 +91,20 @@
 	address netip.AddrPort
 }
 
-var _ table = (*httpTable)(nil)
+var _ Table = (*httpTable)(nil)
 
 func newHTTPTable(address netip.AddrPort) *httpTable {
 	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
 	return &httpTable{client: &http.Client{Transport: transport}, address: address}
 }
 
-func (t *httpTable) transact(ctx context.Context, transaction Transaction) (TransactResult, error) {
+func (t *httpTable) Transact(ctx context.Context, transaction Transaction) (TransactResult, error) {
 	var result TransactResult
 	err := t.post(ctx, "/v1/transact", transaction, &result)
 	return result, err
 }
 
-func (t *httpTable) read(ctx context.Context, request ReadRequest) (ReadResult, error) {
+func (t *httpTable) Read(ctx context.Context, request ReadRequest) (ReadResult, error) {
 	var result ReadResult
 	err := t.post(ctx, "/v1/read", request, &result)
 	return result, err
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -159,15 +159,23 @@
 			known.info = info
 			continue
 		}
-		l.dials[info.EntryID] = &dial{info: info}
+		effort := &dial{info: info}
+		l.dials[info.EntryID] = effort
 		l.group.Add(1)
 		go func() {
 			defer l.group.Done()
-			l.dialLoop(info.EntryID)
+			l.dialLoop(info.EntryID, effort)
 		}()
 	}
 }
 
+// Forget ends the effort to reach a peer. An open link stays.
+func (l *Linker) Forget(id requester.EntryID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.dials, id)
+}
+
 // Send queues a message to a peer. Without a link it is dropped.
 func (l *Linker) Send(to requester.EntryID, message encoder.Message) {
 	l.mu.Lock()
@@ -193,7 +201,7 @@
 	}
 }
 
-func (l *Linker) dialLoop(id requester.EntryID) {
+func (l *Linker) dialLoop(id requester.EntryID, effort *dial) {
 	pause := time.Duration(0)
 	if id < l.options.Self.EntryID {
 		pause = yieldFor
@@ -215,8 +223,12 @@
 			}
 		}
 		l.mu.Lock()
-		info := l.dials[id].info
+		wanted := l.dials[id] == effort
+		info := effort.info
 		l.mu.Unlock()
+		if !wanted {
+			return
+		}
 		err := l.dialOnce(info)
 		l.noteRefused(id, errors.Is(err, syscall.ECONNREFUSED))
 	}
@@ -232,9 +244,11 @@
 // noteRefused reports a change in whether a peer refuses connections.
 func (l *Linker) noteRefused(id requester.EntryID, refused bool) {
 	l.mu.Lock()
-	known := l.dials[id]
-	changed := known.refused != refused
-	known.refused = refused
+	known, wanted := l.dials[id]
+	changed := wanted && known.refused != refused
+	if wanted {
+		known.refused = refused
+	}
 	l.mu.Unlock()
 	if changed {
 		l.handler.PeerRefused(id, refused)
--- /dev/null
+++ b/scheduler/place.go
@@ -0,0 +1,449 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"kumquatstall/requester"
+)
+
+// lateFactor times its objective is when a job is worth nothing any more.
+const lateFactor = 3
+
+// urgency is a step's place in the order.
+type urgency struct {
+	// tier is 0 for what can still be in time, 1 for what can be late, 2 for
+	// what is past that.
+	tier     int
+	priority int
+	dueAt    time.Time
+}
+
+func (a urgency) compare(b urgency) int {
+	return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.priority, b.priority), a.dueAt.Compare(b.dueAt))
+}
+
+// urgencyOf returns where a step stands in the order at now.
+func (s *step) urgencyOf(now time.Time) urgency {
+	j := s.job()
+	objective := time.Duration(j.spec.Stretch*float64(slices.Max(j.chains))+float64(j.spec.ObjectiveMillis)) * time.Millisecond
+	from := s.occurrence.dueAt
+	left := time.Duration(j.chains[s.number]) * time.Millisecond
+	u := urgency{priority: j.spec.Priority, dueAt: from.Add(objective)}
+	switch end := now.Add(left); {
+	case s.def.LongRunning || !end.After(u.dueAt):
+	case !end.After(from.Add(lateFactor * objective)):
+		u.tier = 1
+	default:
+		u.tier = 2
+	}
+	return u
+}
+
+// sortByOrder sorts steps by urgency.
+func (c *Core) sortByOrder(steps []*step) {
+	type ranked struct {
+		step *step
+		urgency
+	}
+	ranks := make([]ranked, len(steps))
+	for i, s := range steps {
+		ranks[i] = ranked{s, s.urgencyOf(c.now)}
+	}
+	slices.SortFunc(ranks, func(a, b ranked) int {
+		return cmp.Or(a.compare(b.urgency), cmp.Compare(a.step.job().name(), b.step.job().name()), cmp.Compare(a.step.number, b.step.number))
+	})
+	for i := range ranks {
+		steps[i] = ranks[i].step
+	}
+}
+
+// mayStart reports whether tasks of a step that are nowhere to be seen may be
+// started: nothing that an earlier owner began may be hidden.
+func (c *Core) mayStart(s *step) bool { return !s.job().fromBefore || c.Settled() }
+
+// placeInterval separates placements; what comes in between is placed
+// together, in order.
+const placeInterval = 10 * time.Millisecond
+
+// place starts what fits, in order.
+func (c *Core) place() {
+	if !c.changed || c.fenced {
+		return
+	}
+	c.changed = false
+	settled := c.Settled()
+	steps := make([]*step, 0, len(c.open))
+	for _, s := range c.open {
+		if s.waiting > 0 && (settled || !s.job().fromBefore) {
+			steps = append(steps, s)
+		}
+	}
+	c.sortByOrder(steps)
+	for _, s := range steps {
+		if s.def.Gang {
+			c.placeGang(s)
+		} else {
+			c.placeTasks(s)
+		}
+	}
+}
+
+// suits reports whether the step may run on the worker at all.
+func (c *Core) suits(s *step, w *worker) bool {
+	if w.info.Service != s.job().spec.Service {
+		return false
+	}
+	if s.def.RequiredLabel != "" && !slices.Contains(w.info.Labels, s.def.RequiredLabel) {
+		return false
+	}
+	return s.def.room().Fits(w.info.Total)
+}
+
+// candidate is a worker that may take tasks of a step now.
+type candidate struct {
+	worker *worker
+	ticket string
+	// slots is how many tasks of the step fit.
+	slots int
+	// far tells that the step's data lies on another rack.
+	far bool
+}
+
+// candidates returns the workers with room for at least one task of the step,
+// and notes those that only lack a fresh ticket.
+func (c *Core) candidates(s *step) []candidate {
+	var found []candidate
+	s.advice.stale = s.advice.stale[:0]
+	advised := s.job().spec.Advice != nil
+	need := s.def.room()
+	for _, w := range c.order {
+		if !need.Fits(w.room()) || !w.takes(c.now) || !c.suits(s, w) {
+			continue
+		}
+		slots := c.slots(s, w)
+		if slots == 0 {
+			continue
+		}
+		entry := candidate{worker: w, slots: slots, far: s.def.DataRack != "" && w.info.Rack != s.def.DataRack}
+		if advised {
+			if allowed, _ := s.advice.allows(w); !allowed {
+				continue
+			}
+			text, valid := s.advice.valid(w, c.now)
+			if !valid {
+				s.advice.stale = append(s.advice.stale, w.info.HostID)
+				continue
+			}
+			entry.ticket = text
+		}
+		found = append(found, entry)
+	}
+	return found
+}
+
+// slots returns how many more tasks of the step fit on a worker.
+func (c *Core) slots(s *step, w *worker) int {
+	need, room := s.def.room(), w.room()
+	slots := len(s.tasks)
+	slots = min(slots, quotient(room.MilliCores, need.MilliCores, slots))
+	slots = min(slots, quotient(room.MemoryMB, need.MemoryMB, slots))
+	slots = min(slots, quotient(room.Accelerators, need.Accelerators, slots))
+	if s.def.AntiAffinity > 0 {
+		slots = min(slots, s.def.AntiAffinity-s.countOn(w))
+	}
+	if s.def.Fills && w.serves() || s.def.TargetMillis > 0 && w.fills() {
+		return 0
+	}
+	if w.health.probation {
+		slots = min(slots, 1)
+	}
+	return max(slots, 0)
+}
+
+func quotient(room, need int64, unbounded int) int {
+	if need <= 0 {
+		return unbounded
+	}
+	return int(room / need)
+}
+
+// serves reports whether a task with a target for its response times runs on
+// the worker.
+func (w *worker) serves() bool {
+	for _, r := range w.runs {
+		if r.task != nil && r.task.step.def.TargetMillis > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// fills reports whether a task that fills runs on the worker.
+func (w *worker) fills() bool {
+	for _, r := range w.runs {
+		if r.task != nil && r.task.step.def.Fills {
+			return true
+		}
+	}
+	return false
+}
+
+// countOn counts the tasks of the step that take room on a worker.
+func (s *step) countOn(w *worker) int {
+	count := 0
+	for key := range w.runs {
+		if key.name.StepName == s.name() {
+			count++
+		}
+	}
+	return count
+}
+
+// placeTasks starts as many waiting tasks of a step as fit.
+func (c *Core) placeTasks(s *step) {
+	found := c.candidates(s)
+	for _, t := range s.tasks {
+		if len(found) == 0 {
+			return
+		}
+		if t.done || t.run != nil {
+			continue
+		}
+		best := c.best(s, t, found)
+		if best < 0 {
+			continue
+		}
+		chosen := &found[best]
+		c.start(t, chosen.worker, t.nextRun(c), chosen.ticket)
+		chosen.slots--
+		if chosen.slots == 0 || !s.def.room().Fits(chosen.worker.room()) {
+			found = slices.Delete(found, best, best+1)
+		}
+	}
+}
+
+// best returns the candidate that a task fills best, or -1.
+func (c *Core) best(s *step, t *task, found []candidate) int {
+	best, bestScore := -1, 0.0
+	for i := range found {
+		w := found[i].worker
+		score := w.leftover(s.def.room())
+		if found[i].far {
+			score += farPenalty
+		}
+		if t.avoid == w.info.HostID {
+			score += avoidPenalty
+		}
+		if best < 0 || score < bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+// Penalties, in shares of a worker.
+const (
+	// farPenalty prefers any room near a step's data: away from it the step
+	// takes about twice as long.
+	farPenalty = 4
+	// avoidPenalty prefers any other worker to one where the task failed.
+	avoidPenalty = 8
+)
+
+// leftover is what a worker has free after a task, in shares of its total.
+func (w *worker) leftover(need requester.Resources) float64 {
+	left := w.room().Sub(need)
+	return share(left.MilliCores, w.info.Total.MilliCores) + share(left.MemoryMB, w.info.Total.MemoryMB)
+}
+
+func share(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// placeGang starts all tasks of a gang, or none.
+func (c *Core) placeGang(s *step) {
+	if s.waiting < len(s.tasks) {
+		// Members of an earlier run still have to end.
+		return
+	}
+	chosen := c.chooseGang(s, c.candidates(s))
+	if chosen == nil {
+		return
+	}
+	number := max(s.lastRun+1, c.firstRun())
+	s.lastRun = number
+	for i, entry := range chosen {
+		c.start(s.tasks[i], entry.worker, number, entry.ticket)
+	}
+}
+
+// chooseGang returns a candidate for each member of a gang, or nil.
+func (c *Core) chooseGang(s *step, found []candidate) []candidate {
+	if s.def.SameRack {
+		if chosen := c.chooseRack(s, found); chosen != nil || c.rackCanHold(s) {
+			return chosen
+		}
+	}
+	return fill(s, found)
+}
+
+// fill lays a gang over the candidates that it fills best.
+func fill(s *step, found []candidate) []candidate {
+	need := s.def.room()
+	slices.SortStableFunc(found, func(a, b candidate) int {
+		if a.far != b.far {
+			if a.far {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(a.remainder(need), b.remainder(need))
+	})
+	var chosen []candidate
+	for _, entry := range found {
+		for range entry.slots {
+			if len(chosen) == len(s.tasks) {
+				return chosen
+			}
+			chosen = append(chosen, entry)
+		}
+	}
+	if len(chosen) < len(s.tasks) {
+		return nil
+	}
+	return chosen
+}
+
+// remainder is what a worker has free once it is filled with tasks.
+func (e *candidate) remainder(need requester.Resources) float64 {
+	taken := requester.Resources{MilliCores: need.MilliCores * int64(e.slots), MemoryMB: need.MemoryMB * int64(e.slots)}
+	return e.worker.leftover(taken)
+}
+
+// chooseRack lays a gang over the rack that it fills best.
+func (c *Core) chooseRack(s *step, found []candidate) []candidate {
+	byRack := make(map[string][]candidate)
+	for _, entry := range found {
+		byRack[entry.worker.info.Rack] = append(byRack[entry.worker.info.Rack], entry)
+	}
+	var best []candidate
+	bestSlots := 0
+	for _, rack := range sortedKeys(byRack) {
+		slots := 0
+		for _, entry := range byRack[rack] {
+			slots += entry.slots
+		}
+		if slots >= len(s.tasks) && (best == nil || slots < bestSlots) {
+			best, bestSlots = fill(s, byRack[rack]), slots
+		}
+	}
+	return best
+}
+
+// rackCanHold reports whether some rack would hold the whole step if it were
+// empty.
+func (c *Core) rackCanHold(s *step) bool {
+	slots := make(map[string]int)
+	for _, w := range c.order {
+		if !w.usable() || !c.suits(s, w) {
+			continue
+		}
+		if allowed, known := s.advice.allows(w); s.job().spec.Advice != nil && known && !allowed {
+			continue
+		}
+		need, total := s.def.room(), w.info.Total
+		fit := min(quotient(total.MilliCores, need.MilliCores, len(s.tasks)), quotient(total.MemoryMB, need.MemoryMB, len(s.tasks)))
+		slots[w.info.Rack] += fit
+		if slots[w.info.Rack] >= len(s.tasks) {
+			return true
+		}
+	}
+	return false
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// firstRun is the lowest run number of this owner: none that an earlier one
+// can have used.
+func (c *Core) firstRun() RunNumber { return RunNumber((c.options.Epoch-1)*runsPerEpoch) + 1 }
+
+func (t *task) nextRun(c *Core) RunNumber { return max(t.lastRun+1, c.firstRun()) }
+
+// start orders a run, unless that would break an invariant.
+func (c *Core) start(t *task, w *worker, number RunNumber, ticket string) {
+	s := t.step
+	need := s.def.room()
+	r := &run{
+		task:       t,
+		name:       t.name(),
+		number:     number,
+		worker:     w,
+		need:       need,
+		startedAt:  c.now,
+		progressAt: c.now,
+		endsAt:     c.now.Add(time.Duration(s.def.EstimateMillis) * time.Millisecond),
+	}
+	if broken := c.broken(t, w, need); broken != "" {
+		c.stats.Violations++
+		c.note(Note{Job: s.job().name(), Task: r.name, Worker: w.info.HostID, Event: "start withheld", Why: broken, Broken: true})
+		return
+	}
+	t.lastRun = number
+	t.run = r
+	s.waiting--
+	s.job().active++
+	w.runs[runKey{r.name, number}] = r
+	w.used = w.used.Add(need)
+	c.stats.Starts++
+	c.orders.Starts = append(c.orders.Starts, StartOrder{
+		Worker:     w.ref(),
+		Task:       r.name,
+		Run:        number,
+		Payload:    s.job().spec.Payload,
+		Deadline:   c.grant(w),
+		Fence:      Fence(c.options.Epoch),
+		Checkpoint: t.checkpoint,
+		Ticket:     ticket,
+	})
+	c.note(Note{Job: s.job().name(), Task: r.name, Run: number, Worker: w.info.HostID, Event: "start"})
+}
+
+// broken returns the invariant that a start would break, or an empty string.
+func (c *Core) broken(t *task, w *worker, need requester.Resources) string {
+	s := t.step
+	switch {
+	case t.done:
+		return "the task is done"
+	case t.run != nil:
+		return "the task may be running"
+	case s.job().state.Ended():
+		return "the job has ended"
+	case !s.occurrence.predecessorsDone(s):
+		return "an earlier step is not done"
+	case s.job().spec.Occurrences > 0 && c.now.Before(s.occurrence.dueAt):
+		return "the occurrence is not due"
+	case !need.Fits(w.room()):
+		return "no room"
+	case !c.suits(s, w):
+		return "the worker does not suit the step"
+	case s.def.AntiAffinity > 0 && s.countOn(w) >= s.def.AntiAffinity:
+		return "too many tasks of the step on the worker"
+	case s.def.Fills && w.serves() || s.def.TargetMillis > 0 && w.fills():
+		return "tasks that fill beside tasks with a target"
+	case s.job().fromBefore && !c.Settled():
+		return "an earlier owner's run may be hidden"
+	}
+	return ""
+}
--- /dev/null
+++ b/scheduler/progress.go
@@ -0,0 +1,407 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"kumquatstall/requester"
+)
+
+// job is a job as the owner knows it.
+type job struct {
+	spec  Job
+	state State
+	// storedState is the state in the store.
+	storedState State
+	// fromBefore tells that the job was accepted before the takeover, so that
+	// some worker may run what an earlier owner started of it.
+	fromBefore  bool
+	occurrences []*occurrence
+	// next is the first occurrence that hasn't begun.
+	next int64
+	// chains is the longest chain of estimated work from each step on.
+	chains []int64
+	// version grows with each change to be written; saved is that written.
+	version, saved int64
+	// queued tells that the job is among the dirty ones.
+	queued bool
+	// active counts the runs that take room.
+	active  int
+	endedAt time.Time
+}
+
+// occurrence is one run through the steps of a job.
+type occurrence struct {
+	job    *job
+	number int64
+	dueAt  time.Time
+	steps  []*step
+	// version is that of the job's rows which first name the occurrence.
+	version int64
+}
+
+// step is one step of one occurrence.
+type step struct {
+	occurrence *occurrence
+	number     int
+	def        *Step
+	tasks      []*task
+	done       int
+	// waiting counts the tasks that want a worker.
+	waiting int
+	open    bool
+	// lastRun is the highest run number of a gang.
+	lastRun RunNumber
+	// failures counts the failed runs of a gang, failedRun the last of them.
+	failures  int
+	failedRun RunNumber
+	advice    advice
+	// doneVersion is that of the job's rows which first tell that the step is
+	// complete.
+	doneVersion int64
+	// blockedSince is when the step was first found without room.
+	blockedSince time.Time
+}
+
+// task is one task of a step.
+type task struct {
+	step       *step
+	index      int
+	done       bool
+	failures   int
+	checkpoint string
+	lastRun    RunNumber
+	// run is what runs, or may run, of the task; nil for nothing.
+	run *run
+	// avoid is a worker on which the task failed.
+	avoid requester.HostID
+}
+
+func (j *job) name() requester.JobID { return j.spec.JobID }
+
+func (s *step) job() *job { return s.occurrence.job }
+
+func (s *step) name() StepName {
+	return StepName{Job: s.job().spec.JobID, Occurrence: s.occurrence.number, Step: s.number}
+}
+
+func (t *task) name() TaskName { return TaskName{StepName: t.step.name(), Index: t.index} }
+
+// complete reports whether every task of the step is done.
+func (s *step) complete() bool { return s.done == len(s.tasks) }
+
+func (o *occurrence) complete() bool {
+	for _, s := range o.steps {
+		if !s.complete() {
+			return false
+		}
+	}
+	return true
+}
+
+// JobRows is a job as the store holds it.
+type JobRows struct {
+	Job Job
+	// State and Progress are the values of these rows; nil where absent.
+	State     []byte
+	Progress  []byte
+	Cancelled bool
+}
+
+// Recover takes in a job that stood in the store at the takeover.
+func (c *Core) Recover(rows JobRows) error {
+	var state StateRow
+	if rows.State != nil {
+		if err := DecodeRow(rows.State, &state); err != nil {
+			return err
+		}
+	}
+	var progress progressRow
+	if rows.Progress != nil {
+		if err := DecodeRow(rows.Progress, &progress); err != nil {
+			return err
+		}
+	}
+	j := &job{spec: rows.Job, state: state.State, storedState: state.State, fromBefore: true, chains: rows.Job.chainMillis()}
+	c.jobs[j.name()] = j
+	if state.State.Ended() {
+		j.endedAt = time.Unix(state.EndedAt, 0)
+		return nil
+	}
+	j.next = progress.Next
+	if j.spec.Occurrences == 0 {
+		j.next = 1
+		o := c.newOccurrence(j, 0)
+		if len(progress.Occurrences) > 0 {
+			o.restore(progress.Occurrences[0].Steps)
+		}
+	} else {
+		for _, stored := range progress.Occurrences {
+			c.newOccurrence(j, stored.Number).restore(stored.Steps)
+		}
+		c.timed[j.name()] = j
+	}
+	if rows.Cancelled {
+		c.Cancel(c.now, j.name())
+		return nil
+	}
+	c.openSuccessors(j)
+	c.settleJob(j)
+	return nil
+}
+
+// Add takes in a job that was accepted after the takeover.
+func (c *Core) Add(now time.Time, spec Job) {
+	c.now = now
+	if _, ok := c.jobs[spec.JobID]; ok {
+		return
+	}
+	j := &job{spec: spec, chains: spec.chainMillis()}
+	c.jobs[j.name()] = j
+	c.changed = true
+	if spec.Occurrences > 0 {
+		c.timed[j.name()] = j
+		return
+	}
+	j.next = 1
+	c.newOccurrence(j, 0)
+	c.openSuccessors(j)
+}
+
+// Knows reports whether the job is known.
+func (c *Core) Knows(id requester.JobID) bool { return c.jobs[id] != nil }
+
+func (c *Core) newOccurrence(j *job, number int64) *occurrence {
+	o := &occurrence{job: j, number: number, dueAt: j.spec.dueAt(number)}
+	for index := range j.spec.Steps {
+		def := &j.spec.Steps[index]
+		s := &step{occurrence: o, number: index, def: def, waiting: def.Count}
+		s.tasks = make([]*task, def.Count)
+		for i := range s.tasks {
+			s.tasks[i] = &task{step: s, index: i}
+		}
+		o.steps = append(o.steps, s)
+	}
+	j.occurrences = append(j.occurrences, o)
+	return o
+}
+
+// restore takes over what an earlier owner had stored.
+func (o *occurrence) restore(stored []stepProgress) {
+	for number, progress := range stored {
+		if number >= len(o.steps) {
+			return
+		}
+		s := o.steps[number]
+		s.failures = progress.Failures[0]
+		for index, t := range s.tasks {
+			t.failures = progress.Failures[index]
+			t.checkpoint = progress.Checkpoints[index]
+			if progress.AllDone || bitSet(progress.Done, index) {
+				t.done = true
+				s.done++
+				s.waiting--
+			}
+		}
+	}
+}
+
+func bitSet(bits []byte, index int) bool {
+	return index/8 < len(bits) && bits[index/8]&(1<<(index%8)) != 0
+}
+
+// Cancel ends a job at its caller's wish.
+func (c *Core) Cancel(now time.Time, id requester.JobID) {
+	c.now = now
+	if j, ok := c.jobs[id]; ok && !j.state.Ended() {
+		c.stats.JobsCancelled++
+		c.endJob(j, StateCancelled, "cancelled by its caller")
+	}
+}
+
+// endJob moves a job to a final state and stops what runs of it.
+func (c *Core) endJob(j *job, state State, why string) {
+	j.state = state
+	j.endedAt = c.now
+	delete(c.timed, j.name())
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			c.closeStep(s)
+			for _, t := range s.tasks {
+				if t.run != nil {
+					c.stop(t.run, "job has ended")
+				}
+			}
+		}
+	}
+	c.touch(j)
+	c.note(Note{Job: j.name(), Event: "job " + stateWord(state), Why: why})
+}
+
+func stateWord(state State) string {
+	switch state {
+	case StateCompleted:
+		return "completed"
+	case StateFailed:
+		return "failed"
+	default:
+		return "cancelled"
+	}
+}
+
+func (c *Core) closeStep(s *step) {
+	if !s.open {
+		return
+	}
+	s.open = false
+	if i := slices.Index(c.open, s); i >= 0 {
+		c.open = slices.Delete(c.open, i, i+1)
+	}
+}
+
+// openSuccessors opens the steps whose predecessors are done and stored.
+func (c *Core) openSuccessors(j *job) {
+	if j.state.Ended() {
+		return
+	}
+	for _, o := range j.occurrences {
+		if o.version > j.saved {
+			continue
+		}
+		for _, s := range o.steps {
+			if !s.open && !s.complete() && o.predecessorsDone(s) {
+				s.open = true
+				c.open = append(c.open, s)
+				c.changed = true
+			}
+		}
+	}
+}
+
+func (o *occurrence) predecessorsDone(s *step) bool {
+	for _, earlier := range s.def.After {
+		if !o.steps[earlier].complete() || o.steps[earlier].doneVersion > o.job.saved {
+			return false
+		}
+	}
+	return true
+}
+
+// settleJob ends the occurrences, and the job, of which all tasks are done.
+func (c *Core) settleJob(j *job) {
+	if j.state.Ended() {
+		return
+	}
+	j.occurrences = slices.DeleteFunc(j.occurrences, (*occurrence).complete)
+	if len(j.occurrences) == 0 && j.next >= max(1, j.spec.Occurrences) {
+		c.stats.JobsCompleted++
+		c.endJob(j, StateCompleted, "all tasks are done")
+	}
+}
+
+// beginOccurrences begins the occurrences that are due.
+func (c *Core) beginOccurrences() {
+	if len(c.timed) == 0 {
+		return
+	}
+	var due []*job
+	for _, j := range c.timed {
+		if j.next < j.spec.Occurrences && !c.now.Before(j.spec.dueAt(j.next)) {
+			due = append(due, j)
+		}
+	}
+	slices.SortFunc(due, func(a, b *job) int { return cmp.Compare(a.name(), b.name()) })
+	for _, j := range due {
+		// An occurrence that has to be there after a takeover is one that is
+		// listed or not begun; so it is written before its tasks start.
+		o := c.newOccurrence(j, j.next)
+		j.next++
+		c.touch(j)
+		o.version = j.version
+	}
+}
+
+// saves returns the rows of a job as they have to be.
+func (j *job) saves() []Save {
+	row := StateRow{Queue: j.spec.Queue, State: j.state, Timed: j.spec.Occurrences > 0}
+	if j.state.Ended() {
+		row.EndedAt = j.endedAt.Unix()
+	}
+	var saves []Save
+	if j.state != j.storedState || j.saved == 0 && j.state.Ended() {
+		saves = append(saves, Save{Key: StateKey(j.name()), Value: EncodeRow(row)})
+	}
+	if j.state.Ended() {
+		// Its state is all that is asked for from now on.
+		return append(saves, Save{Key: ProgressKey(j.name())}, Save{Key: JobKey(j.name())}, Save{Key: CancelKey(j.name())})
+	}
+	progress := j.progress()
+	return append(saves, Save{Key: ProgressKey(j.name()), Value: EncodeRow(progress)})
+}
+
+func (j *job) progress() progressRow {
+	row := progressRow{Next: j.next}
+	for _, o := range j.occurrences {
+		stored := occurrenceProgress{Number: o.number}
+		for _, s := range o.steps {
+			stored.Steps = append(stored.Steps, s.progress())
+		}
+		row.Occurrences = append(row.Occurrences, stored)
+	}
+	return row
+}
+
+func (s *step) progress() stepProgress {
+	var row stepProgress
+	if s.complete() {
+		row.AllDone = true
+		return row
+	}
+	if s.def.Gang && s.failures > 0 {
+		row.Failures = map[int]int{0: s.failures}
+	}
+	for index, t := range s.tasks {
+		if t.done {
+			if row.Done == nil {
+				row.Done = make([]byte, (len(s.tasks)+7)/8)
+			}
+			row.Done[index/8] |= 1 << (index % 8)
+			continue
+		}
+		if !s.def.Gang && t.failures > 0 {
+			if row.Failures == nil {
+				row.Failures = make(map[int]int)
+			}
+			row.Failures[index] = t.failures
+		}
+		if t.checkpoint != "" {
+			if row.Checkpoints == nil {
+				row.Checkpoints = make(map[int]string)
+			}
+			row.Checkpoints[index] = t.checkpoint
+		}
+	}
+	return row
+}
+
+// find returns the task of that name, or nil.
+func (c *Core) find(name TaskName) *task {
+	j := c.jobs[name.Job]
+	if j == nil {
+		return nil
+	}
+	for _, o := range j.occurrences {
+		if o.number != name.Occurrence {
+			continue
+		}
+		if name.Step < 0 || name.Step >= len(o.steps) {
+			return nil
+		}
+		if name.Index < 0 || name.Index >= len(o.steps[name.Step].tasks) {
+			return nil
+		}
+		return o.steps[name.Step].tasks[name.Index]
+	}
+	return nil
+}
