Count leases of an earlier owner at a worker's first answer; random runs of the core

A new owner knew no lease that its predecessor had granted, took it as 0 and released as lapsed what a worker had just listed as running, so its room was given away twice. Ruled out: stops (none were open). Change: at its first answer in a life a worker counts as holding the longest lease there is. TestLeaseOfNewOwner and the random runs with takeovers fail without it.

--- /dev/null
+++ b/scheduler/randomised_test.go
@@ -0,0 +1,159 @@
+package scheduler
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"kumquatstall/requester"
+)
+
+// checkStart checks what must hold when a worker begins a run.
+func (w *world) checkStart(f *fakeWorker, order StartOrder, def *Step) {
+	name := order.Task
+	var used requester.Resources
+	same := 0
+	for key, r := range f.runs {
+		used = used.Add(r.need)
+		if key.name.StepName == name.StepName {
+			same++
+		}
+	}
+	if !used.Add(def.Need).Fits(f.info.Total) {
+		w.problem("%v started on %s beyond its room", name, f.info.HostID)
+	}
+	if def.AntiAffinity > 0 && same >= def.AntiAffinity {
+		w.problem("%v started on %s beside %d of its step", name, f.info.HostID, same)
+	}
+	for _, other := range w.workers {
+		for key := range other.runs {
+			if key.name == name && !other.down {
+				w.problem("%v runs twice: run %d on %s, run %d on %s", name, key.number, other.info.HostID, order.Run, f.info.HostID)
+			}
+		}
+	}
+	if w.confirmed[name] {
+		w.problem("%v started after its end was confirmed", name)
+	}
+	job := w.accepted[name.Job]
+	for _, earlier := range def.After {
+		for index := range job.Steps[earlier].Count {
+			before := TaskName{StepName: StepName{Job: name.Job, Step: earlier}, Index: index}
+			if !w.finished[before] && !job.Steps[earlier].Gang {
+				w.problem("%v started before %v was done", name, before)
+			}
+		}
+	}
+}
+
+// check checks what must hold at all times.
+func (w *world) check() {
+	if stats := w.core.Stats(); stats.Violations > 0 {
+		for _, note := range w.core.TakeNotes() {
+			if note.Broken {
+				w.problem("core withheld a start: %+v", note)
+			}
+		}
+	}
+}
+
+// checkEnd checks that every job has come to its end.
+func (w *world) checkEnd() {
+	for _, id := range w.jobIDs() {
+		var row StateRow
+		if err := DecodeRow(w.rows[StateKey(id)], &row); err != nil {
+			w.problem("state of %s: %v", id, err)
+		}
+		if !row.State.Ended() {
+			w.problem("job %s is %v at the end", id, row.State)
+		}
+		if row.State == StateCancelled && !w.cancelled[id] {
+			w.problem("job %s is cancelled, which nobody asked for", id)
+		}
+	}
+	for _, f := range w.workers {
+		if len(f.runs) > 0 {
+			w.problem("%s still runs %d tasks at the end", f.info.HostID, len(f.runs))
+		}
+	}
+}
+
+func seedsFrom(t *testing.T, fallback uint64, count int) []uint64 {
+	t.Helper()
+	first := fallback
+	if text := os.Getenv("KUMQUATSTALL_SEED"); text != "" {
+		number, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			t.Fatalf("KUMQUATSTALL_SEED: %v", err)
+		}
+		first = number
+	}
+	seeds := make([]uint64, count)
+	for i := range seeds {
+		seeds[i] = first + uint64(i)
+	}
+	return seeds
+}
+
+// TestRandomisedFaults runs the core through few kinds of faults at a time.
+func TestRandomisedFaults(t *testing.T) {
+	kinds := []struct {
+		name    string
+		options worldOptions
+	}{
+		{"calm", worldOptions{}},
+		{"lost answers", worldOptions{lost: 0.05}},
+		{"late orders", worldOptions{late: 0.05}},
+		{"crashes", worldOptions{crash: 3}},
+		{"cuts", worldOptions{cut: 3}},
+		{"takeovers", worldOptions{takeover: 4}},
+		{"takeovers, cuts", worldOptions{takeover: 3, cut: 3}},
+		{"takeovers, late orders", worldOptions{takeover: 3, late: 0.03}},
+		{"cancels, failures", worldOptions{cancel: 0.3, failing: 0.2}},
+		{"crashes, takeovers, failures", worldOptions{crash: 2, takeover: 2, failing: 0.05}},
+	}
+	for _, kind := range kinds {
+		for _, seed := range seedsFrom(t, 1, 4) {
+			t.Run(kind.name+"/"+strconv.FormatUint(seed, 10), func(t *testing.T) {
+				options := kind.options
+				options.workers, options.jobs = 9, 60
+				w := newWorld(seed, options)
+				w.run(6000)
+				if len(w.problems) == 0 {
+					w.checkEnd()
+				}
+				for _, problem := range w.problems {
+					t.Error(problem)
+				}
+			})
+		}
+	}
+}
+
+// TestLeaseOfNewOwner: what a worker ran under an earlier owner is not counted
+// as lapsed at its first answer, so its room stays taken.
+func TestLeaseOfNewOwner(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, worldOptions{workers: 1})
+	for i := range 5 {
+		w.submit(i)
+	}
+	for range 30 {
+		w.now = w.now.Add(10 * time.Millisecond)
+		w.fire()
+		w.carryOut(w.core.Tick(w.now))
+		w.save()
+	}
+	is.True(len(w.workers[0].runs) > 0) // something runs
+	w.takeOver()
+	for range 30 {
+		w.now = w.now.Add(10 * time.Millisecond)
+		w.fire()
+		w.carryOut(w.core.Tick(w.now))
+	}
+	is.Equal(w.core.Stats().Lapsed, int64(0))
+	is.Equal(w.problems, nil)
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -73,8 +73,12 @@
 	// clock is the worker's clock as it stood no earlier than clockAt.
 	clock   WorkerTime
 	clockAt time.Time
-	// granted is the latest lease given out, by the worker's clock.
+	// granted is the latest lease that can have been given out, by the
+	// worker's clock.
 	granted WorkerTime
+	// unknownSince is from when on the worker hasn't answered, in this life
+	// and under this owner.
+	unknownSince time.Time
 	// seen is the number of the last end taken in; confirmed of the last one
 	// whose job's rows are written.
 	seen      int64
@@ -135,7 +139,7 @@
 func (w *worker) lapseAt(c *Core) time.Time {
 	if !w.answered {
 		longest := c.options.EarlierTerm + time.Duration(float64(c.options.LongestLease)/clockSlack)
-		return c.tookOver.Add(longest + lapseMargin)
+		return w.unknownSince.Add(longest + lapseMargin)
 	}
 	left := time.Duration(w.granted-w.clock) * time.Millisecond
 	return w.clockAt.Add(time.Duration(float64(left)/clockSlack) + lapseMargin)
@@ -164,7 +168,7 @@
 	if w, ok := c.workers[info.HostID]; ok {
 		return w
 	}
-	w := &worker{info: info, runs: make(map[runKey]*run)}
+	w := &worker{info: info, runs: make(map[runKey]*run), unknownSince: c.tookOver}
 	c.workers[info.HostID] = w
 	c.order = append(c.order, w)
 	slices.SortFunc(c.order, func(a, b *worker) int { return compareHosts(a.info.HostID, b.info.HostID) })
@@ -248,6 +252,7 @@
 	w.clock, w.granted = 0, 0
 	w.clockAt = time.Time{}
 	w.answered = false
+	w.unknownSince = c.now
 	w.health = health{}
 	for _, r := range w.sortedRuns() {
 		if r.phase == runStarting || r.phase == runDoubtful || r.phase == runStopping && r.presentAt.IsZero() {
@@ -341,10 +346,11 @@
 		c.note(Note{Worker: w.info.HostID, Event: "worker answers"})
 	}
 	w.silent = 0
-	w.answered = true
 	w.clock, w.clockAt = report.Clock, c.now
-	if order.Deadline > 0 {
-		w.granted = max(w.granted, order.Deadline)
+	if !w.answered {
+		// An earlier owner may have granted as much until now.
+		w.answered = true
+		w.granted = w.clock + WorkerTime(c.options.LongestLease/time.Millisecond)
 	}
 	for _, ended := range report.Ended {
 		if ended.Number > w.seen {
