Block workers that run what isn't known; count a failed run once

Change: runs of unknown size are counted until they end; failed runs are kept by number. The random runs (takeovers with cancels, with failures) fail without either.

--- a/scheduler/ends.go
+++ b/scheduler/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"kumquatstall/requester"
@@ -119,21 +120,17 @@
 // fail counts a failed run.
 func (c *Core) fail(t *task, ended EndedRun) {
 	s := t.step
-	failures := 0
+	failed := &t.failed
 	if s.def.Gang {
-		if ended.Run == s.failedRun {
-			return
-		}
-		s.failedRun = ended.Run
-		s.failures++
-		failures = s.failures
-	} else {
-		t.failures++
-		failures = t.failures
+		failed = &s.failed
+	}
+	if s.def.LongRunning || slices.Contains(*failed, ended.Run) {
+		return
 	}
+	*failed = append(*failed, ended.Run)
 	j := s.job()
 	c.note(Note{Job: j.name(), Task: t.name(), Run: ended.Run, Event: "run failed"})
-	if !s.def.LongRunning && failures >= max(1, j.spec.MaxAttempts) {
+	if len(*failed) >= max(1, j.spec.MaxAttempts) {
 		c.stats.JobsFailed++
 		c.endJob(j, StateFailed, "a task has used its attempts")
 	}
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -53,9 +53,8 @@
 	open    bool
 	// lastRun is the highest run number of a gang.
 	lastRun RunNumber
-	// failures counts the failed runs of a gang, failedRun the last of them.
-	failures  int
-	failedRun RunNumber
+	// failed are the failed runs of a gang.
+	failed []RunNumber
 	advice    advice
 	// doneVersion is that of the job's rows which first tell that the step is
 	// complete.
@@ -69,7 +68,7 @@
 	step       *step
 	index      int
 	done       bool
-	failures   int
+	failed     []RunNumber
 	checkpoint string
 	lastRun    RunNumber
 	// run is what runs, or may run, of the task; nil for nothing.
@@ -194,9 +193,13 @@
 			return
 		}
 		s := o.steps[number]
-		s.failures = progress.Failures[0]
+		if s.def.Gang {
+			s.failed = progress.Failed[0]
+		}
 		for index, t := range s.tasks {
-			t.failures = progress.Failures[index]
+			if !s.def.Gang {
+				t.failed = progress.Failed[index]
+			}
 			t.checkpoint = progress.Checkpoints[index]
 			if progress.AllDone || bitSet(progress.Done, index) {
 				t.done = true
@@ -358,8 +361,8 @@
 		row.AllDone = true
 		return row
 	}
-	if s.def.Gang && s.failures > 0 {
-		row.Failures = map[int]int{0: s.failures}
+	if s.def.Gang && len(s.failed) > 0 {
+		row.Failed = map[int][]RunNumber{0: s.failed}
 	}
 	for index, t := range s.tasks {
 		if t.done {
@@ -369,11 +372,11 @@
 			row.Done[index/8] |= 1 << (index % 8)
 			continue
 		}
-		if !s.def.Gang && t.failures > 0 {
-			if row.Failures == nil {
-				row.Failures = make(map[int]int)
+		if !s.def.Gang && len(t.failed) > 0 {
+			if row.Failed == nil {
+				row.Failed = make(map[int][]RunNumber)
 			}
-			row.Failures[index] = t.failures
+			row.Failed[index] = t.failed
 		}
 		if t.checkpoint != "" {
 			if row.Checkpoints == nil {
--- a/scheduler/row.go
+++ b/scheduler/row.go
@@ -59,8 +59,10 @@
 	// AllDone for all.
 	Done    []byte
 	AllDone bool
-	// Failures counts failed runs by task; gangs count theirs at index 0.
-	Failures    map[int]int
+	// Failed are the failed runs by task; those of a gang stand at index 0.
+	// An end is listed again until it is confirmed: only its run's number
+	// tells that it has been counted.
+	Failed      map[int][]RunNumber
 	Checkpoints map[int]string
 }
 
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -46,7 +46,8 @@
 	// barred tells that a stop was confirmed: an order that is still on its
 	// way can't begin the run any more.
 	barred bool
-	stray  bool
+	// unsized tells that what it takes isn't known.
+	unsized bool
 }
 
 // pendingEnd is an end that waits for its job's rows to be written.
@@ -94,8 +95,9 @@
 	// restUntil keeps a worker that fails what it starts from getting more.
 	restUntil time.Time
 	health    health
-	// blocked tells that something of unknown size runs there.
-	blocked bool
+	// unsized counts the runs of unknown size; while there are any, nothing
+	// more is started there.
+	unsized int
 }
 
 type runKey struct {
@@ -119,7 +121,7 @@
 
 // usable reports whether the worker may get new tasks at all.
 func (w *worker) usable() bool {
-	return w.listed && w.rostered && w.answered && !w.info.Leaving && !w.blocked
+	return w.listed && w.rostered && w.answered && !w.info.Leaving && w.unsized == 0
 }
 
 // takes reports whether the worker may get new tasks now.
@@ -378,7 +380,6 @@
 // takeRunning compares what runs on a worker with what is known.
 func (c *Core) takeRunning(w *worker, order LookOrder, report *Report) {
 	listed := make(map[runKey]bool, len(report.Running))
-	w.blocked = false
 	for _, running := range report.Running {
 		key := runKey{running.Task, running.Run}
 		listed[key] = true
@@ -423,13 +424,13 @@
 	} else if j := c.jobs[running.Task.Job]; j != nil && running.Task.Step < len(j.spec.Steps) {
 		r.need = j.spec.Steps[running.Task.Step].room()
 	} else {
-		w.blocked = true
+		r.unsized = true
+		w.unsized++
 	}
 	w.runs[runKey{running.Task, running.Run}] = r
 	w.used = w.used.Add(r.need)
 	wanted := t != nil && !t.done && t.run == nil && !t.step.job().state.Ended() && !c.splitsGang(t, running.Run)
 	if !wanted {
-		r.stray = true
 		c.stats.StraysStopped++
 		c.note(Note{Job: running.Task.Job, Task: running.Task, Run: running.Run, Worker: w.info.HostID, Event: "stray run stopped"})
 		c.stop(r, "nobody wants it")
@@ -579,6 +580,9 @@
 	w := r.worker
 	delete(w.runs, runKey{r.name, r.number})
 	w.used = w.used.Sub(r.need)
+	if r.unsized {
+		w.unsized--
+	}
 	c.changed = true
 	t := r.task
 	if t == nil || t.run != r {
