--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -55,7 +55,7 @@
 	lastRun RunNumber
 	// failed are the failed runs of a gang.
 	failed []RunNumber
-	advice    advice
+	advice advice
 	// doneVersion is that of the job's rows which first tell that the step is
 	// complete.
 	doneVersion int64
