A new owner asks for advice by the links that were up before it claimed

After all entries had been killed the same entry claimed again, with links to it already up; the session learned only of links that came up later, asked for advice alone, and steps from before the takeover waited behind newer ones for good. Change: the dispatcher keeps the set of links and hands it to each session.

--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"kumquatstall/encoder"
@@ -35,6 +36,10 @@
 		}
 		s := newSession(d, row, revision)
 		d.session.Store(s)
+		// Links that came up before have told no session.
+		for _, id := range d.linkedPeers() {
+			s.post(func() { s.advisers.add(id) })
+		}
 		s.run()
 		d.session.Store(nil)
 	}
@@ -100,34 +105,49 @@
 
 // linkOwner keeps a link to the owner, over which it spreads questions.
 func (d *Dispatcher) linkOwner(owner ownerView) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for id, dialed := range d.links {
-		if dialed && id != owner.row.Holder {
-			d.linker.Forget(id)
-			d.linker.Drop(id)
-			delete(d.links, id)
-		}
-	}
-	if !owner.known || owner.row.Holder == d.options.Self || d.links[owner.row.Holder] {
+	if !owner.known || owner.row.Holder == d.dialed {
 		return
 	}
-	d.links[owner.row.Holder] = true
-	d.linker.Dial([]encoder.PeerInfo{{EntryID: owner.row.Holder, Address: owner.row.Address}})
+	if d.dialed != "" {
+		d.linker.Forget(d.dialed)
+		d.linker.Drop(d.dialed)
+	}
+	d.dialed = owner.row.Holder
+	if d.dialed != d.options.Self {
+		d.linker.Dial([]encoder.PeerInfo{{EntryID: owner.row.Holder, Address: owner.row.Address}})
+	}
 }
 
 // PeerUp implements linker.Handler.
 func (d *Dispatcher) PeerUp(peer encoder.PeerInfo, _ int64) {
-	d.log.Info().Str("Event", "link").Str("Peer", string(peer.EntryID)).Msg("link up")
+	d.log.Info().Str("Event", "link up").Str("Peer", string(peer.EntryID)).Send()
+	d.mu.Lock()
+	d.linked[peer.EntryID] = true
+	d.mu.Unlock()
 	d.toSession(func(s *session) { s.advisers.add(peer.EntryID) })
 }
 
 // PeerDown implements linker.Handler.
 func (d *Dispatcher) PeerDown(id requester.EntryID) {
-	d.log.Info().Str("Event", "link").Str("Peer", string(id)).Msg("link down")
+	d.log.Info().Str("Event", "link down").Str("Peer", string(id)).Send()
+	d.mu.Lock()
+	delete(d.linked, id)
+	d.mu.Unlock()
 	d.toSession(func(s *session) { s.adviserLost(id) })
 }
 
+// linkedPeers returns the entries to which a link is up.
+func (d *Dispatcher) linkedPeers() []requester.EntryID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ids := make([]requester.EntryID, 0, len(d.linked))
+	for id := range d.linked {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // PeerRefused implements linker.Handler: a host that refuses connections runs
 // no entry.
 func (d *Dispatcher) PeerRefused(id requester.EntryID, refused bool) {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -141,8 +141,12 @@
 	group        sync.WaitGroup
 	done         chan struct{}
 
-	mu    sync.Mutex
-	links map[requester.EntryID]bool
+	// dialed is the owner to which a link is wanted; used by claimLoop only.
+	dialed requester.EntryID
+
+	mu sync.Mutex
+	// linked are the entries to which a link is up, whoever dialed.
+	linked map[requester.EntryID]bool
 }
 
 var _ linker.Handler = (*Dispatcher)(nil)
@@ -166,7 +170,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		done:     make(chan struct{}),
-		links:    make(map[requester.EntryID]bool),
+		linked:   make(map[requester.EntryID]bool),
 	}
 	d.table = keeper.Start(platform, keeper.Options{
 		WritesPerSecond: options.WritesPerSecond,
