--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -189,3 +189,6 @@
 		s.post(func() { do(s) })
 	}
 }
+
+// Owns reports whether this entry owns the cell.
+func (d *Dispatcher) Owns() bool { return d.session.Load() != nil }
--- /dev/null
+++ b/dispatcher/dispatcher_test.go
@@ -0,0 +1,320 @@
+package dispatcher_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"kumquatstall/dispatcher"
+	"kumquatstall/requester"
+	"kumquatstall/scheduler"
+	"kumquatstall/standin"
+)
+
+// virtualClock is the bubble's time.
+type virtualClock struct{}
+
+func (virtualClock) Now() time.Time { return time.Now() }
+
+// site is some entries over one cell, in virtual time.
+type site struct {
+	t       *testing.T
+	cell    *standin.Cell
+	entries []*dispatcher.Dispatcher
+	jobs    []requester.JobID
+}
+
+var workerRoom = requester.Resources{MilliCores: 8000, MemoryMB: 16000}
+
+func newSite(t *testing.T, entries int) *site {
+	s := &site{t: t, cell: standin.NewCell(7, standin.CellWorkers("service", 6, workerRoom))}
+	s.cell.SetConfig(&dispatcher.Config{Version: 1, Queues: []dispatcher.Queue{{
+		Name: "queue", Host: "host", Prefix: "/queue/", Policy: policy(),
+	}}})
+	for i := range entries {
+		s.start(i)
+	}
+	time.Sleep(time.Second)
+	return s
+}
+
+func policy() scheduler.Policy {
+	return scheduler.Policy{
+		Service: "service", MaxAttempts: 2, Stretch: 2, ObjectiveMillis: 500,
+		Advice: &scheduler.Advice{DecideMillis: 4, ValidMillis: 1500},
+	}
+}
+
+func entryName(i int) requester.EntryID { return requester.EntryID(fmt.Sprintf("entry-%d", i)) }
+
+// start starts an entry, in place of an earlier one if there was one.
+func (s *site) start(i int) {
+	d := dispatcher.Start(dispatcher.Options{Self: entryName(i), DataCentre: "here"}, s.cell.As(entryName(i)), virtualClock{}, zerolog.New(io.Discard))
+	if i < len(s.entries) {
+		s.entries[i] = d
+	} else {
+		s.entries = append(s.entries, d)
+	}
+}
+
+func (s *site) close() {
+	for _, d := range s.entries {
+		d.Close()
+	}
+}
+
+// job is a job of two steps.
+func (s *site) job(millis int64) scheduler.Job {
+	id := requester.JobID(fmt.Sprintf("%016x", len(s.jobs)+1))
+	need := requester.Resources{MilliCores: 1500, MemoryMB: 2000}
+	return scheduler.Job{
+		JobID: id, Queue: "queue", Policy: policy(),
+		Payload: standin.RunLength{Millis: millis}.Payload(need),
+		Steps: []scheduler.Step{
+			{Count: 3, Need: need, EstimateMillis: millis},
+			{Count: 2, Need: need, EstimateMillis: millis, After: []int{0}, Gang: true},
+		},
+	}
+}
+
+func (s *site) submit(entry int, millis int64) dispatcher.Outcome {
+	job := s.job(millis)
+	outcome := s.entries[entry].Submit(context.Background(), job)
+	if outcome == dispatcher.OutcomeDone {
+		s.jobs = append(s.jobs, job.JobID)
+	}
+	return outcome
+}
+
+// owner returns the entry that owns the cell, or -1.
+func (s *site) owner() int {
+	for i, d := range s.entries {
+		if d.Owns() {
+			return i
+		}
+	}
+	return -1
+}
+
+// checkCompleted checks that every accepted job is shown as completed at every
+// entry, and that nothing ran that should not have.
+func (s *site) checkCompleted() {
+	s.t.Helper()
+	for _, id := range s.jobs {
+		for i, d := range s.entries {
+			row, outcome := d.State(context.Background(), id)
+			if outcome != dispatcher.OutcomeDone || row.State != scheduler.StateCompleted {
+				s.t.Errorf("entry %d shows job %s as %v (%v)", i, id, row.State, outcome)
+			}
+		}
+	}
+	for _, problem := range standin.CheckRuns(s.cell.Workers(), time.Now()) {
+		s.t.Error(problem)
+	}
+}
+
+func TestJobsRunToTheirEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t, 3)
+		defer s.close()
+		for i := range 30 {
+			is.Equal(s.submit(i%3, 300), dispatcher.OutcomeDone)
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		s.checkCompleted()
+		is.Equal(len(s.cell.Keys(scheduler.JobPrefix)), 0)      // rows of ended jobs are gone
+		is.Equal(len(s.cell.Keys(scheduler.ProgressPrefix)), 1) // but for the roster
+	})
+}
+
+// TestFaults lets jobs come in while something fails, then checks that all
+// come to their end.
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(s *site)
+	}{
+		{"owner dies", func(s *site) {
+			owner := s.owner()
+			s.entries[owner].Close()
+			time.Sleep(4 * time.Second)
+			s.start(owner)
+		}},
+		{"owner drains", func(s *site) {
+			owner := s.owner()
+			s.entries[owner].Drain(context.Background())
+			time.Sleep(time.Second)
+			s.entries[owner].Close()
+			s.start(owner)
+		}},
+		{"all die", func(s *site) {
+			for _, d := range s.entries {
+				d.Close()
+			}
+			time.Sleep(time.Second)
+			for i := range s.entries {
+				s.start(i)
+			}
+			time.Sleep(2 * time.Second)
+		}},
+		{"store turns the owner away", func(s *site) {
+			s.cell.SetFaults(standin.CellFaults{StoreAway: map[requester.EntryID]bool{entryName(s.owner()): true}})
+			time.Sleep(6 * time.Second)
+			s.cell.SetFaults(standin.CellFaults{})
+			time.Sleep(time.Second)
+		}},
+		{"store away for all", func(s *site) {
+			s.cell.SetFaults(standin.CellFaults{StoreDown: true})
+			time.Sleep(6 * time.Second)
+			s.cell.SetFaults(standin.CellFaults{})
+			time.Sleep(2 * time.Second)
+		}},
+		{"answers lost", func(s *site) {
+			s.cell.SetFaults(standin.CellFaults{LoseWrites: 0.3, LoseOrders: 0.1})
+			time.Sleep(4 * time.Second)
+			s.cell.SetFaults(standin.CellFaults{})
+		}},
+		{"history dropped", func(s *site) {
+			s.cell.SetFaults(standin.CellFaults{HistoryGone: true})
+			time.Sleep(time.Second)
+		}},
+		{"worker reborn", func(s *site) {
+			w := s.cell.Workers()[0]
+			w.Crash(time.Now())
+			time.Sleep(2 * time.Second)
+			w.Restart(time.Now())
+		}},
+		{"worker cut off", func(s *site) {
+			w := s.cell.Workers()[0]
+			w.SetAway(true)
+			time.Sleep(5 * time.Second)
+			w.SetAway(false)
+		}},
+		{"worker cut off, owner dies", func(s *site) {
+			w := s.cell.Workers()[0]
+			w.SetAway(true)
+			owner := s.owner()
+			s.entries[owner].Close()
+			time.Sleep(16 * time.Second)
+			s.start(owner)
+			w.SetAway(false)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newSite(t, 3)
+				defer s.close()
+				for i := range 12 {
+					is.Equal(s.submit(i%3, 1500), dispatcher.OutcomeDone)
+				}
+				time.Sleep(700 * time.Millisecond)
+				test.fault(s)
+				time.Sleep(time.Second)
+				for i := range 6 {
+					is.Equal(s.submit(i%3, 300), dispatcher.OutcomeDone)
+				}
+				time.Sleep(40 * time.Second)
+				s.checkCompleted()
+			})
+		})
+	}
+}
+
+// TestRefusedAtOnce: without the store nothing is accepted, and the caller
+// isn't kept waiting.
+func TestRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t, 1)
+		defer s.close()
+		is.True(s.entries[0].Ready())
+		s.cell.SetFaults(standin.CellFaults{StoreDown: true})
+		time.Sleep(3 * time.Second)
+		is.True(!s.entries[0].Ready())
+		before := time.Now()
+		is.Equal(s.submit(0, 300), dispatcher.OutcomeUnavailable)
+		is.Equal(time.Since(before), time.Duration(0))
+	})
+}
+
+// TestResubmitted: the same id at another entry is the same job.
+func TestResubmitted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t, 2)
+		defer s.close()
+		job := s.job(300)
+		for range 3 {
+			is.Equal(s.entries[0].Submit(context.Background(), job), dispatcher.OutcomeDone)
+			is.Equal(s.entries[1].Submit(context.Background(), job), dispatcher.OutcomeDone)
+			time.Sleep(time.Second)
+		}
+		s.jobs = append(s.jobs, job.JobID)
+		s.checkCompleted()
+	})
+}
+
+func TestCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t, 2)
+		defer s.close()
+		is.Equal(s.submit(0, 60_000), dispatcher.OutcomeDone)
+		time.Sleep(time.Second)
+		is.Equal(s.entries[1].Cancel(context.Background(), s.jobs[0]), dispatcher.OutcomeDone)
+		is.Equal(s.entries[1].Cancel(context.Background(), "00000000000000ff"), dispatcher.OutcomeNotFound)
+		time.Sleep(time.Second)
+		row, outcome := s.entries[0].State(context.Background(), s.jobs[0])
+		is.Equal(outcome, dispatcher.OutcomeDone)
+		is.Equal(row.State, scheduler.StateCancelled)
+		for _, w := range s.cell.Workers() {
+			runs, _ := w.Runs(time.Now())
+			for _, run := range runs {
+				is.True(!run.EndedAt.IsZero()) // everything has been stopped
+			}
+		}
+	})
+}
+
+func TestPending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t, 2)
+		defer s.close()
+		for _, w := range s.cell.Workers() {
+			w.SetLeaving(true)
+		}
+		time.Sleep(time.Second)
+		for range 5 {
+			is.Equal(s.submit(0, 300), dispatcher.OutcomeDone)
+		}
+		time.Sleep(time.Second)
+		is.Equal(s.entries[0].Pending("queue"), 5)
+		is.Equal(s.entries[1].Pending("queue"), 5)
+		is.Equal(s.entries[1].Pending("other"), 0)
+	})
+}
+
+func TestConfigInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t, 2)
+		defer s.close()
+		s.cell.SetConfig(&dispatcher.Config{Version: 5})
+		time.Sleep(50 * time.Millisecond)
+		is.Equal(s.entries[1].Config().Version, int64(5))
+		s.cell.SetConfig(&dispatcher.Config{Version: 4})
+		time.Sleep(time.Second)
+		is.Equal(s.entries[1].Config().Version, int64(5)) // never back
+	})
+}
