--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -63,10 +63,6 @@
 // started: nothing that an earlier owner began may be hidden.
 func (c *Core) mayStart(s *step) bool { return !s.job().fromBefore || c.Settled() }
 
-// placeInterval separates placements; what comes in between is placed
-// together, in order.
-const placeInterval = 10 * time.Millisecond
-
 // place starts what fits, in order.
 func (c *Core) place() {
 	if !c.changed || c.fenced {
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -59,8 +59,6 @@
 	// doneVersion is that of the job's rows which first tell that the step is
 	// complete.
 	doneVersion int64
-	// blockedSince is when the step was first found without room.
-	blockedSince time.Time
 }
 
 // task is one task of a step.
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -33,13 +33,11 @@
 	finished  map[TaskName]bool
 	failed    map[TaskName]map[RunNumber]bool
 	problems  []string
-	listDown  bool
 }
 
 type worldOptions struct {
 	workers   int
 	jobs      int
-	steps     int
 	lost      float64
 	late      float64
 	crash     float64
