Store that a step has begun before it starts; tell news over links

With the owner behind the cut, the new one held every older task back until all leases behind the cut had lapsed (some 12 s), and it took 2.3 s to claim. Change: a step's rows tell that it has begun before its first start, in parallel with the advice; only begun steps wait for silent workers. The owner's term is 1.2 s instead of 2 s. Jobs, cancellations and states are told over links as they are stored, and the store's changes are followed less often.

--- a/dispatcher/accept.go
+++ b/dispatcher/accept.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"kumquatstall/encoder"
 	"kumquatstall/keeper"
 	"kumquatstall/requester"
 	"kumquatstall/scheduler"
@@ -57,6 +58,7 @@
 		if err := d.board.take(d.clock.Now(), change); err != nil {
 			d.log.Error().Str("Event", "row").Str("Key", stateKey).Err(err).Msg("row can't be read")
 		}
+		d.tellOwner(&encoder.JobStored{Job: job})
 	}
 	return OutcomeDone
 }
@@ -101,6 +103,9 @@
 		Writes:     []keeper.Write{{Key: key, Value: []byte{1}}},
 	})
 	// A conflict means that it is marked already.
+	if outcome == OutcomeDone {
+		d.tellOwner(&encoder.JobStored{Cancelled: id})
+	}
 	return outcome
 }
 
--- a/dispatcher/advise.go
+++ b/dispatcher/advise.go
@@ -100,10 +100,6 @@
 	}
 }
 
-func (s *session) adviceReplied(_ requester.EntryID, reply *encoder.AdviceReply) {
-	s.advised(reply.ID, reply.Allowed, reply.Failed)
-}
-
 // advised takes in the answer to a question; the first one counts.
 func (s *session) advised(id uint64, allowed []scheduler.Ticket, failed bool) {
 	asked, ok := s.asked[id]
--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -19,7 +19,7 @@
 	claimSpread = 60 * time.Millisecond
 	// ownerMargin is kept between the time at which an owner stops giving
 	// orders and the time at which others may claim.
-	ownerMargin = 300 * time.Millisecond
+	ownerMargin = 200 * time.Millisecond
 )
 
 // claimLoop claims the cell when nobody owns it, and owns it for a session.
@@ -30,11 +30,12 @@
 		if d.draining.Load() || !d.storeInTouch() || !d.mayClaim(owner) {
 			continue
 		}
+		claimedAt := d.clock.Now()
 		row, revision, ok := d.claim(owner)
 		if !ok {
 			continue
 		}
-		s := newSession(d, row, revision)
+		s := newSession(d, row, revision, claimedAt)
 		d.session.Store(s)
 		// Links that came up before have told no session.
 		for _, id := range d.linkedPeers() {
@@ -168,7 +169,11 @@
 			d.adviseFor(from, message)
 		}()
 	case *encoder.AdviceReply:
-		d.toSession(func(s *session) { s.adviceReplied(from, message) })
+		d.toSession(func(s *session) { s.advised(message.ID, message.Allowed, message.Failed) })
+	case *encoder.JobStored:
+		d.toSession(func(s *session) { s.stored(message) })
+	case *encoder.StatesStored:
+		d.takeStates(message)
 	}
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -88,7 +88,7 @@
 	// Address is where other entries reach this one's links.
 	Address netip.AddrPort
 	// OwnerTerm is how long an owner's row stands without renewal before
-	// others may claim; default 2 s.
+	// others may claim; default 1.2 s.
 	OwnerTerm time.Duration
 	// LongestLease is the longest that a worker grants; default 10 s.
 	LongestLease time.Duration
@@ -102,7 +102,7 @@
 
 func (o Options) withDefaults() Options {
 	if o.OwnerTerm <= 0 {
-		o.OwnerTerm = 2 * time.Second
+		o.OwnerTerm = 1200 * time.Millisecond
 	}
 	if o.LongestLease <= 0 {
 		o.LongestLease = 10 * time.Second
--- a/dispatcher/follow.go
+++ b/dispatcher/follow.go
@@ -18,13 +18,13 @@
 	storeTimeout = 800 * time.Millisecond
 	// watchWait is how long a watch waits for a change. It is short against
 	// the time in which an entry has to notice that the store is out of reach.
-	watchWait = 500 * time.Millisecond
+	watchWait = 300 * time.Millisecond
 	// configWait is how long a watch of the configuration waits; changes must
 	// be in force within 2 s, also where a watch goes silent.
-	configWait = 600 * time.Millisecond
-	// statesInterval separates watches of the states: what has changed in
-	// the meantime comes together.
-	statesInterval = 120 * time.Millisecond
+	configWait = 800 * time.Millisecond
+	// statesInterval separates watches of the states. The owner tells most
+	// of them over links before.
+	statesInterval = 350 * time.Millisecond
 	// retryInterval separates attempts at a store that doesn't answer.
 	retryInterval = 100 * time.Millisecond
 )
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -19,7 +19,7 @@
 	// idleInterval is how often time is noticed when nothing happens.
 	idleInterval = 100 * time.Millisecond
 	// commitInterval separates commits while there is something to write.
-	commitInterval = 20 * time.Millisecond
+	commitInterval = 30 * time.Millisecond
 	// renewFraction of the owner's term is when a commit without rows renews.
 	renewFraction = 4
 	// orderTimeout bounds a start or stop. Without an answer by then the
@@ -68,7 +68,7 @@
 	askNumber  uint64
 }
 
-func newSession(d *Dispatcher, row ownerRow, revision int64) *session {
+func newSession(d *Dispatcher, row ownerRow, revision int64, claimedAt time.Time) *session {
 	ctx, cancel := context.WithCancel(d.ctx)
 	now := d.clock.Now()
 	s := &session{
@@ -84,8 +84,8 @@
 		signal:     make(chan struct{}, 1),
 		row:        row,
 		revision:   revision,
-		validUntil: now.Add(d.options.OwnerTerm - storeTimeout),
-		committed:  now,
+		validUntil: claimedAt.Add(d.options.OwnerTerm),
+		committed:  claimedAt,
 		forgotAt:   now,
 		asked:      make(map[uint64]askedAdvice),
 	}
@@ -269,6 +269,7 @@
 	s.mu.Unlock()
 	d.counters.commitTime.Observe(now.Sub(sentAt))
 	s.core.Saved(now, batch)
+	s.tellStates(batch, revision)
 	if next.Released {
 		s.ended = true
 	}
@@ -412,8 +413,9 @@
 	}
 }
 
-// jobsInterval separates watches of the jobs.
-const jobsInterval = 15 * time.Millisecond
+// jobsInterval separates watches of the jobs. Most jobs are told over links
+// before.
+const jobsInterval = 200 * time.Millisecond
 
 func (s *session) listJobs() ([]Change, int64, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, 2*storeTimeout)
--- a/encoder/encoder.go
+++ b/encoder/encoder.go
@@ -32,6 +32,8 @@
 	kindJobReply
 	kindAdviceRequest
 	kindAdviceReply
+	kindJobStored
+	kindStatesStored
 )
 
 func (*Hello) kind() kind          { return kindHello }
@@ -55,6 +57,8 @@
 func (*JobReply) kind() kind       { return kindJobReply }
 func (*AdviceRequest) kind() kind  { return kindAdviceRequest }
 func (*AdviceReply) kind() kind    { return kindAdviceReply }
+func (*JobStored) kind() kind      { return kindJobStored }
+func (*StatesStored) kind() kind   { return kindStatesStored }
 
 // types maps each kind to its message's type.
 var types = func() map[kind]reflect.Type {
@@ -70,7 +74,8 @@
 	return []Message{
 		&Hello{}, &Proof{}, &Heartbeat{}, &Introduce{}, &CallForward{}, &CallReply{}, &CallCancel{}, &ConfigUpdate{},
 		&ConfigRequest{}, &PromiseRequest{}, &PromiseReply{}, &Relay{}, &RelayReply{}, &WitnessRequest{},
-		&WitnessReply{}, &WitnessPull{}, &WitnessList{}, &JobRequest{}, &JobReply{}, &AdviceRequest{}, &AdviceReply{},
+		&WitnessReply{}, &WitnessPull{}, &WitnessList{}, &JobRequest{}, &JobReply{}, &AdviceRequest{}, &AdviceReply{}, &JobStored{},
+		&StatesStored{},
 	}
 }
 
--- a/encoder/message.go
+++ b/encoder/message.go
@@ -216,6 +216,28 @@
 	Failed  bool               `cbor:",omitempty"`
 }
 
+// JobStored tells the owner of a cell of a job that has just been stored, or
+// of the cancelling of one.
+type JobStored struct {
+	Job scheduler.Job
+	// Cancelled is the job whose cancelling is stored, if it is that.
+	Cancelled requester.JobID `cbor:",omitempty"`
+}
+
+// StatesStored tells entries of states of jobs that have just been stored.
+type StatesStored struct {
+	// Revision is that of the rows.
+	Revision int64
+	States   []StoredState
+}
+
+// StoredState is the row of one job's state.
+type StoredState struct {
+	_     struct{} `cbor:",toarray"`
+	Key   string
+	Value []byte
+}
+
 // WorkerView is what operators see of a worker.
 type WorkerView struct {
 	HostID  requester.HostID
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -84,6 +84,7 @@
 		if len(workers) == 0 {
 			continue
 		}
+		c.begin(s)
 		s.advice.open = true
 		s.advice.askedAt = now
 		c.asking[s.name()] = s
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -61,7 +61,7 @@
 
 // mayStart reports whether tasks of a step that are nowhere to be seen may be
 // started: nothing that an earlier owner began may be hidden.
-func (c *Core) mayStart(s *step) bool { return !s.job().fromBefore || c.Settled() }
+func (c *Core) mayStart(s *step) bool { return !s.hidden || c.Settled() }
 
 // place starts what fits, in order.
 func (c *Core) place() {
@@ -72,7 +72,7 @@
 	settled := c.Settled()
 	steps := make([]*step, 0, len(c.open))
 	for _, s := range c.open {
-		if s.waiting > 0 && (settled || !s.job().fromBefore) {
+		if s.waiting > 0 && s.begun() && (settled || !s.hidden) {
 			steps = append(steps, s)
 		}
 	}
@@ -438,7 +438,9 @@
 		return "too many tasks of the step on the worker"
 	case s.def.Fills && w.serves() || s.def.TargetMillis > 0 && w.fills():
 		return "tasks that fill beside tasks with a target"
-	case s.job().fromBefore && !c.Settled():
+	case !s.begun():
+		return "the step is not stored as begun"
+	case s.hidden && !c.Settled():
 		return "an earlier owner's run may be hidden"
 	}
 	return ""
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -14,9 +14,6 @@
 	state State
 	// storedState is the state in the store.
 	storedState State
-	// fromBefore tells that the job was accepted before the takeover, so that
-	// some worker may run what an earlier owner started of it.
-	fromBefore  bool
 	occurrences []*occurrence
 	// next is the first occurrence that hasn't begun.
 	next int64
@@ -56,6 +53,12 @@
 	// failed are the failed runs of a gang.
 	failed []RunNumber
 	advice advice
+	// begunVersion is that of the job's rows which first tell that tasks of
+	// the step may have been started; 0 before that.
+	begunVersion int64
+	// hidden tells that an earlier owner may have started tasks of the step
+	// that haven't been seen.
+	hidden bool
 	// doneVersion is that of the job's rows which first tell that the step is
 	// complete.
 	doneVersion int64
@@ -120,7 +123,7 @@
 			return err
 		}
 	}
-	j := &job{spec: rows.Job, state: state.State, storedState: state.State, fromBefore: true, chains: rows.Job.chainMillis()}
+	j := &job{spec: rows.Job, state: state.State, storedState: state.State, chains: rows.Job.chainMillis()}
 	c.jobs[j.name()] = j
 	if state.State.Ended() {
 		j.endedAt = time.Unix(state.EndedAt, 0)
@@ -191,6 +194,7 @@
 			return
 		}
 		s := o.steps[number]
+		s.hidden = progress.Begun
 		if s.def.Gang {
 			s.failed = progress.Failed[0]
 		}
@@ -275,11 +279,27 @@
 				s.open = true
 				c.open = append(c.open, s)
 				c.changed = true
+				if j.spec.Advice == nil {
+					c.begin(s)
+				}
 			}
 		}
 	}
 }
 
+// begin has the job's rows tell that tasks of the step may be started. Only
+// then they may: a successor has to know what may run unseen.
+func (c *Core) begin(s *step) {
+	if s.begunVersion == 0 {
+		c.touch(s.job())
+		s.begunVersion = s.job().version
+	}
+}
+
+// begun reports whether the job's stored rows tell that tasks of the step may
+// be started.
+func (s *step) begun() bool { return s.begunVersion > 0 && s.begunVersion <= s.job().saved }
+
 func (o *occurrence) predecessorsDone(s *step) bool {
 	for _, earlier := range s.def.After {
 		if !o.steps[earlier].complete() || o.steps[earlier].doneVersion > o.job.saved {
@@ -354,7 +374,7 @@
 }
 
 func (s *step) progress() stepProgress {
-	var row stepProgress
+	row := stepProgress{Begun: s.begunVersion > 0 || s.hidden}
 	if s.complete() {
 		row.AllDone = true
 		return row
--- a/scheduler/row.go
+++ b/scheduler/row.go
@@ -55,6 +55,8 @@
 
 type stepProgress struct {
 	_ struct{} `cbor:",toarray"`
+	// Begun tells that tasks may have been started.
+	Begun bool
 	// Done has a bit for each task, lowest index first; nil for none and
 	// AllDone for all.
 	Done    []byte
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -17,9 +17,10 @@
 //
 // The end of a task is first written to the store (Saves, Saved), then
 // confirmed to the worker; successors start after it was written. A new owner
-// rebuilds everything else from the workers' reports. While some worker may
-// still run what nobody sees, tasks of jobs from before the takeover that are
-// nowhere to be seen wait.
+// rebuilds everything else from the workers' reports. Before the first task of
+// a step starts, the store tells that the step has begun. While some worker may
+// still run what nobody sees, tasks of such steps that are nowhere to be seen
+// wait; all others start at once.
 //
 // # Order and room
 //
--- a/standin/cell.go
+++ b/standin/cell.go
@@ -38,11 +38,11 @@
 // configuration, workers and advice. It needs no network, so tests can run it
 // in virtual time.
 type Cell struct {
-	mu       sync.Mutex
-	random   *rand.Rand
-	faults   CellFaults
-	table    *Rows
-	history  []dispatcher.Change
+	mu      sync.Mutex
+	random  *rand.Rand
+	faults  CellFaults
+	table   *Rows
+	history []dispatcher.Change
 	// oldest is the revision from which on the history is whole.
 	oldest  int64
 	changed chan struct{}
@@ -134,7 +134,9 @@
 }
 
 // As returns the cell as one entry reaches it.
-func (c *Cell) As(entry requester.EntryID) dispatcher.Platform { return &cellEntry{Cell: c, entry: entry} }
+func (c *Cell) As(entry requester.EntryID) dispatcher.Platform {
+	return &cellEntry{Cell: c, entry: entry}
+}
 
 // cellEntry is a cell as one entry reaches it.
 type cellEntry struct {
