Grant a silent worker no more time

A worker left for good; each look at it was sent with a new lease, so the lease that may be in force never ended and its tasks never started again. Ruled out: a lost takeover, a wrong roster (both as they should be in the log). Change: a look at a worker that doesn't answer carries no lease. The random runs with workers gone for good fail without it.

--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -147,9 +147,11 @@
 	return w.clockAt.Add(time.Duration(float64(left)/clockSlack) + lapseMargin)
 }
 
-// grant returns the deadline for an order given now.
+// grant returns the deadline for an order given now; 0 grants nothing. A
+// worker that doesn't answer gets no more time: its tasks are to start again
+// elsewhere once its lease has lapsed.
 func (c *Core) grant(w *worker) WorkerTime {
-	if !w.answered {
+	if !w.answered || w.silent > 0 {
 		return 0
 	}
 	deadline := w.clockAtMost(c.now) + WorkerTime(c.options.LeaseTerm/time.Millisecond)
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -33,14 +33,18 @@
 	finished  map[TaskName]bool
 	failed    map[TaskName]map[RunNumber]bool
 	problems  []string
+	// lostForGood counts the workers that never come back.
+	lostForGood int
 }
 
 type worldOptions struct {
-	workers   int
-	jobs      int
-	lost      float64
-	late      float64
-	crash     float64
+	workers int
+	jobs    int
+	lost    float64
+	late    float64
+	crash   float64
+	// gone is the share of crashed workers that never come back.
+	gone      float64
 	cut       float64
 	takeover  float64
 	cancel    float64
@@ -546,6 +550,11 @@
 	for key := range f.runs {
 		delete(f.runs, key)
 	}
+	if w.random.Float64() < w.options.gone && w.lostForGood < len(w.workers)/3 {
+		// The others can still hold the widest gang.
+		w.lostForGood++
+		return
+	}
 	w.after(time.Duration(500+w.random.IntN(5000))*time.Millisecond, func() {
 		f.down = false
 		f.fence, f.lease, f.number, f.ended = 0, time.Time{}, 0, nil
