--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -56,8 +56,7 @@
 	if d.clock.Now().Sub(owner.since) >= d.options.OwnerTerm+ownerMargin {
 		return true
 	}
-	refuses := d.ownerRefuses.Load()
-	return refuses != nil && *refuses == owner.row.Holder
+	return d.refusedEpoch.Load() == owner.row.Epoch
 }
 
 // claim raises the epoch by compare-and-set.
@@ -89,7 +88,6 @@
 	if err := d.board.take(d.clock.Now(), change); err != nil {
 		d.log.Error().Str("Event", "row").Str("Key", ownerKey).Err(err).Msg("row can't be read")
 	}
-	d.ownerRefuses.Store(nil)
 	return row, revision, true
 }
 
@@ -152,10 +150,14 @@
 // PeerRefused implements linker.Handler: a host that refuses connections runs
 // no entry.
 func (d *Dispatcher) PeerRefused(id requester.EntryID, refused bool) {
+	owner := d.board.ownerView()
+	if owner.row.Holder != id {
+		return
+	}
 	if refused {
-		d.ownerRefuses.Store(&id)
+		d.refusedEpoch.Store(owner.row.Epoch)
 	} else {
-		d.ownerRefuses.Store(nil)
+		d.refusedEpoch.CompareAndSwap(owner.row.Epoch, 0)
 	}
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -133,8 +133,9 @@
 	draining atomic.Bool
 	// storeSeen is when the store last answered a watch, by the clock.
 	storeSeen atomic.Int64
-	// ownerRefuses holds the owner whose host refuses connections.
-	ownerRefuses atomic.Pointer[requester.EntryID]
+	// refusedEpoch is the epoch of an owner whose host has refused a
+	// connection, so that no entry runs there; 0 for none.
+	refusedEpoch atomic.Int64
 	counters     counters
 	ctx          context.Context
 	cancel       context.CancelFunc
