Shorten the owner's term to 0.8 s and send commits again early

Cause: gaps without an owner (1.5 s after a power loss) made the worst windows. A commit whose answer was lost also cost the owner its validity, as it was sent again only after 0.8 s.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -88,7 +88,7 @@
 	// Address is where other entries reach this one's links.
 	Address netip.AddrPort
 	// OwnerTerm is how long an owner's row stands without renewal before
-	// others may claim; default 1.2 s.
+	// others may claim; default 0.8 s.
 	OwnerTerm time.Duration
 	// LongestLease is the longest that a worker grants; default 10 s.
 	LongestLease time.Duration
@@ -102,7 +102,7 @@
 
 func (o Options) withDefaults() Options {
 	if o.OwnerTerm <= 0 {
-		o.OwnerTerm = 1200 * time.Millisecond
+		o.OwnerTerm = 800 * time.Millisecond
 	}
 	if o.LongestLease <= 0 {
 		o.LongestLease = 10 * time.Second
@@ -196,7 +196,7 @@
 
 // inTouch is how long ago the store may have answered for the entry to take
 // work.
-const inTouch = 1200 * time.Millisecond
+const inTouch = 900 * time.Millisecond
 
 // Ready reports whether the entry can take work.
 func (d *Dispatcher) Ready() bool {
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -225,27 +225,47 @@
 	s.goDo(func() { s.write(next, batch, transaction) })
 }
 
+// attempt is one sending of a transaction.
+type attempt struct {
+	result keeper.TransactResult
+	err    error
+}
+
 // write sends a transaction until its fate is known. The same bytes are sent
-// each time: of several that were performed late only one can count.
+// each time: of several that were performed, also late, only one can count. A
+// sending without an answer is followed by the next before it has timed out.
 func (s *session) write(next ownerRow, batch *scheduler.Batch, transaction keeper.Transaction) {
 	d := s.dispatcher
 	sentAt := d.clock.Now()
+	attempts := make(chan attempt, maxAttempts)
+	open := 0
 	for s.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(s.ctx, storeTimeout)
-		result, err := d.platform.Transact(ctx, transaction)
-		cancel()
-		d.counters.commits.Add(1)
-		if err != nil {
+		if open < maxAttempts {
+			open++
+			d.counters.commits.Add(1)
+			s.goDo(func() {
+				attempts <- withTimeout(s.ctx, storeTimeout, func(ctx context.Context) attempt {
+					result, err := d.platform.Transact(ctx, transaction)
+					return attempt{result, err}
+				})
+			})
+		}
+		got, answered := await(s.ctx, attempts, max(hedgeDelay, hedgeFactor*d.counters.commitLatency()))
+		if !answered {
+			continue
+		}
+		open--
+		if got.err != nil {
 			d.counters.commitsFailed.Add(1)
 			if !sleep(s.ctx, retryInterval) {
 				return
 			}
 			continue
 		}
-		revision, mine := result.Revision, result.Committed
+		revision, mine := got.result.Revision, got.result.Committed
 		if !mine {
 			var current keeper.Row
-			current, mine = conflictAt(result, ownerKey, transaction.Writes[0].Value)
+			current, mine = conflictAt(got.result, ownerKey, transaction.Writes[0].Value)
 			revision = current.Revision
 		}
 		s.post(func() { s.written(next, batch, revision, mine, sentAt) })
@@ -253,6 +273,31 @@
 	}
 }
 
+// Bounds of sending a commit again.
+const (
+	// hedgeDelay and hedgeFactor times the usual latency is when a commit
+	// without an answer is sent once more, the greater of both.
+	hedgeDelay  = 120 * time.Millisecond
+	hedgeFactor = 3
+	// maxAttempts bounds the sendings without an answer.
+	maxAttempts = 4
+)
+
+// await receives from a channel, for a while.
+func await[T any](ctx context.Context, channel <-chan T, wait time.Duration) (T, bool) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	var none T
+	select {
+	case value := <-channel:
+		return value, true
+	case <-timer.C:
+		return none, false
+	case <-ctx.Done():
+		return none, false
+	}
+}
+
 func (s *session) written(next ownerRow, batch *scheduler.Batch, revision int64, mine bool, sentAt time.Time) {
 	d := s.dispatcher
 	now := d.clock.Now()
@@ -267,7 +312,7 @@
 	s.mu.Lock()
 	s.validUntil = sentAt.Add(d.options.OwnerTerm)
 	s.mu.Unlock()
-	d.counters.commitTime.Observe(now.Sub(sentAt))
+	d.counters.observeCommit(now.Sub(sentAt))
 	s.core.Saved(now, batch)
 	s.tellStates(batch, revision)
 	if next.Released {
