Follow the store's latency in terms, timeouts and readiness

Change: keeper.Hedged sends a transaction once more after three times the usual latency and tells so; calls may take 2.2 s; the owner's term spans three commits and stands in its row; claimants and readiness allow for twice the latency that they see.

--- a/dispatcher/accept.go
+++ b/dispatcher/accept.go
@@ -29,8 +29,9 @@
 	OutcomeNotFound
 )
 
-// acceptTimeout bounds how long the store is tried for one request. A caller
-// is better off at another entry after that.
+// acceptTimeout bounds how long the store is tried for one request, and some
+// more where the store is slow for all. A caller is better off at another entry
+// after that.
 const acceptTimeout = 1200 * time.Millisecond
 
 // Submit stores a job. A job of that id that is there already is left as it
@@ -65,7 +66,7 @@
 
 // transact runs a transaction and tells whether its fate is known.
 func (d *Dispatcher) transact(ctx context.Context, transaction keeper.Transaction) (keeper.TransactResult, Outcome) {
-	deadline := time.Now().Add(acceptTimeout)
+	deadline := time.Now().Add(acceptTimeout + 2*d.storeLatency())
 	if limit, ok := ctx.Deadline(); ok && limit.Before(deadline) {
 		deadline = limit
 	}
--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -21,10 +21,15 @@
 	Epoch   int64
 	// Counter rises with each commit, so that no two rows are the same.
 	Counter int64
+	// TermMillis is for how long after the row was written the holder may
+	// give orders.
+	TermMillis int64
 	// Released tells that the holder has given the cell up.
 	Released bool
 }
 
+func (r *ownerRow) term() time.Duration { return time.Duration(r.TermMillis) * time.Millisecond }
+
 // ownerView is the owner's row as this entry has seen it.
 type ownerView struct {
 	row      ownerRow
--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -53,19 +53,34 @@
 	if !owner.known || owner.row.Released || owner.row.Holder == d.options.Self {
 		return true
 	}
-	if d.clock.Now().Sub(owner.since) >= d.options.OwnerTerm+ownerMargin {
+	// Where the store is slow, both the owner's renewals and the news of them
+	// take longer.
+	if d.clock.Now().Sub(owner.since) >= owner.row.term()+ownerMargin+2*d.storeLatency() {
 		return true
 	}
 	return d.refusedEpoch.Load() == owner.row.Epoch
 }
 
+// ownerTerm is for how long an owner may give orders after a commit. It is
+// longer where commits take long, so that it spans some of them.
+func (d *Dispatcher) ownerTerm() time.Duration {
+	return min(max(d.options.OwnerTerm, termCommits*d.store.Latency()), maxOwnerTerm)
+}
+
+const (
+	// termCommits is how many commits an owner's term has to span.
+	termCommits = 3
+	// maxOwnerTerm bounds the time without an owner.
+	maxOwnerTerm = 4 * time.Second
+)
+
 // claim raises the epoch by compare-and-set.
 func (d *Dispatcher) claim(owner ownerView) (ownerRow, int64, bool) {
-	row := ownerRow{Holder: d.options.Self, Address: d.options.Address, Epoch: owner.row.Epoch + 1}
+	row := ownerRow{Holder: d.options.Self, Address: d.options.Address, Epoch: owner.row.Epoch + 1, TermMillis: d.ownerTerm().Milliseconds()}
 	value := scheduler.EncodeRow(row)
 	ctx, cancel := context.WithTimeout(d.ctx, storeTimeout)
 	defer cancel()
-	result, err := d.platform.Transact(ctx, keeper.Transaction{
+	result, err := d.store.Transact(ctx, keeper.Transaction{
 		Conditions: []keeper.Condition{{Key: ownerKey, Revision: owner.revision}},
 		Writes:     []keeper.Write{{Key: ownerKey, Value: value}},
 	})
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -126,11 +126,15 @@
 	log      zerolog.Logger
 	clock    Clock
 	board    *board
+	store    *keeper.Hedged
 	table    *keeper.Client
 	linker   *linker.Linker
 	config   atomic.Pointer[Config]
 	session  atomic.Pointer[session]
 	draining atomic.Bool
+	// slowness is how long the store's answers have taken lately, in
+	// nanoseconds.
+	slowness atomic.Int64
 	// storeSeen is when the store last answered a watch, by the clock.
 	storeSeen atomic.Int64
 	// refusedEpoch is the epoch of an owner whose host has refused a
@@ -173,7 +177,8 @@
 		done:     make(chan struct{}),
 		linked:   make(map[requester.EntryID]bool),
 	}
-	d.table = keeper.Start(platform, keeper.Options{
+	d.store = keeper.NewHedged(platform)
+	d.table = keeper.Start(d.store, keeper.Options{
 		WritesPerSecond: options.WritesPerSecond,
 		ReadsPerSecond:  options.ReadsPerSecond,
 		MaxEntries:      maxTransaction,
@@ -195,9 +200,12 @@
 func (d *Dispatcher) Links() *linker.Linker { return d.linker }
 
 // inTouch is how long ago the store may have answered for the entry to take
-// work.
+// work, and some more where its answers take long.
 const inTouch = 900 * time.Millisecond
 
+// storeLatency is how long the store's answers have taken lately.
+func (d *Dispatcher) storeLatency() time.Duration { return time.Duration(d.slowness.Load()) }
+
 // Ready reports whether the entry can take work.
 func (d *Dispatcher) Ready() bool {
 	return !d.draining.Load() && d.config.Load() != nil && d.storeInTouch()
@@ -205,7 +213,7 @@
 
 func (d *Dispatcher) storeInTouch() bool {
 	seen := d.storeSeen.Load()
-	return seen != 0 && d.clock.Now().Sub(time.Unix(0, seen)) < inTouch
+	return seen != 0 && d.clock.Now().Sub(time.Unix(0, seen)) < inTouch+2*d.storeLatency()
 }
 
 // Drain makes the entry not ready and gives up the cell, if this entry owns
--- a/dispatcher/follow.go
+++ b/dispatcher/follow.go
@@ -14,8 +14,8 @@
 
 // Intervals and bounds of what is followed.
 const (
-	// storeTimeout bounds one call to the store.
-	storeTimeout = 800 * time.Millisecond
+	// storeTimeout bounds one call to the store, which may be slow.
+	storeTimeout = 2200 * time.Millisecond
 	// watchWait is how long a watch waits for a change. It is short against
 	// the time in which an entry has to notice that the store is out of reach.
 	watchWait = 300 * time.Millisecond
@@ -100,10 +100,12 @@
 func (d *Dispatcher) watchStates(after int64) (int64, error) {
 	ctx, cancel := context.WithTimeout(d.ctx, watchWait+storeTimeout)
 	defer cancel()
-	changes, revision, err := d.platform.Watch(ctx, scheduler.StatePrefix, after, time.Now().Add(watchWait))
+	askedAt := time.Now()
+	changes, revision, err := d.platform.Watch(ctx, scheduler.StatePrefix, after, askedAt.Add(watchWait))
 	if err != nil {
 		return after, err
 	}
+	d.observeStore(time.Since(askedAt) - watchWait)
 	now := d.clock.Now()
 	for _, change := range changes {
 		if err := d.board.take(now, change); err != nil {
@@ -113,6 +115,16 @@
 	return revision, nil
 }
 
+// observeStore notes how long the store took beyond what it was to wait. A slow
+// answer counts at once, a fast one little by little.
+func (d *Dispatcher) observeStore(took time.Duration) {
+	calmer := time.Duration(slownessWeight * float64(d.slowness.Load()))
+	d.slowness.Store(int64(max(took, calmer)))
+}
+
+// slownessWeight is how much of the slowness stays with each faster answer.
+const slownessWeight = 0.7
+
 // noteDependency logs when something outside is lost or regained.
 func (d *Dispatcher) noteDependency(name string, err error, failing *bool) {
 	if (err != nil) == *failing || d.ctx.Err() != nil {
--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -58,24 +58,8 @@
 	submitTime    timings
 	commitTime    timings
 	adviceTime    timings
-	// recentCommit is a moving average of the latency of commits, in
-	// nanoseconds.
-	recentCommit atomic.Int64
 }
 
-// averageWeight is how much of the moving average stays with each new value.
-const averageWeight = 0.7
-
-// observeCommit counts the latency of a commit.
-func (c *counters) observeCommit(latency time.Duration) {
-	c.commitTime.Observe(latency)
-	before := c.recentCommit.Load()
-	c.recentCommit.Store(int64(averageWeight*float64(before) + (1-averageWeight)*float64(latency)))
-}
-
-// commitLatency is the recent latency of commits.
-func (c *counters) commitLatency() time.Duration { return time.Duration(c.recentCommit.Load()) }
-
 // ObserveSubmit counts a submission and how long it took.
 func (d *Dispatcher) ObserveSubmit(outcome Outcome, latency time.Duration) {
 	d.counters.submitted[outcome].Add(1)
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -76,7 +76,7 @@
 		core: scheduler.New(scheduler.Options{
 			Epoch:        row.Epoch,
 			LongestLease: d.options.LongestLease,
-			EarlierTerm:  d.options.OwnerTerm + ownerMargin,
+			EarlierTerm:  maxOwnerTerm + ownerMargin,
 		}, now),
 		ctx:        ctx,
 		cancel:     cancel,
@@ -84,7 +84,7 @@
 		signal:     make(chan struct{}, 1),
 		row:        row,
 		revision:   revision,
-		validUntil: claimedAt.Add(d.options.OwnerTerm),
+		validUntil: claimedAt.Add(row.term()),
 		committed:  claimedAt,
 		forgotAt:   now,
 		asked:      make(map[uint64]askedAdvice),
@@ -214,6 +214,7 @@
 	next := s.row
 	next.Counter++
 	next.Released = s.releasing
+	next.TermMillis = d.ownerTerm().Milliseconds()
 	transaction := keeper.Transaction{
 		Conditions: []keeper.Condition{{Key: ownerKey, Revision: s.revision}},
 		Writes:     append([]keeper.Write{{Key: ownerKey, Value: scheduler.EncodeRow(next)}}, s.forgetting...),
@@ -225,47 +226,27 @@
 	s.goDo(func() { s.write(next, batch, transaction) })
 }
 
-// attempt is one sending of a transaction.
-type attempt struct {
-	result keeper.TransactResult
-	err    error
-}
-
 // write sends a transaction until its fate is known. The same bytes are sent
-// each time: of several that were performed, also late, only one can count. A
-// sending without an answer is followed by the next before it has timed out.
+// each time: of several that were performed, also late, only one can count.
 func (s *session) write(next ownerRow, batch *scheduler.Batch, transaction keeper.Transaction) {
 	d := s.dispatcher
 	sentAt := d.clock.Now()
-	attempts := make(chan attempt, maxAttempts)
-	open := 0
 	for s.ctx.Err() == nil {
-		if open < maxAttempts {
-			open++
-			d.counters.commits.Add(1)
-			s.goDo(func() {
-				attempts <- withTimeout(s.ctx, storeTimeout, func(ctx context.Context) attempt {
-					result, err := d.platform.Transact(ctx, transaction)
-					return attempt{result, err}
-				})
-			})
-		}
-		got, answered := await(s.ctx, attempts, max(hedgeDelay, hedgeFactor*d.counters.commitLatency()))
-		if !answered {
-			continue
-		}
-		open--
-		if got.err != nil {
+		ctx, cancel := context.WithTimeout(s.ctx, storeTimeout)
+		result, err := d.store.Transact(ctx, transaction)
+		cancel()
+		d.counters.commits.Add(1)
+		if err != nil {
 			d.counters.commitsFailed.Add(1)
 			if !sleep(s.ctx, retryInterval) {
 				return
 			}
 			continue
 		}
-		revision, mine := got.result.Revision, got.result.Committed
+		revision, mine := result.Revision, result.Committed
 		if !mine {
 			var current keeper.Row
-			current, mine = conflictAt(got.result, ownerKey, transaction.Writes[0].Value)
+			current, mine = conflictAt(result, ownerKey, transaction.Writes[0].Value)
 			revision = current.Revision
 		}
 		s.post(func() { s.written(next, batch, revision, mine, sentAt) })
@@ -273,31 +254,6 @@
 	}
 }
 
-// Bounds of sending a commit again.
-const (
-	// hedgeDelay and hedgeFactor times the usual latency is when a commit
-	// without an answer is sent once more, the greater of both.
-	hedgeDelay  = 120 * time.Millisecond
-	hedgeFactor = 3
-	// maxAttempts bounds the sendings without an answer.
-	maxAttempts = 4
-)
-
-// await receives from a channel, for a while.
-func await[T any](ctx context.Context, channel <-chan T, wait time.Duration) (T, bool) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	var none T
-	select {
-	case value := <-channel:
-		return value, true
-	case <-timer.C:
-		return none, false
-	case <-ctx.Done():
-		return none, false
-	}
-}
-
 func (s *session) written(next ownerRow, batch *scheduler.Batch, revision int64, mine bool, sentAt time.Time) {
 	d := s.dispatcher
 	now := d.clock.Now()
@@ -310,9 +266,9 @@
 	s.row, s.revision = next, revision
 	s.committed = sentAt
 	s.mu.Lock()
-	s.validUntil = sentAt.Add(d.options.OwnerTerm)
+	s.validUntil = sentAt.Add(next.term())
 	s.mu.Unlock()
-	d.counters.observeCommit(now.Sub(sentAt))
+	d.counters.commitTime.Observe(now.Sub(sentAt))
 	s.core.Saved(now, batch)
 	s.tellStates(batch, revision)
 	if next.Released {
@@ -367,7 +323,7 @@
 
 func (s *session) loadOnce() (int64, error) {
 	d := s.dispatcher
-	ctx, cancel := context.WithTimeout(s.ctx, 4*storeTimeout)
+	ctx, cancel := context.WithTimeout(s.ctx, 3*storeTimeout)
 	defer cancel()
 	progress, _, err := d.platform.List(ctx, scheduler.ProgressPrefix)
 	if err != nil {
--- a/keeper/client.go
+++ b/keeper/client.go
@@ -283,6 +283,9 @@
 		}
 		return rest, nil
 	}
+	for _, pending := range group {
+		pending.sent = pending.sent || result.Resent
+	}
 	return append(resolveConflicts(group, result.Conflicts), rest...), nil
 }
 
--- /dev/null
+++ b/keeper/hedge.go
@@ -0,0 +1,112 @@
+package keeper
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Hedged is a Table that sends a transaction once more where its answer takes
+// much longer than usual. The conditions of a transaction make it harmless to
+// perform it twice: the second time they don't hold any more.
+type Hedged struct {
+	Table
+	// latency is a moving average of how long answers take, in nanoseconds.
+	latency atomic.Int64
+}
+
+// Bounds of sending a transaction again.
+const (
+	// hedgeDelay and hedgeFactor times the usual latency is when it is sent
+	// once more, the greater of both.
+	hedgeDelay  = 120 * time.Millisecond
+	hedgeFactor = 3
+	// maxAttempts bounds the sendings without an answer.
+	maxAttempts = 2
+	// averageWeight is how much of the average stays with each new value.
+	averageWeight = 0.7
+)
+
+// NewHedged returns a table that sends the transactions of another one again.
+func NewHedged(table Table) *Hedged { return &Hedged{Table: table} }
+
+// Latency returns how long answers have taken lately.
+func (h *Hedged) Latency() time.Duration { return time.Duration(h.latency.Load()) }
+
+// attempt is what came of one sending.
+type attempt struct {
+	result TransactResult
+	err    error
+	took   time.Duration
+}
+
+// Transact implements Table. The first answer counts. An error is ErrNotDone
+// only where every sending is proven not to have been done.
+func (h *Hedged) Transact(ctx context.Context, transaction Transaction) (TransactResult, error) {
+	attempts := make(chan attempt, maxAttempts)
+	send := func() {
+		sentAt := time.Now()
+		result, err := h.Table.Transact(ctx, transaction)
+		attempts <- attempt{result, err, time.Since(sentAt)}
+	}
+	sent, open := 0, 0
+	var failure error
+	for {
+		if sent < maxAttempts {
+			sent++
+			open++
+			go send()
+		}
+		timer := time.NewTimer(max(hedgeDelay, hedgeFactor*h.Latency()))
+		select {
+		case got := <-attempts:
+			timer.Stop()
+			open--
+			if got.err == nil {
+				h.observe(got.took)
+				got.result.Resent = sent > 1
+				return got.result, nil
+			}
+			failure = worse(failure, got.err)
+			if open == 0 {
+				return TransactResult{}, failure
+			}
+			sent = maxAttempts
+		case <-timer.C:
+			if sent == maxAttempts {
+				// Those that are open end with the context at the latest.
+				h.observe(hedgeFactor * max(hedgeDelay, h.Latency()))
+				return h.last(attempts, open, failure)
+			}
+		}
+	}
+}
+
+// last waits for the sendings that are open.
+func (h *Hedged) last(attempts <-chan attempt, open int, failure error) (TransactResult, error) {
+	for range open {
+		got := <-attempts
+		if got.err == nil {
+			h.observe(got.took)
+			got.result.Resent = true
+			return got.result, nil
+		}
+		failure = worse(failure, got.err)
+	}
+	return TransactResult{}, failure
+}
+
+// worse returns the error that leaves more open.
+func worse(a, b error) error {
+	if a == nil || errors.Is(a, ErrNotDone) {
+		return b
+	}
+	return a
+}
+
+func (h *Hedged) observe(took time.Duration) {
+	before := float64(h.latency.Load())
+	h.latency.Store(int64(averageWeight*before + (1-averageWeight)*float64(took)))
+}
--- a/keeper/table.go
+++ b/keeper/table.go
@@ -59,6 +59,9 @@
 	// Conflicts are the current rows at the conditions that did not hold; an
 	// absent row has Revision 0.
 	Conflicts []Row
+	// Resent tells that the transaction was sent more than once, so that the
+	// rows in Conflicts may be those that it wrote itself.
+	Resent bool `json:"-"`
 }
 
 // ReadRequest asks for single rows and for all rows below prefixes.
