Ask for advice about as many workers as a step is likely to need

Change: workers with the most room first, until their room times the share that is usually allowed is twice what the step needs, at least 12. Entries with few cores leave an ownerless cell to stronger ones for a moment.

--- a/cmd/kumquatstall/serve.go
+++ b/cmd/kumquatstall/serve.go
@@ -93,6 +93,7 @@
 		Self:            site.EntryID,
 		DataCentre:      site.DataCentre,
 		Address:         site.Listen.Links,
+		Cores:           site.Limits.Cores,
 		LongestLease:    configurer.Millis(site.Timing.LongestLeaseMillis),
 		WritesPerSecond: site.Store.WritesPerSecond * shareOfStore,
 		ReadsPerSecond:  site.Store.ReadsPerSecond * shareOfStore,
--- a/configurer/site.go
+++ b/configurer/site.go
@@ -55,6 +55,8 @@
 	// MemoryMB is what the process may use, in binary megabytes; 0 means
 	// unbounded.
 	MemoryMB int64 `yaml:"MemoryMB,omitempty"`
+	// Cores is what the process gets of processors; 0 means 1.
+	Cores float64 `yaml:"Cores,omitempty"`
 }
 
 // LoadSite reads and checks a file of settings. The error is a *ProblemsError
@@ -104,6 +106,7 @@
 	c.need(s.Timing.GraceSeconds >= 0 && s.Timing.GraceSeconds <= maxGraceSeconds, "Timing.GraceSeconds", "between 0 and 3600")
 	c.need(s.Timing.LongestLeaseMillis >= 0 && s.Timing.LongestLeaseMillis <= maxMillis, "Timing.LongestLeaseMillis", "a time of at least 0")
 	c.need(s.Limits.MemoryMB >= 0, "Limits.MemoryMB", "at least 0")
+	c.need(s.Limits.Cores >= 0, "Limits.Cores", "at least 0")
 	levels := []string{"", "debug", "info", "warn", "error"}
 	c.need(slices.Contains(levels, s.Log.Level), "Log.Level", "one of debug, info, warn, error")
 }
--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -14,9 +14,12 @@
 
 // Intervals of claiming.
 const (
-	claimInterval = 100 * time.Millisecond
+	claimInterval = 50 * time.Millisecond
 	// claimSpread draws claimants apart, so that few meet.
-	claimSpread = 60 * time.Millisecond
+	claimSpread = 30 * time.Millisecond
+	// claimDelay, divided by its cores, is for how long an entry leaves a cell
+	// without an owner to stronger ones.
+	claimDelay = 30 * time.Millisecond
 	// ownerMargin is kept between the time at which an owner stops giving
 	// orders and the time at which others may claim.
 	ownerMargin = 200 * time.Millisecond
@@ -24,12 +27,21 @@
 
 // claimLoop claims the cell when nobody owns it, and owns it for a session.
 func (d *Dispatcher) claimLoop() {
+	var freeSince time.Time
 	for d.pause(claimInterval + rand.N(claimSpread)) {
 		owner := d.board.ownerView()
 		d.linkOwner(owner)
 		if d.draining.Load() || !d.storeInTouch() || !d.mayClaim(owner) {
+			freeSince = time.Time{}
 			continue
 		}
+		if freeSince.IsZero() {
+			freeSince = d.clock.Now()
+		}
+		if d.clock.Now().Sub(freeSince) < time.Duration(float64(claimDelay)/d.options.Cores) {
+			continue
+		}
+		freeSince = time.Time{}
 		claimedAt := d.clock.Now()
 		row, revision, ok := d.claim(owner)
 		if !ok {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -90,6 +90,9 @@
 	// OwnerTerm is how long an owner's row stands without renewal before
 	// others may claim; default 0.8 s.
 	OwnerTerm time.Duration
+	// Cores is what the host has of processors; where it has less, it leaves
+	// the cell to others for longer. 0 means 1.
+	Cores float64
 	// LongestLease is the longest that a worker grants; default 10 s.
 	LongestLease time.Duration
 	// WritesPerSecond bounds this entry's writes; default 60.
@@ -104,6 +107,9 @@
 	if o.OwnerTerm <= 0 {
 		o.OwnerTerm = 800 * time.Millisecond
 	}
+	if o.Cores <= 0 {
+		o.Cores = 1
+	}
 	if o.LongestLease <= 0 {
 		o.LongestLease = 10 * time.Second
 	}
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -36,6 +36,18 @@
 	// ticketMargin is how long before its end a ticket isn't used any more:
 	// an order has to reach the worker.
 	ticketMargin = 100 * time.Millisecond
+	// minAsked is how many workers a question names at least: few more cost
+	// little, and rooms change until the answer is there.
+	minAsked = 12
+	// askedFactor is how many times the room that a step needs is asked
+	// about.
+	askedFactor = 2
+	// firstShare is the share of workers taken to be allowed before any
+	// answer, leastShare the least that is counted on.
+	firstShare = 0.4
+	leastShare = 0.05
+	// shareWeight is how much of the learned share stays with each answer.
+	shareWeight = 0.9
 	// retryAdvice separates a question that failed from the next.
 	retryAdvice = 100 * time.Millisecond
 )
@@ -94,30 +106,58 @@
 	return orders
 }
 
-// toAsk returns the workers to ask about for a step: those not asked about
-// yet, else those with room whose tickets have aged.
+// toAsk returns the workers to ask about for a step: those with room whose
+// tickets have aged, else those not asked about yet, the ones with most room
+// first. Each worker in a question costs time, so no more are named than the
+// step is likely to need.
 func (c *Core) toAsk(s *step) []requester.HostID {
 	if len(s.advice.stale) > 0 {
 		return s.advice.stale[:min(len(s.advice.stale), maxAsked)]
 	}
-	var unknown []*worker
+	type option struct {
+		worker *worker
+		slots  int
+	}
+	var options []option
 	for _, w := range c.order {
 		if !s.advice.asked[w.info.HostID] && w.usable() && c.suits(s, w) {
-			unknown = append(unknown, w)
+			options = append(options, option{w, c.slots(s, w)})
 		}
 	}
-	// Those with the most room first, where not all can be asked about.
-	if len(unknown) > maxAsked {
-		slices.SortStableFunc(unknown, func(a, b *worker) int { return cmp.Compare(b.room().MilliCores, a.room().MilliCores) })
-		unknown = unknown[:maxAsked]
-	}
-	ids := make([]requester.HostID, len(unknown))
-	for i, w := range unknown {
-		ids[i] = w.info.HostID
+	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(b.slots, a.slots) })
+	wanted := askedFactor * float64(s.waiting) / c.allowedShare(s.job().spec.Queue)
+	var ids []requester.HostID
+	slots := 0.0
+	for _, o := range options {
+		if len(ids) >= minAsked && slots >= wanted || len(ids) == maxAsked {
+			break
+		}
+		ids = append(ids, o.worker.info.HostID)
+		slots += float64(min(o.slots, s.waiting))
 	}
 	return ids
 }
 
+// allowedShare is the share of workers that may run a queue's steps, as seen
+// so far.
+func (c *Core) allowedShare(queue string) float64 {
+	if share, ok := c.shares[queue]; ok {
+		return max(share, leastShare)
+	}
+	return firstShare
+}
+
+func (c *Core) learnShare(queue string, asked, allowed int) {
+	if asked == 0 {
+		return
+	}
+	seen := float64(allowed) / float64(asked)
+	if before, ok := c.shares[queue]; ok {
+		seen = shareWeight*before + (1-shareWeight)*seen
+	}
+	c.shares[queue] = seen
+}
+
 // Advised takes in the answer to a question. failed tells that there was none.
 func (c *Core) Advised(now time.Time, order AdviceOrder, allowed []Ticket, failed bool) {
 	c.now = now
@@ -135,9 +175,16 @@
 		s.advice.asked = make(map[requester.HostID]bool)
 		s.advice.tickets = make(map[requester.HostID]ticket)
 	}
+	fresh := 0
 	for _, id := range order.Workers {
+		if !s.advice.asked[id] {
+			fresh++
+		}
 		s.advice.asked[id] = true
 	}
+	if fresh == len(order.Workers) {
+		c.learnShare(s.job().spec.Queue, fresh, len(allowed))
+	}
 	// The service issued the tickets after it had decided, which takes most
 	// of the time of the question; the earliest moment is counted from.
 	issued := order.AskedAt
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -62,7 +62,9 @@
 	// timed are jobs with occurrences still to begin.
 	timed map[requester.JobID]*job
 	// asking are the steps about which advice is being asked.
-	asking  map[StepName]*step
+	asking map[StepName]*step
+	// shares is the share of workers that may run a queue's steps, learned.
+	shares  map[string]float64
 	orders  Orders
 	changed bool
 	// fenced tells that a worker has seen a higher fence.
@@ -116,6 +118,7 @@
 		workers:  make(map[requester.HostID]*worker),
 		timed:    make(map[requester.JobID]*job),
 		asking:   make(map[StepName]*step),
+		shares:   make(map[string]float64),
 	}
 }
 
