Take a slow answer of the store into account at once; log how busy the cell is

Found with a new line of the log, once a second, on how busy the cell is. Change: the latency that terms follow is the highest of late, and falls slowly.

--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -31,6 +31,8 @@
 	lookTimeout = 700 * time.Millisecond
 	// listInterval separates reads of the list of workers.
 	listInterval = 700 * time.Millisecond
+	// loadInterval separates lines in the log on how busy the cell is.
+	loadInterval = time.Second
 	// forgetInterval separates removals of the rows of jobs long ended.
 	forgetInterval = 5 * time.Second
 	// forgetLimit bounds the rows removed at once.
@@ -63,6 +65,7 @@
 	releasing  bool
 	ended      bool
 	tickedAt   time.Time
+	loadAt     time.Time
 	advisers   advisers
 	asked      map[uint64]askedAdvice
 	askNumber  uint64
@@ -137,6 +140,7 @@
 	s.carryOut(s.core.Tick(now))
 	s.ask(now)
 	s.logNotes()
+	s.logLoad(now)
 	s.forget(now)
 	if s.core.Dirty() {
 		return tickInterval
@@ -509,6 +513,21 @@
 	}
 }
 
+// logLoad says once a second how busy the cell is.
+func (s *session) logLoad(now time.Time) {
+	if now.Sub(s.loadAt) < loadInterval {
+		return
+	}
+	s.loadAt = now
+	load, stats := s.core.Load(), s.core.Stats()
+	s.dispatcher.log.Info().Str("Event", "load").Int64("Epoch", s.row.Epoch).
+		Int("Jobs", load.Jobs).Int("OpenTasks", load.OpenTasks).Int("Unasked", load.Unasked).Int("Runs", load.RunningRuns).
+		Int("Workers", load.Workers).Int("Silent", load.Silent).Int("Asking", len(s.asked)).Int("Advisers", len(s.advisers)).
+		Int64("UsedMilliCores", load.Used.MilliCores).Int64("MilliCores", load.Total.MilliCores).
+		Int64("Starts", stats.Starts).Int64("Done", stats.Done).Int64("Failed", stats.Failed).Int64("Lapsed", stats.Lapsed).Int64("AdviceAsked", stats.AdviceAsked).Int64("AdviceFailed", s.dispatcher.counters.adviceFailed.Load()).Dur("StoreMillis", s.dispatcher.store.Latency()).
+		Send()
+}
+
 func sleep(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/keeper/hedge.go
+++ b/keeper/hedge.go
@@ -13,7 +13,7 @@
 // perform it twice: the second time they don't hold any more.
 type Hedged struct {
 	Table
-	// latency is a moving average of how long answers take, in nanoseconds.
+	// latency is how long answers have taken lately, in nanoseconds.
 	latency atomic.Int64
 }
 
@@ -25,8 +25,9 @@
 	hedgeFactor = 3
 	// maxAttempts bounds the sendings without an answer.
 	maxAttempts = 2
-	// averageWeight is how much of the average stays with each new value.
-	averageWeight = 0.7
+	// latencyWeight is how much of the latency stays with each faster answer;
+	// a slower one counts at once.
+	latencyWeight = 0.7
 )
 
 // NewHedged returns a table that sends the transactions of another one again.
@@ -107,6 +108,6 @@
 }
 
 func (h *Hedged) observe(took time.Duration) {
-	before := float64(h.latency.Load())
-	h.latency.Store(int64(averageWeight*before + (1-averageWeight)*float64(took)))
+	calmer := time.Duration(latencyWeight * float64(h.latency.Load()))
+	h.latency.Store(int64(max(took, calmer)))
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -283,24 +283,42 @@
 
 // Load describes how busy the cell is.
 type Load struct {
-	Jobs        int
+	Jobs int
+	// OpenTasks want a worker; Unasked are those of steps without advice.
 	OpenTasks   int
+	Unasked     int
 	RunningRuns int
-	Used        requester.Resources
-	Total       requester.Resources
+	// Workers may get tasks, Silent of them don't answer.
+	Workers int
+	Silent  int
+	Used    requester.Resources
+	Total   requester.Resources
 }
 
 // Load returns how busy the cell is.
 func (c *Core) Load() Load {
-	load := Load{Jobs: len(c.jobs)}
+	var load Load
+	for _, j := range c.jobs {
+		if !j.state.Ended() {
+			load.Jobs++
+		}
+	}
 	for _, s := range c.open {
 		load.OpenTasks += s.waiting
+		if s.job().spec.Advice != nil && s.advice.asked == nil {
+			load.Unasked += s.waiting
+		}
 	}
 	for _, w := range c.order {
 		load.RunningRuns += len(w.runs)
 		load.Used = load.Used.Add(w.used)
-		if w.usable() {
-			load.Total = load.Total.Add(w.info.Total)
+		if !w.usable() {
+			continue
+		}
+		load.Workers++
+		load.Total = load.Total.Add(w.info.Total)
+		if w.silent > 0 {
+			load.Silent++
 		}
 	}
 	return load
