Refuse at once while every write fails; send a lost write more often

Change: after 0.3 s of failing writes the store is tried for 60 ms a request; up to four sendings, each waiting twice as long as the one before.

--- a/dispatcher/accept.go
+++ b/dispatcher/accept.go
@@ -34,6 +34,13 @@
 // after that.
 const acceptTimeout = 1200 * time.Millisecond
 
+// A store that has failed every transaction for failingAfter is tried no longer
+// than failingTimeout for one request; that finds out when it is back.
+const (
+	failingAfter   = 300 * time.Millisecond
+	failingTimeout = 60 * time.Millisecond
+)
+
 // Submit stores a job. A job of that id that is there already is left as it
 // is: the request counts as done.
 func (d *Dispatcher) Submit(ctx context.Context, job scheduler.Job) Outcome {
@@ -64,9 +71,18 @@
 	return OutcomeDone
 }
 
+// patience is how long the store is tried for a request. While it fails every
+// transaction, a caller is told so at once.
+func (d *Dispatcher) patience() time.Duration {
+	if d.store.Failing(time.Now()) > failingAfter {
+		return failingTimeout
+	}
+	return acceptTimeout + 2*d.storeLatency()
+}
+
 // transact runs a transaction and tells whether its fate is known.
 func (d *Dispatcher) transact(ctx context.Context, transaction keeper.Transaction) (keeper.TransactResult, Outcome) {
-	deadline := time.Now().Add(acceptTimeout + 2*d.storeLatency())
+	deadline := time.Now().Add(d.patience())
 	if limit, ok := ctx.Deadline(); ok && limit.Before(deadline) {
 		deadline = limit
 	}
--- a/keeper/client.go
+++ b/keeper/client.go
@@ -44,6 +44,10 @@
 	// burstSeconds is how much of its rate a client that was idle may use at
 	// once, in seconds, so that single transactions go without delay.
 	burstSeconds = 0.5
+	// firstRetry and lastRetry separate attempts at a service that fails. What
+	// is overdue is answered no later than after the next one.
+	firstRetry = 20 * time.Millisecond
+	lastRetry  = 150 * time.Millisecond
 	// maxGroup bounds the transactions that are committed together.
 	maxGroup = 128
 )
@@ -214,8 +218,8 @@
 func (c *Client) writeLoop(ctx context.Context) {
 	var waiting []*pendingTransaction
 	retry := backoff.NewExponentialBackOff()
-	retry.InitialInterval = 20 * time.Millisecond
-	retry.MaxInterval = 500 * time.Millisecond
+	retry.InitialInterval = firstRetry
+	retry.MaxInterval = lastRetry
 	for {
 		if len(waiting) == 0 {
 			select {
--- a/keeper/hedge.go
+++ b/keeper/hedge.go
@@ -15,6 +15,9 @@
 	Table
 	// latency is how long answers have taken lately, in nanoseconds.
 	latency atomic.Int64
+	// failingSince is when sendings began to fail, one after another; zero
+	// after one that didn't.
+	failingSince atomic.Pointer[time.Time]
 }
 
 // Bounds of sending a transaction again.
@@ -23,8 +26,10 @@
 	// once more, the greater of both.
 	hedgeDelay  = 120 * time.Millisecond
 	hedgeFactor = 3
+	// Each further sending waits twice as long as the one before.
+	hedgeGrowth = 2
 	// maxAttempts bounds the sendings without an answer.
-	maxAttempts = 2
+	maxAttempts = 4
 	// latencyWeight is how much of the latency stays with each faster answer;
 	// a slower one counts at once.
 	latencyWeight = 0.7
@@ -36,6 +41,27 @@
 // Latency returns how long answers have taken lately.
 func (h *Hedged) Latency() time.Duration { return time.Duration(h.latency.Load()) }
 
+// Failing returns for how long every transaction has failed.
+func (h *Hedged) Failing(now time.Time) time.Duration {
+	if since := h.failingSince.Load(); since != nil {
+		return now.Sub(*since)
+	}
+	return 0
+}
+
+// Transact implements Table. The first answer counts. An error is ErrNotDone
+// only where every sending is proven not to have been done.
+func (h *Hedged) Transact(ctx context.Context, transaction Transaction) (TransactResult, error) {
+	result, err := h.transact(ctx, transaction)
+	if err == nil {
+		h.failingSince.Store(nil)
+	} else {
+		now := time.Now()
+		h.failingSince.CompareAndSwap(nil, &now)
+	}
+	return result, err
+}
+
 // attempt is what came of one sending.
 type attempt struct {
 	result TransactResult
@@ -43,9 +69,7 @@
 	took   time.Duration
 }
 
-// Transact implements Table. The first answer counts. An error is ErrNotDone
-// only where every sending is proven not to have been done.
-func (h *Hedged) Transact(ctx context.Context, transaction Transaction) (TransactResult, error) {
+func (h *Hedged) transact(ctx context.Context, transaction Transaction) (TransactResult, error) {
 	attempts := make(chan attempt, maxAttempts)
 	send := func() {
 		sentAt := time.Now()
@@ -53,6 +77,7 @@
 		attempts <- attempt{result, err, time.Since(sentAt)}
 	}
 	sent, open := 0, 0
+	wait := max(hedgeDelay, hedgeFactor*h.Latency())
 	var failure error
 	for {
 		if sent < maxAttempts {
@@ -60,7 +85,7 @@
 			open++
 			go send()
 		}
-		timer := time.NewTimer(max(hedgeDelay, hedgeFactor*h.Latency()))
+		timer := time.NewTimer(wait)
 		select {
 		case got := <-attempts:
 			timer.Stop()
@@ -78,9 +103,9 @@
 		case <-timer.C:
 			if sent == maxAttempts {
 				// Those that are open end with the context at the latest.
-				h.observe(hedgeFactor * max(hedgeDelay, h.Latency()))
 				return h.last(attempts, open, failure)
 			}
+			wait *= hedgeGrowth
 		}
 	}
 }
