Start steps early while the store is slow; read the owner's row before a claim

Cause: with the store slow, tickets aged while the store was told that a step begins, and others claimed a cell whose owner's commit was on its way. Change: the owner's row says that steps start early; a successor then takes all of them as begun. A claimant reads the row first, which takes as long as the news of a renewal.

--- a/dispatcher/accept.go
+++ b/dispatcher/accept.go
@@ -62,10 +62,7 @@
 		return outcome
 	}
 	if result.Committed {
-		change := Change{Row: keeper.Row{Key: stateKey, Value: state, Revision: result.Revision}}
-		if err := d.board.take(d.clock.Now(), change); err != nil {
-			d.log.Error().Str("Event", "row").Str("Key", stateKey).Err(err).Msg("row can't be read")
-		}
+		d.takeRow(Change{Row: keeper.Row{Key: stateKey, Value: state, Revision: result.Revision}})
 		d.tellOwner(&encoder.JobStored{Job: job})
 	}
 	return OutcomeDone
--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -24,6 +24,8 @@
 	// TermMillis is for how long after the row was written the holder may
 	// give orders.
 	TermMillis int64
+	// Eager tells that steps may be started before they are stored as begun.
+	Eager bool
 	// Released tells that the holder has given the cell up.
 	Released bool
 }
--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -42,12 +42,15 @@
 			continue
 		}
 		freeSince = time.Time{}
+		if !d.stands(owner) {
+			continue
+		}
 		claimedAt := d.clock.Now()
 		row, revision, ok := d.claim(owner)
 		if !ok {
 			continue
 		}
-		s := newSession(d, row, revision, claimedAt)
+		s := newSession(d, row, revision, claimedAt, owner.row.Eager)
 		d.session.Store(s)
 		// Links that came up before have told no session.
 		for _, id := range d.linkedPeers() {
@@ -73,6 +76,35 @@
 	return d.refusedEpoch.Load() == owner.row.Epoch
 }
 
+// stands reports whether the owner's row is still the one that was seen. Where
+// the store is slow, the read takes as long as the news of a renewal.
+func (d *Dispatcher) stands(owner ownerView) bool {
+	if !owner.known || owner.row.Released {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, storeTimeout)
+	defer cancel()
+	askedAt := time.Now()
+	result, err := d.platform.Read(ctx, keeper.ReadRequest{Keys: []string{ownerKey}})
+	if err != nil {
+		d.log.Warn().Str("Event", "claim").Err(err).Msg("owner's row can't be read")
+		return false
+	}
+	d.observeStore(time.Since(askedAt))
+	if len(result.Rows) != 1 {
+		return false
+	}
+	d.takeRow(Change{Row: result.Rows[0]})
+	return result.Rows[0].Revision == owner.revision
+}
+
+// takeRow takes a row into the board.
+func (d *Dispatcher) takeRow(change Change) {
+	if err := d.board.take(d.clock.Now(), change); err != nil {
+		d.log.Error().Str("Event", "row").Str("Key", change.Row.Key).Err(err).Msg("row can't be read")
+	}
+}
+
 // ownerTerm is for how long an owner may give orders after a commit. It is
 // longer where commits take long, so that it spans some of them.
 func (d *Dispatcher) ownerTerm() time.Duration {
@@ -88,7 +120,7 @@
 
 // claim raises the epoch by compare-and-set.
 func (d *Dispatcher) claim(owner ownerView) (ownerRow, int64, bool) {
-	row := ownerRow{Holder: d.options.Self, Address: d.options.Address, Epoch: owner.row.Epoch + 1, TermMillis: d.ownerTerm().Milliseconds()}
+	row := ownerRow{Holder: d.options.Self, Address: d.options.Address, Epoch: owner.row.Epoch + 1, TermMillis: d.ownerTerm().Milliseconds(), Eager: owner.row.Eager}
 	value := scheduler.EncodeRow(row)
 	ctx, cancel := context.WithTimeout(d.ctx, storeTimeout)
 	defer cancel()
@@ -103,18 +135,13 @@
 	revision := result.Revision
 	if !result.Committed {
 		current, mine := conflictAt(result, ownerKey, value)
-		if err := d.board.take(d.clock.Now(), Change{Row: current}); err != nil {
-			d.log.Error().Str("Event", "row").Str("Key", ownerKey).Err(err).Msg("row can't be read")
-		}
+		d.takeRow(Change{Row: current})
 		if !mine {
 			return row, 0, false
 		}
 		revision = current.Revision
 	}
-	change := Change{Row: keeper.Row{Key: ownerKey, Value: value, Revision: revision}}
-	if err := d.board.take(d.clock.Now(), change); err != nil {
-		d.log.Error().Str("Event", "row").Str("Key", ownerKey).Err(err).Msg("row can't be read")
-	}
+	d.takeRow(Change{Row: keeper.Row{Key: ownerKey, Value: value, Revision: revision}})
 	return row, revision, true
 }
 
--- a/dispatcher/follow.go
+++ b/dispatcher/follow.go
@@ -106,11 +106,8 @@
 		return after, err
 	}
 	d.observeStore(time.Since(askedAt) - watchWait)
-	now := d.clock.Now()
 	for _, change := range changes {
-		if err := d.board.take(now, change); err != nil {
-			d.log.Error().Str("Event", "row").Str("Key", change.Row.Key).Err(err).Msg("row can't be read")
-		}
+		d.takeRow(change)
 	}
 	return revision, nil
 }
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -71,7 +71,7 @@
 	askNumber  uint64
 }
 
-func newSession(d *Dispatcher, row ownerRow, revision int64, claimedAt time.Time) *session {
+func newSession(d *Dispatcher, row ownerRow, revision int64, claimedAt time.Time, earlierEager bool) *session {
 	ctx, cancel := context.WithCancel(d.ctx)
 	now := d.clock.Now()
 	s := &session{
@@ -79,6 +79,7 @@
 		core: scheduler.New(scheduler.Options{
 			Epoch:        row.Epoch,
 			LongestLease: d.options.LongestLease,
+			EarlierEager: earlierEager,
 			EarlierTerm:  maxOwnerTerm + ownerMargin,
 		}, now),
 		ctx:        ctx,
@@ -219,6 +220,7 @@
 	next.Counter++
 	next.Released = s.releasing
 	next.TermMillis = d.ownerTerm().Milliseconds()
+	next.Eager = s.eagerNext()
 	transaction := keeper.Transaction{
 		Conditions: []keeper.Condition{{Key: ownerKey, Revision: s.revision}},
 		Writes:     append([]keeper.Write{{Key: ownerKey, Value: scheduler.EncodeRow(next)}}, s.forgetting...),
@@ -230,6 +232,29 @@
 	s.goDo(func() { s.write(next, batch, transaction) })
 }
 
+// eagerNext tells whether steps may start before they are stored as begun. With
+// a slow store they do, as the workers' tickets would have aged otherwise. A
+// successor that finds this in the owner's row takes every step as begun.
+func (s *session) eagerNext() bool {
+	latency := s.dispatcher.store.Latency()
+	if !s.row.Eager {
+		return latency > eagerFrom
+	}
+	if !s.loaded || latency > eagerUntil {
+		return true
+	}
+	// From now on nothing starts early; once all that did is stored, the row
+	// may say so.
+	s.core.SetEager(false)
+	return s.core.Dirty()
+}
+
+// The latencies of the store from which and until which steps start early.
+const (
+	eagerFrom  = 200 * time.Millisecond
+	eagerUntil = 80 * time.Millisecond
+)
+
 // write sends a transaction until its fate is known. The same bytes are sent
 // each time: of several that were performed, also late, only one can count.
 func (s *session) write(next ownerRow, batch *scheduler.Batch, transaction keeper.Transaction) {
@@ -274,6 +299,9 @@
 	s.mu.Unlock()
 	d.counters.commitTime.Observe(now.Sub(sentAt))
 	s.core.Saved(now, batch)
+	if s.loaded && next.Eager && d.store.Latency() > eagerUntil {
+		s.core.SetEager(true)
+	}
 	s.tellStates(batch, revision)
 	if next.Released {
 		s.ended = true
--- a/dispatcher/tell.go
+++ b/dispatcher/tell.go
@@ -54,11 +54,7 @@
 }
 
 func (d *Dispatcher) takeStates(message *encoder.StatesStored) {
-	now := d.clock.Now()
 	for _, state := range message.States {
-		change := Change{Row: keeper.Row{Key: state.Key, Value: state.Value, Revision: message.Revision}}
-		if err := d.board.take(now, change); err != nil {
-			d.log.Error().Str("Event", "row").Str("Key", state.Key).Err(err).Msg("row can't be read")
-		}
+		d.takeRow(Change{Row: keeper.Row{Key: state.Key, Value: state.Value, Revision: message.Revision}})
 	}
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -16,6 +16,9 @@
 	LeaseTerm time.Duration
 	// LongestLease is what any owner may have granted; default 10 s.
 	LongestLease time.Duration
+	// EarlierEager tells that the earlier owner may have started steps that
+	// aren't stored as begun.
+	EarlierEager bool
 	// EarlierTerm is how long an earlier owner may have gone on giving
 	// orders after this one took over; default 3 s.
 	EarlierTerm time.Duration
@@ -63,6 +66,8 @@
 	timed map[requester.JobID]*job
 	// asking are the steps about which advice is being asked.
 	asking map[StepName]*step
+	// eager lets steps start before they are stored as begun.
+	eager bool
 	// shares is the share of workers that may run a queue's steps, learned.
 	shares  map[string]float64
 	orders  Orders
@@ -122,6 +127,11 @@
 	}
 }
 
+// SetEager lets steps start before they are stored as begun, or not. Before it
+// is set, the store must tell so; afterwards, until all that was begun is
+// stored.
+func (c *Core) SetEager(eager bool) { c.eager = eager }
+
 // Fenced reports whether a worker has refused an order for its fence, so that
 // another owner must have taken over.
 func (c *Core) Fenced() bool { return c.fenced }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -72,7 +72,7 @@
 	settled := c.Settled()
 	steps := make([]*step, 0, len(c.open))
 	for _, s := range c.open {
-		if s.waiting > 0 && s.begun() && (settled || !s.hidden) {
+		if s.waiting > 0 && c.mayBegin(s) && (settled || !s.hidden) {
 			steps = append(steps, s)
 		}
 	}
@@ -438,7 +438,7 @@
 		return "too many tasks of the step on the worker"
 	case s.def.Fills && w.serves() || s.def.TargetMillis > 0 && w.fills():
 		return "tasks that fill beside tasks with a target"
-	case !s.begun():
+	case !c.mayBegin(s):
 		return "the step is not stored as begun"
 	case s.hidden && !c.Settled():
 		return "an earlier owner's run may be hidden"
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -136,9 +136,16 @@
 		if len(progress.Occurrences) > 0 {
 			o.restore(progress.Occurrences[0].Steps)
 		}
+		if c.options.EarlierEager {
+			o.hide()
+		}
 	} else {
 		for _, stored := range progress.Occurrences {
-			c.newOccurrence(j, stored.Number).restore(stored.Steps)
+			o := c.newOccurrence(j, stored.Number)
+			o.restore(stored.Steps)
+			if c.options.EarlierEager {
+				o.hide()
+			}
 		}
 		c.timed[j.name()] = j
 	}
@@ -212,6 +219,13 @@
 	}
 }
 
+// hide notes that an earlier owner may have started any step.
+func (o *occurrence) hide() {
+	for _, s := range o.steps {
+		s.hidden = true
+	}
+}
+
 func bitSet(bits []byte, index int) bool {
 	return index/8 < len(bits) && bits[index/8]&(1<<(index%8)) != 0
 }
@@ -296,9 +310,11 @@
 	}
 }
 
-// begun reports whether the job's stored rows tell that tasks of the step may
-// be started.
-func (s *step) begun() bool { return s.begunVersion > 0 && s.begunVersion <= s.job().saved }
+// mayBegin reports whether the store tells that tasks of the step may be
+// started, by the job's rows or for all.
+func (c *Core) mayBegin(s *step) bool {
+	return s.begunVersion > 0 && (c.eager || s.begunVersion <= s.job().saved)
+}
 
 func (o *occurrence) predecessorsDone(s *step) bool {
 	for _, earlier := range s.def.After {
