Let jobs in through eight parts of the store

Cause: with the store slow, the inserts of all entries and the owner's commits waited for each other in one part, which performs its transactions one by one and turns away what waits for more than a second. Change: a job's row lies in one of eight parts by its id; the owner alone writes states and progress. An ended job keeps its row for 30 s and its progress, which tells its end, until that row is gone: no successor can take it for unfinished.

--- a/cmd/kumquatstall/serve.go
+++ b/cmd/kumquatstall/serve.go
@@ -41,7 +41,7 @@
 	memoryShare = 0.7
 	// reloadInterval is how often the settings file is looked at.
 	reloadInterval = 2 * time.Second
-	// shareOfStore is the share of the store's rates that one entry uses.
+	// shareOfStore is the share of the store's rate of writes that one entry uses.
 	shareOfStore      = 0.15
 	headerTimeout     = 5 * time.Second
 	callerIdleTimeout = 60 * time.Second
@@ -96,7 +96,6 @@
 		Cores:           site.Limits.Cores,
 		LongestLease:    configurer.Millis(site.Timing.LongestLeaseMillis),
 		WritesPerSecond: site.Store.WritesPerSecond * shareOfStore,
-		ReadsPerSecond:  site.Store.ReadsPerSecond * shareOfStore,
 	}, s.client, nil, s.log)
 	expvar.Publish("kumquatstall", expvarText(s.dispatcher.Metrics))
 	links := http.NewServeMux()
--- a/configurer/site.go
+++ b/configurer/site.go
@@ -36,10 +36,9 @@
 // SiteStore is the store that keeps what must last.
 type SiteStore struct {
 	Address netip.AddrPort `yaml:"Address"`
-	// WritesPerSecond and ReadsPerSecond are what all entries together may
-	// ask of the store; 0 means the default of one entry.
+	// WritesPerSecond is what all entries together may write; 0 means the
+	// default of one entry.
 	WritesPerSecond float64 `yaml:"WritesPerSecond,omitempty"`
-	ReadsPerSecond  float64 `yaml:"ReadsPerSecond,omitempty"`
 }
 
 // SiteTiming holds times; 0 means the default.
@@ -102,7 +101,6 @@
 		c.need(a.address.IsValid(), a.key, "an IP address and port")
 	}
 	c.need(s.Store.WritesPerSecond >= 0, "Store.WritesPerSecond", "a rate of at least 0")
-	c.need(s.Store.ReadsPerSecond >= 0, "Store.ReadsPerSecond", "a rate of at least 0")
 	c.need(s.Timing.GraceSeconds >= 0 && s.Timing.GraceSeconds <= maxGraceSeconds, "Timing.GraceSeconds", "between 0 and 3600")
 	c.need(s.Timing.LongestLeaseMillis >= 0 && s.Timing.LongestLeaseMillis <= maxMillis, "Timing.LongestLeaseMillis", "a time of at least 0")
 	c.need(s.Limits.MemoryMB >= 0, "Limits.MemoryMB", "at least 0")
--- a/dispatcher/accept.go
+++ b/dispatcher/accept.go
@@ -51,23 +51,28 @@
 		return OutcomeUnavailable
 	}
 	job.AcceptedAt = time.Now().UTC().Truncate(time.Millisecond)
-	state := scheduler.EncodeRow(scheduler.StateRow{Queue: job.Queue, State: scheduler.StateQueued, Timed: job.Occurrences > 0})
-	jobKey, stateKey := scheduler.JobKey(job.JobID), scheduler.StateKey(job.JobID)
+	key := scheduler.JobKey(job.JobID)
 	transaction := keeper.Transaction{
-		Conditions: []keeper.Condition{{Key: jobKey}, {Key: stateKey}},
-		Writes:     []keeper.Write{{Key: jobKey, Value: scheduler.EncodeRow(job)}, {Key: stateKey, Value: state}},
+		Conditions: []keeper.Condition{{Key: key}},
+		Writes:     []keeper.Write{{Key: key, Value: scheduler.EncodeRow(job)}},
 	}
-	result, outcome := d.transact(ctx, transaction)
+	result, outcome := d.transact(ctx, scheduler.JobPart(job.JobID), transaction)
 	if outcome != OutcomeDone {
 		return outcome
 	}
 	if result.Committed {
-		d.takeRow(Change{Row: keeper.Row{Key: stateKey, Value: state, Revision: result.Revision}})
+		d.showQueued(job.JobID, job.Queue, job.Occurrences > 0, result.Revision)
 		d.tellOwner(&encoder.JobStored{Job: job})
 	}
 	return OutcomeDone
 }
 
+// showQueued shows a stored job whose state no owner has stored yet.
+func (d *Dispatcher) showQueued(id requester.JobID, queue string, timed bool, revision int64) {
+	value := scheduler.EncodeRow(scheduler.StateRow{Queue: queue, State: scheduler.StateQueued, Timed: timed})
+	d.takeRow(Change{Row: keeper.Row{Key: scheduler.StateKey(id), Value: value, Revision: revision}})
+}
+
 // patience is how long the store is tried for a request. While it fails every
 // transaction, a caller is told so at once.
 func (d *Dispatcher) patience() time.Duration {
@@ -78,7 +83,7 @@
 }
 
 // transact runs a transaction and tells whether its fate is known.
-func (d *Dispatcher) transact(ctx context.Context, transaction keeper.Transaction) (keeper.TransactResult, Outcome) {
+func (d *Dispatcher) transact(ctx context.Context, part int, transaction keeper.Transaction) (keeper.TransactResult, Outcome) {
 	deadline := time.Now().Add(d.patience())
 	if limit, ok := ctx.Deadline(); ok && limit.Before(deadline) {
 		deadline = limit
@@ -88,7 +93,7 @@
 		err    error
 	}
 	answered := make(chan answer, 1)
-	d.table.Transact(transaction, deadline, func(result keeper.TransactResult, err error) {
+	d.tables[part].Transact(transaction, deadline, func(result keeper.TransactResult, err error) {
 		answered <- answer{result, err}
 	})
 	got := <-answered
@@ -112,7 +117,7 @@
 		return OutcomeUnavailable
 	}
 	key := scheduler.CancelKey(id)
-	_, outcome = d.transact(ctx, keeper.Transaction{
+	_, outcome = d.transact(ctx, scheduler.JobPart(id), keeper.Transaction{
 		Conditions: []keeper.Condition{{Key: key}},
 		Writes:     []keeper.Write{{Key: key, Value: []byte{1}}},
 	})
@@ -132,19 +137,26 @@
 	var row scheduler.StateRow
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	result, err := d.platform.Read(ctx, keeper.ReadRequest{Keys: []string{scheduler.StateKey(id)}})
+	result, err := d.platform.Read(ctx, keeper.ReadRequest{Keys: []string{scheduler.JobKey(id), scheduler.StateKey(id)}})
 	if err != nil {
 		return row, OutcomeUnavailable
 	}
-	if len(result.Rows) == 0 {
+	for _, found := range result.Rows {
+		if found.Key == scheduler.StateKey(id) {
+			d.takeRow(Change{Row: found})
+			continue
+		}
+		var job scheduler.Job
+		if err := scheduler.DecodeRow(found.Value, &job); err != nil {
+			d.log.Error().Str("Event", "row").Str("Key", found.Key).Err(err).Msg("row can't be read")
+			return row, OutcomeUnavailable
+		}
+		d.showQueued(id, job.Queue, job.Occurrences > 0, found.Revision)
+	}
+	row, known := d.board.state(id)
+	if !known {
 		return row, OutcomeNotFound
 	}
-	change := Change{Row: result.Rows[0]}
-	if err := d.board.take(d.clock.Now(), change); err != nil {
-		d.log.Error().Str("Event", "row").Str("Key", change.Row.Key).Err(err).Msg("row can't be read")
-		return row, OutcomeUnavailable
-	}
-	row, _ = d.board.state(id)
 	return row, OutcomeDone
 }
 
--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -126,14 +126,6 @@
 	return b.pending[queue]
 }
 
-// stateRow returns the stored row of a job, nil where it isn't known.
-func (b *board) stateRow(id requester.JobID) []byte {
-	if row, ok := b.state(id); ok {
-		return scheduler.EncodeRow(row)
-	}
-	return nil
-}
-
 // replace takes in all rows at once, after changes may have been missed.
 func (b *board) replace(now time.Time, rows []keeper.Row, revision int64) error {
 	listed := make(map[string]bool, len(rows))
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -97,8 +97,6 @@
 	LongestLease time.Duration
 	// WritesPerSecond bounds this entry's writes; default 60.
 	WritesPerSecond float64
-	// ReadsPerSecond bounds this entry's reads of single rows; default 100.
-	ReadsPerSecond float64
 	// StateRetention is how long an ended job is shown; default 3 min.
 	StateRetention time.Duration
 }
@@ -116,9 +114,6 @@
 	if o.WritesPerSecond <= 0 {
 		o.WritesPerSecond = 60
 	}
-	if o.ReadsPerSecond <= 0 {
-		o.ReadsPerSecond = 100
-	}
 	if o.StateRetention <= 0 {
 		o.StateRetention = 3 * time.Minute
 	}
@@ -133,7 +128,8 @@
 	clock    Clock
 	board    *board
 	store    *keeper.Hedged
-	table    *keeper.Client
+	// tables write jobs, one for each part.
+	tables   []*keeper.Client
 	linker   *linker.Linker
 	config   atomic.Pointer[Config]
 	session  atomic.Pointer[session]
@@ -184,12 +180,13 @@
 		linked:   make(map[requester.EntryID]bool),
 	}
 	d.store = keeper.NewHedged(platform)
-	d.table = keeper.Start(d.store, keeper.Options{
-		WritesPerSecond: options.WritesPerSecond,
-		ReadsPerSecond:  options.ReadsPerSecond,
-		MaxEntries:      maxTransaction,
-		CallTimeout:     storeTimeout,
-	})
+	for range scheduler.JobParts {
+		d.tables = append(d.tables, keeper.Start(d.store, keeper.Options{
+			WritesPerSecond: options.WritesPerSecond / scheduler.JobParts,
+			MaxEntries:      maxTransaction,
+			CallTimeout:     storeTimeout,
+		}))
+	}
 	self := encoder.PeerInfo{EntryID: options.Self, DataCentre: options.DataCentre, Address: options.Address}
 	d.linker = linker.New(linker.Options{Self: self, Incarnation: time.Now().UnixNano()}, d)
 	for _, part := range []func(){d.followConfig, d.followStates, d.claimLoop} {
@@ -240,9 +237,13 @@
 func (d *Dispatcher) Close() {
 	d.cancel()
 	d.linker.Close()
-	d.table.Close()
+	for _, table := range d.tables {
+		table.Close()
+	}
 	<-d.linker.Done()
-	<-d.table.Done()
+	for _, table := range d.tables {
+		<-table.Done()
+	}
 	d.group.Wait()
 	close(d.done)
 }
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -130,8 +130,12 @@
 		}
 		time.Sleep(10 * time.Second)
 		s.checkCompleted()
-		is.Equal(len(s.cell.Keys(scheduler.JobPrefix)), 0)      // rows of ended jobs are gone
+		time.Sleep(time.Minute)
+		s.checkCompleted()
+		is.Equal(len(s.cell.Keys(scheduler.JobTable)), 0)       // rows of ended jobs are gone
 		is.Equal(len(s.cell.Keys(scheduler.ProgressPrefix)), 1) // but for the roster
+		time.Sleep(4 * time.Minute)
+		is.Equal(len(s.cell.Keys(scheduler.StatePrefix)), 1) // but for the owner
 	})
 }
 
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -35,8 +36,13 @@
 	loadInterval = time.Second
 	// forgetInterval separates removals of the rows of jobs long ended.
 	forgetInterval = 5 * time.Second
-	// forgetLimit bounds the rows removed at once.
+	// forgetLimit bounds the rows that one commit removes beside what it
+	// writes, forgetJobs the jobs in one round.
 	forgetLimit = 20
+	forgetJobs  = 400
+	// jobRetention is how long the row of an ended job stays: as long as a
+	// request with its id may come again at an entry that doesn't know yet.
+	jobRetention = 30 * time.Second
 )
 
 // session is the time during which this entry owns the cell.
@@ -62,13 +68,15 @@
 	forgotAt   time.Time
 	forgetting []keeper.Write
 	loaded     bool
-	releasing  bool
-	ended      bool
-	tickedAt   time.Time
-	loadAt     time.Time
-	advisers   advisers
-	asked      map[uint64]askedAdvice
-	askNumber  uint64
+	// removing tells that rows of ended jobs are being removed.
+	removing  bool
+	releasing bool
+	ended     bool
+	tickedAt  time.Time
+	loadAt    time.Time
+	advisers  advisers
+	asked     map[uint64]askedAdvice
+	askNumber uint64
 }
 
 func newSession(d *Dispatcher, row ownerRow, revision int64, claimedAt time.Time, earlierEager bool) *session {
@@ -223,9 +231,11 @@
 	next.Eager = s.eagerNext()
 	transaction := keeper.Transaction{
 		Conditions: []keeper.Condition{{Key: ownerKey, Revision: s.revision}},
-		Writes:     append([]keeper.Write{{Key: ownerKey, Value: scheduler.EncodeRow(next)}}, s.forgetting...),
+		Writes:     []keeper.Write{{Key: ownerKey, Value: scheduler.EncodeRow(next)}},
 	}
-	s.forgetting = nil
+	forgetting := min(len(s.forgetting), forgetLimit)
+	transaction.Writes = append(transaction.Writes, s.forgetting[:forgetting]...)
+	s.forgetting = s.forgetting[forgetting:]
 	for _, save := range batch.Saves {
 		transaction.Writes = append(transaction.Writes, keeper.Write{Key: save.Key, Value: save.Value, Delete: save.Value == nil})
 	}
@@ -361,7 +371,7 @@
 	if err != nil {
 		return 0, err
 	}
-	rows, revision, err := d.platform.List(ctx, scheduler.JobPrefix)
+	rows, revision, err := s.listJobs(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -388,7 +398,7 @@
 	}
 	jobs := 0
 	for key, value := range rows {
-		if !strings.HasPrefix(key, scheduler.JobPrefix) || strings.HasSuffix(key, scheduler.CancelSuffix) {
+		if !strings.HasPrefix(key, scheduler.JobTable) || strings.HasSuffix(key, scheduler.CancelSuffix) {
 			continue
 		}
 		job, ok := s.decodeJob(key, value)
@@ -399,7 +409,6 @@
 		_, cancelled := rows[scheduler.CancelKey(job.JobID)]
 		err := s.core.Recover(scheduler.JobRows{
 			Job:       job,
-			State:     d.board.stateRow(job.JobID),
 			Progress:  rows[scheduler.ProgressKey(job.JobID)],
 			Cancelled: cancelled,
 		})
@@ -407,10 +416,22 @@
 			d.log.Error().Str("Event", "row").Str("Job", string(job.JobID)).Err(err).Msg("row can't be read")
 		}
 	}
+	s.removeOrphans(rows)
 	s.loaded = true
 	d.log.Info().Str("Event", "recovered").Int64("Epoch", s.row.Epoch).Int("Jobs", jobs).Msg("has read the cell's rows")
 }
 
+// removeOrphans removes the progress of jobs whose own rows are gone.
+func (s *session) removeOrphans(rows map[string][]byte) {
+	for key := range rows {
+		id := requester.JobID(strings.TrimPrefix(key, scheduler.ProgressPrefix))
+		if !strings.HasPrefix(key, scheduler.ProgressPrefix) || key == scheduler.RosterKey || s.core.Knows(id) {
+			continue
+		}
+		s.forgetting = append(s.forgetting, keeper.Write{Key: key, Delete: true})
+	}
+}
+
 func (s *session) decodeJob(key string, value []byte) (scheduler.Job, bool) {
 	var job scheduler.Job
 	if err := scheduler.DecodeRow(value, &job); err != nil {
@@ -425,10 +446,10 @@
 	d := s.dispatcher
 	for s.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(s.ctx, watchWait+storeTimeout)
-		changes, next, err := d.platform.Watch(ctx, scheduler.JobPrefix, revision, time.Now().Add(watchWait))
+		changes, next, err := d.platform.Watch(ctx, scheduler.JobTable, revision, time.Now().Add(watchWait))
 		cancel()
 		if isGone(err) {
-			changes, next, err = s.listJobs()
+			changes, next, err = s.relistJobs()
 		}
 		if err != nil {
 			if !sleep(s.ctx, retryInterval) {
@@ -450,10 +471,39 @@
 // before.
 const jobsInterval = 200 * time.Millisecond
 
-func (s *session) listJobs() ([]Change, int64, error) {
+// listJobs reads the jobs in all parts, and a revision after which changes are
+// missing from them.
+func (s *session) listJobs(ctx context.Context) ([]keeper.Row, int64, error) {
+	type listed struct {
+		rows     []keeper.Row
+		revision int64
+		err      error
+	}
+	parts := make([]listed, scheduler.JobParts)
+	var group sync.WaitGroup
+	for part := range parts {
+		group.Go(func() {
+			l := &parts[part]
+			l.rows, l.revision, l.err = s.dispatcher.platform.List(ctx, scheduler.JobPrefix(part))
+		})
+	}
+	group.Wait()
+	var rows []keeper.Row
+	revision := parts[0].revision
+	for _, l := range parts {
+		if l.err != nil {
+			return nil, 0, l.err
+		}
+		rows = append(rows, l.rows...)
+		revision = min(revision, l.revision)
+	}
+	return rows, revision, nil
+}
+
+func (s *session) relistJobs() ([]Change, int64, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, 2*storeTimeout)
 	defer cancel()
-	rows, revision, err := s.dispatcher.platform.List(ctx, scheduler.JobPrefix)
+	rows, revision, err := s.listJobs(ctx)
 	changes := make([]Change, len(rows))
 	for i, row := range rows {
 		changes[i] = Change{Row: row}
@@ -469,7 +519,7 @@
 		}
 		key := change.Row.Key
 		if strings.HasSuffix(key, scheduler.CancelSuffix) {
-			id := strings.TrimSuffix(strings.TrimPrefix(key, scheduler.JobPrefix), scheduler.CancelSuffix)
+			id := strings.TrimSuffix(key[strings.LastIndex(key, "/")+1:], scheduler.CancelSuffix)
 			s.core.Cancel(now, requester.JobID(id))
 			continue
 		}
@@ -500,20 +550,67 @@
 	}
 }
 
-// forget removes the rows of jobs that ended long ago.
+// forget removes the rows of jobs that ended a while ago: first the jobs, so
+// that no owner can take them for unfinished, then their progress, and much
+// later their states.
 func (s *session) forget(now time.Time) {
-	if now.Sub(s.forgotAt) < forgetInterval || len(s.forgetting) > 0 {
+	if now.Sub(s.forgotAt) < forgetInterval {
 		return
 	}
 	s.forgotAt = now
 	before := now.Add(-s.dispatcher.options.StateRetention)
-	s.core.Forget(before)
-	for _, id := range s.dispatcher.board.endedBefore(before, forgetLimit/2) {
-		if s.core.Knows(id) {
-			continue
+	if len(s.forgetting) == 0 {
+		for _, id := range s.dispatcher.board.endedBefore(before, forgetJobs) {
+			if !s.core.Knows(id) {
+				s.forgetting = append(s.forgetting, keeper.Write{Key: scheduler.StateKey(id), Delete: true})
+			}
+		}
+	}
+	ids := s.core.Ended(now.Add(-jobRetention), forgetJobs)
+	if len(ids) == 0 || s.removing {
+		return
+	}
+	s.removing = true
+	s.goDo(func() {
+		removed := s.removeJobs(ids)
+		s.post(func() {
+			s.removing = false
+			s.core.Drop(removed)
+			for _, id := range removed {
+				s.forgetting = append(s.forgetting, keeper.Write{Key: scheduler.ProgressKey(id), Delete: true})
+			}
+		})
+	})
+}
+
+// removeJobs removes the rows of jobs, part by part, and returns those that are
+// gone.
+func (s *session) removeJobs(ids []requester.JobID) []requester.JobID {
+	byPart := make(map[int][]requester.JobID)
+	for _, id := range ids {
+		part := scheduler.JobPart(id)
+		byPart[part] = append(byPart[part], id)
+	}
+	var removed []requester.JobID
+	for part := range scheduler.JobParts {
+		for group := range slices.Chunk(byPart[part], maxTransaction/2) {
+			var transaction keeper.Transaction
+			for _, id := range group {
+				transaction.Writes = append(transaction.Writes,
+					keeper.Write{Key: scheduler.JobKey(id), Delete: true}, keeper.Write{Key: scheduler.CancelKey(id), Delete: true})
+			}
+			ctx, cancel := context.WithTimeout(s.ctx, storeTimeout)
+			_, err := s.dispatcher.store.Transact(ctx, transaction)
+			cancel()
+			if err != nil {
+				// They are tried again with the next round.
+				s.dispatcher.log.Warn().Str("Event", "forget").Err(err).Msg("rows of ended jobs can't be removed")
+				return removed
+			}
+			removed = append(removed, group...)
 		}
-		s.forgetting = append(s.forgetting, keeper.Write{Key: scheduler.StateKey(id), Delete: true}, keeper.Write{Key: scheduler.CancelKey(id), Delete: true})
 	}
+	return removed
 }
 
 // logNotes writes the core's notes to the log.
--- a/keeper/hedge.go
+++ b/keeper/hedge.go
@@ -26,10 +26,10 @@
 	// once more, the greater of both.
 	hedgeDelay  = 120 * time.Millisecond
 	hedgeFactor = 3
-	// Each further sending waits twice as long as the one before.
-	hedgeGrowth = 2
+	// Each further sending waits three times as long as the one before.
+	hedgeGrowth = 3
 	// maxAttempts bounds the sendings without an answer.
-	maxAttempts = 4
+	maxAttempts = 3
 	// latencyWeight is how much of the latency stays with each faster answer;
 	// a slower one counts at once.
 	latencyWeight = 0.7
--- a/keeper/hedge_test.go
+++ b/keeper/hedge_test.go
@@ -48,10 +48,10 @@
 	}{
 		{name: "fast", answers: []time.Duration{fast}, sent: 1, took: fast},
 		{name: "first answer lost", answers: []time.Duration{0, fast}, sent: 2, took: hedgeDelay + fast, resent: true},
-		{name: "slow for all", answers: []time.Duration{slow}, sent: 4, took: slow, resent: true},
-		{name: "three answers lost", answers: []time.Duration{0, 0, 0, fast}, sent: 4, took: 7*hedgeDelay + fast, resent: true},
+		{name: "slow for all", answers: []time.Duration{slow}, sent: 3, took: slow, resent: true},
+		{name: "two answers lost", answers: []time.Duration{0, 0, fast}, sent: 3, took: 4*hedgeDelay + fast, resent: true},
 		{name: "turned away", answers: []time.Duration{fast}, err: ErrNotDone, sent: 1, took: fast, notDone: true},
-		{name: "never an answer", answers: []time.Duration{0}, sent: 4, took: 3 * time.Second},
+		{name: "never an answer", answers: []time.Duration{0}, sent: 3, took: 3 * time.Second},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -2,8 +2,11 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"kumquatstall/requester"
 )
 
@@ -178,22 +181,32 @@
 }
 
 // RosterKey is the key of the roster's row.
-const RosterKey = "progress/@roster"
+const RosterKey = ProgressPrefix + "@roster"
 
-// Prefixes of the rows of jobs.
+// Keys name a table, a part of it and a row. A transaction within one part
+// waits for no other part. What the owner writes lies in one; jobs come in
+// through several.
 const (
-	JobPrefix      = "jobs/"
-	StatePrefix    = "states/"
-	ProgressPrefix = "progress/"
+	JobTable       = "jobs/"
+	StatePrefix    = "states/cell/"
+	ProgressPrefix = "progress/cell/"
+	// JobParts is the number of parts for jobs.
+	JobParts = 8
 	// CancelSuffix marks the row by which a job is cancelled.
 	CancelSuffix = "~cancel"
 )
 
+// JobPrefix is the prefix of a part for jobs.
+func JobPrefix(part int) string { return JobTable + strconv.Itoa(part) + "/" }
+
+// JobPart is the part in which a job lies.
+func JobPart(id requester.JobID) int { return int(xxhash.Sum64String(string(id)) % JobParts) }
+
 // JobKey is the key of a job as it was accepted.
-func JobKey(id requester.JobID) string { return JobPrefix + string(id) }
+func JobKey(id requester.JobID) string { return JobPrefix(JobPart(id)) + string(id) }
 
 // CancelKey is the key of the row by which a job is cancelled.
-func CancelKey(id requester.JobID) string { return JobPrefix + string(id) + CancelSuffix }
+func CancelKey(id requester.JobID) string { return JobKey(id) + CancelSuffix }
 
 // StateKey is the key of the row that tells where a job stands.
 func StateKey(id requester.JobID) string { return StatePrefix + string(id) }
@@ -219,7 +232,7 @@
 func (b *Batch) Empty() bool { return len(b.Saves) == 0 }
 
 // savesPerJob bounds the rows that one job's change writes.
-const savesPerJob = 4
+const savesPerJob = 2
 
 // TakeBatch returns up to limit rows that have to be written. It is handed to
 // Saved once they are.
@@ -275,9 +288,9 @@
 	}
 }
 
-// Forget drops the jobs that ended before a time and returns their ids, so
-// that their rows can be removed.
-func (c *Core) Forget(before time.Time) []requester.JobID {
+// Ended returns up to limit jobs that ended before a time and need nothing
+// more, so that their rows can be removed.
+func (c *Core) Ended(before time.Time, limit int) []requester.JobID {
 	var ids []requester.JobID
 	for id, j := range c.jobs {
 		if j.state.Ended() && j.endedAt.Before(before) && j.saved == j.version && j.active == 0 {
@@ -285,10 +298,14 @@
 		}
 	}
 	slices.Sort(ids)
+	return ids[:min(len(ids), limit)]
+}
+
+// Drop forgets jobs whose rows have been removed.
+func (c *Core) Drop(ids []requester.JobID) {
 	for _, id := range ids {
 		delete(c.jobs, id)
 	}
-	return ids
 }
 
 // Load describes how busy the cell is.
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -103,32 +103,32 @@
 // JobRows is a job as the store holds it.
 type JobRows struct {
 	Job Job
-	// State and Progress are the values of these rows; nil where absent.
-	State     []byte
+	// Progress is the value of the row of its progress; nil where no owner has
+	// seen the job.
 	Progress  []byte
 	Cancelled bool
 }
 
 // Recover takes in a job that stood in the store at the takeover.
 func (c *Core) Recover(rows JobRows) error {
-	var state StateRow
-	if rows.State != nil {
-		if err := DecodeRow(rows.State, &state); err != nil {
-			return err
-		}
-	}
 	var progress progressRow
 	if rows.Progress != nil {
 		if err := DecodeRow(rows.Progress, &progress); err != nil {
 			return err
 		}
 	}
-	j := &job{spec: rows.Job, state: state.State, storedState: state.State, chains: rows.Job.chainMillis()}
+	j := &job{spec: rows.Job, state: progress.State, storedState: progress.State, chains: rows.Job.chainMillis()}
+	if rows.Progress == nil {
+		j.storedState = notStored
+	}
 	c.jobs[j.name()] = j
-	if state.State.Ended() {
-		j.endedAt = time.Unix(state.EndedAt, 0)
+	if progress.State.Ended() {
+		j.endedAt = time.Unix(progress.EndedAt, 0)
 		return nil
 	}
+	if rows.Progress == nil {
+		c.touch(j)
+	}
 	j.next = progress.Next
 	if j.spec.Occurrences == 0 {
 		j.next = 1
@@ -164,8 +164,9 @@
 	if _, ok := c.jobs[spec.JobID]; ok {
 		return
 	}
-	j := &job{spec: spec, chains: spec.chainMillis()}
+	j := &job{spec: spec, storedState: notStored, chains: spec.chainMillis()}
 	c.jobs[j.name()] = j
+	c.touch(j)
 	c.changed = true
 	if spec.Occurrences > 0 {
 		c.timed[j.name()] = j
@@ -176,6 +177,9 @@
 	c.openSuccessors(j)
 }
 
+// notStored is the stored state of a job whose state isn't stored yet.
+const notStored State = -1
+
 // Knows reports whether the job is known.
 func (c *Core) Knows(id requester.JobID) bool { return c.jobs[id] != nil }
 
@@ -366,19 +370,18 @@
 		row.EndedAt = j.endedAt.Unix()
 	}
 	var saves []Save
-	if j.state != j.storedState || j.saved == 0 && j.state.Ended() {
+	if j.state != j.storedState {
 		saves = append(saves, Save{Key: StateKey(j.name()), Value: EncodeRow(row)})
 	}
-	if j.state.Ended() {
-		// Its state is all that is asked for from now on.
-		return append(saves, Save{Key: ProgressKey(j.name())}, Save{Key: JobKey(j.name())}, Save{Key: CancelKey(j.name())})
+	progress := progressRow{State: row.State, EndedAt: row.EndedAt}
+	if !j.state.Ended() {
+		progress = j.progress()
 	}
-	progress := j.progress()
 	return append(saves, Save{Key: ProgressKey(j.name()), Value: EncodeRow(progress)})
 }
 
 func (j *job) progress() progressRow {
-	row := progressRow{Next: j.next}
+	row := progressRow{State: j.state, Next: j.next}
 	for _, o := range j.occurrences {
 		stored := occurrenceProgress{Number: o.number}
 		for _, s := range o.steps {
--- a/scheduler/row.go
+++ b/scheduler/row.go
@@ -41,6 +41,10 @@
 // the workers tell.
 type progressRow struct {
 	_ struct{} `cbor:",toarray"`
+	// State is that of the row of the job's state, EndedAt the Unix second of
+	// a final one.
+	State   State
+	EndedAt int64
 	// Next is the first occurrence not begun; earlier ones that aren't listed
 	// have ended.
 	Next        int64
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -148,7 +148,7 @@
 		if err := DecodeRow(value, &job); err != nil {
 			w.problem("job: %v", err)
 		}
-		err := w.core.Recover(JobRows{Job: job, State: w.rows[StateKey(id)], Progress: w.rows[ProgressKey(id)], Cancelled: w.cancelled[id]})
+		err := w.core.Recover(JobRows{Job: job, Progress: w.rows[ProgressKey(id)], Cancelled: w.cancelled[id]})
 		if err != nil {
 			w.problem("recover: %v", err)
 		}
@@ -202,7 +202,6 @@
 	}
 	w.accepted[job.JobID] = job
 	w.rows[JobKey(job.JobID)] = EncodeRow(job)
-	w.rows[StateKey(job.JobID)] = EncodeRow(StateRow{Queue: job.Queue, State: StateQueued})
 	w.core.Add(w.now, job)
 	if r.Float64() < w.options.cancel {
 		w.after(time.Duration(r.IntN(2000))*time.Millisecond, func() {
