Ask elsewhere when advice is late; say in the log what decisions rest on

Change: a question is late at twice its usual time and 0.25 s more; it is asked elsewhere and the entry is asked nothing for a second. Lines about requests name the configuration, the age of the store's last answer, for how long writes have failed, and the owner; starts name how long they waited.

--- a/dispatcher/advise.go
+++ b/dispatcher/advise.go
@@ -18,12 +18,23 @@
 	// adviceDepth is how many questions one host may have open: the service
 	// answers them one by one, and the next one should be there already.
 	adviceDepth = 2
+	// adviceFactor times its usual time, and adviceSlack more, is for how
+	// long the owner waits for an answer by way of another entry.
+	adviceFactor = 2
+	adviceSlack  = 250 * time.Millisecond
+	// suspectFor is for how long an entry that has not answered is asked
+	// nothing.
+	suspectFor = time.Second
 )
 
 // adviser is an entry that asks for advice.
 type adviser struct {
 	id   requester.EntryID
 	open int
+	// busyUntil is when all that it was asked should be answered.
+	busyUntil time.Time
+	// suspectUntil is until when it is asked nothing.
+	suspectUntil time.Time
 }
 
 // advisers are the entries by which the owner asks.
@@ -48,18 +59,23 @@
 }
 
 // free returns how many more questions can be asked now.
-func (a advisers) free() int {
+func (a advisers) free(now time.Time) int {
 	count := 0
 	for _, known := range a {
-		count += adviceDepth - known.open
+		if !now.Before(known.suspectUntil) {
+			count += max(0, adviceDepth-known.open)
+		}
 	}
 	return count
 }
 
 // idlest returns the adviser with the fewest questions.
-func (a advisers) idlest() *adviser {
+func (a advisers) idlest(now time.Time) *adviser {
 	var best *adviser
 	for _, known := range a {
+		if now.Before(known.suspectUntil) {
+			continue
+		}
 		if best == nil || known.open < best.open {
 			best = known
 		}
@@ -78,15 +94,19 @@
 func (s *session) ask(now time.Time) {
 	for id, asked := range s.asked {
 		if now.After(asked.until) {
+			asked.adviser.suspectUntil = now.Add(suspectFor)
+			s.dispatcher.log.Warn().Str("Event", "advice late").Str("Peer", string(asked.adviser.id)).Str("Job", string(asked.order.Step.Job)).Send()
 			s.advised(id, nil, true)
 		}
 	}
-	for _, order := range s.core.Advise(now, s.advisers.free()) {
-		chosen := s.advisers.idlest()
+	for _, order := range s.core.Advise(now, s.advisers.free(now)) {
+		chosen := s.advisers.idlest(now)
 		chosen.open++
+		// The service answers a host's questions one by one.
+		chosen.busyUntil = order.DueAt.Add(max(0, chosen.busyUntil.Sub(now)))
 		s.askNumber++
 		id := s.askNumber
-		s.asked[id] = askedAdvice{order: order, adviser: chosen, until: now.Add(adviceTimeout + storeTimeout)}
+		s.asked[id] = askedAdvice{order: order, adviser: chosen, until: now.Add(adviceFactor*chosen.busyUntil.Sub(now) + adviceSlack)}
 		if chosen.id != s.dispatcher.options.Self {
 			s.dispatcher.linker.Send(chosen.id, &encoder.AdviceRequest{ID: id, Step: order.Step, Workers: order.Workers})
 			continue
--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rs/zerolog"
 )
 
 // timings is a histogram of latencies, from 1 µs to 1 min.
@@ -66,6 +67,24 @@
 	d.counters.submitTime.Observe(latency)
 }
 
+// LogInputs adds to a line of the log what decisions about requests rest on:
+// versions, and how old they are.
+func (d *Dispatcher) LogInputs(event *zerolog.Event) {
+	now := d.clock.Now()
+	owner := d.board.ownerView()
+	if config := d.Config(); config != nil {
+		event.Int64("ConfigVersion", config.Version)
+	}
+	if seen := d.storeSeen.Load(); seen != 0 {
+		event.Dur("StoreAgeMillis", now.Sub(time.Unix(0, seen)))
+	}
+	event.Dur("WritesFailingMillis", d.store.Failing(time.Now()))
+	event.Str("Owner", string(owner.row.Holder)).Int64("OwnerEpoch", owner.row.Epoch)
+	if owner.known {
+		event.Dur("OwnerAgeMillis", now.Sub(owner.since))
+	}
+}
+
 // Metrics returns counters and latencies as JSON, for expvar.
 func (d *Dispatcher) Metrics() string {
 	owner := d.board.ownerView()
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -631,6 +631,9 @@
 		if note.Worker != "" {
 			event = event.Str("Worker", string(note.Worker))
 		}
+		if note.Waited != 0 {
+			event = event.Dur("WaitedMillis", note.Waited).Int("Tier", note.Tier)
+		}
 		if note.Why != "" {
 			event = event.Str("Why", note.Why)
 		}
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -101,7 +101,7 @@
 		s.advice.askedAt = now
 		c.asking[s.name()] = s
 		c.stats.AdviceAsked++
-		orders = append(orders, AdviceOrder{Step: s.name(), Workers: workers, AskedAt: now})
+		orders = append(orders, AdviceOrder{Step: s.name(), Workers: workers, AskedAt: now, DueAt: now.Add(s.job().spec.Advice.duration(len(workers)))})
 	}
 	return orders
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -109,6 +109,10 @@
 	Task   TaskName
 	Run    RunNumber
 	Worker requester.HostID
+	// Waited is for how long a task that starts has waited since its job was
+	// accepted, Tier its place in the order; only for starts.
+	Waited time.Duration
+	Tier   int
 	// Event is what happened, Why what decided it.
 	Event string
 	Why   string
--- a/scheduler/ends.go
+++ b/scheduler/ends.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"kumquatstall/requester"
@@ -83,8 +84,7 @@
 	case ended.Kind == EndFailed:
 		c.stats.Failed++
 		c.countHealth(w, j.name())
-		t.avoid = w.info.HostID
-		c.fail(t, ended)
+		c.fail(w, t, ended)
 	}
 	c.touch(j)
 	if t.step.complete() && t.step.doneVersion == 0 {
@@ -118,7 +118,7 @@
 }
 
 // fail counts a failed run.
-func (c *Core) fail(t *task, ended EndedRun) {
+func (c *Core) fail(w *worker, t *task, ended EndedRun) {
 	s := t.step
 	failed := &t.failed
 	if s.def.Gang {
@@ -128,8 +128,11 @@
 		return
 	}
 	*failed = append(*failed, ended.Run)
+	if !slices.Contains(s.avoid, w.info.HostID) {
+		s.avoid = append(s.avoid, w.info.HostID)
+	}
 	j := s.job()
-	c.note(Note{Job: j.name(), Task: t.name(), Run: ended.Run, Event: "run failed"})
+	c.note(Note{Job: j.name(), Task: t.name(), Run: ended.Run, Worker: w.info.HostID, Event: "run failed", Why: "attempt " + strconv.Itoa(len(*failed)) + " of " + strconv.Itoa(max(1, j.spec.MaxAttempts))})
 	if len(*failed) >= max(1, j.spec.MaxAttempts) {
 		c.stats.JobsFailed++
 		c.endJob(j, StateFailed, "a task has used its attempts")
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -17,6 +17,11 @@
 	ValidMillis  int64
 }
 
+// duration is how long a question about some workers takes.
+func (a *Advice) duration(workers int) time.Duration {
+	return time.Duration((a.DecideMillis + float64(workers)*a.WorkerMillis) * float64(time.Millisecond))
+}
+
 // Policy is how the jobs of a queue are treated.
 type Policy struct {
 	Service requester.Service
@@ -152,7 +157,7 @@
 	if j.Advice == nil {
 		return 0
 	}
-	return int64(j.Advice.DecideMillis + chainAdvised*j.Advice.WorkerMillis)
+	return j.Advice.duration(chainAdvised).Milliseconds()
 }
 
 // dueAt returns when an occurrence may start.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -105,6 +105,20 @@
 	slots int
 	// far tells that the step's data lies on another rack.
 	far bool
+	// avoided tells that a task of the step has failed there.
+	avoided bool
+}
+
+// penalty makes a candidate worse than any that only has less room.
+func (e *candidate) penalty() float64 {
+	penalty := 0.0
+	if e.far {
+		penalty += farPenalty
+	}
+	if e.avoided {
+		penalty += avoidPenalty
+	}
+	return penalty
 }
 
 // candidates returns the workers with room for at least one task of the step,
@@ -122,7 +136,12 @@
 		if slots == 0 {
 			continue
 		}
-		entry := candidate{worker: w, slots: slots, far: s.def.DataRack != "" && w.info.Rack != s.def.DataRack}
+		entry := candidate{
+			worker:  w,
+			slots:   slots,
+			far:     s.def.DataRack != "" && w.info.Rack != s.def.DataRack,
+			avoided: slices.Contains(s.avoid, w.info.HostID),
+		}
 		if advised {
 			if allowed, _ := s.advice.allows(w); !allowed {
 				continue
@@ -207,10 +226,7 @@
 		if t.done || t.run != nil {
 			continue
 		}
-		best := c.best(s, t, found)
-		if best < 0 {
-			continue
-		}
+		best := c.best(s, found)
 		chosen := &found[best]
 		c.start(t, chosen.worker, t.nextRun(c), chosen.ticket)
 		chosen.slots--
@@ -220,19 +236,12 @@
 	}
 }
 
-// best returns the candidate that a task fills best, or -1.
-func (c *Core) best(s *step, t *task, found []candidate) int {
-	best, bestScore := -1, 0.0
+// best returns the candidate that a task fills best.
+func (c *Core) best(s *step, found []candidate) int {
+	best, bestScore := 0, 0.0
 	for i := range found {
-		w := found[i].worker
-		score := w.leftover(s.def.room())
-		if found[i].far {
-			score += farPenalty
-		}
-		if t.avoid == w.info.HostID {
-			score += avoidPenalty
-		}
-		if best < 0 || score < bestScore {
+		score := found[i].worker.leftover(s.def.room()) + found[i].penalty()
+		if i == 0 || score < bestScore {
 			best, bestScore = i, score
 		}
 	}
@@ -292,13 +301,7 @@
 func fill(s *step, found []candidate) []candidate {
 	need := s.def.room()
 	slices.SortStableFunc(found, func(a, b candidate) int {
-		if a.far != b.far {
-			if a.far {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Compare(a.remainder(need), b.remainder(need))
+		return cmp.Compare(a.remainder(need)+a.penalty(), b.remainder(need)+b.penalty())
 	})
 	var chosen []candidate
 	for _, entry := range found {
@@ -413,7 +416,10 @@
 		Checkpoint: t.checkpoint,
 		Ticket:     ticket,
 	})
-	c.note(Note{Job: s.job().name(), Task: r.name, Run: number, Worker: w.info.HostID, Event: "start"})
+	c.note(Note{
+		Job: s.job().name(), Task: r.name, Run: number, Worker: w.info.HostID, Event: "start",
+		Waited: c.now.Sub(s.occurrence.dueAt), Tier: s.urgencyOf(c.now).tier,
+	})
 }
 
 // broken returns the invariant that a start would break, or an empty string.
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -53,6 +53,8 @@
 	// failed are the failed runs of a gang.
 	failed []RunNumber
 	advice advice
+	// avoid are workers on which tasks of the step have failed.
+	avoid []requester.HostID
 	// begunVersion is that of the job's rows which first tell that tasks of
 	// the step may have been started; 0 before that.
 	begunVersion int64
@@ -74,8 +76,6 @@
 	lastRun    RunNumber
 	// run is what runs, or may run, of the task; nil for nothing.
 	run *run
-	// avoid is a worker on which the task failed.
-	avoid requester.HostID
 }
 
 func (j *job) name() requester.JobID { return j.spec.JobID }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -119,6 +119,8 @@
 	Step    StepName
 	Workers []requester.HostID
 	AskedAt time.Time
+	// DueAt is when the answer should be there, if nobody else asks.
+	DueAt time.Time
 }
 
 // Orders are what a Core wants done.
