--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -19,6 +19,8 @@
 	askedAt time.Time
 	// again is before when no other question is asked.
 	again time.Time
+	// enoughUntil is until when the allowed workers are taken to be enough.
+	enoughUntil time.Time
 	// stale are workers with room whose tickets have aged.
 	stale []requester.HostID
 }
@@ -42,6 +44,12 @@
 	// askedFactor is how many times the room that a step needs is asked
 	// about.
 	askedFactor = 2
+	// enoughFactor is how many times the room that a step needs its allowed
+	// workers have to have in all; with more, waiting for room beats asking
+	// about more workers.
+	enoughFactor = 4
+	// enoughFor is for how long that is not calculated again.
+	enoughFor = 500 * time.Millisecond
 	// firstShare is the share of workers taken to be allowed before any
 	// answer, leastShare the least that is counted on.
 	firstShare = 0.4
@@ -114,6 +122,13 @@
 	if len(s.advice.stale) > 0 {
 		return s.advice.stale[:min(len(s.advice.stale), maxAsked)]
 	}
+	if c.now.Before(s.advice.enoughUntil) {
+		return nil
+	}
+	if c.allowedSlots(s) >= enoughFactor*s.waiting {
+		s.advice.enoughUntil = c.now.Add(enoughFor)
+		return nil
+	}
 	type option struct {
 		worker *worker
 		slots  int
@@ -138,6 +153,18 @@
 	return ids
 }
 
+// allowedSlots is how many tasks of a step the workers known to be allowed
+// would hold if they were empty.
+func (c *Core) allowedSlots(s *step) int {
+	need, slots := s.def.room(), 0
+	for _, w := range c.order {
+		if allowed, _ := s.advice.allows(w); allowed && w.usable() {
+			slots += slotsIn(w.info.Total, need, len(s.tasks))
+		}
+	}
+	return slots
+}
+
 // allowedShare is the share of workers that may run a queue's steps, as seen
 // so far.
 func (c *Core) allowedShare(queue string) float64 {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -62,6 +62,8 @@
 	open    []*step
 	workers map[requester.HostID]*worker
 	order   []*worker
+	// takers are the workers that may get new tasks in the present pass.
+	takers []*worker
 	// rosterDirty tells that the stored roster lacks a worker or names one
 	// that is gone.
 	rosterDirty bool
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -149,6 +150,11 @@
 	return chains
 }
 
+// objective is how long the job should take, by its estimates.
+func (j *Job) objective(chains []int64) time.Duration {
+	return time.Duration(j.Stretch*float64(slices.Max(chains))+float64(j.ObjectiveMillis)) * time.Millisecond
+}
+
 // chainAdvised is the number of workers in the question for advice that a
 // job's objective allows for.
 const chainAdvised = 30
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -21,13 +21,19 @@
 }
 
 func (a urgency) compare(b urgency) int {
-	return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.priority, b.priority), a.dueAt.Compare(b.dueAt))
+	if a.tier != b.tier {
+		return cmp.Compare(a.tier, b.tier)
+	}
+	if a.priority != b.priority {
+		return cmp.Compare(a.priority, b.priority)
+	}
+	return a.dueAt.Compare(b.dueAt)
 }
 
 // urgencyOf returns where a step stands in the order at now.
 func (s *step) urgencyOf(now time.Time) urgency {
 	j := s.job()
-	objective := time.Duration(j.spec.Stretch*float64(slices.Max(j.chains))+float64(j.spec.ObjectiveMillis)) * time.Millisecond
+	objective := j.objective
 	from := s.occurrence.dueAt
 	left := time.Duration(j.chains[s.number]) * time.Millisecond
 	u := urgency{priority: j.spec.Priority, dueAt: from.Add(objective)}
@@ -43,20 +49,15 @@
 
 // sortByOrder sorts steps by urgency.
 func (c *Core) sortByOrder(steps []*step) {
-	type ranked struct {
-		step *step
-		urgency
-	}
-	ranks := make([]ranked, len(steps))
-	for i, s := range steps {
-		ranks[i] = ranked{s, s.urgencyOf(c.now)}
+	for _, s := range steps {
+		s.rank = s.urgencyOf(c.now)
 	}
-	slices.SortFunc(ranks, func(a, b ranked) int {
-		return cmp.Or(a.compare(b.urgency), cmp.Compare(a.step.job().name(), b.step.job().name()), cmp.Compare(a.step.number, b.step.number))
+	slices.SortFunc(steps, func(a, b *step) int {
+		if order := a.rank.compare(b.rank); order != 0 {
+			return order
+		}
+		return cmp.Or(cmp.Compare(a.job().name(), b.job().name()), cmp.Compare(a.number, b.number))
 	})
-	for i := range ranks {
-		steps[i] = ranks[i].step
-	}
 }
 
 // mayStart reports whether tasks of a step that are nowhere to be seen may be
@@ -77,6 +78,7 @@
 		}
 	}
 	c.sortByOrder(steps)
+	c.findTakers()
 	for _, s := range steps {
 		if s.def.Gang {
 			c.placeGang(s)
@@ -86,6 +88,16 @@
 	}
 }
 
+// findTakers finds the workers that may get new tasks now.
+func (c *Core) findTakers() {
+	c.takers = c.takers[:0]
+	for _, w := range c.order {
+		if w.takes(c.now) {
+			c.takers = append(c.takers, w)
+		}
+	}
+}
+
 // suits reports whether the step may run on the worker at all.
 func (c *Core) suits(s *step, w *worker) bool {
 	if w.info.Service != s.job().spec.Service {
@@ -126,10 +138,11 @@
 func (c *Core) candidates(s *step) []candidate {
 	var found []candidate
 	s.advice.stale = s.advice.stale[:0]
+	fit := 0
 	advised := s.job().spec.Advice != nil
 	need := s.def.room()
-	for _, w := range c.order {
-		if !need.Fits(w.room()) || !w.takes(c.now) || !c.suits(s, w) {
+	for _, w := range c.takers {
+		if !need.Fits(w.room()) || !c.suits(s, w) {
 			continue
 		}
 		slots := c.slots(s, w)
@@ -147,6 +160,7 @@
 				continue
 			}
 			text, valid := s.advice.valid(w, c.now)
+			fit += slots
 			if !valid {
 				s.advice.stale = append(s.advice.stale, w.info.HostID)
 				continue
@@ -155,16 +169,16 @@
 		}
 		found = append(found, entry)
 	}
+	if s.def.Gang && fit < len(s.tasks) {
+		// Fresh tickets would age again before the gang has room.
+		s.advice.stale = s.advice.stale[:0]
+	}
 	return found
 }
 
 // slots returns how many more tasks of the step fit on a worker.
 func (c *Core) slots(s *step, w *worker) int {
-	need, room := s.def.room(), w.room()
-	slots := len(s.tasks)
-	slots = min(slots, quotient(room.MilliCores, need.MilliCores, slots))
-	slots = min(slots, quotient(room.MemoryMB, need.MemoryMB, slots))
-	slots = min(slots, quotient(room.Accelerators, need.Accelerators, slots))
+	slots := slotsIn(w.room(), s.def.room(), len(s.tasks))
 	if s.def.AntiAffinity > 0 {
 		slots = min(slots, s.def.AntiAffinity-s.countOn(w))
 	}
@@ -287,6 +301,15 @@
 	}
 }
 
+// slotsIn is how many tasks fit a room.
+func slotsIn(room, need requester.Resources, most int) int {
+	return max(0, min(
+		quotient(room.MilliCores, need.MilliCores, most),
+		quotient(room.MemoryMB, need.MemoryMB, most),
+		quotient(room.Accelerators, need.Accelerators, most),
+	))
+}
+
 // chooseGang returns a candidate for each member of a gang, or nil.
 func (c *Core) chooseGang(s *step, found []candidate) []candidate {
 	if s.def.SameRack {
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -19,6 +19,8 @@
 	next int64
 	// chains is the longest chain of estimated work from each step on.
 	chains []int64
+	// objective is how long the job should take.
+	objective time.Duration
 	// version grows with each change to be written; saved is that written.
 	version, saved int64
 	// queued tells that the job is among the dirty ones.
@@ -53,6 +55,8 @@
 	// failed are the failed runs of a gang.
 	failed []RunNumber
 	advice advice
+	// rank is the step's place in the order, as last calculated.
+	rank urgency
 	// avoid are workers on which tasks of the step have failed.
 	avoid []requester.HostID
 	// begunVersion is that of the job's rows which first tell that tasks of
@@ -118,6 +122,7 @@
 		}
 	}
 	j := &job{spec: rows.Job, state: progress.State, storedState: progress.State, chains: rows.Job.chainMillis()}
+	j.objective = j.spec.objective(j.chains)
 	if rows.Progress == nil {
 		j.storedState = notStored
 	}
@@ -165,6 +170,7 @@
 		return
 	}
 	j := &job{spec: spec, storedState: notStored, chains: spec.chainMillis()}
+	j.objective = j.spec.objective(j.chains)
 	c.jobs[j.name()] = j
 	c.touch(j)
 	c.changed = true
