Leave the cell to strong hosts

News of the last owner reach entries up to half a second apart, more than the delay that was to prefer strong ones. Change: entries tell the owner their cores; its row names the most there is; much weaker entries wait 1.5 s before they claim; a weak owner hands over to the strongest linked entry, and a released cell is left to its heir for 0.6 s. TestLinksTellStrength runs two entries over loopback.

--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -26,8 +26,11 @@
 	TermMillis int64
 	// Eager tells that steps may be started before they are stored as begun.
 	Eager bool
-	// Released tells that the holder has given the cell up.
+	// Strongest is the most cores that an entry is known to have.
+	Strongest float64
+	// Released tells that the holder has given the cell up, Heir to whom.
 	Released bool
+	Heir     requester.EntryID
 }
 
 func (r *ownerRow) term() time.Duration { return time.Duration(r.TermMillis) * time.Millisecond }
--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -17,9 +17,15 @@
 	claimInterval = 50 * time.Millisecond
 	// claimSpread draws claimants apart, so that few meet.
 	claimSpread = 30 * time.Millisecond
-	// claimDelay, divided by its cores, is for how long an entry leaves a cell
-	// without an owner to stronger ones.
-	claimDelay = 30 * time.Millisecond
+	// strengthDelay, divided by its cores, is for how long an entry leaves a
+	// cell without an owner to stronger ones, and weakDelay where it has less
+	// than weakShare of what the strongest has: news of the last owner reach
+	// some entries half a second later than others.
+	strengthDelay = 30 * time.Millisecond
+	weakDelay     = 1500 * time.Millisecond
+	weakShare     = 0.7
+	// heirDelay is for how long a released cell is left to its heir.
+	heirDelay = 600 * time.Millisecond
 	// ownerMargin is kept between the time at which an owner stops giving
 	// orders and the time at which others may claim.
 	ownerMargin = 200 * time.Millisecond
@@ -38,7 +44,7 @@
 		if freeSince.IsZero() {
 			freeSince = d.clock.Now()
 		}
-		if d.clock.Now().Sub(freeSince) < time.Duration(float64(claimDelay)/d.options.Cores) {
+		if d.clock.Now().Sub(freeSince) < d.claimDelay(owner.row) {
 			continue
 		}
 		freeSince = time.Time{}
@@ -61,6 +67,18 @@
 	}
 }
 
+// claimDelay is for how long this entry leaves a cell without an owner to
+// others: to the heir of the last owner, and to stronger entries.
+func (d *Dispatcher) claimDelay(owner ownerRow) time.Duration {
+	if owner.Released && owner.Heir != "" && owner.Heir != d.options.Self {
+		return heirDelay
+	}
+	if d.options.Cores < weakShare*owner.Strongest {
+		return weakDelay
+	}
+	return time.Duration(float64(strengthDelay) / d.options.Cores)
+}
+
 // mayClaim reports whether the owner that was seen last may be replaced. The
 // successor counts on nothing that a former owner promises: claiming early
 // costs time, not safety.
@@ -120,7 +138,7 @@
 
 // claim raises the epoch by compare-and-set.
 func (d *Dispatcher) claim(owner ownerView) (ownerRow, int64, bool) {
-	row := ownerRow{Holder: d.options.Self, Address: d.options.Address, Epoch: owner.row.Epoch + 1, TermMillis: d.ownerTerm().Milliseconds(), Eager: owner.row.Eager}
+	row := ownerRow{Holder: d.options.Self, Address: d.options.Address, Epoch: owner.row.Epoch + 1, TermMillis: d.ownerTerm().Milliseconds(), Eager: owner.row.Eager, Strongest: max(owner.row.Strongest, d.options.Cores)}
 	value := scheduler.EncodeRow(row)
 	ctx, cancel := context.WithTimeout(d.ctx, storeTimeout)
 	defer cancel()
@@ -175,8 +193,12 @@
 func (d *Dispatcher) PeerUp(peer encoder.PeerInfo, _ int64) {
 	d.log.Info().Str("Event", "link up").Str("Peer", string(peer.EntryID)).Send()
 	d.mu.Lock()
-	d.linked[peer.EntryID] = true
+	d.linked[peer.EntryID] = 0
 	d.mu.Unlock()
+	if d.board.ownerView().row.Holder == peer.EntryID {
+		// The linker calls this while it holds its lock.
+		d.group.Go(func() { d.linker.Send(peer.EntryID, &encoder.Strength{Cores: d.options.Cores}) })
+	}
 	d.toSession(func(s *session) { s.advisers.add(peer.EntryID) })
 }
 
@@ -201,6 +223,20 @@
 	return ids
 }
 
+// strongest returns the strongest of the linked entries and its cores.
+func (d *Dispatcher) strongest() (requester.EntryID, float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var best requester.EntryID
+	var most float64
+	for id, cores := range d.linked {
+		if cores > most || cores == most && id < best {
+			best, most = id, cores
+		}
+	}
+	return best, most
+}
+
 // PeerRefused implements linker.Handler: a host that refuses connections runs
 // no entry.
 func (d *Dispatcher) PeerRefused(id requester.EntryID, refused bool) {
@@ -228,6 +264,12 @@
 		d.toSession(func(s *session) { s.advised(message.ID, message.Allowed, message.Failed) })
 	case *encoder.JobStored:
 		d.toSession(func(s *session) { s.stored(message) })
+	case *encoder.Strength:
+		d.mu.Lock()
+		if _, linked := d.linked[from]; linked {
+			d.linked[from] = message.Cores
+		}
+		d.mu.Unlock()
 	case *encoder.StatesStored:
 		d.takeStates(message)
 	}
--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -27,7 +27,13 @@
 	s.commitOpen = true
 	next := s.row
 	next.Counter++
+	heir, cores := d.strongest()
+	next.Strongest = max(cores, d.options.Cores)
+	s.handOver(now, next.Strongest)
 	next.Released = s.releasing
+	if s.releasing {
+		next.Heir = heir
+	}
 	next.TermMillis = d.ownerTerm().Milliseconds()
 	next.Eager = s.eagerNext()
 	transaction := keeper.Transaction{
@@ -43,6 +49,20 @@
 	s.goDo(func() { s.write(next, batch, transaction) })
 }
 
+// handOver gives the cell up where a much stronger entry is there to own it.
+func (s *session) handOver(now time.Time, strongest float64) {
+	d := s.dispatcher
+	if s.releasing || !s.loaded || d.options.Cores >= weakShare*strongest || now.Sub(s.startedAt) < handOverAfter {
+		return
+	}
+	d.log.Info().Str("Event", "hand over").Float64("Cores", d.options.Cores).Float64("Strongest", strongest).Msg("a stronger entry is there")
+	s.releasing = true
+}
+
+// handOverAfter is for how long a weak entry owns a cell at least, so that all
+// links are up.
+const handOverAfter = 1500 * time.Millisecond
+
 // eagerNext tells whether steps may start before they are stored as begun. With
 // a slow store they do, as the workers' tickets would have aged otherwise. A
 // successor that finds this in the owner's row takes every step as begun.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -152,8 +152,9 @@
 	dialed requester.EntryID
 
 	mu sync.Mutex
-	// linked are the entries to which a link is up, whoever dialed.
-	linked map[requester.EntryID]bool
+	// linked are the entries to which a link is up, whoever dialed, with their
+	// cores; 0 where they aren't known.
+	linked map[requester.EntryID]float64
 }
 
 var _ linker.Handler = (*Dispatcher)(nil)
@@ -177,7 +178,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		done:     make(chan struct{}),
-		linked:   make(map[requester.EntryID]bool),
+		linked:   make(map[requester.EntryID]float64),
 	}
 	d.store = keeper.NewHedged(platform)
 	for range scheduler.JobParts {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http/httptest"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -322,3 +324,39 @@
 		is.Equal(s.entries[1].Config().Version, int64(5)) // never back
 	})
 }
+
+// TestLinksTellStrength starts two entries with links over loopback: the
+// weaker one, which owned the cell alone, hands it to the stronger one.
+func TestLinksTellStrength(t *testing.T) {
+	cell := standin.NewCell(1, standin.CellWorkers("service", 3, requester.Resources{MilliCores: 8000, MemoryMB: 16000}))
+	cell.SetConfig(&dispatcher.Config{Version: 1})
+	start := func(id requester.EntryID, cores float64) *dispatcher.Dispatcher {
+		server := httptest.NewUnstartedServer(nil)
+		address := netip.MustParseAddrPort(server.Listener.Addr().String())
+		d := dispatcher.Start(dispatcher.Options{Self: id, DataCentre: "here", Address: address, Cores: cores}, cell.As(id), nil, zerolog.New(io.Discard))
+		server.Config.Handler = d.Links()
+		server.Start()
+		t.Cleanup(func() {
+			d.Close()
+			server.Close()
+		})
+		return d
+	}
+	weak := start("weak", 0.2)
+	waitUntil(t, "the weak entry owns the cell", weak.Owns)
+	strong := start("strong", 0.8)
+	waitUntil(t, "the strong entry owns the cell", strong.Owns)
+	waitUntil(t, "the weak entry owns it no more", func() bool { return !weak.Owns() })
+}
+
+// waitUntil polls until something holds; the test's own time limit ends it.
+func waitUntil(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for !holds() {
+		select {
+		case <-t.Context().Done():
+			t.Fatal(what)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -56,8 +56,9 @@
 	signal  chan struct{}
 
 	// What follows is used by the control goroutine only.
-	row      ownerRow
-	revision int64
+	row       ownerRow
+	revision  int64
+	startedAt time.Time
 	// validUntil is until when orders may be given; read by others under mu.
 	validUntil time.Time
 	commitOpen bool
@@ -93,6 +94,7 @@
 		signal:     make(chan struct{}, 1),
 		row:        row,
 		revision:   revision,
+		startedAt:  now,
 		validUntil: claimedAt.Add(row.term()),
 		committed:  claimedAt,
 		forgotAt:   now,
--- a/encoder/encoder.go
+++ b/encoder/encoder.go
@@ -34,6 +34,7 @@
 	kindAdviceReply
 	kindJobStored
 	kindStatesStored
+	kindStrength
 )
 
 func (*Hello) kind() kind          { return kindHello }
@@ -59,6 +60,7 @@
 func (*AdviceReply) kind() kind    { return kindAdviceReply }
 func (*JobStored) kind() kind      { return kindJobStored }
 func (*StatesStored) kind() kind   { return kindStatesStored }
+func (*Strength) kind() kind       { return kindStrength }
 
 // types maps each kind to its message's type.
 var types = func() map[kind]reflect.Type {
@@ -75,7 +77,7 @@
 		&Hello{}, &Proof{}, &Heartbeat{}, &Introduce{}, &CallForward{}, &CallReply{}, &CallCancel{}, &ConfigUpdate{},
 		&ConfigRequest{}, &PromiseRequest{}, &PromiseReply{}, &Relay{}, &RelayReply{}, &WitnessRequest{},
 		&WitnessReply{}, &WitnessPull{}, &WitnessList{}, &JobRequest{}, &JobReply{}, &AdviceRequest{}, &AdviceReply{}, &JobStored{},
-		&StatesStored{},
+		&StatesStored{}, &Strength{},
 	}
 }
 
--- a/encoder/message.go
+++ b/encoder/message.go
@@ -216,6 +216,12 @@
 	Failed  bool               `cbor:",omitempty"`
 }
 
+// Strength tells the owner of a cell how strong an entry's host is.
+type Strength struct {
+	// Cores is what the entry gets of processors.
+	Cores float64
+}
+
 // JobStored tells the owner of a cell of a job that has just been stored, or
 // of the cancelling of one.
 type JobStored struct {
