Go on using workers whose rows lapsed while the store was away

Change: for 2.2 s after the store's return workers missing from the list stay in use; those that are missing then are gone. TestLapsedList.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -236,6 +236,30 @@
 	}
 }
 
+// TestLapsedList: workers whose rows lapsed while the store was away are used
+// before they are listed again, and not for long.
+func TestLapsedList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t, 1)
+		defer s.close()
+		s.cell.SetFaults(standin.CellFaults{StoreDown: true})
+		time.Sleep(4 * time.Second)
+		s.cell.SetFaults(standin.CellFaults{ListLapsed: true})
+		// Calls that were open have to end first.
+		time.Sleep(2500 * time.Millisecond)
+		is.Equal(s.submit(0, 300), dispatcher.OutcomeDone)
+		time.Sleep(1200 * time.Millisecond)
+		row, _ := s.entries[0].State(context.Background(), s.jobs[0])
+		is.Equal(row.State, scheduler.StateCompleted)
+		time.Sleep(3 * time.Second)
+		is.Equal(s.submit(0, 300), dispatcher.OutcomeDone)
+		time.Sleep(2 * time.Second)
+		row, _ = s.entries[0].State(context.Background(), s.jobs[1])
+		is.Equal(row.State, scheduler.StateQueued) // still missing, so gone
+	})
+}
+
 // TestRefusedAtOnce: without the store nothing is accepted, and the caller
 // isn't kept waiting.
 func TestRefusedAtOnce(t *testing.T) {
--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -192,20 +192,46 @@
 	}
 }
 
+// relistTime is for how long after the store was away workers may be missing
+// from the list: their rows lapsed meanwhile, and they write them anew.
+const relistTime = 2200 * time.Millisecond
+
+// withUnlisted adds to a list the workers of the last one that it lacks.
+func withUnlisted(infos, last []scheduler.WorkerInfo) []scheduler.WorkerInfo {
+	listed := make(map[requester.HostID]bool, len(infos))
+	for _, info := range infos {
+		listed[info.HostID] = true
+	}
+	for _, info := range last {
+		if !listed[info.HostID] {
+			infos = append(infos, info)
+		}
+	}
+	return infos
+}
+
 // followWorkers keeps the core's list of workers.
 func (s *session) followWorkers() {
 	d := s.dispatcher
 	var failing bool
+	var failedAt time.Time
+	var last []scheduler.WorkerInfo
 	for s.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(s.ctx, storeTimeout)
 		infos, err := d.platform.ListWorkers(ctx)
 		cancel()
 		d.noteDependency("worker list", err, &failing)
 		wait := listInterval
+		now := d.clock.Now()
 		if err != nil {
+			failedAt = now
 			wait = retryInterval
 		} else {
-			s.post(func() { s.core.SetWorkers(d.clock.Now(), infos) })
+			if !failedAt.IsZero() && now.Sub(failedAt) < relistTime {
+				infos = withUnlisted(infos, last)
+			}
+			last = infos
+			s.post(func() { s.core.SetWorkers(now, infos) })
 		}
 		if !sleep(s.ctx, wait) {
 			return
--- a/standin/cell.go
+++ b/standin/cell.go
@@ -30,6 +30,8 @@
 	// LoseOrders is the share of orders that are carried out without an
 	// answer.
 	LoseOrders float64
+	// ListLapsed lists no workers: their rows have lapsed.
+	ListLapsed bool
 	// HistoryGone drops the history of changes at the next watch.
 	HistoryGone bool
 }
@@ -282,9 +284,12 @@
 	if err := c.call(ctx); err != nil {
 		return nil, err
 	}
+	c.mu.Lock()
+	lapsed := c.faults.ListLapsed
+	c.mu.Unlock()
 	var infos []scheduler.WorkerInfo
 	for _, w := range c.Workers() {
-		if info, up := w.Info(); up {
+		if info, up := w.Info(); up && !lapsed {
 			infos = append(infos, info)
 		}
 	}
