Tests of what is decided under load; a worker freed twice is freed twice

Cause: TestOrderUnderOverload, new, stood still for half a second: a worker that was freed twice in a row was noted once, and a step that had looked at it in between did not look again before its next look at all. Change: each freeing is noted. Further tests: urgency, whole gangs, whom a question names, blocked gangs that ask nothing, workers that fail. Counters of the owner are published.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -143,10 +143,13 @@
 	// connection, so that no entry runs there; 0 for none.
 	refusedEpoch atomic.Int64
 	counters     counters
-	ctx          context.Context
-	cancel       context.CancelFunc
-	group        sync.WaitGroup
-	done         chan struct{}
+	// cellStats is what this entry has counted as owner, as of the last line
+	// on how busy the cell is.
+	cellStats atomic.Pointer[scheduler.Stats]
+	ctx       context.Context
+	cancel    context.CancelFunc
+	group     sync.WaitGroup
+	done      chan struct{}
 
 	// dialed is the owner to which a link is wanted; used by claimLoop only.
 	dialed requester.EntryID
@@ -253,13 +256,4 @@
 func (d *Dispatcher) Done() <-chan struct{} { return d.done }
 
 // pause waits, and reports false where the entry is closing.
-func (d *Dispatcher) pause(wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-d.ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
+func (d *Dispatcher) pause(wait time.Duration) bool { return sleep(d.ctx, wait) }
--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -8,6 +8,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rs/zerolog"
+
+	"kumquatstall/scheduler"
 )
 
 // timings is a histogram of latencies, from 1 µs to 1 min.
@@ -100,6 +102,7 @@
 		SubmitMillis  quantiles
 		CommitMillis  quantiles
 		AdviceMillis  quantiles
+		Cell          *scheduler.Stats `json:",omitempty"`
 	}{
 		Ready:         d.Ready(),
 		Owner:         string(owner.row.Holder),
@@ -111,6 +114,7 @@
 		SubmitMillis:  d.counters.submitTime.quantiles(),
 		CommitMillis:  d.counters.commitTime.quantiles(),
 		AdviceMillis:  d.counters.adviceTime.quantiles(),
+		Cell:          d.cellStats.Load(),
 	}
 	if config := d.Config(); config != nil {
 		published.ConfigVersion = config.Version
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -268,6 +268,7 @@
 	}
 	s.loadAt = now
 	load, stats := s.core.Load(), s.core.Stats()
+	s.dispatcher.cellStats.Store(&stats)
 	s.dispatcher.log.Info().Str("Event", "load").Int64("Epoch", s.row.Epoch).
 		Int("Jobs", load.Jobs).Int("OpenTasks", load.OpenTasks).Int("Unasked", load.Unasked).Int("Runs", load.RunningRuns).
 		Int("Workers", load.Workers).Int("Silent", load.Silent).Int("Asking", len(s.asked)).Int("Advisers", len(s.advisers)).
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -89,23 +89,29 @@
 
 // Stats counts what the core did.
 type Stats struct {
-	Starts         int64
-	Stops          int64
-	Looks          int64
-	Done           int64
-	Failed         int64
-	Lapsed         int64
-	Rejected       int64
-	Doubtful       int64
-	AdviceAsked    int64
-	JobsCompleted  int64
-	JobsFailed     int64
-	JobsCancelled  int64
-	Violations     int64
-	WorkersRested  int64
-	Vanished       int64
-	StraysStopped  int64
-	PlacementsLate int64
+	Starts int64
+	Stops  int64
+	Looks  int64
+	// Done, Failed and Lapsed are ends of runs.
+	Done   int64
+	Failed int64
+	Lapsed int64
+	// Rejected starts were not carried out, Doubtful ones got no answer.
+	Rejected    int64
+	Doubtful    int64
+	AdviceAsked int64
+	// JobsCompleted, JobsFailed and JobsCancelled are ends of jobs.
+	JobsCompleted int64
+	JobsFailed    int64
+	JobsCancelled int64
+	// Violations are starts withheld because an invariant did not hold.
+	Violations int64
+	// WorkersRested counts rests of workers that fail what they start.
+	WorkersRested int64
+	// Vanished runs were not listed by their worker any more.
+	Vanished int64
+	// StraysStopped are runs that nobody wanted.
+	StraysStopped int64
 }
 
 // Note is something worth a line in the log.
--- a/scheduler/look.go
+++ b/scheduler/look.go
@@ -100,10 +100,6 @@
 	c.takeRunning(w, order, report)
 	w.confirm()
 	c.changed = true
-	if w.seen > w.confirmed {
-		// The next look confirms these ends, once they are written.
-		return
-	}
 }
 
 // confirm moves on to the last end whose job's rows are written.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -124,9 +124,7 @@
 // markFreed notes that a worker may have more room than before.
 func (c *Core) markFreed(w *worker) {
 	c.changed = true
-	if len(c.freed) == 0 || c.freed[len(c.freed)-1] != w {
-		c.freed = append(c.freed, w)
-	}
+	c.freed = append(c.freed, w)
 }
 
 func (c *Core) trimFreed() {
@@ -495,7 +493,7 @@
 	})
 	c.note(Note{
 		Job: s.job().name(), Task: r.name, Run: number, Worker: w.info.HostID, Event: "start",
-		Waited: c.now.Sub(s.occurrence.dueAt), Tier: s.urgencyOf(c.now).tier,
+		Waited: c.now.Sub(s.occurrence.dueAt), Tier: s.rank.tier,
 	})
 }
 
--- /dev/null
+++ b/scheduler/place_test.go
@@ -0,0 +1,251 @@
+package scheduler
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"kumquatstall/requester"
+)
+
+// bench is a core with idle workers, without a network: what it orders is
+// carried out at once, and time passes as the test says.
+type bench struct {
+	core *Core
+	now  time.Time
+	// running are the starts that have not ended.
+	running []StartOrder
+	numbers map[requester.HostID]int64
+}
+
+var benchRoom = requester.Resources{MilliCores: 8000, MemoryMB: 16000}
+
+func newBench(workers int) *bench {
+	b := &bench{now: time.Date(2026, 7, 10, 12, 0, 0, 0, time.UTC), numbers: make(map[requester.HostID]int64)}
+	b.core = New(Options{Epoch: 1}, b.now)
+	var infos []WorkerInfo
+	for i := range workers {
+		infos = append(infos, WorkerInfo{
+			HostID: requester.HostID(fmt.Sprintf("w%03d", i)), Service: "service", Total: benchRoom, Born: b.now,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1),
+		})
+	}
+	b.core.SetWorkers(b.now, infos)
+	b.step(0)
+	b.step(0)
+	return b
+}
+
+// step lets time pass, carries out what is ordered and stores what has changed.
+func (b *bench) step(wait time.Duration) []StartOrder {
+	b.now = b.now.Add(wait)
+	b.save()
+	orders := b.core.Tick(b.now)
+	for _, order := range orders.Looks {
+		report := &Report{Clock: WorkerTime(b.now.Sub(order.Worker.Born).Milliseconds()), Born: order.Worker.Born}
+		for _, start := range b.running {
+			if start.Worker.HostID == order.Worker.HostID {
+				report.Running = append(report.Running, RunningTask{Task: start.Task, Run: start.Run})
+			}
+		}
+		b.core.LookDone(b.now, order, report, OrderAccepted)
+	}
+	for _, order := range orders.Starts {
+		b.running = append(b.running, order)
+		b.core.StartDone(b.now, order, OrderAccepted)
+	}
+	return orders.Starts
+}
+
+// settle takes two steps, so that what was added is stored and placed.
+func (b *bench) settle() []StartOrder {
+	starts := b.step(0)
+	return append(starts, b.step(50*time.Millisecond)...)
+}
+
+func (b *bench) save() {
+	if batch := b.core.TakeBatch(1000); !batch.Empty() {
+		b.core.Saved(b.now, batch)
+	}
+}
+
+// end ends the run of a task.
+func (b *bench) end(start StartOrder, kind EndKind) {
+	host := start.Worker.HostID
+	b.numbers[host]++
+	report := &Report{
+		Clock: WorkerTime(b.now.Sub(start.Worker.Born).Milliseconds()), Born: start.Worker.Born,
+		Ended: []EndedRun{{Number: b.numbers[host], Task: start.Task, Run: start.Run, Kind: kind}},
+	}
+	kept := b.running[:0]
+	for _, other := range b.running {
+		if other.Task == start.Task {
+			continue
+		}
+		kept = append(kept, other)
+		if other.Worker.HostID == host {
+			report.Running = append(report.Running, RunningTask{Task: other.Task, Run: other.Run})
+		}
+	}
+	b.running = kept
+	b.core.LookDone(b.now, LookOrder{Worker: start.Worker, SentAt: b.now}, report, OrderAccepted)
+	b.save()
+}
+
+func (b *bench) add(id string, policy Policy, steps ...Step) {
+	policy.Service = "service"
+	if policy.MaxAttempts == 0 {
+		policy.MaxAttempts = 3
+	}
+	b.core.Add(b.now, Job{JobID: requester.JobID(id), Queue: "queue", Policy: policy, Steps: steps, AcceptedAt: b.now})
+}
+
+func cores(count int, milli int64) Step {
+	return Step{Count: count, Need: requester.Resources{MilliCores: milli, MemoryMB: 100}, EstimateMillis: 1000}
+}
+
+// TestUrgency: what can still be in time comes first, then what can be late.
+func TestUrgency(t *testing.T) {
+	tests := []struct {
+		name   string
+		waited time.Duration
+		want   int
+	}{
+		{"new", 0, 0},
+		{"just in time", 1500 * time.Millisecond, 0},
+		{"late", 1501 * time.Millisecond, 1},
+		{"just worth something", 6500 * time.Millisecond, 1},
+		{"worth nothing", 6501 * time.Millisecond, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(0)
+			// An objective of 2 x 1 s and 0.5 s more.
+			b.add("a", Policy{Stretch: 2, ObjectiveMillis: 500}, cores(1, 1000))
+			s := b.core.jobs["a"].occurrences[0].steps[0]
+			is.Equal(s.urgencyOf(b.now.Add(test.waited)).tier, test.want)
+		})
+	}
+}
+
+// TestOrderUnderOverload replays a burst of three kinds beyond the room there
+// is: by priority, but nothing that is late goes before what can be in time.
+func TestOrderUnderOverload(t *testing.T) {
+	is := is.New(t)
+	b := newBench(1)
+	b.add("old", Policy{Priority: 0, Stretch: 1, ObjectiveMillis: 100}, cores(1, 8000))
+	b.now = b.now.Add(2 * time.Second)
+	b.add("light", Policy{Priority: 0, Stretch: 2, ObjectiveMillis: 5000}, cores(1, 8000))
+	b.add("heavy", Policy{Priority: 1, Stretch: 2, ObjectiveMillis: 5000}, cores(1, 8000))
+	var order []requester.JobID
+	for range 3 {
+		starts := b.settle()
+		is.Equal(len(starts), 1)
+		order = append(order, starts[0].Task.Job)
+		b.end(starts[0], EndDone)
+	}
+	is.Equal(order, []requester.JobID{"light", "heavy", "old"})
+}
+
+// TestGangWhole: a gang starts whole or not at all, and smaller work may pass.
+func TestGangWhole(t *testing.T) {
+	is := is.New(t)
+	b := newBench(2)
+	gang := cores(3, 5000)
+	gang.Gang = true
+	b.add("gang", Policy{Stretch: 9}, gang)
+	b.add("small", Policy{Stretch: 9, Priority: 2}, cores(2, 1000))
+	for _, start := range b.settle() {
+		is.Equal(start.Task.Job, requester.JobID("small"))
+	}
+	is.Equal(len(b.running), 2)
+}
+
+// TestAskedWorkers: a question names as many workers as a step is likely to
+// need, those with room first.
+func TestAskedWorkers(t *testing.T) {
+	tests := []struct {
+		name string
+		step Step
+		want int
+	}{
+		{"a small step", cores(2, 1000), minAsked},
+		{"a wide step of small tasks", cores(40, 1000), 25},
+		{"a wide gang", Step{Count: 30, Gang: true, Need: requester.Resources{MilliCores: 5000, MemoryMB: 100}}, maxAsked},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(150)
+			b.add("full", Policy{}, cores(1, 8000))
+			full := b.settle()
+			is.Equal(len(full), 1)
+			b.add("asked", Policy{Advice: &Advice{DecideMillis: 10, WorkerMillis: 1, ValidMillis: 1500}}, test.step)
+			b.step(10 * time.Millisecond)
+			orders := b.core.Advise(b.now, 5)
+			is.Equal(len(orders), 1)
+			is.Equal(len(orders[0].Workers), test.want)
+			for _, id := range orders[0].Workers {
+				is.True(id != full[0].Worker.HostID) // it has no room
+			}
+		})
+	}
+}
+
+// TestBlockedGangAsksNothing replays gangs that wait for room: their tickets
+// age, and renewing them before there is room would keep the service busy.
+func TestBlockedGangAsksNothing(t *testing.T) {
+	is := is.New(t)
+	b := newBench(3)
+	b.add("full", Policy{}, cores(2, 8000))
+	full := b.settle()
+	is.Equal(len(full), 2)
+	gang := cores(2, 8000)
+	gang.Gang = true
+	b.add("gang", Policy{Stretch: 9, Advice: &Advice{DecideMillis: 10, WorkerMillis: 1, ValidMillis: 300}}, gang)
+	b.step(10 * time.Millisecond)
+	orders := b.core.Advise(b.now, 5)
+	is.Equal(len(orders), 1)
+	var tickets []Ticket
+	for _, id := range orders[0].Workers {
+		tickets = append(tickets, Ticket{Worker: id, Text: "t"})
+	}
+	b.core.Advised(b.now, orders[0], tickets, false)
+	for range 20 {
+		b.step(100 * time.Millisecond)
+		is.Equal(len(b.core.Advise(b.now, 5)), 0) // one worker is free, two are needed
+	}
+	b.end(full[0], EndDone)
+	b.step(100 * time.Millisecond)
+	orders = b.core.Advise(b.now, 5)
+	is.Equal(len(orders), 1)
+	is.Equal(len(orders[0].Workers), 2) // just those with room
+}
+
+// TestFailingWorker: a worker on which jobs fail in a row rests, and a gang
+// whose task failed there goes elsewhere if it can.
+func TestFailingWorker(t *testing.T) {
+	is := is.New(t)
+	b := newBench(2)
+	gang := cores(1, 1000)
+	gang.Gang = true
+	b.add("gang", Policy{Stretch: 9}, gang)
+	first := b.settle()
+	is.Equal(len(first), 1)
+	b.end(first[0], EndFailed)
+	second := b.settle()
+	is.Equal(len(second), 1)
+	is.True(second[0].Worker.HostID != first[0].Worker.HostID)
+
+	w := b.core.workers[first[0].Worker.HostID]
+	for i := range failuresToRest - 1 {
+		is.True(w.takes(b.now))
+		b.core.countHealth(w, requester.JobID(fmt.Sprint("job", i)))
+	}
+	is.True(!w.takes(b.now))
+	is.True(b.core.Stats().WorkersRested == 1)
+}
