Dial the owner at once

Cause: after each takeover the new owner asked for advice alone for up to 1.3 s: entries with a higher name left the dialing to the owner for 0.6 s, which never dials.

--- a/linker/linker.go
+++ b/linker/linker.go
@@ -55,6 +55,9 @@
 	Key []byte
 	// TLS, where not nil, is used to dial.
 	TLS *tls.Config
+	// DialAtOnce dials without leaving it to the peer for a while; for
+	// peers that don't dial themselves.
+	DialAtOnce bool
 	// SilenceTimeout ends a write that does not progress; default 3 s.
 	SilenceTimeout time.Duration
 }
@@ -203,7 +206,8 @@
 
 func (l *Linker) dialLoop(id requester.EntryID, effort *dial) {
 	pause := time.Duration(0)
-	if id < l.options.Self.EntryID {
+	yields := id < l.options.Self.EntryID && !l.options.DialAtOnce
+	if yields {
 		pause = yieldFor
 	}
 	for {
@@ -214,7 +218,7 @@
 		if l.linked(id) {
 			continue
 		}
-		if id < l.options.Self.EntryID {
+		if yields {
 			if !sleep(l.ctx, yieldFor-redialInterval) {
 				return
 			}
