Space decisions by how long they take

Cause: with a backlog the owner's decisions took all of its processor time, and orders, looks and commits came late (seen in the failed trials). Change: at least three times the time of the last decision lies between two.

--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -14,6 +14,9 @@
 	// tickInterval separates decisions: what comes in between is decided on
 	// together, in order.
 	tickInterval = 10 * time.Millisecond
+	// tickFactor times the time that the last decision took is the least
+	// between two: a host that is busy keeps time for its orders and commits.
+	tickFactor = 3
 	// idleInterval is how often time is noticed when nothing happens.
 	idleInterval = 100 * time.Millisecond
 	// commitInterval separates commits while there is something to write.
@@ -71,6 +74,7 @@
 	releasing bool
 	ended     bool
 	tickedAt  time.Time
+	tickTook  time.Duration
 	loadAt    time.Time
 	advisers  advisers
 	asked     map[uint64]askedAdvice
@@ -131,21 +135,23 @@
 
 // step decides what is due and returns how long nothing more will be.
 func (s *session) step() time.Duration {
-	now := s.dispatcher.clock.Now()
+	d := s.dispatcher
+	now := d.clock.Now()
 	s.commit(now)
 	if s.core.Fenced() {
-		s.dispatcher.log.Warn().Str("Event", "fenced").Int64("Epoch", s.row.Epoch).Msg("a worker has seen a higher epoch")
+		d.log.Warn().Str("Event", "fenced").Int64("Epoch", s.row.Epoch).Msg("a worker has seen a higher epoch")
 		s.ended = true
 		return 0
 	}
 	if !s.loaded || s.releasing || !now.Before(s.validUntil) {
 		return tickInterval
 	}
-	if wait := tickInterval - now.Sub(s.tickedAt); wait > 0 {
+	if wait := max(tickInterval, tickFactor*s.tickTook) - now.Sub(s.tickedAt); wait > 0 {
 		return wait
 	}
 	s.tickedAt = now
 	s.carryOut(s.core.Tick(now))
+	s.tickTook = d.clock.Now().Sub(now)
 	s.ask(now)
 	s.logNotes()
 	s.logLoad(now)
