Don't take a look from before a stop for what came after it

Cause, found by reading: a look sent before a stop was confirmed can be answered after it; a run that began in between, by an order carried out late, counted as never begun while it was still stopping, and its room was given away. Change: only a look sent after the confirmation counts; TestLookFromBeforeAStop fails without it. Progress reports that nothing used are no longer kept.

--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -56,7 +56,7 @@
 		if !ok {
 			continue
 		}
-		s := newSession(d, row, revision, claimedAt, owner.row.Eager)
+		s := newSession(d, row, revision, claimedAt, owner.row)
 		d.session.Store(s)
 		// Links that came up before have told no session.
 		for _, id := range d.linkedPeers() {
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -81,7 +81,7 @@
 	askNumber uint64
 }
 
-func newSession(d *Dispatcher, row ownerRow, revision int64, claimedAt time.Time, earlierEager bool) *session {
+func newSession(d *Dispatcher, row ownerRow, revision int64, claimedAt time.Time, earlier ownerRow) *session {
 	ctx, cancel := context.WithCancel(d.ctx)
 	now := d.clock.Now()
 	s := &session{
@@ -89,8 +89,8 @@
 		core: scheduler.New(scheduler.Options{
 			Epoch:        row.Epoch,
 			LongestLease: d.options.LongestLease,
-			EarlierEager: earlierEager,
-			EarlierTerm:  maxOwnerTerm + ownerMargin,
+			EarlierEager: earlier.Eager,
+			EarlierTerm:  earlier.term() + ownerMargin,
 		}, now),
 		ctx:        ctx,
 		cancel:     cancel,
--- a/scheduler/ends.go
+++ b/scheduler/ends.go
@@ -47,7 +47,7 @@
 	r := w.runs[key]
 	if r != nil {
 		// Nothing more has to be asked of it.
-		r.phase, r.barred = runStopping, true
+		r.phase, r.barredAt = runStopping, c.now
 	}
 	if t != nil && !t.step.job().state.Ended() {
 		c.endTask(w, t, ended)
--- a/scheduler/look.go
+++ b/scheduler/look.go
@@ -133,9 +133,10 @@
 		}
 		switch {
 		case r.phase == runDoubtful || r.phase == runStopping && r.presentAt.IsZero():
-			if r.barred {
+			// A look from before the stop tells nothing of what began since.
+			if !r.barredAt.IsZero() && !order.SentAt.Before(r.barredAt) {
 				c.lose(r, "never began")
-			} else {
+			} else if r.barredAt.IsZero() {
 				c.sendStop(r)
 			}
 		case !r.presentAt.IsZero() && r.presentAt.Before(order.SentAt):
@@ -149,7 +150,7 @@
 // adopt takes in a run that an earlier owner started, or that nobody wants.
 func (c *Core) adopt(w *worker, running RunningTask) *run {
 	t := c.find(running.Task)
-	r := &run{name: running.Task, number: running.Run, worker: w, phase: runPresent, startedAt: c.now, presentAt: c.now, progressAt: c.now}
+	r := &run{name: running.Task, number: running.Run, worker: w, phase: runPresent, startedAt: c.now, presentAt: c.now}
 	if t != nil {
 		r.need = t.step.def.room()
 		t.lastRun = max(t.lastRun, running.Run)
@@ -198,12 +199,8 @@
 	}
 	if r.presentAt.IsZero() {
 		r.presentAt = c.now
-		r.progressAt = c.now
-	}
-	if running.Checkpoint != r.checkpoint || running.Percent != r.percent {
-		r.checkpoint, r.percent = running.Checkpoint, running.Percent
-		r.progressAt = c.now
 	}
+	r.checkpoint = running.Checkpoint
 	if r.phase == runStopping && !r.stopOpen {
 		c.sendStop(r)
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -460,14 +460,13 @@
 	s := t.step
 	need := s.def.room()
 	r := &run{
-		task:       t,
-		name:       t.name(),
-		number:     number,
-		worker:     w,
-		need:       need,
-		startedAt:  c.now,
-		progressAt: c.now,
-		endsAt:     c.now.Add(time.Duration(s.def.EstimateMillis) * time.Millisecond),
+		task:      t,
+		name:      t.name(),
+		number:    number,
+		worker:    w,
+		need:      need,
+		startedAt: c.now,
+		endsAt:    c.now.Add(time.Duration(s.def.EstimateMillis) * time.Millisecond),
 	}
 	if broken := c.broken(t, w, need); broken != "" {
 		c.stats.Violations++
--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -249,3 +249,28 @@
 	is.True(!w.takes(b.now))
 	is.True(b.core.Stats().WorkersRested == 1)
 }
+
+// TestLookFromBeforeAStop: answers on different connections overtake each
+// other. A look that was sent before a stop was confirmed says nothing of an
+// order that was carried out late.
+func TestLookFromBeforeAStop(t *testing.T) {
+	is := is.New(t)
+	b := newBench(1)
+	b.add("job", Policy{Stretch: 9}, cores(1, 8000))
+	b.save()
+	orders := b.core.Tick(b.now)
+	is.Equal(len(orders.Starts), 1)
+	start := orders.Starts[0]
+	b.core.StartDone(b.now, start, OrderUnknown)
+	report := &Report{Clock: 1000, Born: start.Worker.Born}
+	early := LookOrder{Worker: start.Worker, SentAt: b.now}
+	b.core.LookDone(b.now, early, report, OrderAccepted) // not there: a stop is sent
+	b.now = b.now.Add(50 * time.Millisecond)
+	stops := b.core.Tick(b.now).Stops
+	is.Equal(len(stops), 1)
+	b.core.StopDone(b.now, stops[0], OrderAccepted)
+	b.core.LookDone(b.now, early, report, OrderAccepted)
+	is.Equal(len(b.core.workers[start.Worker.HostID].runs), 1) // it may be stopping still
+	b.core.LookDone(b.now, LookOrder{Worker: start.Worker, SentAt: b.now}, report, OrderAccepted)
+	is.Equal(len(b.core.workers[start.Worker.HostID].runs), 0)
+}
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -36,16 +36,13 @@
 	presentAt time.Time
 	// endsAt is when it should end, by its estimate.
 	endsAt time.Time
-	// checkpoint and percent are those last reported; progressAt is when
-	// either last changed.
+	// checkpoint is the one last reported.
 	checkpoint string
-	percent    int
-	progressAt time.Time
 	// stopOpen tells that a stop has been sent and not been answered.
 	stopOpen bool
-	// barred tells that a stop was confirmed: an order that is still on its
-	// way can't begin the run any more.
-	barred bool
+	// barredAt is when a stop was confirmed: from then on an order that is
+	// still on its way can't begin the run any more.
+	barredAt time.Time
 	// unsized tells that what it takes isn't known.
 	unsized bool
 }
@@ -107,7 +104,7 @@
 	r.stopOpen = false
 	switch result {
 	case OrderAccepted:
-		r.barred = true
+		r.barredAt = now
 		// A look that is sent from now on tells whether it runs still.
 		w.lookAfter = now
 	case OrderFenced:
@@ -131,7 +128,6 @@
 	switch result {
 	case OrderAccepted:
 		r.presentAt = now
-		r.progressAt = now
 		if r.phase == runStarting {
 			r.phase = runPresent
 			c.begun(r.task.step.job())
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -135,7 +135,6 @@
 	Task       TaskName
 	Run        RunNumber
 	Checkpoint string
-	Percent    int
 }
 
 // EndKind tells how a run ended.
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -427,7 +427,7 @@
 	f.ended = slices.DeleteFunc(f.ended, func(e EndedRun) bool { return e.Number <= order.Seen })
 	report := &Report{Clock: f.clock(), Born: f.info.Born, Ended: slices.Clone(f.ended)}
 	for key := range f.runs {
-		report.Running = append(report.Running, RunningTask{Task: key.name, Run: key.number, Percent: 10})
+		report.Running = append(report.Running, RunningTask{Task: key.name, Run: key.number})
 	}
 	slices.SortFunc(report.Running, func(a, b RunningTask) int {
 		return compareRuns(&run{name: a.Task, number: a.Run}, &run{name: b.Task, number: b.Run})
