--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -189,7 +189,7 @@
 }
 
 // notStored is the stored state of a job whose state isn't stored yet.
-const notStored State = -1
+const notStored = -1
 
 // Knows reports whether the job is known.
 func (c *Core) Knows(id requester.JobID) bool { return c.jobs[id] != nil }
