--- /dev/null
+++ b/configurer/site_test.go
@@ -0,0 +1,69 @@
+package configurer
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+const goodSite = `EntryID: "entry-1"
+DataCentre: "yame"
+Listen:
+  Callers: "10.1.0.13:8161"
+  Ready: "10.1.0.13:8167"
+  Links: "10.1.0.13:7720"
+  Metrics: "10.1.0.13:9464"
+Store:
+  Address: "10.200.1.7:8169"
+  WritesPerSecond: 600
+Advice: "10.200.1.9:8169"
+Timing:
+  GraceSeconds: 6
+  LongestLeaseMillis: 10000
+Limits:
+  MemoryMB: 284
+  Cores: 0.4
+`
+
+func TestParseSite(t *testing.T) {
+	tests := []struct {
+		name string
+		old  string
+		new  string
+		// key is the key that has to be named; empty where all is right.
+		key string
+	}{
+		{"good", "", "", ""},
+		{"no name", `EntryID: "entry-1"`, `EntryID: ""`, "EntryID"},
+		{"odd name", `"entry-1"`, `"entry/1"`, "EntryID"},
+		{"no data centre", `DataCentre: "yame"`, `DataCentre: ""`, "DataCentre"},
+		{"no address for callers", `  Callers: "10.1.0.13:8161"` + "\n", "", "Listen.Callers"},
+		{"no address of the store", `  Address: "10.200.1.7:8169"` + "\n", "", "Store.Address"},
+		{"negative rate", "WritesPerSecond: 600", "WritesPerSecond: -1", "Store.WritesPerSecond"},
+		{"negative grace", "GraceSeconds: 6", "GraceSeconds: -6", "Timing.GraceSeconds"},
+		{"negative lease", "LongestLeaseMillis: 10000", "LongestLeaseMillis: -1", "Timing.LongestLeaseMillis"},
+		{"negative memory", "MemoryMB: 284", "MemoryMB: -284", "Limits.MemoryMB"},
+		{"negative cores", "Cores: 0.4", "Cores: -1", "Limits.Cores"},
+		{"unknown level", "Limits:", "Log:\n  Level: loud\nLimits:", "Log.Level"},
+		{"unknown key", "Limits:", "Limit: 3\nLimits:", "Limit"},
+		{"no YAML", goodSite, "{", "document"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			site, err := ParseSite("site.yaml", []byte(strings.Replace(goodSite, test.old, test.new, 1)))
+			if test.key == "" {
+				is.NoErr(err)
+				is.Equal(site.Limits.Cores, 0.4)
+				is.Equal(Millis(site.Timing.LongestLeaseMillis), 10*time.Second)
+				return
+			}
+			var problems *ProblemsError
+			is.True(errors.As(err, &problems))
+			is.True(strings.Contains(problems.Problems[0].Key, test.key)) // the key is named
+		})
+	}
+}
