--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -63,7 +63,7 @@
 	adviceTime    timings
 }
 
-// ObserveSubmit counts a submission and how long it took.
+// ObserveSubmit counts a request to store a job and how long it took.
 func (d *Dispatcher) ObserveSubmit(outcome Outcome, latency time.Duration) {
 	d.counters.submitted[outcome].Add(1)
 	d.counters.submitTime.Observe(latency)
