--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -350,7 +350,8 @@
 }
 
 // TestLinksTellStrength starts two entries with links over loopback: the
-// weaker one, which owned the cell alone, hands it to the stronger one.
+// weaker one, which owned the cell alone, hands it to the stronger one. That
+// one spreads its questions for advice over the link that was up before.
 func TestLinksTellStrength(t *testing.T) {
 	cell := standin.NewCell(1, standin.CellWorkers("service", 3, requester.Resources{MilliCores: 8000, MemoryMB: 16000}))
 	cell.SetConfig(&dispatcher.Config{Version: 1})
@@ -371,6 +372,14 @@
 	strong := start("strong", 0.8)
 	waitUntil(t, "the strong entry owns the cell", strong.Owns)
 	waitUntil(t, "the weak entry owns it no more", func() bool { return !weak.Owns() })
+	before, number := cell.Asked("weak"), 0
+	waitUntil(t, "the weak entry asks for advice too", func() bool {
+		number++
+		strong.Submit(t.Context(), scheduler.Job{
+			JobID: requester.JobID(fmt.Sprintf("%016x", number)), Queue: "queue", Policy: policy(), Steps: []scheduler.Step{{Count: 1}},
+		})
+		return cell.Asked("weak") > before
+	})
 }
 
 // waitUntil polls until something holds; the test's own time limit ends it.
--- a/standin/cell.go
+++ b/standin/cell.go
@@ -52,6 +52,8 @@
 	// configRevision is that of the configuration.
 	configRevision int64
 	workers        map[requester.HostID]*TaskWorker
+	// asked counts the questions for advice by entry.
+	asked map[requester.EntryID]int
 	// Latency is how long each call takes.
 	Latency time.Duration
 }
@@ -63,6 +65,7 @@
 		table:   NewRows(),
 		changed: make(chan struct{}),
 		workers: make(map[requester.HostID]*TaskWorker),
+		asked:   make(map[requester.EntryID]int),
 		Latency: 4 * time.Millisecond,
 	}
 	for _, info := range workers {
@@ -97,6 +100,13 @@
 	return workers
 }
 
+// Asked returns how many questions for advice an entry has asked.
+func (c *Cell) Asked(entry requester.EntryID) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.asked[entry]
+}
+
 // SetConfig puts a configuration in force.
 func (c *Cell) SetConfig(config *dispatcher.Config) {
 	c.mu.Lock()
@@ -374,6 +384,9 @@
 		return nil, errors.Wrap(ctx.Err(), "ask for advice")
 	case <-timer.C:
 	}
+	c.mu.Lock()
+	c.asked[c.entry]++
+	c.mu.Unlock()
 	var tickets []scheduler.Ticket
 	for _, id := range workers {
 		if AdviceAllows(step, id) {
