Read the change again: one recent latency, no dead state, pages that fit

The rule for a recent latency stood in keeper.Hedged and in the dispatcher; it is keeper.Latency now. Advise went over its steps twice, and noted a time that nothing read. The last listener started was taken for the callers' one; it is told by its address. The dispatcher's page still told of one part of the store.

--- a/cmd/kumquatstall/serve.go
+++ b/cmd/kumquatstall/serve.go
@@ -114,18 +114,22 @@
 		if !l.address.IsValid() {
 			continue
 		}
-		if err := s.listen(l.name, l.address, l.handler); err != nil {
+		server, err := s.listen(l.name, l.address, l.handler)
+		if err != nil {
 			return err
 		}
+		if l.address == site.Listen.Callers {
+			s.callers = server
+		}
 	}
 	s.log.Info().Str("Event", "start").Str("Entry", string(site.EntryID)).Str("DataCentre", string(site.DataCentre)).Msg("entry started")
 	return nil
 }
 
-func (s *siteServer) listen(name string, address netip.AddrPort, handler http.Handler) error {
+func (s *siteServer) listen(name string, address netip.AddrPort, handler http.Handler) (*http.Server, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
-		return errors.Wrapf(err, "listen for %s", name)
+		return nil, errors.Wrapf(err, "listen for %s", name)
 	}
 	server := &http.Server{
 		Handler:           handler,
@@ -134,13 +138,12 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	s.servers = append(s.servers, server)
-	s.callers = server
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			s.failed <- errors.Wrapf(err, "serve %s", name)
 		}
 	}()
-	return nil
+	return server, nil
 }
 
 // expvarText is a variable that is JSON already.
--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -108,7 +108,7 @@
 		d.log.Warn().Str("Event", "claim").Err(err).Msg("owner's row can't be read")
 		return false
 	}
-	d.observeStore(time.Since(askedAt))
+	d.slowness.Observe(time.Since(askedAt))
 	if len(result.Rows) != 1 {
 		return false
 	}
@@ -255,11 +255,7 @@
 func (d *Dispatcher) PeerMessage(from requester.EntryID, message encoder.Message) {
 	switch message := message.(type) {
 	case *encoder.AdviceRequest:
-		d.group.Add(1)
-		go func() {
-			defer d.group.Done()
-			d.adviseFor(from, message)
-		}()
+		d.group.Go(func() { d.adviseFor(from, message) })
 	case *encoder.AdviceReply:
 		d.toSession(func(s *session) { s.advised(message.ID, message.Allowed, message.Failed) })
 	case *encoder.JobStored:
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -6,11 +6,11 @@
 //
 // # Rows
 //
-// The rows of jobs, of their states and of their progress lie in one table
-// space, so that one transaction may touch all of them. The owner's row is
-// among the states. Each of the owner's commits requires that row as the owner
-// wrote it last and writes it anew; a commit is a renewal, and an entry that
-// has lost the row can't write at all.
+// Entries write the rows of jobs, in several parts of the store. The owner
+// writes their states and progress, and a row of its own, in one part, so that
+// one transaction may touch all of these. Each of its commits requires its row
+// as it wrote it last and writes it anew; a commit is a renewal, and an entry
+// that has lost the row can't write states or progress at all.
 //
 // # Goroutines
 //
@@ -42,7 +42,8 @@
 	Removed bool
 }
 
-// Store keeps the rows. Keys begin with the name of a table and a slash.
+// Store keeps the rows. A key names a table, a part of it and a row, with
+// slashes between them.
 type Store interface {
 	keeper.Table
 	// List returns the rows below a table's prefix, and a revision after
@@ -134,9 +135,8 @@
 	config   atomic.Pointer[Config]
 	session  atomic.Pointer[session]
 	draining atomic.Bool
-	// slowness is how long the store's answers have taken lately, in
-	// nanoseconds.
-	slowness atomic.Int64
+	// slowness is how long the store has taken to answer reads.
+	slowness keeper.Latency
 	// storeSeen is when the store last answered a watch, by the clock.
 	storeSeen atomic.Int64
 	// refusedEpoch is the epoch of an owner whose host has refused a
@@ -194,11 +194,7 @@
 	self := encoder.PeerInfo{EntryID: options.Self, DataCentre: options.DataCentre, Address: options.Address}
 	d.linker = linker.New(linker.Options{Self: self, Incarnation: time.Now().UnixNano(), DialAtOnce: true}, d)
 	for _, part := range []func(){d.followConfig, d.followStates, d.claimLoop} {
-		d.group.Add(1)
-		go func() {
-			defer d.group.Done()
-			part()
-		}()
+		d.group.Go(part)
 	}
 	return d
 }
@@ -211,7 +207,7 @@
 const inTouch = 900 * time.Millisecond
 
 // storeLatency is how long the store's answers have taken lately.
-func (d *Dispatcher) storeLatency() time.Duration { return time.Duration(d.slowness.Load()) }
+func (d *Dispatcher) storeLatency() time.Duration { return d.slowness.Recent() }
 
 // Ready reports whether the entry can take work.
 func (d *Dispatcher) Ready() bool {
--- a/dispatcher/follow.go
+++ b/dispatcher/follow.go
@@ -105,23 +105,14 @@
 	if err != nil {
 		return after, err
 	}
-	d.observeStore(time.Since(askedAt) - watchWait)
+	// What the store took beyond the time that it was to wait.
+	d.slowness.Observe(time.Since(askedAt) - watchWait)
 	for _, change := range changes {
 		d.takeRow(change)
 	}
 	return revision, nil
 }
 
-// observeStore notes how long the store took beyond what it was to wait. A slow
-// answer counts at once, a fast one little by little.
-func (d *Dispatcher) observeStore(took time.Duration) {
-	calmer := time.Duration(slownessWeight * float64(d.slowness.Load()))
-	d.slowness.Store(int64(max(took, calmer)))
-}
-
-// slownessWeight is how much of the slowness stays with each faster answer.
-const slownessWeight = 0.7
-
 // noteDependency logs when something outside is lost or regained.
 func (d *Dispatcher) noteDependency(name string, err error, failing *bool) {
 	if (err != nil) == *failing || d.ctx.Err() != nil {
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -232,11 +232,7 @@
 }
 
 func (s *session) goDo(do func()) {
-	s.group.Add(1)
-	go func() {
-		defer s.group.Done()
-		do()
-	}()
+	s.group.Go(do)
 }
 
 // logNotes writes the core's notes to the log.
--- a/keeper/hedge.go
+++ b/keeper/hedge.go
@@ -13,8 +13,7 @@
 // perform it twice: the second time they don't hold any more.
 type Hedged struct {
 	Table
-	// latency is how long answers have taken lately, in nanoseconds.
-	latency atomic.Int64
+	latency Latency
 	// failingSince is when sendings began to fail, one after another; zero
 	// after one that didn't.
 	failingSince atomic.Pointer[time.Time]
@@ -30,16 +29,13 @@
 	hedgeGrowth = 3
 	// maxAttempts bounds the sendings without an answer.
 	maxAttempts = 3
-	// latencyWeight is how much of the latency stays with each faster answer;
-	// a slower one counts at once.
-	latencyWeight = 0.7
 )
 
 // NewHedged returns a table that sends the transactions of another one again.
 func NewHedged(table Table) *Hedged { return &Hedged{Table: table} }
 
 // Latency returns how long answers have taken lately.
-func (h *Hedged) Latency() time.Duration { return time.Duration(h.latency.Load()) }
+func (h *Hedged) Latency() time.Duration { return h.latency.Recent() }
 
 // Failing returns for how long every transaction has failed.
 func (h *Hedged) Failing(now time.Time) time.Duration {
@@ -91,7 +87,7 @@
 			timer.Stop()
 			open--
 			if got.err == nil {
-				h.observe(got.took)
+				h.latency.Observe(got.took)
 				got.result.Resent = sent > 1
 				return got.result, nil
 			}
@@ -115,7 +111,7 @@
 	for range open {
 		got := <-attempts
 		if got.err == nil {
-			h.observe(got.took)
+			h.latency.Observe(got.took)
 			got.result.Resent = true
 			return got.result, nil
 		}
@@ -131,8 +127,3 @@
 	}
 	return a
 }
-
-func (h *Hedged) observe(took time.Duration) {
-	calmer := time.Duration(latencyWeight * float64(h.latency.Load()))
-	h.latency.Store(int64(max(took, calmer)))
-}
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -15,8 +15,7 @@
 	asked   map[requester.HostID]bool
 	tickets map[requester.HostID]ticket
 	// open tells that a question is on its way.
-	open    bool
-	askedAt time.Time
+	open bool
 	// again is before when no other question is asked.
 	again time.Time
 	// enoughUntil is until when the allowed workers are taken to be enough.
@@ -89,24 +88,20 @@
 		return nil
 	}
 	// The last pass has put the open steps in order.
-	var wanted []*step
-	for _, s := range c.open {
-		if s.job().spec.Advice != nil && !s.advice.open && s.waiting > 0 && !now.Before(s.advice.again) && c.mayStart(s) {
-			wanted = append(wanted, s)
-		}
-	}
 	var orders []AdviceOrder
-	for _, s := range wanted {
+	for _, s := range c.open {
 		if len(orders) == count {
 			break
 		}
+		if s.job().spec.Advice == nil || s.advice.open || s.waiting == 0 || now.Before(s.advice.again) || !c.mayStart(s) {
+			continue
+		}
 		workers := c.toAsk(s)
 		if len(workers) == 0 {
 			continue
 		}
 		c.begin(s)
 		s.advice.open = true
-		s.advice.askedAt = now
 		c.asking[s.name()] = s
 		c.stats.AdviceAsked++
 		orders = append(orders, AdviceOrder{Step: s.name(), Workers: workers, AskedAt: now, DueAt: now.Add(s.job().spec.Advice.duration(len(workers)))})
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -146,19 +146,17 @@
 		if len(progress.Occurrences) > 0 {
 			o.restore(progress.Occurrences[0].Steps)
 		}
-		if c.options.EarlierEager {
-			o.hide()
-		}
 	} else {
 		for _, stored := range progress.Occurrences {
-			o := c.newOccurrence(j, stored.Number)
-			o.restore(stored.Steps)
-			if c.options.EarlierEager {
-				o.hide()
-			}
+			c.newOccurrence(j, stored.Number).restore(stored.Steps)
 		}
 		c.timed[j.name()] = j
 	}
+	if c.options.EarlierEager {
+		for _, o := range j.occurrences {
+			o.hide()
+		}
+	}
 	if rows.Cancelled {
 		c.Cancel(c.now, j.name())
 		return nil
