--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -14,8 +14,10 @@
 	// asked are the workers about which there is an answer.
 	asked   map[requester.HostID]bool
 	tickets map[requester.HostID]ticket
-	// open tells that a question is on its way.
-	open bool
+	// open counts the questions on their way, inQuestion are the workers that
+	// they name.
+	open       int
+	inQuestion map[requester.HostID]bool
 	// again is before when no other question is asked.
 	again time.Time
 	// enoughUntil is until when the allowed workers are taken to be enough.
@@ -49,6 +51,12 @@
 	enoughFactor = 4
 	// enoughFor is for how long that is not calculated again.
 	enoughFor = 500 * time.Millisecond
+	// gangFactor is how many times a gang its allowed workers have to hold if
+	// they were empty, gangQuestions how many questions about it may be open.
+	gangFactor    = 10
+	gangQuestions = 4
+	// gangSlack is the share of that which isn't worth another question.
+	gangSlack = 0.1
 	// firstShare is the share of workers taken to be allowed before any
 	// answer, leastShare the least that is counted on.
 	firstShare = 0.4
@@ -90,52 +98,102 @@
 	// The last pass has put the open steps in order.
 	var orders []AdviceOrder
 	for _, s := range c.open {
-		if len(orders) == count {
-			break
-		}
-		if s.job().spec.Advice == nil || s.advice.open || s.waiting == 0 || now.Before(s.advice.again) || !c.mayStart(s) {
+		if s.job().spec.Advice == nil || s.waiting == 0 || now.Before(s.advice.again) || !c.mayStart(s) {
 			continue
 		}
-		workers := c.toAsk(s)
-		if len(workers) == 0 {
-			continue
+		for len(orders) < count && s.advice.open < s.mostOpen() {
+			workers := c.toAsk(s)
+			if len(workers) == 0 {
+				break
+			}
+			orders = append(orders, c.askAbout(s, workers))
+		}
+		if len(orders) == count {
+			break
 		}
-		c.begin(s)
-		s.advice.open = true
-		c.asking[s.name()] = s
-		c.stats.AdviceAsked++
-		orders = append(orders, AdviceOrder{Step: s.name(), Workers: workers, AskedAt: now, DueAt: now.Add(s.job().spec.Advice.duration(len(workers)))})
 	}
 	return orders
 }
 
+// mostOpen is how many questions about the step may be open. A gang needs
+// answers about many workers before any of its tasks can start.
+func (s *step) mostOpen() int {
+	if s.def.Gang {
+		return gangQuestions
+	}
+	return 1
+}
+
+func (c *Core) askAbout(s *step, workers []requester.HostID) AdviceOrder {
+	c.begin(s)
+	s.advice.open++
+	if s.advice.inQuestion == nil {
+		s.advice.inQuestion = make(map[requester.HostID]bool)
+	}
+	for _, id := range workers {
+		s.advice.inQuestion[id] = true
+	}
+	c.asking[s.name()] = s
+	c.stats.AdviceAsked++
+	return AdviceOrder{Step: s.name(), Workers: workers, AskedAt: c.now, DueAt: c.now.Add(s.job().spec.Advice.duration(len(workers)))}
+}
+
 // toAsk returns the workers to ask about for a step: those with room whose
-// tickets have aged, else those not asked about yet, the ones with most room
-// first. Each worker in a question costs time, so no more are named than the
-// step is likely to need.
+// tickets have aged, else those not asked about yet. Each worker in a question
+// costs time, so no more are named than the step is likely to need.
 func (c *Core) toAsk(s *step) []requester.HostID {
-	if len(s.advice.stale) > 0 {
+	if aging := c.agingTickets(s); len(aging) > 0 {
+		return aging
+	}
+	if len(s.advice.stale) > 0 && s.advice.open == 0 {
 		return s.advice.stale[:min(len(s.advice.stale), maxAsked)]
 	}
 	if c.now.Before(s.advice.enoughUntil) {
 		return nil
 	}
+	if s.def.Gang {
+		return c.toAskGang(s)
+	}
 	if c.allowedSlots(s) >= enoughFactor*s.waiting {
 		s.advice.enoughUntil = c.now.Add(enoughFor)
 		return nil
 	}
+	return c.unasked(s, askedFactor*float64(s.waiting)/c.allowedShare(s.job().spec.Queue), c.slots)
+}
+
+// toAskGang returns the workers to ask about for a gang. It counts the tasks
+// that workers would hold if they were empty: a gang waits for them to be.
+func (c *Core) toAskGang(s *step) []requester.HostID {
+	share := c.allowedShare(s.job().spec.Queue)
+	wanted := gangFactor * float64(len(s.tasks))
+	lacking := wanted - float64(c.allowedSlots(s))
+	need := s.def.room()
+	for id := range s.advice.inQuestion {
+		if w, ok := c.workers[id]; ok && !s.advice.asked[id] {
+			lacking -= share * float64(slotsIn(w.info.Total, need, len(s.tasks)))
+		}
+	}
+	if lacking < gangSlack*wanted {
+		s.advice.enoughUntil = c.now.Add(enoughFor)
+		return nil
+	}
+	return c.unasked(s, lacking/share, func(s *step, w *worker) int { return slotsIn(w.info.Total, need, len(s.tasks)) })
+}
+
+// unasked returns workers not asked about yet, the ones with most room first,
+// until they would hold so many tasks.
+func (c *Core) unasked(s *step, wanted float64, slotsOn func(*step, *worker) int) []requester.HostID {
 	type option struct {
 		worker *worker
-		slots  int
+		room   int
 	}
 	var options []option
 	for _, w := range c.order {
-		if !s.advice.asked[w.info.HostID] && w.usable() && c.suits(s, w) {
+		if id := w.info.HostID; !s.advice.asked[id] && !s.advice.inQuestion[id] && w.usable() && c.suits(s, w) {
 			options = append(options, option{w, c.slots(s, w)})
 		}
 	}
-	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(b.slots, a.slots) })
-	wanted := askedFactor * float64(s.waiting) / c.allowedShare(s.job().spec.Queue)
+	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(b.room, a.room) })
 	var ids []requester.HostID
 	slots := 0.0
 	for _, o := range options {
@@ -143,7 +201,7 @@
 			break
 		}
 		ids = append(ids, o.worker.info.HostID)
-		slots += float64(min(o.slots, s.waiting))
+		slots += float64(min(slotsOn(s, o.worker), s.waiting))
 	}
 	return ids
 }
@@ -187,8 +245,13 @@
 	if !ok {
 		return
 	}
-	delete(c.asking, order.Step)
-	s.advice.open = false
+	s.advice.open--
+	if s.advice.open == 0 {
+		delete(c.asking, order.Step)
+	}
+	for _, id := range order.Workers {
+		delete(s.advice.inQuestion, id)
+	}
 	if failed {
 		s.advice.again = now.Add(retryAdvice)
 		return
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"kumquatstall/estimator"
 	"kumquatstall/requester"
 )
 
@@ -68,6 +69,9 @@
 	// has the number freedFrom.
 	freed     []*worker
 	freedFrom int
+	// holds are what is held for gangs, as calculated at heldAt.
+	holds  []*hold
+	heldAt time.Time
 	// rosterDirty tells that the stored roster lacks a worker or names one
 	// that is gone.
 	rosterDirty bool
@@ -78,9 +82,12 @@
 	// eager lets steps start before they are stored as begun.
 	eager bool
 	// shares is the share of workers that may run a queue's steps, learned.
-	shares  map[string]float64
-	orders  Orders
-	changed bool
+	shares map[string]float64
+	// corrections is how long a queue's tasks take against their estimates,
+	// learned.
+	corrections map[string]*estimator.Correction
+	orders      Orders
+	changed     bool
 	// fenced tells that a worker has seen a higher fence.
 	fenced bool
 	notes  []Note
@@ -108,6 +115,10 @@
 	Violations int64
 	// WorkersRested counts rests of workers that fail what they start.
 	WorkersRested int64
+	// Holds counts the gangs for which workers were held.
+	Holds int64
+	// Stalled runs were stopped since they stood still.
+	Stalled int64
 	// Vanished runs were not listed by their worker any more.
 	Vanished int64
 	// StraysStopped are runs that nobody wanted.
@@ -143,6 +154,8 @@
 		timed:    make(map[requester.JobID]*job),
 		asking:   make(map[StepName]*step),
 		shares:   make(map[string]float64),
+
+		corrections: make(map[string]*estimator.Correction),
 	}
 }
 
--- a/scheduler/ends.go
+++ b/scheduler/ends.go
@@ -80,6 +80,7 @@
 	case ended.Kind == EndDone && !t.step.def.LongRunning:
 		c.stats.Done++
 		w.health = health{}
+		c.learn(w.runs[runKey{ended.Task, ended.Run}])
 		c.finish(t, ended.Run)
 	case ended.Kind == EndFailed:
 		c.stats.Failed++
--- /dev/null
+++ b/scheduler/hold_test.go
@@ -0,0 +1,186 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"kumquatstall/requester"
+)
+
+func gang(count int, milli int64) Step {
+	s := cores(count, milli)
+	s.Gang = true
+	return s
+}
+
+// endAfter ends the runs that have worked for so long.
+func (b *bench) endAfter(worked time.Duration) {
+	var ending []StartOrder
+	for _, start := range b.running {
+		if b.now.Sub(b.began[start.Task]) >= worked {
+			ending = append(ending, start)
+		}
+	}
+	for _, start := range ending {
+		b.end(start, EndDone)
+	}
+}
+
+// TestGangAmongSmallTasks replays small tasks that come all the time, each
+// where it fits best. A gang that needs three quarters of some workers starts
+// in time all the same.
+func TestGangAmongSmallTasks(t *testing.T) {
+	is := is.New(t)
+	b := newBench(10)
+	var gangAt time.Duration
+	const tick = 50 * time.Millisecond
+	for now := time.Duration(0); now < 8*time.Second && gangAt == 0; now += tick {
+		// Two tasks of two cores every 50 ms take 80 of 80 cores for a second.
+		b.add(fmt.Sprintf("small-%d", now.Milliseconds()), Policy{Priority: 2, Stretch: 9}, cores(2, 2000))
+		if now == 2*time.Second {
+			b.add("gang", Policy{Priority: 1, Stretch: 5}, gang(2, 6000))
+		}
+		for _, start := range b.step(tick) {
+			if start.Task.Job == "gang" {
+				gangAt = now
+			}
+		}
+		b.endAfter(time.Second)
+	}
+	is.True(gangAt > 0)
+	// An objective of 5 s, of which the gang works one.
+	is.True(gangAt < 6*time.Second)
+}
+
+// heldBench has a worker that runs a task for two seconds, and a gang for which
+// it is held.
+func heldBench(t *testing.T) *bench {
+	t.Helper()
+	b := newBench(5)
+	busy := cores(1, 6000)
+	busy.EstimateMillis = 2000
+	for i := range 5 {
+		b.add(fmt.Sprintf("busy-%d", i), Policy{}, busy)
+	}
+	b.settle()
+	b.add("gang", Policy{Priority: 1, Stretch: 9}, gang(1, 7000))
+	b.settle()
+	b.step(holdInterval)
+	if len(b.core.holds) != 1 {
+		t.Fatalf("%d holds, want 1", len(b.core.holds))
+	}
+	return b
+}
+
+// TestHeldWorker: beside a gang that waits, only what ends before it or fits
+// beside it starts on the workers held for it.
+func TestHeldWorker(t *testing.T) {
+	tests := []struct {
+		name     string
+		step     Step
+		priority int
+		want     bool
+	}{
+		{"ends before the gang", Step{Count: 1, Need: requester.Resources{MilliCores: 2000}, EstimateMillis: 500}, 2, true},
+		{"fits beside the gang", Step{Count: 1, Need: requester.Resources{MilliCores: 1000}, EstimateMillis: 9000}, 2, true},
+		{"takes room of the gang", Step{Count: 1, Need: requester.Resources{MilliCores: 2000}, EstimateMillis: 9000}, 2, false},
+		{"lasts", Step{Count: 1, Need: requester.Resources{MilliCores: 2000}, EstimateMillis: 100, LongRunning: true}, 2, false},
+		{"is more urgent", Step{Count: 1, Need: requester.Resources{MilliCores: 2000}, EstimateMillis: 9000}, 0, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			b := heldBench(t)
+			held := b.core.holds[0].parts[0].worker
+			// Nothing else takes tasks.
+			for _, w := range b.core.order {
+				if w != held {
+					w.restUntil = b.now.Add(time.Minute)
+				}
+			}
+			b.add("job", Policy{Priority: test.priority, Stretch: 9}, test.step)
+			b.settle()
+			is.Equal(b.core.jobs["job"].active == 1, test.want)
+		})
+	}
+}
+
+// TestHoldIsGivenUp: workers that do not come free as they should are held no
+// longer, nor those of a gang that is cancelled.
+func TestHoldIsGivenUp(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(*bench)
+		want int
+	}{
+		{"nothing happens", func(*bench) {}, 1},
+		{"the gang is cancelled", func(b *bench) { b.core.Cancel(b.now, "gang") }, 0},
+		{"no worker takes tasks", func(b *bench) {
+			for _, w := range b.core.order {
+				w.restUntil = b.now.Add(time.Minute)
+			}
+		}, 0},
+		{"what runs is overdue by far", func(b *bench) {
+			for _, start := range b.running {
+				b.core.workers[start.Worker.HostID].runs[runKey{start.Task, start.Run}].endsAt = b.now.Add(holdHorizon + time.Second)
+			}
+		}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			b := heldBench(t)
+			test.do(b)
+			b.core.changed = true
+			b.step(holdInterval)
+			is.Equal(len(b.core.holds), test.want)
+			held := 0
+			for _, w := range b.core.order {
+				if w.held != nil {
+					held++
+				}
+			}
+			is.Equal(held, test.want)
+		})
+	}
+}
+
+// TestTicketsOfAHold: a gang's tickets are renewed so that they are good when
+// its room is ready, and no sooner.
+func TestTicketsOfAHold(t *testing.T) {
+	is := is.New(t)
+	b := newBench(5)
+	busy := cores(1, 6000)
+	busy.EstimateMillis = 2000
+	for i := range 5 {
+		b.add(fmt.Sprintf("busy-%d", i), Policy{}, busy)
+	}
+	b.settle()
+	began := b.now
+	advice := &Advice{DecideMillis: 200, WorkerMillis: 10, ValidMillis: 1000}
+	b.add("gang", Policy{Priority: 1, Stretch: 9, Advice: advice}, gang(1, 7000))
+	b.step(10 * time.Millisecond)
+	asked := 0
+	var renewedAt time.Duration
+	for renewedAt == 0 && b.now.Sub(began) < 5*time.Second {
+		for _, order := range b.core.Advise(b.now, 5) {
+			asked++
+			if asked > 1 {
+				renewedAt = b.now.Sub(began)
+			}
+			var tickets []Ticket
+			for _, id := range order.Workers {
+				tickets = append(tickets, Ticket{Worker: id, Text: "t"})
+			}
+			b.core.Advised(b.now, order, tickets, false)
+		}
+		b.core.changed = true
+		b.step(50 * time.Millisecond)
+	}
+	takes := advice.duration(1)
+	is.True(renewedAt >= 2*time.Second-takes-ticketSlack-holdInterval)
+	is.True(renewedAt <= 2*time.Second)
+}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -138,11 +138,25 @@
 	return need
 }
 
-// chainMillis returns the longest chain of work that begins with each step.
-func (j *Job) chainMillis() []int64 {
-	chains := make([]int64, len(j.Steps))
+// expecter tells how long a task should take.
+type expecter interface {
+	Expect(estimate time.Duration) time.Duration
+}
+
+// durations returns how long the tasks of each step should take.
+func (j *Job) durations(by expecter) []time.Duration {
+	durations := make([]time.Duration, len(j.Steps))
+	for number := range j.Steps {
+		durations[number] = by.Expect(time.Duration(j.Steps[number].EstimateMillis) * time.Millisecond)
+	}
+	return durations
+}
+
+// chains returns the longest chain of work that begins with each step.
+func (j *Job) chains(durations []time.Duration) []time.Duration {
+	chains := make([]time.Duration, len(j.Steps))
 	for number := len(j.Steps) - 1; number >= 0; number-- {
-		chains[number] += j.Steps[number].EstimateMillis + j.adviceMillis()
+		chains[number] += durations[number] + j.adviceTime()
 		for _, earlier := range j.Steps[number].After {
 			chains[earlier] = max(chains[earlier], chains[number])
 		}
@@ -150,20 +164,20 @@
 	return chains
 }
 
-// objective is how long the job should take, by its estimates.
-func (j *Job) objective(chains []int64) time.Duration {
-	return time.Duration(j.Stretch*float64(slices.Max(chains))+float64(j.ObjectiveMillis)) * time.Millisecond
+// objective is how long the job should take.
+func (j *Job) objective(chains []time.Duration) time.Duration {
+	return time.Duration(j.Stretch*float64(slices.Max(chains))) + time.Duration(j.ObjectiveMillis)*time.Millisecond
 }
 
 // chainAdvised is the number of workers in the question for advice that a
 // job's objective allows for.
 const chainAdvised = 30
 
-func (j *Job) adviceMillis() int64 {
+func (j *Job) adviceTime() time.Duration {
 	if j.Advice == nil {
 		return 0
 	}
-	return j.Advice.duration(chainAdvised).Milliseconds()
+	return j.Advice.duration(chainAdvised)
 }
 
 // dueAt returns when an occurrence may start.
--- a/scheduler/look.go
+++ b/scheduler/look.go
@@ -98,6 +98,8 @@
 		}
 	}
 	c.takeRunning(w, order, report)
+	c.judgeSpeed(w)
+	c.stopStalled(w)
 	w.confirm()
 	c.changed = true
 }
@@ -171,10 +173,11 @@
 		return r
 	}
 	r.task = t
+	r.resumed = true
 	t.run = r
 	t.step.waiting--
 	t.step.job().active++
-	r.endsAt = c.now.Add(time.Duration(t.step.def.EstimateMillis) * time.Millisecond)
+	r.endsAt = c.now.Add(t.step.expected())
 	c.begun(t.step.job())
 	return r
 }
@@ -201,6 +204,7 @@
 		r.presentAt = c.now
 	}
 	r.checkpoint = running.Checkpoint
+	r.notePercent(c.now, running.Percent)
 	if r.phase == runStopping && !r.stopOpen {
 		c.sendStop(r)
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -35,7 +35,7 @@
 	j := s.job()
 	objective := j.objective
 	from := s.occurrence.dueAt
-	left := time.Duration(j.chains[s.number]) * time.Millisecond
+	left := j.chains[s.number]
 	u := urgency{priority: j.spec.Priority, dueAt: from.Add(objective)}
 	switch end := now.Add(left); {
 	case s.def.LongRunning || !end.After(u.dueAt):
@@ -73,6 +73,7 @@
 	settled := c.Settled()
 	c.sortByOrder(c.open)
 	c.findTakers()
+	c.updateHolds()
 	// Starting a step's last task doesn't close it, so the list stands.
 	for _, s := range c.open {
 		if s.waiting == 0 || !c.mayBegin(s) || !settled && s.hidden {
@@ -162,6 +163,10 @@
 	far bool
 	// avoided tells that a task of the step has failed there.
 	avoided bool
+	// held tells that the worker is held for another step.
+	held bool
+	// slow tells that the worker's tasks take much longer than they should.
+	slow bool
 }
 
 // penalty makes a candidate worse than any that only has less room.
@@ -173,6 +178,12 @@
 	if e.avoided {
 		penalty += avoidPenalty
 	}
+	if e.held {
+		penalty += heldPenalty
+	}
+	if e.slow {
+		penalty += slowPenalty
+	}
 	return penalty
 }
 
@@ -188,7 +199,7 @@
 	advised := s.job().spec.Advice != nil
 	need := s.def.room()
 	for _, w := range workers {
-		if !need.Fits(w.room()) || !c.suits(s, w) {
+		if !need.Fits(c.roomFor(s, w)) || !c.suits(s, w) {
 			continue
 		}
 		slots := c.slots(s, w)
@@ -200,6 +211,8 @@
 			slots:   slots,
 			far:     s.def.DataRack != "" && w.info.Rack != s.def.DataRack,
 			avoided: slices.Contains(s.avoid, w.info.HostID),
+			slow:    w.speedNow(c.now) < slowSpeed,
+			held:    w.held != nil && w.held.step != s,
 		}
 		if advised {
 			if allowed, _ := s.advice.allows(w); !allowed {
@@ -217,7 +230,7 @@
 		}
 		found = append(found, entry)
 	}
-	if s.def.Gang && fit < len(s.tasks) {
+	if s.hold != nil || s.def.Gang && fit < len(s.tasks) {
 		// Fresh tickets would age again before the gang has room.
 		s.advice.stale = s.advice.stale[:0]
 	}
@@ -226,7 +239,7 @@
 
 // slots returns how many more tasks of the step fit on a worker.
 func (c *Core) slots(s *step, w *worker) int {
-	slots := slotsIn(w.room(), s.def.room(), len(s.tasks))
+	slots := slotsIn(c.roomFor(s, w), s.def.room(), len(s.tasks))
 	if s.def.AntiAffinity > 0 {
 		slots = min(slots, s.def.AntiAffinity-s.countOn(w))
 	}
@@ -292,7 +305,7 @@
 		chosen := &found[best]
 		c.start(t, chosen.worker, t.nextRun(c), chosen.ticket)
 		chosen.slots--
-		if chosen.slots == 0 || !s.def.room().Fits(chosen.worker.room()) {
+		if chosen.slots == 0 || !s.def.room().Fits(c.roomFor(s, chosen.worker)) {
 			found = slices.Delete(found, best, best+1)
 		}
 	}
@@ -315,6 +328,8 @@
 	// farPenalty prefers any room near a step's data: away from it the step
 	// takes about twice as long.
 	farPenalty = 4
+	// slowPenalty prefers any worker to one that is slow.
+	slowPenalty = 6
 	// avoidPenalty prefers any other worker to one where the task failed.
 	avoidPenalty = 8
 )
@@ -348,6 +363,9 @@
 	}
 	number := max(s.lastRun+1, c.firstRun())
 	s.lastRun = number
+	if s.hold != nil {
+		c.dropHold(s.hold)
+	}
 	for i, entry := range chosen {
 		c.start(s.tasks[i], entry.worker, number, entry.ticket)
 	}
@@ -466,7 +484,8 @@
 		worker:    w,
 		need:      need,
 		startedAt: c.now,
-		endsAt:    c.now.Add(time.Duration(s.def.EstimateMillis) * time.Millisecond),
+		endsAt:    c.now.Add(s.expected()),
+		resumed:   t.checkpoint != "",
 	}
 	if broken := c.broken(t, w, need); broken != "" {
 		c.stats.Violations++
@@ -479,6 +498,7 @@
 	s.job().active++
 	w.runs[runKey{r.name, number}] = r
 	w.used = w.used.Add(need)
+	c.takeSpare(s, w)
 	c.stats.Starts++
 	c.orders.Starts = append(c.orders.Starts, StartOrder{
 		Worker:     w.ref(),
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"kumquatstall/estimator"
 	"kumquatstall/requester"
 )
 
@@ -17,8 +18,10 @@
 	occurrences []*occurrence
 	// next is the first occurrence that hasn't begun.
 	next int64
-	// chains is the longest chain of estimated work from each step on.
-	chains []int64
+	// durations is how long the tasks of each step should take, chains the
+	// longest chain of work from each step on.
+	durations []time.Duration
+	chains    []time.Duration
 	// objective is how long the job should take.
 	objective time.Duration
 	// version grows with each change to be written; saved is that written.
@@ -55,6 +58,11 @@
 	// failed are the failed runs of a gang.
 	failed []RunNumber
 	advice advice
+	// stalls counts how often runs of the step were stopped since they stood
+	// still.
+	stalls int
+	// hold is what is held for the step; nil for nothing.
+	hold *hold
 	// rank is the step's place in the order, as last calculated.
 	rank urgency
 	// scannedAt is when the step last looked for room at all workers; zero
@@ -126,8 +134,8 @@
 			return err
 		}
 	}
-	j := &job{spec: rows.Job, state: progress.State, storedState: progress.State, chains: rows.Job.chainMillis()}
-	j.objective = j.spec.objective(j.chains)
+	j := &job{spec: rows.Job, state: progress.State, storedState: progress.State}
+	c.expect(j)
 	if rows.Progress == nil {
 		j.storedState = notStored
 	}
@@ -172,8 +180,8 @@
 	if _, ok := c.jobs[spec.JobID]; ok {
 		return
 	}
-	j := &job{spec: spec, storedState: notStored, chains: spec.chainMillis()}
-	j.objective = j.spec.objective(j.chains)
+	j := &job{spec: spec, storedState: notStored}
+	c.expect(j)
 	c.jobs[j.name()] = j
 	c.touch(j)
 	c.changed = true
@@ -186,6 +194,31 @@
 	c.openSuccessors(j)
 }
 
+// expect calculates how long a job and its steps should take, by their
+// estimates and by what was learned of its queue.
+func (c *Core) expect(j *job) {
+	j.durations = j.spec.durations(c.corrections[j.spec.Queue])
+	j.chains = j.spec.chains(j.durations)
+	j.objective = j.spec.objective(j.chains)
+}
+
+// learn takes in how long a run has taken that did all of its work.
+func (c *Core) learn(r *run) {
+	if r == nil || r.task == nil || r.resumed || r.presentAt.IsZero() {
+		return
+	}
+	s := r.task.step
+	queue := s.job().spec.Queue
+	if c.corrections[queue] == nil {
+		c.corrections[queue] = &estimator.Correction{}
+	}
+	// The tasks of a step are alike, and share one estimate.
+	c.corrections[queue].Observe(time.Duration(s.def.EstimateMillis)*time.Millisecond, c.now.Sub(r.presentAt), 1/float64(len(s.tasks)))
+}
+
+// expected is how long a task of the step should take.
+func (s *step) expected() time.Duration { return s.job().durations[s.number] }
+
 // notStored is the stored state of a job whose state isn't stored yet.
 const notStored = -1
 
--- a/scheduler/randomised_test.go
+++ b/scheduler/randomised_test.go
@@ -143,6 +143,7 @@
 		{"lost answers", worldOptions{lost: 0.05}},
 		{"late orders", worldOptions{late: 0.05}},
 		{"crashes", worldOptions{crash: 3}},
+		{"workers stand still", worldOptions{stand: 4, takeover: 1}},
 		{"workers gone for good", worldOptions{crash: 1.5, gone: 0.8}},
 		{"cuts", worldOptions{cut: 3}},
 		{"takeovers", worldOptions{takeover: 4}},
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -36,8 +36,12 @@
 	presentAt time.Time
 	// endsAt is when it should end, by its estimate.
 	endsAt time.Time
+	// resumed tells that it began from a checkpoint.
+	resumed bool
 	// checkpoint is the one last reported.
 	checkpoint string
+	// advance is how far it has come.
+	advance advance
 	// stopOpen tells that a stop has been sent and not been answered.
 	stopOpen bool
 	// barredAt is when a stop was confirmed: from then on an order that is
@@ -66,7 +70,7 @@
 	for _, r := range w.runs {
 		runs = append(runs, r)
 	}
-	slices.SortFunc(runs, func(a, b *run) int { return compareRuns(a, b) })
+	slices.SortFunc(runs, compareRuns)
 	return runs
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -135,6 +135,8 @@
 	Task       TaskName
 	Run        RunNumber
 	Checkpoint string
+	// Percent is how much of its work the run has done; 0 before it begins.
+	Percent int
 }
 
 // EndKind tells how a run ended.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -45,6 +45,14 @@
 	// restUntil keeps a worker that fails what it starts from getting more.
 	restUntil time.Time
 	health    health
+	// held is what the worker is held for; nil for nothing. spare is what
+	// others may take of it beyond the time at which that is ready.
+	held  *hold
+	spare requester.Resources
+	// speed is the share of the expected speed at which its tasks worked at
+	// speedAt; 0 means that they stood still.
+	speed   float64
+	speedAt time.Time
 	// unsized counts the runs of unknown size; while there are any, nothing
 	// more is started there.
 	unsized int
@@ -62,6 +70,7 @@
 // takes reports whether the worker may get new tasks now.
 func (w *worker) takes(now time.Time) bool {
 	return w.usable() && w.silent == 0 && now.Sub(w.clockAt) < freshFor && !now.Before(w.restUntil) &&
+		w.speedNow(now) > 0 &&
 		(!w.health.probation || len(w.runs) == 0)
 }
 
@@ -193,6 +202,7 @@
 	w.answered = false
 	w.unknownSince = c.now
 	w.health = health{}
+	w.speedAt = time.Time{}
 	for _, r := range w.sortedRuns() {
 		if r.phase == runStarting || r.phase == runDoubtful || r.phase == runStopping && r.presentAt.IsZero() {
 			r.phase = runDoubtful
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -49,6 +49,11 @@
 	fails     bool
 }
 
+// percent is how much of its work the run has done.
+func (r *SeenRun) percent(now time.Time) int {
+	return int(100 * now.Sub(r.StartedAt) / max(1, r.EndsAt.Sub(r.StartedAt)))
+}
+
 // TaskWorker is a worker that runs tasks under fences and leases, without a
 // server. State is brought up to date whenever it is asked.
 type TaskWorker struct {
@@ -234,7 +239,7 @@
 	w.ended = slices.DeleteFunc(w.ended, func(e scheduler.EndedRun) bool { return e.Number <= order.Seen })
 	report := &scheduler.Report{Clock: w.clock(now), Born: w.info.Born, Ended: slices.Clone(w.ended)}
 	for _, run := range w.running {
-		report.Running = append(report.Running, scheduler.RunningTask{Task: run.Task, Run: run.Run})
+		report.Running = append(report.Running, scheduler.RunningTask{Task: run.Task, Run: run.Run, Percent: run.percent(now)})
 	}
 	return report, scheduler.OrderAccepted
 }
