--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -211,7 +211,7 @@
 			slots:   slots,
 			far:     s.def.DataRack != "" && w.info.Rack != s.def.DataRack,
 			avoided: slices.Contains(s.avoid, w.info.HostID),
-			slow:    w.speedNow(c.now) < slowSpeed,
+			slow:    w.slow(c.now),
 			held:    w.held != nil && w.held.step != s,
 		}
 		if advised {
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -136,6 +136,10 @@
 	return w.speed
 }
 
+// slow reports whether the worker's tasks take much longer than they should. A
+// gang isn't started there: all of it would be as slow.
+func (w *worker) slow(now time.Time) bool { return w.speedNow(now) < slowSpeed }
+
 // stopStalled stops the runs of a worker that have stood still for longer than
 // the work takes that is lost with them: the longer a run has stood still, the
 // longer it may go on doing so.
