Don't take a gang that waits for its slowest member as standing still

Traced with a line for each stop: all were members of gangs at 100 percent. Members work on their own and end together; one that is done waits for the slowest.

A run that has done all of its work isn't stalled, and its gang's end is that of the slowest member. Since members work on their own, they tell of their worker's speed like other runs; the replays model them so.

TestStalledRun has the case, which failed.

--- a/replayer/replayer.go
+++ b/replayer/replayer.go
@@ -5,8 +5,8 @@
 // they are, how wrong their estimates, and what befalls the workers. All draws
 // depend on its seed only, so that two versions of the core get the same jobs.
 //
-// Workers obey all orders after a short delay and tell of ends at once. A gang
-// works at the speed of its slowest member. Questions for advice are answered
+// Workers obey all orders after a short delay and tell of ends at once. The
+// members of a gang begin once all are there, and end together. Questions for advice are answered
 // one by one for each entry. The store takes a batch in a fixed time. So what
 // is lost against the bound is lost by decisions: by order, by packing, by
 // waiting for advice, and by what is started where it makes no progress.
--- a/replayer/worker.go
+++ b/replayer/worker.go
@@ -37,6 +37,8 @@
 	work, done time.Duration
 	speed      float64
 	since      time.Time
+	// complete tells that it has done its work.
+	complete bool
 	// turn tells a planned end from those planned before a change of speed.
 	turn  int
 	fails bool
@@ -54,6 +56,15 @@
 	members []*taskRun
 }
 
+func (g *gang) complete() bool {
+	for _, member := range g.members {
+		if !member.complete {
+			return false
+		}
+	}
+	return true
+}
+
 // hashShare draws a number between 0 and 1 for a step and a worker.
 func hashShare(seed uint64, step scheduler.StepName, id requester.HostID) float64 {
 	sum := xxhash.Sum64String(fmt.Sprintf("%d %v %s", seed, step, id))
@@ -99,17 +110,10 @@
 
 // pace is how fast a run works now.
 func (t *taskRun) pace() float64 {
-	if t.gang == nil {
-		return t.worker.speed
-	}
-	if len(t.gang.members) < t.gang.size {
+	if t.gang != nil && len(t.gang.members) < t.gang.size {
 		return 0
 	}
-	slowest := t.worker.speed
-	for _, member := range t.gang.members {
-		slowest = min(slowest, member.worker.speed)
-	}
-	return slowest
+	return t.worker.speed
 }
 
 // replan notes what has been done and plans the end anew, for a run and the
@@ -123,7 +127,7 @@
 		run.advance()
 		run.speed = run.pace()
 		run.turn++
-		if run.ended || run.speed == 0 {
+		if run.ended || run.complete || run.speed == 0 {
 			continue
 		}
 		turn := run.turn
@@ -142,9 +146,13 @@
 	t.since = now
 }
 
-// finish ends a run that has done its work, and the others of its gang.
+// finish ends a run that has done its work; the members of a gang end together.
 func (t *taskRun) finish() {
 	t.advance()
+	t.complete = true
+	if t.gang != nil && !t.fails && !t.gang.complete() {
+		return
+	}
 	kind := scheduler.EndDone
 	if t.fails {
 		kind = scheduler.EndFailed
@@ -241,7 +249,7 @@
 	for _, run := range w.runs {
 		run.advance()
 		report.Running = append(report.Running, scheduler.RunningTask{
-			Task: run.task, Run: run.run, Percent: int(100 * run.done / run.work),
+			Task: run.task, Run: run.run, Percent: min(100, int(100*run.done/run.work)),
 		})
 	}
 	return report
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -260,12 +260,27 @@
 
 // endBy is when a run should end.
 func (r *run) endBy(now time.Time) time.Time {
-	if now.Before(r.endsAt) {
-		return r.endsAt
+	ends := r.endsAt
+	if r.task != nil && r.task.step.def.Gang && r.advance.percent >= allDone {
+		ends = r.task.step.slowestEnd(r.number)
+	}
+	if now.Before(ends) {
+		return ends
 	}
 	return now.Add(time.Duration(overdueShare * float64(now.Sub(r.startedAt))))
 }
 
+// slowestEnd is when the last member of a gang's run should have done its work.
+func (s *step) slowestEnd(number RunNumber) time.Time {
+	var end time.Time
+	for _, member := range s.tasks {
+		if member.run != nil && member.run.number == number {
+			end = latest(end, member.run.endsAt)
+		}
+	}
+	return end
+}
+
 // outlasting is what the runs on a worker take that should go on beyond a time.
 func (w *worker) outlasting(now, until time.Time) requester.Resources {
 	var taken requester.Resources
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -22,6 +22,9 @@
 }
 
 const (
+	// allDone is the percentage of a run that has done all of its work. The
+	// members of a gang then wait for the others.
+	allDone = 100
 	// leastRate is how much of its work a run must have done between two
 	// sights for the time of its end to be calculated from them.
 	leastRate = 3
@@ -62,7 +65,7 @@
 		a.percent, a.movedAt = percent, now
 	}
 	if done := percent - a.firstPercent; done >= leastRate {
-		r.endsAt = now.Add(now.Sub(a.firstAt) * time.Duration(100-percent) / time.Duration(done))
+		r.endsAt = now.Add(now.Sub(a.firstAt) * time.Duration(allDone-percent) / time.Duration(done))
 	}
 }
 
@@ -71,7 +74,7 @@
 func (r *run) compare(now time.Time) (float64, bool) {
 	a := &r.advance
 	elapsed := now.Sub(a.soughtAt)
-	if r.task == nil || r.phase != runPresent || a.soughtAt.IsZero() || r.task.step.def.Gang || r.task.step.def.LongRunning {
+	if r.task == nil || r.phase != runPresent || a.soughtAt.IsZero() || a.percent >= allDone || r.task.step.def.LongRunning {
 		return 0, false
 	}
 	expected := 100 * float64(elapsed) / float64(max(1, r.task.step.expected()))
@@ -83,8 +86,7 @@
 	return done / expected, true
 }
 
-// judgeSpeed takes in how fast the runs of a worker have worked lately. The
-// members of a gang tell nothing: they work at the speed of the slowest.
+// judgeSpeed takes in how fast the runs of a worker have worked lately.
 func (c *Core) judgeSpeed(w *worker) {
 	var shares []float64
 	var movedAt time.Time
@@ -176,7 +178,7 @@
 		return false
 	}
 	s := r.task.step
-	if s.def.LongRunning || r.advance.firstAt.IsZero() {
+	if s.def.LongRunning || r.advance.firstAt.IsZero() || r.advance.percent >= allDone {
 		return false
 	}
 	expected := s.expected()
--- a/scheduler/speed_test.go
+++ b/scheduler/speed_test.go
@@ -40,6 +40,7 @@
 		{"near its end, for long", long, 3 * time.Second, 4 * time.Second, 1},
 		{"near its end, with a checkpoint", checkpointing, 3 * time.Second, 2 * time.Second, 1},
 		{"a task that lasts", lasting, 0, 9 * time.Second, 0},
+		{"a gang that has done its work and waits for others", gang, 4 * time.Second, 9 * time.Second, 0},
 		{"a gang", gang, 0, 2 * time.Second, 3},
 	}
 	for _, test := range tests {
