--- a/dispatcher/accept.go
+++ b/dispatcher/accept.go
@@ -163,33 +163,6 @@
 // Pending returns how many jobs of a queue wait for their first task.
 func (d *Dispatcher) Pending(queue string) int { return d.board.pendingOf(queue) }
 
-const (
-	// soonest and latest bound when a refused caller is told to come back.
-	soonest = time.Second
-	latest  = 3 * time.Second
-	// callerTries is how often callers usually come back.
-	callerTries = 4
-	// briefFailure is up to when a failure of the store is taken to be over
-	// soon, or to be this entry's alone: another entry may serve the caller.
-	briefFailure = 1200 * time.Millisecond
-)
-
-// RetryAfter is when a caller whose job was refused should come back. In a long
-// failure of the store the caller's tries are spread over the time in which the
-// job can still be in time; one that has little comes back soon, as later it
-// would be worth nothing.
-func (d *Dispatcher) RetryAfter(job *scheduler.Job) time.Duration {
-	if job == nil || d.storeFailing() < briefFailure {
-		return soonest
-	}
-	return min(latest, max(soonest, (job.Slack()/callerTries).Truncate(time.Second)))
-}
-
-// storeFailing is for how long the store has answered nothing.
-func (d *Dispatcher) storeFailing() time.Duration {
-	failing := d.store.Failing(time.Now())
-	if seen := d.storeSeen.Load(); seen != 0 {
-		failing = max(failing, d.clock.Now().Sub(time.Unix(0, seen))-watchWait-statesInterval)
-	}
-	return failing
-}
+// RetryAfter is when a refused caller should come back: the store is tried
+// again all the time, and a caller who comes early is told so at once.
+func (d *Dispatcher) RetryAfter() time.Duration { return time.Second }
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -169,19 +169,6 @@
 	return time.Duration(j.Stretch*float64(slices.Max(chains))) + time.Duration(j.ObjectiveMillis)*time.Millisecond
 }
 
-// Slack is for how long the job may wait and still be in time, by its
-// estimates.
-func (j *Job) Slack() time.Duration {
-	chains := j.chains(j.durations(declared{}))
-	return j.objective(chains) - slices.Max(chains)
-}
-
-// declared takes estimates as they are.
-type declared struct{}
-
-// Expect implements expecter.
-func (declared) Expect(estimate time.Duration) time.Duration { return estimate }
-
 // chainAdvised is the number of workers in the question for advice that a
 // job's objective allows for.
 const chainAdvised = 30
