--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -114,7 +114,7 @@
 		return false
 	}
 	h.readyAt = openings[len(openings)-1].at
-	if h.readyAt.After(h.plannedAt.Add(holdSlip)) {
+	if h.readyAt.After(c.now) && h.readyAt.After(h.plannedAt.Add(holdSlip)) {
 		return false
 	}
 	h.keep(c.now)
