kumquatload slopes: what decisions cost as a cell grows

The command replays a pattern at several sizes, with load and entries in proportion, and reports processor time, memory and what is earned at each, and the power with which they grow.

--- a/cmd/kumquatload/main.go
+++ b/cmd/kumquatload/main.go
@@ -22,6 +22,7 @@
 type commandLine struct {
 	Run     runCommand     `cmd:"" help:"Run a scenario under one policy."`
 	Compare compareCommand `cmd:"" help:"Run a scenario under several policies, on the same draws."`
+	Slopes  slopesCommand  `cmd:"" help:"Measure what decisions cost as a cell and its load grow."`
 	Replay  replayCommand  `cmd:"" help:"Replay patterns of load against the scheduler's decisions alone, in virtual time."`
 }
 
--- /dev/null
+++ b/cmd/kumquatload/slopes.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatstall/replayer"
+)
+
+type slopesCommand struct {
+	Pattern string    `arg:"" type:"existingfile" help:"Pattern file."`
+	Factors []float64 `default:"0.125,0.25,0.5,1,2" help:"How many times the pattern's size to replay, separated by commas."`
+	Seed    uint64    `default:"1" help:"Seed of the draws."`
+}
+
+// Run replays the pattern at each size.
+func (c *slopesCommand) Run() error {
+	pattern, err := replayer.LoadPattern(c.Pattern)
+	if err != nil {
+		return err
+	}
+	for _, factor := range c.Factors {
+		if factor <= 0 {
+			return errors.Newf("factors: expected numbers above 0, not %v", factor)
+		}
+	}
+	return replayer.WriteSlopes(os.Stdout, replayer.Measure(pattern, c.Seed, c.Factors))
+}
--- a/replayer/replayer.go
+++ b/replayer/replayer.go
@@ -94,7 +94,9 @@
 }
 
 // Run replays a pattern.
-func Run(pattern *Pattern, seed uint64) *Result {
+func Run(pattern *Pattern, seed uint64) *Result { return newReplay(pattern, seed).run() }
+
+func newReplay(pattern *Pattern, seed uint64) *replay {
 	start := time.Date(2026, 7, 10, 12, 0, 0, 0, time.UTC)
 	r := &replay{
 		pattern: pattern, seed: seed, start: start, now: start,
@@ -114,8 +116,13 @@
 			r.at(j.cancelAt.Add(acceptTime), func() { r.core.Cancel(r.now, j.spec.JobID) })
 		}
 	}
-	end := start.Add(seconds(pattern.Seconds + pattern.SettleSeconds))
 	r.at(start.Add(seconds(pattern.Troubles.AtSeconds)), r.beginTroubles)
+	return r
+}
+
+// run replays until the pattern's end.
+func (r *replay) run() *Result {
+	end := r.start.Add(seconds(r.pattern.Seconds + r.pattern.SettleSeconds))
 	r.tick()
 	for len(r.events) > 0 && !r.events[0].at.After(end) {
 		next := heap.Pop(&r.events).(event)
--- /dev/null
+++ b/replayer/slope_test.go
@@ -0,0 +1,35 @@
+package replayer
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestSlopes: each size is replayed with a load in proportion.
+func TestSlopes(t *testing.T) {
+	is := is.New(t)
+	pattern := load(t, "few-workers")
+	pattern.Seconds, pattern.SettleSeconds = 5, 2
+	points := Measure(pattern, 1, []float64{0.5, 1, 2})
+	is.Equal(len(points), 3)
+	for i, workers := range []int{24, 48, 96} {
+		is.Equal(points[i].Workers, workers)
+		is.True(points[i].Cores > 0)
+		is.True(points[i].HeapMB > 0)
+	}
+	is.True(points[2].StartsPerSecond > 2*points[0].StartsPerSecond)
+	var out bytes.Buffer
+	is.NoErr(WriteSlopes(&out, points))
+	is.True(strings.Contains(out.String(), "from 24 to 96 workers"))
+}
+
+// TestExponent: what grows in proportion has the exponent 1.
+func TestExponent(t *testing.T) {
+	is := is.New(t)
+	points := []Point{{Workers: 10, Cores: 1, HeapMB: 3}, {Workers: 40, Cores: 16, HeapMB: 12}}
+	is.Equal(Exponent(points, func(p Point) float64 { return p.Cores }), 2.0)
+	is.Equal(Exponent(points, func(p Point) float64 { return p.HeapMB }), 1.0)
+}
