Count for a hold only what its workers may take; give up holds that don't help

Traced by reading: a hold counted as many tasks on a worker as had room, but a worker on probation takes one. The gang held too few workers, only their tickets were renewed, and so it waited for good.

One function now says how many tasks a worker may take, for holds and for placing, and a gang whose room is ready for 1.5 s longer than a question takes gives its workers up for 3 s, whatever keeps it from starting. TestHoldOnProbation and TestHoldThatHelpsNothing, which failed.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -119,6 +119,8 @@
 	Holds int64
 	// Stalled runs were stopped since they stood still.
 	Stalled int64
+	// Evacuated runs would not have ended before their worker leaves.
+	Evacuated int64
 	// Vanished runs were not listed by their worker any more.
 	Vanished int64
 	// StraysStopped are runs that nobody wanted.
@@ -184,6 +186,7 @@
 func (c *Core) Tick(now time.Time) Orders {
 	c.now = now
 	c.lapse()
+	c.evacuate()
 	c.beginOccurrences()
 	c.place()
 	c.look()
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -23,6 +23,8 @@
 	plannedAt time.Time
 	// parts are the workers, and what is kept there.
 	parts []heldPart
+	// readySince is from when on there has been room; zero before.
+	readySince time.Time
 	// milliCores is what is kept in all.
 	milliCores int64
 }
@@ -51,6 +53,11 @@
 	overdueShare = 0.25
 	// heldPenalty prefers any worker that is not held for others.
 	heldPenalty = 2
+	// holdPatience is for how long, beyond the time of a question for advice, a
+	// gang may not start though its room is ready; after that it holds no
+	// workers for holdRest.
+	holdPatience = 1500 * time.Millisecond
+	holdRest     = 3 * time.Second
 	// ticketSlack is for how long tickets should be good once a gang's room is
 	// ready.
 	ticketSlack = 300 * time.Millisecond
@@ -96,7 +103,7 @@
 
 // wantsHold reports whether a step is a gang that waits for nothing but room.
 func (c *Core) wantsHold(s *step) bool {
-	return s.open && s.def.Gang && s.waiting == len(s.tasks) && !s.def.SameRack && c.mayBegin(s) && (!s.hidden || c.Settled()) &&
+	return s.open && s.def.Gang && !c.now.Before(s.holdAfter) && s.waiting == len(s.tasks) && !s.def.SameRack && c.mayBegin(s) && (!s.hidden || c.Settled()) &&
 		(s.job().spec.Advice == nil || len(s.advice.tickets) > 0)
 }
 
@@ -117,6 +124,15 @@
 	if h.readyAt.After(c.now) && h.readyAt.After(h.plannedAt.Add(holdSlip)) {
 		return false
 	}
+	if h.readyAt.After(c.now) {
+		h.readySince = time.Time{}
+	} else if h.readySince.IsZero() {
+		h.readySince = c.now
+	}
+	if !h.readySince.IsZero() && c.now.Sub(h.readySince) > holdPatience+h.step.job().spec.adviceTime() {
+		h.step.holdAfter = c.now.Add(holdRest)
+		return false
+	}
 	h.keep(c.now)
 	return true
 }
@@ -233,9 +249,7 @@
 // openingsOn appends when a worker will have room for each of up to most tasks
 // of a step within the horizon.
 func (c *Core) openingsOn(openings []opening, s *step, w *worker, most int) []opening {
-	if s.def.AntiAffinity > 0 {
-		most = min(most, s.def.AntiAffinity)
-	}
+	most = min(most, s.mostOn(w))
 	type ending struct {
 		at   time.Time
 		need requester.Resources
--- a/scheduler/hold_test.go
+++ b/scheduler/hold_test.go
@@ -184,3 +184,68 @@
 	is.True(renewedAt >= 2*time.Second-takes-ticketSlack-holdInterval)
 	is.True(renewedAt <= 2*time.Second)
 }
+
+// staleGang has workers that were full when a gang's tickets came, and are free
+// now that these have aged.
+func staleGang(t *testing.T, workers int, step Step) *bench {
+	t.Helper()
+	b := newBench(workers)
+	for i := range workers {
+		b.add(fmt.Sprintf("busy-%d", i), Policy{}, cores(1, 8000))
+	}
+	busy := b.settle()
+	advice := &Advice{DecideMillis: 50, WorkerMillis: 1, ValidMillis: 400}
+	b.add("gang", Policy{Priority: 1, Stretch: 50, Advice: advice}, step)
+	b.settle()
+	b.answer(true)
+	b.runFor(600 * time.Millisecond)
+	for _, start := range busy {
+		b.end(start, EndDone)
+	}
+	return b
+}
+
+// answer answers what is asked now, with tickets for all workers or none.
+func (b *bench) answer(allowed bool) {
+	for _, order := range b.core.Advise(b.now, 5) {
+		var tickets []Ticket
+		for _, id := range order.Workers {
+			if allowed {
+				tickets = append(tickets, Ticket{Worker: id, Text: "t"})
+			}
+		}
+		b.core.Advised(b.now, order, tickets, false)
+	}
+}
+
+// TestHoldOnProbation: a worker on probation takes one task at a time, also of
+// a gang. Counted for more, the gang would wait for room that it can't use, while
+// the tickets of other workers age.
+func TestHoldOnProbation(t *testing.T) {
+	is := is.New(t)
+	b := staleGang(t, 6, gang(3, 2000))
+	for _, w := range b.core.order {
+		w.health.probation = true
+	}
+	for range 100 {
+		b.runFor(100 * time.Millisecond)
+		b.answer(true)
+	}
+	is.Equal(b.core.jobs["gang"].active, 3)
+}
+
+// TestHoldThatHelpsNothing: a gang whose room is ready and that does not start
+// gives its workers up for a while.
+func TestHoldThatHelpsNothing(t *testing.T) {
+	is := is.New(t)
+	b := staleGang(t, 12, gang(2, 8000))
+	held, given := false, false
+	for range 100 {
+		b.runFor(100 * time.Millisecond)
+		b.answer(false)
+		held = held || len(b.core.holds) == 1
+		given = given || held && len(b.core.holds) == 0
+	}
+	is.True(held)
+	is.True(given)
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -239,17 +239,23 @@
 
 // slots returns how many more tasks of the step fit on a worker.
 func (c *Core) slots(s *step, w *worker) int {
-	slots := slotsIn(c.roomFor(s, w), s.def.room(), len(s.tasks))
+	return slotsIn(c.roomFor(s, w), s.def.room(), s.mostOn(w))
+}
+
+// mostOn is how many more tasks of the step a worker may take, whatever room it
+// has.
+func (s *step) mostOn(w *worker) int {
+	most := len(s.tasks)
 	if s.def.AntiAffinity > 0 {
-		slots = min(slots, s.def.AntiAffinity-s.countOn(w))
+		most = min(most, s.def.AntiAffinity-s.countOn(w))
 	}
 	if s.def.Fills && w.serves() || s.def.TargetMillis > 0 && w.fills() {
 		return 0
 	}
 	if w.health.probation {
-		slots = min(slots, 1)
+		most = min(most, 1)
 	}
-	return max(slots, 0)
+	return max(most, 0)
 }
 
 func quotient(room, need int64, unbounded int) int {
@@ -371,9 +377,9 @@
 	}
 }
 
-// slotsIn is how many tasks fit a room.
+// slotsIn is how many tasks fit a room, up to most.
 func slotsIn(room, need requester.Resources, most int) int {
-	return max(0, min(
+	return max(0, min(most,
 		quotient(room.MilliCores, need.MilliCores, most),
 		quotient(room.MemoryMB, need.MemoryMB, most),
 		quotient(room.Accelerators, need.Accelerators, most),
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -63,6 +63,8 @@
 	stalls int
 	// hold is what is held for the step; nil for nothing.
 	hold *hold
+	// holdAfter is before when nothing is held for it.
+	holdAfter time.Time
 	// rank is the step's place in the order, as last calculated.
 	rank urgency
 	// scannedAt is when the step last looked for room at all workers; zero
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -70,6 +70,9 @@
 	Total      requester.Resources
 	// Leaving workers get no new tasks.
 	Leaving bool
+	// LeavesAt is when a leaving worker will be gone at the earliest; zero
+	// where that isn't known.
+	LeavesAt time.Time
 	// Born tells one life of a worker from the next.
 	Born time.Time
 }
--- a/scheduler/speed_test.go
+++ b/scheduler/speed_test.go
@@ -122,3 +122,63 @@
 	end := b.began[start.Task].Add(5 * time.Second)
 	is.True(r.endsAt.Sub(end).Abs() < 300*time.Millisecond)
 }
+
+// TestEvacuation: what won't have ended when its worker leaves is stopped at
+// once, also the rest of a gang; what will is left to end.
+func TestEvacuation(t *testing.T) {
+	long, gang := Step{Count: 1, EstimateMillis: 5000}, Step{Count: 3, EstimateMillis: 5000, Gang: true}
+	lasting := Step{Count: 1, EstimateMillis: 100, LongRunning: true}
+	tests := []struct {
+		name   string
+		step   Step
+		notice time.Duration
+		want   int64
+	}{
+		{"no time is known", long, 0, 0},
+		{"ends before", long, 6 * time.Second, 0},
+		{"does not end", long, 3 * time.Second, 1},
+		{"a gang that does not end", gang, 3 * time.Second, 3},
+		{"a gang that ends before", gang, 6 * time.Second, 0},
+		{"a task that lasts", lasting, 9 * time.Second, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(3)
+			test.step.Need = benchRoom
+			b.add("job", Policy{Stretch: 9}, test.step)
+			starts := b.settle()
+			is.Equal(len(starts), test.step.Count)
+			var infos []WorkerInfo
+			for _, w := range b.core.order {
+				infos = append(infos, w.info)
+			}
+			for i := range infos {
+				if infos[i].HostID != starts[0].Worker.HostID {
+					continue
+				}
+				infos[i].Leaving = true
+				if test.notice > 0 {
+					infos[i].LeavesAt = b.now.Add(test.notice)
+				}
+			}
+			b.core.SetWorkers(b.now, infos)
+			b.step(50 * time.Millisecond)
+			is.Equal(b.core.Stats().Stops, test.want)
+		})
+	}
+}
+
+// TestNoticeIsNotRenewed: the list repeats a notice unchanged, so its time
+// counts from when it was seen first.
+func TestNoticeIsNotRenewed(t *testing.T) {
+	is := is.New(t)
+	b := newBench(1)
+	info := b.core.order[0].info
+	info.Leaving, info.LeavesAt = true, b.now.Add(2*time.Second)
+	first := info.LeavesAt
+	b.core.SetWorkers(b.now, []WorkerInfo{info})
+	info.LeavesAt = first.Add(700 * time.Millisecond)
+	b.core.SetWorkers(b.now.Add(700*time.Millisecond), []WorkerInfo{info})
+	is.True(b.core.order[0].info.LeavesAt.Equal(first))
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -149,7 +149,7 @@
 			c.markFreed(w)
 			w.lookAfter = now
 		}
-		w.info = info
+		w.setInfo(info)
 		w.listed = true
 		c.noteBorn(w, info.Born)
 	}
@@ -162,6 +162,15 @@
 	c.dropWorkers()
 }
 
+// setInfo takes over what the list says. A notice is as old as when it was seen
+// first: the list repeats it unchanged.
+func (w *worker) setInfo(info WorkerInfo) {
+	if before := w.info; before.Leaving && info.Leaving && !before.LeavesAt.IsZero() && before.LeavesAt.Before(info.LeavesAt) {
+		info.LeavesAt = before.LeavesAt
+	}
+	w.info = info
+}
+
 func leavingWord(leaving bool) string {
 	if leaving {
 		return "leaving"
