--- a/replayer/pattern.go
+++ b/replayer/pattern.go
@@ -84,6 +84,10 @@
 	StandingShare float64 `yaml:"StandingShare"`
 	// FailingShare of the workers fail what they start.
 	FailingShare float64 `yaml:"FailingShare"`
+	// LeavingShare of the workers tell that they leave and are gone
+	// NoticeSeconds later, for good.
+	LeavingShare  float64 `yaml:"LeavingShare"`
+	NoticeSeconds float64 `yaml:"NoticeSeconds"`
 	// SilentShare of the workers can't be reached and work on.
 	SilentShare float64 `yaml:"SilentShare"`
 }
@@ -135,10 +139,11 @@
 		value float64
 	}{
 		{"SlowShare", p.Troubles.SlowShare}, {"StandingShare", p.Troubles.StandingShare},
-		{"FailingShare", p.Troubles.FailingShare}, {"SilentShare", p.Troubles.SilentShare},
+		{"FailingShare", p.Troubles.FailingShare}, {"LeavingShare", p.Troubles.LeavingShare}, {"SilentShare", p.Troubles.SilentShare},
 	} {
 		checks = append(checks, shareCheck("Troubles."+share.key, share.value))
 	}
+	checks = append(checks, fieldCheck{"Troubles.NoticeSeconds", "at least 0", p.Troubles.NoticeSeconds >= 0})
 	checks = append(checks, fieldCheck{"Troubles.SlowFactor", "above 1 where workers are slow", p.Troubles.SlowShare == 0 || p.Troubles.SlowFactor > 1})
 	for _, check := range checks {
 		if !check.ok {
--- a/replayer/replayer.go
+++ b/replayer/replayer.go
@@ -160,9 +160,11 @@
 }
 
 func (r *replay) list() {
-	infos := make([]scheduler.WorkerInfo, len(r.workers))
-	for i, w := range r.workers {
-		infos[i] = w.info
+	infos := make([]scheduler.WorkerInfo, 0, len(r.workers))
+	for _, w := range r.workers {
+		if !w.gone {
+			infos = append(infos, w.info)
+		}
 	}
 	r.core.SetWorkers(r.now, infos)
 	r.after(listTime, r.list)
--- a/replayer/worker.go
+++ b/replayer/worker.go
@@ -22,6 +22,8 @@
 	speed   float64
 	failing bool
 	silent  bool
+	// gone workers have left for good.
+	gone bool
 	// waiting answers the look that waits for an end; nil for none.
 	waiting func()
 }
@@ -82,6 +84,10 @@
 		return
 	}
 	r.after(orderTime, func() {
+		if w.gone {
+			r.core.StartDone(r.now, order, scheduler.OrderUnknown)
+			return
+		}
 		w.begin(order)
 		r.after(orderTime, func() { r.core.StartDone(r.now, order, scheduler.OrderAccepted) })
 	})
@@ -269,15 +275,27 @@
 	befall(t.SlowShare, func(w *worker) { w.setSpeed(1 / t.SlowFactor) })
 	befall(t.StandingShare, func(w *worker) { w.setSpeed(0) })
 	befall(t.FailingShare, func(w *worker) { w.failing = true })
+	befall(t.LeavingShare, func(w *worker) {
+		w.info.Leaving, w.info.LeavesAt = true, r.now.Add(seconds(t.NoticeSeconds))
+		r.at(w.info.LeavesAt, w.leave)
+	})
 	befall(t.SilentShare, func(w *worker) { w.silent = true })
 	r.after(seconds(t.ForSeconds), func() {
 		for _, w := range r.workers {
 			w.setSpeed(1)
-			w.failing, w.silent = false, false
+			w.failing, w.silent = false, w.gone
 		}
 	})
 }
 
+// leave ends all that runs on the worker, unheard.
+func (w *worker) leave() {
+	for len(w.runs) > 0 {
+		w.runs[0].end(scheduler.EndLapsed)
+	}
+	w.gone, w.silent, w.ended, w.waiting = true, true, nil, nil
+}
+
 func (w *worker) setSpeed(speed float64) {
 	if w.speed == speed {
 		return
