Stand-in: a worker that is up does not begin another life

Traced by the logs: two faults reborn one worker, and its second rebirth began a life without having ended the last, whose runs went on. A real worker runs nothing at its start.

--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -120,10 +120,13 @@
 	w.down, w.running, w.ended = true, nil, nil
 }
 
-// Restart begins another life.
+// Restart begins another life of a worker that has crashed.
 func (w *TaskWorker) Restart(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !w.down {
+		return
+	}
 	w.down, w.fence, w.lease, w.number = false, 0, time.Time{}, 0
 	w.barred = make(map[scheduler.TaskName]scheduler.RunNumber)
 	w.bornAt = now.Truncate(time.Millisecond)
