Keep entries for short questions; ask less while all are asking; decide cheaper

- A fifth of the entries asks short questions only (below 250 ms).
How much a gang asks about goes from ten times its room to three as the entries become busy.

--- a/dispatcher/advise.go
+++ b/dispatcher/advise.go
@@ -18,6 +18,8 @@
 	// adviceDepth is how many questions one host may have open: the service
 	// answers them one by one, and the next one should be there already.
 	adviceDepth = 2
+	// shortShare is which part of the entries asks short questions only.
+	shortShare = 5
 	// adviceFactor times its usual time, and adviceSlack more, is for how
 	// long the owner waits for an answer by way of another entry.
 	adviceFactor = 2
@@ -58,25 +60,53 @@
 	}
 }
 
-// free returns how many more questions can be asked now.
+// reserved returns the advisers that ask short questions only, and the others.
+func (a advisers) reserved() (short, any advisers) {
+	count := len(a) / shortShare
+	return a[len(a)-count:], a[:len(a)-count]
+}
+
+// room returns how many more questions can be asked now.
+func (a advisers) room(now time.Time) scheduler.AdviceRoom {
+	short, any := a.reserved()
+	return scheduler.AdviceRoom{Any: any.free(now), Short: short.free(now)}
+}
+
 func (a advisers) free(now time.Time) int {
 	count := 0
 	for _, known := range a {
-		if !now.Before(known.suspectUntil) {
-			count += max(0, adviceDepth-known.open)
+		if known.takes(now) {
+			count += adviceDepth - known.open
 		}
 	}
 	return count
 }
 
-// idlest returns the adviser with the fewest questions.
+func (a *adviser) takes(now time.Time) bool {
+	return a.open < adviceDepth && !now.Before(a.suspectUntil)
+}
+
+// choose returns the adviser for a question, in the way in which the core has
+// counted room for it.
+func (a advisers) choose(now time.Time, long bool) *adviser {
+	short, any := a.reserved()
+	if !long {
+		if chosen := short.idlest(now); chosen != nil {
+			return chosen
+		}
+	}
+	return any.idlest(now)
+}
+
+// idlest returns the adviser that will be free soonest; nil if none takes
+// questions.
 func (a advisers) idlest(now time.Time) *adviser {
 	var best *adviser
 	for _, known := range a {
-		if now.Before(known.suspectUntil) {
+		if !known.takes(now) {
 			continue
 		}
-		if best == nil || known.open < best.open {
+		if best == nil || known.open < best.open || known.open == best.open && known.busyUntil.Before(best.busyUntil) {
 			best = known
 		}
 	}
@@ -99,8 +129,8 @@
 			s.advised(id, nil, true)
 		}
 	}
-	for _, order := range s.core.Advise(now, s.advisers.free(now)) {
-		chosen := s.advisers.idlest(now)
+	for _, order := range s.core.Advise(now, s.advisers.room(now)) {
+		chosen := s.advisers.choose(now, order.Long())
 		chosen.open++
 		// The service answers a host's questions one by one.
 		chosen.busyUntil = order.DueAt.Add(max(0, chosen.busyUntil.Sub(now)))
--- a/replayer/replayer.go
+++ b/replayer/replayer.go
@@ -45,6 +45,8 @@
 	batchRows  = 70
 	// adviceDepth is how many questions one entry may have open.
 	adviceDepth = 2
+	// shortShare is which part of the entries asks short questions only.
+	shortShare = 5
 )
 
 // event is something that happens at a time.
@@ -87,10 +89,12 @@
 	gangs   map[gangRun]*gang
 	// entries are until when each entry's questions keep the service busy.
 	entries []time.Time
-	asking  int
-	saving  bool
-	used    usage
-	tickAt  time.Duration
+	// asking counts the questions on their way, by entries for short ones only
+	// and by the others.
+	asking map[bool]int
+	saving bool
+	used   usage
+	tickAt time.Duration
 }
 
 // Run replays a pattern.
@@ -106,6 +110,7 @@
 		byHost:  make(map[requester.HostID]*worker),
 		gangs:   make(map[gangRun]*gang),
 		entries: make([]time.Time, pattern.Entries),
+		asking:  make(map[bool]int),
 	}
 	r.addWorkers()
 	r.list()
@@ -208,11 +213,20 @@
 // ask sends the questions for advice that the core wants asked, each to the
 // entry that is free first.
 func (r *replay) ask() {
-	for _, order := range r.core.Advise(r.now, adviceDepth*len(r.entries)-r.asking) {
-		r.asking++
-		first := 0
-		for i, busy := range r.entries {
-			if busy.Before(r.entries[first]) {
+	room := scheduler.AdviceRoom{
+		Any:   adviceDepth*(len(r.entries)-r.reserved()) - r.asking[false],
+		Short: adviceDepth*r.reserved() - r.asking[true],
+	}
+	for _, order := range r.core.Advise(r.now, room) {
+		short := !order.Long() && r.asking[true] < adviceDepth*r.reserved()
+		r.asking[short]++
+		from, to := 0, len(r.entries)-r.reserved()
+		if short {
+			from, to = to, len(r.entries)
+		}
+		first := from
+		for i := from; i < to; i++ {
+			if r.entries[i].Before(r.entries[first]) {
 				first = i
 			}
 		}
@@ -224,12 +238,15 @@
 		takes := time.Duration((kind.AdviceMillis + kind.AdviceWorkerMillis*float64(len(order.Workers))) * float64(time.Millisecond))
 		r.entries[first] = begins.Add(takes)
 		r.at(begins.Add(takes+2*orderTime), func() {
-			r.asking--
+			r.asking[short]--
 			r.core.Advised(r.now, order, r.allowed(kind, order), false)
 		})
 	}
 }
 
+// reserved is how many entries ask short questions only.
+func (r *replay) reserved() int { return len(r.entries) / shortShare }
+
 // allowed returns tickets for the workers that may run a step, which is drawn
 // anew for each step and the same whenever it is asked.
 func (r *replay) allowed(kind *Kind, order scheduler.AdviceOrder) []scheduler.Ticket {
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -14,13 +14,16 @@
 	// asked are the workers about which there is an answer.
 	asked   map[requester.HostID]bool
 	tickets map[requester.HostID]ticket
+	// allowed are the workers with tickets, in order.
+	allowed []requester.HostID
 	// open counts the questions on their way, inQuestion are the workers that
 	// they name.
 	open       int
 	inQuestion map[requester.HostID]bool
 	// again is before when no other question is asked.
 	again time.Time
-	// enoughUntil is until when the allowed workers are taken to be enough.
+	// enoughUntil is until when no further workers are asked about: those
+	// allowed are enough, or there are no others.
 	enoughUntil time.Time
 	// stale are workers with room whose tickets have aged.
 	stale []requester.HostID
@@ -52,9 +55,13 @@
 	// enoughFor is for how long that is not calculated again.
 	enoughFor = 500 * time.Millisecond
 	// gangFactor is how many times a gang its allowed workers have to hold if
-	// they were empty, gangQuestions how many questions about it may be open.
-	gangFactor    = 10
-	gangQuestions = 4
+	// they were empty, busyGangFactor the same while all entries are asking;
+	// gangQuestions is how many questions about it may be open.
+	gangFactor     = 10
+	busyGangFactor = 3
+	gangQuestions  = 4
+	// longQuestion is from when on a question is a long one.
+	longQuestion = 250 * time.Millisecond
 	// gangSlack is the share of that which isn't worth another question.
 	gangSlack = 0.1
 	// firstShare is the share of workers taken to be allowed before any
@@ -89,28 +96,53 @@
 	return allowed, a.asked[w.info.HostID]
 }
 
-// Advise returns up to count questions to ask now, the most urgent first.
-func (c *Core) Advise(now time.Time, count int) []AdviceOrder {
-	c.now = now
-	if count <= 0 {
-		return nil
+// AdviceRoom is how many questions may be asked now.
+type AdviceRoom struct {
+	// Any may be of any length, Short ones must not be Long: short questions
+	// shall not wait behind long ones.
+	Any   int
+	Short int
+}
+
+// Long reports whether the answer to a question takes long.
+func (o *AdviceOrder) Long() bool { return o.DueAt.Sub(o.AskedAt) > longQuestion }
+
+// take takes the room for a question, if there is any.
+func (r *AdviceRoom) take(long bool) bool {
+	switch {
+	case !long && r.Short > 0:
+		r.Short--
+	case r.Any > 0:
+		r.Any--
+	default:
+		return false
 	}
+	return true
+}
+
+// Advise returns questions to ask now, the most urgent first.
+func (c *Core) Advise(now time.Time, room AdviceRoom) []AdviceOrder {
+	c.now = now
+	c.adviceLoad = share(int64(c.longOpen), int64(c.longOpen+room.Any))
 	// The last pass has put the open steps in order.
 	var orders []AdviceOrder
 	for _, s := range c.open {
+		if room == (AdviceRoom{}) {
+			break
+		}
 		if s.job().spec.Advice == nil || s.waiting == 0 || now.Before(s.advice.again) || !c.mayStart(s) {
 			continue
 		}
-		for len(orders) < count && s.advice.open < s.mostOpen() {
+		if room.Any == 0 && s.job().spec.Advice.duration(minAsked) > longQuestion {
+			continue
+		}
+		for s.advice.open < s.mostOpen() {
 			workers := c.toAsk(s)
-			if len(workers) == 0 {
+			if len(workers) == 0 || !room.take(s.job().spec.Advice.duration(len(workers)) > longQuestion) {
 				break
 			}
 			orders = append(orders, c.askAbout(s, workers))
 		}
-		if len(orders) == count {
-			break
-		}
 	}
 	return orders
 }
@@ -135,7 +167,11 @@
 	}
 	c.asking[s.name()] = s
 	c.stats.AdviceAsked++
-	return AdviceOrder{Step: s.name(), Workers: workers, AskedAt: c.now, DueAt: c.now.Add(s.job().spec.Advice.duration(len(workers)))}
+	order := AdviceOrder{Step: s.name(), Workers: workers, AskedAt: c.now, DueAt: c.now.Add(s.job().spec.Advice.duration(len(workers)))}
+	if order.Long() {
+		c.longOpen++
+	}
+	return order
 }
 
 // toAsk returns the workers to ask about for a step: those with room whose
@@ -165,7 +201,8 @@
 // that workers would hold if they were empty: a gang waits for them to be.
 func (c *Core) toAskGang(s *step) []requester.HostID {
 	share := c.allowedShare(s.job().spec.Queue)
-	wanted := gangFactor * float64(len(s.tasks))
+	factor := gangFactor + c.adviceLoad*(busyGangFactor-gangFactor)
+	wanted := factor * float64(len(s.tasks))
 	lacking := wanted - float64(c.allowedSlots(s))
 	need := s.def.room()
 	for id := range s.advice.inQuestion {
@@ -193,6 +230,11 @@
 			options = append(options, option{w, c.slots(s, w)})
 		}
 	}
+	if len(options) == 0 {
+		// Until workers are added there is nothing to ask.
+		s.advice.enoughUntil = c.now.Add(enoughFor)
+		return nil
+	}
 	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(b.room, a.room) })
 	var ids []requester.HostID
 	slots := 0.0
@@ -210,8 +252,8 @@
 // would hold if they were empty.
 func (c *Core) allowedSlots(s *step) int {
 	need, slots := s.def.room(), 0
-	for _, w := range c.order {
-		if allowed, _ := s.advice.allows(w); allowed && w.usable() {
+	for _, id := range s.advice.allowed {
+		if w, ok := c.workers[id]; ok && w.usable() {
 			slots += slotsIn(w.info.Total, need, len(s.tasks))
 		}
 	}
@@ -241,6 +283,9 @@
 // Advised takes in the answer to a question. failed tells that there was none.
 func (c *Core) Advised(now time.Time, order AdviceOrder, allowed []Ticket, failed bool) {
 	c.now = now
+	if order.Long() {
+		c.longOpen--
+	}
 	s, ok := c.asking[order.Step]
 	if !ok {
 		return
@@ -279,9 +324,13 @@
 	}
 	for _, a := range allowed {
 		if w, ok := c.workers[a.Worker]; ok {
+			if _, known := s.advice.tickets[a.Worker]; !known {
+				s.advice.allowed = append(s.advice.allowed, a.Worker)
+			}
 			s.advice.tickets[a.Worker] = ticket{text: a.Text, born: w.born, until: until}
 		}
 	}
+	slices.Sort(s.advice.allowed)
 	s.advice.stale = nil
 	s.scannedAt = time.Time{}
 	c.changed = true
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -53,7 +53,7 @@
 		}
 		add(workers*4+i, job)
 	}
-	for _, order := range c.Advise(now, waiting) {
+	for _, order := range c.Advise(now, AdviceRoom{Any: waiting}) {
 		var tickets []Ticket
 		for _, id := range order.Workers {
 			if random.IntN(3) == 0 {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -65,6 +65,8 @@
 	order   []*worker
 	// takers are the workers that may get new tasks in the present pass.
 	takers []*worker
+	// scratch is reused by mayTake.
+	scratch []*worker
 	// freed are the workers whose room has grown, in turn; the first of them
 	// has the number freedFrom.
 	freed     []*worker
@@ -79,6 +81,10 @@
 	timed map[requester.JobID]*job
 	// asking are the steps about which advice is being asked.
 	asking map[StepName]*step
+	// longOpen counts the long questions on their way, adviceLoad is the share
+	// of those possible that were when questions were last asked.
+	longOpen   int
+	adviceLoad float64
 	// eager lets steps start before they are stored as begun.
 	eager bool
 	// shares is the share of workers that may run a queue's steps, learned.
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -206,13 +206,10 @@
 // it will take too long.
 func (c *Core) findHold(s *step) *hold {
 	var openings []opening
-	for _, w := range c.takers {
+	for _, w := range c.mayTake(s) {
 		if w.held != nil || !c.suits(s, w) {
 			continue
 		}
-		if allowed, _ := s.advice.allows(w); s.job().spec.Advice != nil && !allowed {
-			continue
-		}
 		openings = c.openingsOn(openings, s, w, len(s.tasks))
 	}
 	count := len(s.tasks)
--- a/scheduler/hold_test.go
+++ b/scheduler/hold_test.go
@@ -166,7 +166,7 @@
 	asked := 0
 	var renewedAt time.Duration
 	for renewedAt == 0 && b.now.Sub(began) < 5*time.Second {
-		for _, order := range b.core.Advise(b.now, 5) {
+		for _, order := range b.core.Advise(b.now, AdviceRoom{Any: 5}) {
 			asked++
 			if asked > 1 {
 				renewedAt = b.now.Sub(began)
@@ -207,7 +207,7 @@
 
 // answer answers what is asked now, with tickets for all workers or none.
 func (b *bench) answer(allowed bool) {
-	for _, order := range b.core.Advise(b.now, 5) {
+	for _, order := range b.core.Advise(b.now, AdviceRoom{Any: 5}) {
 		var tickets []Ticket
 		for _, id := range order.Workers {
 			if allowed {
--- a/scheduler/look.go
+++ b/scheduler/look.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 )
 
@@ -129,10 +130,14 @@
 	if report.Partial {
 		return
 	}
-	for _, r := range w.sortedRuns() {
-		if listed[runKey{r.name, r.number}] {
-			continue
+	var unlisted []*run
+	for key, r := range w.runs {
+		if !listed[key] {
+			unlisted = append(unlisted, r)
 		}
+	}
+	slices.SortFunc(unlisted, compareRuns)
+	for _, r := range unlisted {
 		switch {
 		case r.phase == runDoubtful || r.phase == runStopping && r.presentAt.IsZero():
 			// A look from before the stop tells nothing of what began since.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -135,6 +135,21 @@
 	}
 }
 
+// mayTake returns the workers that may get tasks of the step now: those allowed,
+// where its queue has advice. The result is good until the next call.
+func (c *Core) mayTake(s *step) []*worker {
+	if s.job().spec.Advice == nil {
+		return c.takers
+	}
+	c.scratch = c.scratch[:0]
+	for _, id := range s.advice.allowed {
+		if w, ok := c.workers[id]; ok && w.takes(c.now) {
+			c.scratch = append(c.scratch, w)
+		}
+	}
+	return c.scratch
+}
+
 // toScan returns the workers that may have room for a step which had none at
 // its last look, and whether these are all there are.
 func (c *Core) toScan(s *step) (workers []*worker, all bool) {
@@ -143,7 +158,7 @@
 	s.scanned = next
 	if s.scannedAt.IsZero() || from < 0 || c.now.Sub(s.scannedAt) >= rescanInterval || len(c.freed)-from >= len(c.takers) {
 		s.scannedAt = c.now
-		return c.takers, true
+		return c.mayTake(s), true
 	}
 	for _, w := range c.freed[from:] {
 		if w.takes(c.now) && !slices.Contains(workers, w) {
@@ -216,7 +231,7 @@
 		}
 		if advised {
 			if allowed, _ := s.advice.allows(w); !allowed {
-				continue
+				continue // one of those freed
 			}
 			text, valid := s.advice.valid(w, c.now)
 			fit += slots
--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -209,7 +209,7 @@
 			b.step(10 * time.Millisecond)
 			var got []int
 			var asked []requester.HostID
-			for _, order := range b.core.Advise(b.now, 5) {
+			for _, order := range b.core.Advise(b.now, AdviceRoom{Any: 5}) {
 				got = append(got, len(order.Workers))
 				asked = append(asked, order.Workers...)
 			}
@@ -244,7 +244,7 @@
 	gang.Gang = true
 	b.add("gang", Policy{Stretch: 9, Advice: &Advice{DecideMillis: 10, WorkerMillis: 1, ValidMillis: 300}}, gang)
 	b.step(10 * time.Millisecond)
-	orders := b.core.Advise(b.now, 5)
+	orders := b.core.Advise(b.now, AdviceRoom{Any: 5})
 	is.Equal(len(orders), 1)
 	var tickets []Ticket
 	for _, id := range orders[0].Workers {
@@ -253,11 +253,11 @@
 	b.core.Advised(b.now, orders[0], tickets, false)
 	for range 20 {
 		b.step(100 * time.Millisecond)
-		is.Equal(len(b.core.Advise(b.now, 5)), 0) // one worker is free, two are needed
+		is.Equal(len(b.core.Advise(b.now, AdviceRoom{Any: 5})), 0) // one worker is free, two are needed
 	}
 	b.end(full[0], EndDone)
 	b.step(100 * time.Millisecond)
-	orders = b.core.Advise(b.now, 5)
+	orders = b.core.Advise(b.now, AdviceRoom{Any: 5})
 	is.Equal(len(orders), 1)
 	is.Equal(len(orders[0].Workers), 2) // just those with room
 }
