--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -230,6 +230,39 @@
 	return total
 }
 
+// TestAdviceUnderLoad: while entries ask long questions only, short ones go on;
+// and the busier the entries, the fewer workers a gang asks about.
+func TestAdviceUnderLoad(t *testing.T) {
+	is := is.New(t)
+	b := newBench(100)
+	long := Policy{Priority: 1, Stretch: 9, Advice: &Advice{DecideMillis: 400, WorkerMillis: 5, ValidMillis: 1500}}
+	short := Policy{Priority: 2, Stretch: 9, Advice: &Advice{DecideMillis: 10, WorkerMillis: 1, ValidMillis: 1500}}
+	wide := Step{Count: 4, Gang: true, Need: requester.Resources{MilliCores: 8000, MemoryMB: 100}, EstimateMillis: 1000}
+	for i := range 6 {
+		b.add(fmt.Sprintf("long-%d", i), long, wide)
+	}
+	b.add("short", short, cores(1, 1000))
+	b.step(10 * time.Millisecond)
+	b.step(10 * time.Millisecond)
+	asked := func(room AdviceRoom) (orders []AdviceOrder, workers int) {
+		orders = b.core.Advise(b.now, room)
+		for _, order := range orders {
+			workers = max(workers, len(order.Workers))
+		}
+		return orders, workers
+	}
+	orders, idle := asked(AdviceRoom{Any: 2, Short: 1})
+	is.Equal(len(orders), 3)
+	is.True(orders[0].Long() && orders[1].Long() && !orders[2].Long())
+	is.Equal(orders[2].Step.Job, requester.JobID("short"))
+	b.core.Advise(b.now, AdviceRoom{Any: 1}) // 3 of 3 are busy now
+	orders, busy := asked(AdviceRoom{Any: 1})
+	is.Equal(len(orders), 1)
+	is.True(busy < idle)
+	orders, _ = asked(AdviceRoom{Short: 1})
+	is.Equal(len(orders), 0) // all that is left would take long
+}
+
 // TestBlockedGangAsksNothing replays gangs that wait for room: their tickets
 // age, and renewing them before there is room would keep the service busy.
 func TestBlockedGangAsksNothing(t *testing.T) {
