Look at a worker once for an end, not twice

Cause: each end that a worker told of was followed by two looks: one at once, which listed the same end again, as it wasn't stored yet, and one that confirmed it. The time that ends may wait was counted from when the last look was sent, which had waited for the end for longer than that.

It is counted from the answer. TestOneLookForAnEnd, which failed.

--- a/scheduler/look.go
+++ b/scheduler/look.go
@@ -9,7 +9,8 @@
 const (
 	// retryLook separates looks at a worker that doesn't answer.
 	retryLook = 300 * time.Millisecond
-	// confirmDelay bounds how long ends wait to be confirmed together.
+	// confirmDelay bounds how long a worker that has told of ends is left alone
+	// until these are stored: a look before that would only list them again.
 	confirmDelay = 150 * time.Millisecond
 	// freshFor is how long after its last answer a worker gets new tasks.
 	freshFor = 2500 * time.Millisecond
@@ -22,11 +23,10 @@
 			continue
 		}
 		unconfirmed := w.seen > w.confirmed
-		if unconfirmed && c.now.Sub(w.lookedAt) < confirmDelay {
+		if unconfirmed && c.now.Sub(w.clockAt) < confirmDelay {
 			continue
 		}
 		w.lookOpen = true
-		w.lookedAt = c.now
 		c.stats.Looks++
 		c.orders.Looks = append(c.orders.Looks, LookOrder{
 			Worker:   w.ref(),
--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -343,3 +343,37 @@
 	b.core.LookDone(b.now, LookOrder{Worker: start.Worker, SentAt: b.now}, report, OrderAccepted)
 	is.Equal(len(b.core.workers[start.Worker.HostID].runs), 0)
 }
+
+// TestOneLookForAnEnd: a worker that has told of an end is looked at again once
+// that is stored, to confirm it and to wait for the next; or after a while, if
+// storing it takes long.
+func TestOneLookForAnEnd(t *testing.T) {
+	is := is.New(t)
+	b := newBench(1)
+	b.add("job", Policy{Stretch: 9}, cores(2, 1000))
+	starts := b.settle()
+	is.Equal(len(starts), 2)
+	b.now = b.now.Add(time.Second)
+	report := &Report{
+		Clock: 1000, Born: starts[0].Worker.Born, Running: []RunningTask{b.report(starts[1])},
+		Ended: []EndedRun{{Number: 1, Task: starts[0].Task, Run: starts[0].Run, Kind: EndDone}},
+	}
+	look := LookOrder{Worker: starts[0].Worker, SentAt: b.now}
+	b.core.LookDone(b.now, look, report, OrderAccepted)
+	b.now = b.now.Add(30 * time.Millisecond)
+	is.Equal(len(b.core.Tick(b.now).Looks), 0) // the end isn't stored
+	b.save()
+	looks := b.core.Tick(b.now).Looks
+	is.Equal(len(looks), 1)
+	is.Equal(looks[0].Seen, int64(1))
+	is.True(looks[0].Wait)
+
+	report.Ended = append(report.Ended, EndedRun{Number: 2, Task: starts[1].Task, Run: starts[1].Run, Kind: EndDone})
+	report.Running = nil
+	b.core.LookDone(b.now, look, report, OrderAccepted)
+	b.now = b.now.Add(confirmDelay)
+	looks = b.core.Tick(b.now).Looks
+	is.Equal(len(looks), 1)
+	is.Equal(looks[0].Seen, int64(1))
+	is.True(!looks[0].Wait) // there is an end to be listed
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -36,9 +36,7 @@
 	confirmed int64
 	pending   []pendingEnd
 	lookOpen  bool
-	// lookedAt is when the last look was sent, lookAfter before when no
-	// other is sent.
-	lookedAt  time.Time
+	// lookAfter is before when no look is sent.
 	lookAfter time.Time
 	// silent counts looks and orders in a row without an answer.
 	silent int
