--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -103,8 +103,11 @@
 
 // wantsHold reports whether a step is a gang that waits for nothing but room.
 func (c *Core) wantsHold(s *step) bool {
-	return s.open && s.def.Gang && !c.now.Before(s.holdAfter) && s.waiting == len(s.tasks) && !s.def.SameRack && c.mayBegin(s) && (!s.hidden || c.Settled()) &&
-		(s.job().spec.Advice == nil || len(s.advice.tickets) > 0)
+	if !s.open || !s.def.Gang || s.def.SameRack || s.waiting < len(s.tasks) || c.now.Before(s.holdAfter) {
+		return false
+	}
+	advised := s.job().spec.Advice == nil || len(s.advice.tickets) > 0
+	return advised && c.mayBegin(s) && c.mayStart(s)
 }
 
 // refresh calculates anew when a hold's workers have room, and reports whether
@@ -120,16 +123,11 @@
 	if openings == nil {
 		return false
 	}
-	h.readyAt = openings[len(openings)-1].at
-	if h.readyAt.After(c.now) && h.readyAt.After(h.plannedAt.Add(holdSlip)) {
+	h.setReady(c.now, openings[len(openings)-1].at)
+	if h.slipped(c.now) {
 		return false
 	}
-	if h.readyAt.After(c.now) {
-		h.readySince = time.Time{}
-	} else if h.readySince.IsZero() {
-		h.readySince = c.now
-	}
-	if !h.readySince.IsZero() && c.now.Sub(h.readySince) > holdPatience+h.step.job().spec.adviceTime() {
+	if h.helpsNothing(c.now) {
 		h.step.holdAfter = c.now.Add(holdRest)
 		return false
 	}
@@ -137,6 +135,28 @@
 	return true
 }
 
+// setReady notes when there should be room, and since when there is.
+func (h *hold) setReady(now, at time.Time) {
+	h.readyAt = at
+	switch {
+	case at.After(now):
+		h.readySince = time.Time{}
+	case h.readySince.IsZero():
+		h.readySince = now
+	}
+}
+
+// slipped reports whether room comes much later than planned.
+func (h *hold) slipped(now time.Time) bool {
+	return h.readyAt.After(now) && h.readyAt.After(h.plannedAt.Add(holdSlip))
+}
+
+// helpsNothing reports whether the gang hasn't started though there has been
+// room for as long as renewing its tickets may take.
+func (h *hold) helpsNothing(now time.Time) bool {
+	return !h.readySince.IsZero() && now.Sub(h.readySince) > holdPatience+h.step.job().spec.adviceTime()
+}
+
 // dropHold gives a hold up.
 func (c *Core) dropHold(h *hold) {
 	h.step.hold = nil
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -27,7 +27,17 @@
 // Steps are ordered by whether they can still be in time, then by priority,
 // then by the time at which their job is due. Within that order a task goes to
 // the worker that it fills best, a gang to workers for all of its tasks or
-// none.
+// none. Workers that will soonest have room for the most urgent gangs are held
+// for them. How long tasks take is learned against their estimates, and from
+// how far runs have come; workers on which nothing moves get nothing new, and
+// what stands still, or won't end before its worker leaves, is stopped and
+// starts again elsewhere.
+//
+// # Advice
+//
+// Which workers may run a step may have to be asked for. Questions take time
+// and only so many can be open, so a step asks about as many workers as it is
+// likely to need, a gang about more, and fewer the busier those are who ask.
 package scheduler
 
 import (
