Don't run an ended job again when its row is seen once more

Traced by the logs: a job that had ended 10 s before was taken in anew. The store's history had been dropped, and reads were 3 s behind: its row, removed a moment ago, was read as it had been. The owner knew the job no more.

A row of a job whose state says that it has ended is not taken in, neither by the present owner nor at a takeover, and is removed in case it is there: it must not outlive the state. Rows stay for 15 s, longer than writes come late or reads are behind. TestRowOfAnEndedJob, which failed in both cases.

--- a/dispatcher/board.go
+++ b/dispatcher/board.go
@@ -123,6 +123,12 @@
 	return shown.row, ok
 }
 
+// ended reports whether a job is known to have ended.
+func (b *board) ended(id requester.JobID) bool {
+	row, known := b.state(id)
+	return known && row.State.Ended()
+}
+
 func (b *board) pendingOf(queue string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"kumquatstall/dispatcher"
+	"kumquatstall/keeper"
 	"kumquatstall/requester"
 	"kumquatstall/scheduler"
 	"kumquatstall/standin"
@@ -393,3 +394,37 @@
 		}
 	}
 }
+
+// TestRowOfAnEndedJob: reads may be seconds behind, so the row of a job that has
+// ended and was removed may be seen once more. It does not run again, neither
+// under the same owner nor under another one.
+func TestRowOfAnEndedJob(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		t.Run(fmt.Sprintf("takeover %v", takeover), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newSite(t, 3)
+				defer s.close()
+				is.Equal(s.submit(0, 300), dispatcher.OutcomeDone)
+				key := scheduler.JobKey(s.jobs[0])
+				row := s.cell.Row(key)
+				is.True(row != nil)
+				time.Sleep(time.Minute)
+				s.checkCompleted()
+				is.True(s.cell.Row(key) == nil)
+
+				_, err := s.cell.As("stale").Transact(context.Background(), keeper.Transaction{Writes: []keeper.Write{{Key: key, Value: row}}})
+				is.NoErr(err)
+				if takeover {
+					owner := s.owner()
+					s.entries[owner].Close()
+					time.Sleep(4 * time.Second)
+					s.start(owner)
+				}
+				time.Sleep(20 * time.Second)
+				s.checkCompleted()
+				is.True(s.cell.Row(key) == nil) // it doesn't outlive the job's state
+			})
+		})
+	}
+}
--- a/dispatcher/forget.go
+++ b/dispatcher/forget.go
@@ -26,7 +26,7 @@
 			}
 		}
 	}
-	ids := s.core.Ended(now.Add(-jobRetention), forgetJobs)
+	ids := append(s.core.Ended(now.Add(-jobRetention), forgetJobs), s.strays...)
 	if len(ids) == 0 || s.removing {
 		return
 	}
@@ -36,6 +36,7 @@
 		s.post(func() {
 			s.removing = false
 			s.core.Drop(removed)
+			s.strays = slices.DeleteFunc(s.strays, func(id requester.JobID) bool { return slices.Contains(removed, id) })
 			for _, id := range removed {
 				s.forgetting = append(s.forgetting, keeper.Write{Key: scheduler.ProgressKey(id), Delete: true})
 			}
--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -68,11 +68,16 @@
 		if !ok {
 			continue
 		}
+		progress := rows[scheduler.ProgressKey(job.JobID)]
+		if progress == nil && d.board.ended(job.JobID) {
+			s.strays = append(s.strays, job.JobID)
+			continue
+		}
 		jobs++
 		_, cancelled := rows[scheduler.CancelKey(job.JobID)]
 		err := s.core.Recover(scheduler.JobRows{
 			Job:       job,
-			Progress:  rows[scheduler.ProgressKey(job.JobID)],
+			Progress:  progress,
 			Cancelled: cancelled,
 		})
 		if err != nil {
@@ -187,11 +192,22 @@
 			continue
 		}
 		if job, ok := s.decodeJob(key, change.Row.Value); ok {
-			s.core.Add(now, job)
+			s.add(now, job)
 		}
 	}
 }
 
+// add takes in a job, unless it has ended: its row may have been read as it was
+// before it was removed.
+func (s *session) add(now time.Time, job scheduler.Job) {
+	if !s.core.Knows(job.JobID) && s.dispatcher.board.ended(job.JobID) {
+		s.dispatcher.log.Warn().Str("Event", "row").Str("Job", string(job.JobID)).Msg("row of a job that has ended")
+		s.strays = append(s.strays, job.JobID)
+		return
+	}
+	s.core.Add(now, job)
+}
+
 // relistTime is for how long after the store was away workers may be missing
 // from the list: their rows lapsed meanwhile, and they write them anew.
 const relistTime = 2200 * time.Millisecond
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"kumquatstall/keeper"
+	"kumquatstall/requester"
 	"kumquatstall/scheduler"
 )
 
@@ -43,7 +44,7 @@
 	// jobRetention is how long the row of an ended job stays: as long as a
 	// request with its id may come again at an entry that doesn't know yet.
 	// Its state stays for much longer; fewer rows let a successor begin sooner.
-	jobRetention = 10 * time.Second
+	jobRetention = 15 * time.Second
 )
 
 // session is the time during which this entry owns the cell.
@@ -70,6 +71,9 @@
 	forgotAt   time.Time
 	forgetting []keeper.Write
 	loaded     bool
+	// strays are ended jobs whose rows were seen once more: they have to be
+	// removed, in case they are there.
+	strays []requester.JobID
 	// removing tells that rows of ended jobs are being removed.
 	removing  bool
 	releasing bool
--- a/dispatcher/tell.go
+++ b/dispatcher/tell.go
@@ -33,7 +33,7 @@
 		s.core.Cancel(now, message.Cancelled)
 		return
 	}
-	s.core.Add(now, message.Job)
+	s.add(now, message.Job)
 }
 
 // tellStates tells all entries of the states that a commit has stored.
--- a/standin/cell.go
+++ b/standin/cell.go
@@ -356,7 +356,12 @@
 		return nil, scheduler.OrderUnknown
 	}
 	until := time.Now().Add(wait)
+	life, _ := w.Info()
 	for {
+		if info, up := w.Info(); !up || !info.Born.Equal(life.Born) {
+			// The connection ends with the life that it was made to.
+			return nil, scheduler.OrderUnknown
+		}
 		report, result := w.Look(order, time.Now())
 		if result != scheduler.OrderAccepted || len(report.Ended) > 0 || !time.Now().Before(until) {
 			return report, c.answer(result)
