Read the change again: one rule for long questions, no dead state

Whether a question is long stood in three places; Advice.long says it now. What a gang may expect of workers in question was summed as fractions in the order of a map, so that its last digit could differ from play to play; whole tasks are counted and multiplied once. The replay's usage kept an end that nobody set, and said that it covered arrivals only; a worker kept a number that nobody read.

--- a/replayer/replayer.go
+++ b/replayer/replayer.go
@@ -156,8 +156,7 @@
 				Total:   requester.Resources{MilliCores: r.pattern.MilliCores, MemoryMB: r.pattern.MemoryMB},
 				Born:    r.start,
 			},
-			number: i,
-			speed:  1,
+			speed: 1,
 		}
 		r.workers = append(r.workers, w)
 		r.byHost[w.info.HostID] = w
--- a/replayer/result.go
+++ b/replayer/result.go
@@ -25,7 +25,8 @@
 	Earned float64
 	Bound  float64
 	Kinds  []KindResult
-	// UsedShare of the processors were at work while jobs arrived.
+	// UsedShare of the processors were at work from the first arrival to the
+	// end of the time in which jobs may settle.
 	UsedShare float64
 	// WastedCoreSeconds were worked without a result.
 	WastedCoreSeconds float64
@@ -69,13 +70,10 @@
 	// coreSeconds were at work, wasted of them without a result.
 	coreSeconds float64
 	wasted      float64
-	until       time.Time
 }
 
 func (u *usage) advance(now time.Time) {
-	if u.until.IsZero() || now.Before(u.until) {
-		u.coreSeconds += float64(u.milliCores) / 1000 * now.Sub(u.since).Seconds()
-	}
+	u.coreSeconds += float64(u.milliCores) / 1000 * now.Sub(u.since).Seconds()
 	u.since = now
 }
 
--- a/replayer/worker.go
+++ b/replayer/worker.go
@@ -14,7 +14,6 @@
 type worker struct {
 	replay *replay
 	info   scheduler.WorkerInfo
-	number int
 	runs   []*taskRun
 	ended  []scheduler.EndedRun
 	ends   int64
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -133,12 +133,12 @@
 		if s.job().spec.Advice == nil || s.waiting == 0 || now.Before(s.advice.again) || !c.mayStart(s) {
 			continue
 		}
-		if room.Any == 0 && s.job().spec.Advice.duration(minAsked) > longQuestion {
+		if room.Any == 0 && s.job().spec.Advice.long(minAsked) {
 			continue
 		}
 		for s.advice.open < s.mostOpen() {
 			workers := c.toAsk(s)
-			if len(workers) == 0 || !room.take(s.job().spec.Advice.duration(len(workers)) > longQuestion) {
+			if len(workers) == 0 || !room.take(s.job().spec.Advice.long(len(workers))) {
 				break
 			}
 			orders = append(orders, c.askAbout(s, workers))
@@ -205,11 +205,13 @@
 	wanted := factor * float64(len(s.tasks))
 	lacking := wanted - float64(c.allowedSlots(s))
 	need := s.def.room()
+	expected := 0
 	for id := range s.advice.inQuestion {
 		if w, ok := c.workers[id]; ok && !s.advice.asked[id] {
-			lacking -= share * float64(slotsIn(w.info.Total, need, len(s.tasks)))
+			expected += slotsIn(w.info.Total, need, len(s.tasks))
 		}
 	}
+	lacking -= share * float64(expected)
 	if lacking < gangSlack*wanted {
 		s.advice.enoughUntil = c.now.Add(enoughFor)
 		return nil
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -23,6 +23,9 @@
 	return time.Duration((a.DecideMillis + float64(workers)*a.WorkerMillis) * float64(time.Millisecond))
 }
 
+// long reports whether a question about some workers is a long one.
+func (a *Advice) long(workers int) bool { return a.duration(workers) > longQuestion }
+
 // Policy is how the jobs of a queue are treated.
 type Policy struct {
 	Service requester.Service
