Random runs: a gang waits for a standing member once, not once for each

Traced by reading: the fake workers gave all members the end of the slowest, and then moved each member's on while its worker stood still, so that with five members there the end came five times as late, and progress went backwards. A member's own end and its gang's are now kept apart.

No check or bound changed.

--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -89,6 +89,8 @@
 	stops  time.Time
 	fails  bool
 	gang   bool
+	// gangEnds is when the last member of its gang ends.
+	gangEnds time.Time
 	// seen tells that all members of its gang were there.
 	seen bool
 }
@@ -99,7 +101,11 @@
 	if r.gang && !r.seen {
 		return 0
 	}
-	return min(allDone, int(100*now.Sub(r.begins)/max(1, r.endsAt.Sub(r.begins))))
+	ends := r.endsAt
+	if r.gang {
+		ends = r.gangEnds
+	}
+	return min(allDone, int(100*now.Sub(r.begins)/max(1, ends.Sub(r.begins))))
 }
 
 func newWorld(seed uint64, options worldOptions) *world {
@@ -525,7 +531,7 @@
 		}
 	}
 	for _, m := range members {
-		m.run.endsAt = latest
+		m.run.gangEnds = latest
 	}
 	if w.now.Before(latest) {
 		return
