--- /dev/null
+++ b/review/stand/cases.go
@@ -0,0 +1,161 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// playLasting: a submission of tasks that last; some minions are lost for good.
+func playLasting(w *world, trouble bool) error {
+	s := &submission{id: "00000000000000a1", steps: []step{{Count: 24, CPU: 2000, MemMB: 4000, EstimateMS: 1000, AntiAffinity: 1, LongRunning: true}}}
+	if !w.submit(s) {
+		return fmt.Errorf("the submission was not accepted")
+	}
+	time.Sleep(10 * time.Second)
+	running := 0
+	for _, run := range w.settle() {
+		if run.Ended.IsZero() {
+			running++
+		}
+	}
+	if running != s.steps[0].Count {
+		return fmt.Errorf("%d of %d tasks run before the disturbance", running, s.steps[0].Count)
+	}
+	if trouble {
+		for i := range 6 {
+			w.minions[4*i].crash()
+			time.Sleep(160 * time.Millisecond)
+		}
+	}
+	at := time.Now()
+	time.Sleep(14 * time.Second)
+	w.checkLasting(s, at)
+	return nil
+}
+
+// checkLasting is the last part of the rule LOST: from 6 s after its last run, a
+// task that lasts has nothing running for 3 s, and these 3 s and the 4 s before
+// them are calm. The disturbance is over at the time given.
+func (w *world) checkLasting(s *submission, disturbed time.Time) {
+	runs := w.settle()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	lastEnd := make(map[string]time.Time)
+	next := make(map[string]time.Time)
+	for _, run := range runs {
+		if !run.Ended.IsZero() && run.Ended.After(lastEnd[run.Task]) {
+			lastEnd[run.Task] = run.Ended
+		}
+	}
+	for _, run := range runs {
+		if end, ok := lastEnd[run.Task]; ok && run.Started.After(end) {
+			next[run.Task] = run.Started
+		}
+	}
+	for task, end := range lastEnd {
+		from := end.Add(6 * time.Second)
+		if calm := disturbed.Add(4 * time.Second); calm.After(from) {
+			from = calm
+		}
+		until, again := next[task]
+		if !again {
+			until = time.Now()
+		}
+		w.noteLocked("%s: last run ended at %s, the next began at %s", task, w.at(end), w.at(next[task]))
+		if until.Sub(from) >= 3*time.Second {
+			w.violated("LOST: %s had nothing running from %s to %s, %.2f s", task, w.at(end), w.at(until), until.Sub(end).Seconds())
+		}
+	}
+}
+
+// playKind: work that needs minions of kind a; some of these crash and start
+// again under their ids, of kind b.
+func playKind(w *world, trouble bool) error {
+	var group sync.WaitGroup
+	stop := time.Now().Add(20 * time.Second)
+	for client := range 6 {
+		group.Go(func() {
+			for n := 0; time.Now().Before(stop); n++ {
+				w.submit(&submission{id: fmt.Sprintf("%08x%08x", client+1, n), steps: []step{
+					{Count: 30, CPU: 4000, MemMB: 8000, EstimateMS: 2000, RequiredLabel: "a", workMS: 2000},
+				}})
+				time.Sleep(600 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(6 * time.Second)
+	if trouble {
+		// Minions with even numbers are of kind a.
+		for i := range 6 {
+			m := w.minions[8*i]
+			m.crash()
+		}
+		time.Sleep(1500 * time.Millisecond)
+		for i := range 6 {
+			m := w.minions[8*i]
+			m.mu.Lock()
+			m.kind = "b"
+			m.mu.Unlock()
+			if err := m.start(); err != nil {
+				return err
+			}
+		}
+	}
+	group.Wait()
+	time.Sleep(2 * time.Second)
+	return nil
+}
+
+// playEager: the store is slow while the owner is killed; seconds later some
+// minions are cut off and the next owner is killed.
+func playEager(w *world, trouble bool) error {
+	var group sync.WaitGroup
+	stop := time.Now().Add(14 * time.Second)
+	for client := range 6 {
+		group.Go(func() {
+			time.Sleep(time.Duration(client) * 150 * time.Millisecond)
+			for n := 0; time.Now().Before(stop); n++ {
+				w.submit(&submission{id: fmt.Sprintf("%08x%08x", client+1, n), steps: []step{
+					{Count: 2, CPU: 500, MemMB: 500, EstimateMS: 500, workMS: 500},
+					{Count: 8, CPU: 1000, MemMB: 1000, EstimateMS: 9000, After: []int{0}, AntiAffinity: 1, workMS: 9000},
+				}})
+				time.Sleep(900 * time.Millisecond)
+			}
+		})
+	}
+	killOwner := func() {
+		if e := w.entryNamed(w.store.lastConditionalWriter()); e != nil {
+			e.kill()
+			go func() {
+				time.Sleep(500 * time.Millisecond)
+				_ = e.start()
+			}()
+		}
+	}
+	time.Sleep(4 * time.Second)
+	if trouble {
+		w.note("the store turns slow")
+		w.store.setDelay(240 * time.Millisecond)
+		time.Sleep(2800 * time.Millisecond)
+		killOwner()
+		time.Sleep(1700 * time.Millisecond)
+		w.note("the store is as before")
+		w.store.setDelay(4 * time.Millisecond)
+		time.Sleep(1700 * time.Millisecond)
+		for i := range 8 {
+			w.minions[6*i].setCut(true)
+		}
+		killOwner()
+		time.Sleep(5500 * time.Millisecond)
+		for i := range 8 {
+			w.minions[6*i].setCut(false)
+		}
+	}
+	group.Wait()
+	time.Sleep(14 * time.Second)
+	w.checkTwice()
+	return nil
+}
