Review case 2: a gang that is done runs again after the holder and a minion are lost

Cause: ends of members that come after the job has ended in memory are passed on as seen before the job's final state is stored. Change: a script that shows it; the stand-in plays gangs.

--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -171,18 +171,18 @@
 // minions crash; five times.
 func playGang(w *world, trouble bool) error {
 	var group sync.WaitGroup
-	const rounds, round = 5, 14 * time.Second
+	const rounds, round = 6, 12500 * time.Millisecond
 	stop := time.Now().Add(rounds * round)
 	group.Go(func() {
 		for n := 0; time.Now().Before(stop); n++ {
 			s := &submission{id: fmt.Sprintf("%016x", n), steps: []step{
-				{Count: 4, CPU: 8000, MemMB: 10000, EstimateMS: 1000, Gang: true, AntiAffinity: 1, workMS: 700 + int64(n*137%600)},
+				{Count: 3, CPU: 15000, MemMB: 20000, EstimateMS: 1000, Gang: true, AntiAffinity: 1, workMS: 700 + int64(n*137%600)},
 			}}
 			group.Go(func() { w.submit(s) })
-			time.Sleep(33 * time.Millisecond)
+			time.Sleep(50 * time.Millisecond)
 		}
 	})
-	for r := range rounds {
+	for range rounds {
 		began := time.Now()
 		if trouble {
 			w.note("the store turns slow")
@@ -190,11 +190,9 @@
 			time.Sleep(4000 * time.Millisecond)
 			w.killOwner()
 			time.Sleep(100 * time.Millisecond)
-			var crashed []*minion
-			for i := range 7 {
-				m := w.minions[(7*i+r)%len(w.minions)]
+			crashed := w.joined(7)
+			for _, m := range crashed {
 				m.crash()
-				crashed = append(crashed, m)
 			}
 			time.Sleep(400 * time.Millisecond)
 			w.note("the store is as before")
@@ -213,3 +211,23 @@
 	w.checkTwice()
 	return nil
 }
+
+// joined returns minions to crash: those that run members of gangs first, spread
+// evenly over these.
+func (w *world) joined(count int) []*minion {
+	var found, others []*minion
+	for _, m := range w.minions {
+		m.mu.Lock()
+		if len(m.runs) > 0 {
+			found = append(found, m)
+		} else {
+			others = append(others, m)
+		}
+		m.mu.Unlock()
+	}
+	var chosen []*minion
+	for i := range min(count, len(found)) {
+		chosen = append(chosen, found[i*len(found)/min(count, len(found))])
+	}
+	return append(chosen, others[:max(0, min(len(others), count-len(chosen)))]...)
+}
