--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -36,6 +36,9 @@
 	"lasting": {setup{entries: 7, minions: 48, kinds: []string{"a", "b"}, capacity: capacity{32000, 131072, 0}}, playLasting},
 	"kind":    {setup{entries: 7, minions: 48, kinds: []string{"a", "b"}, capacity: capacity{32000, 131072, 0}}, playKind},
 	"eager":   {setup{entries: 7, minions: 48, kinds: []string{"a", "b"}, capacity: capacity{32000, 131072, 0}, advice: true}, playEager},
+	"rack":    {setup{entries: 7, minions: 48, kinds: []string{"a", "b"}, capacity: capacity{32000, 131072, 0}}, playRack},
+	"rest":    {setup{entries: 7, minions: 48, kinds: []string{"a", "b"}, capacity: capacity{32000, 131072, 0}}, playRest},
+	"fills":   {setup{entries: 7, minions: 48, kinds: []string{"a", "b"}, capacity: capacity{32000, 131072, 0}}, playFills},
 	"gang":    {setup{entries: 7, minions: 48, kinds: []string{"a", "b"}, capacity: capacity{32000, 131072, 0}}, playGang},
 }
 
--- a/review/stand/minion.go
+++ b/review/stand/minion.go
@@ -29,6 +29,7 @@
 	address  string
 	up       bool
 	cut      bool // no packet passes between it and the system's processes
+	grey     bool // it fails all that it starts, soon after the start
 	born     time.Time
 	fence    int64
 	lease    time.Time
@@ -59,6 +60,7 @@
 	Noted   bool // seen_upto has reached the end while the lease held
 	need    capacity
 	gang    bool
+	fails   bool
 }
 
 type endedRun struct {
@@ -158,6 +160,24 @@
 	m.world.note("minion %s cut off: %v", m.id, cut)
 }
 
+// fail ends the run of a task as failed, if it is there.
+func (m *minion) fail(task string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if run := m.runs[task]; run != nil {
+		m.end(run, "failed", time.Now())
+		m.world.note("%s fails on %s", task, m.id)
+	}
+}
+
+// setGrey makes the minion fail all that it starts, or ends that.
+func (m *minion) setGrey(grey bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.grey = grey
+	m.world.note("minion %s fails all that it starts: %v", m.id, grey)
+}
+
 func (m *minion) wake() {
 	close(m.ending)
 	m.ending = make(chan struct{})
@@ -174,6 +194,8 @@
 		done := !run.Ends.IsZero() && !now.Before(run.Ends)
 		lapsed := !m.lease.IsZero() && !now.Before(m.lease)
 		switch {
+		case done && run.fails:
+			m.end(run, "failed", run.Ends)
 		case done && (!lapsed || run.Ends.Before(m.lease)):
 			m.end(run, "done", run.Ends)
 		case lapsed:
@@ -277,7 +299,9 @@
 		run := &taskRun{Task: body.Task, Run: body.Run, Minion: m.id, Fence: body.Fence, Started: now}
 		step := m.world.step(body.Task)
 		run.need = capacity{step.CPU, step.MemMB, 0}
-		if step.Gang {
+		if m.grey {
+			run.fails, run.Ends = true, now.Add(100*time.Millisecond)
+		} else if step.Gang {
 			run.gang = true
 		} else if !step.LongRunning {
 			run.Ends = now.Add(time.Duration(step.workMS) * time.Millisecond)
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -30,6 +30,10 @@
 	RequiredLabel string `json:"required_label,omitempty"`
 	AntiAffinity  int    `json:"anti_affinity,omitempty"`
 	Gang          bool   `json:"gang,omitempty"`
+	SameRack      bool   `json:"same_rack,omitempty"`
+	Image         string `json:"image,omitempty"`
+	TargetMS      int64  `json:"target_ms,omitempty"`
+	Fills         bool   `json:"fills,omitempty"`
 
 	workMS int64
 }
@@ -91,6 +95,9 @@
 	if !hasLabel(m, s.RequiredLabel) {
 		w.violated("ROUTE: %s run %d started on %s, of kind %s, without the label %s", run.Task, run.Run, m.id, m.kind, s.RequiredLabel)
 	}
+	if s.Fills {
+		run.need.CPU = 0
+	}
 	used := capacity{}
 	for _, other := range m.runs {
 		used.CPU, used.MemMB = used.CPU+other.need.CPU, used.MemMB+other.need.MemMB
