Review case 5: a gang kept apart never asks for the advice that it needs

Cause: the need for advice counts as many tasks on a minion as its cores hold, placement only as many as anti_affinity allows.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -6,7 +6,7 @@
   echo "run the deploy file's build and review/build.sh first"
   exit 2
 fi
-timeout 118 target/review-stand fills review/5
+timeout 118 target/review-stand apart review/5
 status=$?
 [ $status -le 1 ] || status=2
 exit $status
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -27,6 +27,7 @@
 	kinds    []string
 	capacity capacity
 	advice   bool
+	allows   func(id string) bool
 }
 
 var cases = map[string]struct {
@@ -38,6 +39,7 @@
 	"eager":   {setup{entries: 7, minions: 48, kinds: []string{"a", "b"}, capacity: capacity{32000, 131072, 0}, advice: true}, playEager},
 	"rack":    {setup{entries: 7, minions: 48, kinds: []string{"a", "b"}, capacity: capacity{32000, 131072, 0}}, playRack},
 	"rest":    {setup{entries: 7, minions: 48, kinds: []string{"a", "b"}, capacity: capacity{32000, 131072, 0}}, playRest},
+	"apart":   {setup{entries: 7, minions: 48, kinds: []string{"a", "b"}, capacity: capacity{32000, 131072, 0}, advice: true, allows: mayRun}, playApart},
 	"fills":   {setup{entries: 7, minions: 48, kinds: []string{"a", "b"}, capacity: capacity{32000, 131072, 0}}, playFills},
 	"gang":    {setup{entries: 7, minions: 48, kinds: []string{"a", "b"}, capacity: capacity{32000, 131072, 0}}, playGang},
 }
@@ -147,7 +149,7 @@
 	for i := range s.entries {
 		// The service handles one call at a time for each calling machine, so
 		// each entry reaches it at an address of its own.
-		adviser, err := listen(&advice{})
+		adviser, err := listen(&advice{allows: s.allows})
 		if err != nil {
 			return err
 		}
--- a/review/stand/waiting.go
+++ b/review/stand/waiting.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -138,6 +139,56 @@
 	return nil
 }
 
+// mayRun is the policy of the advice service in playApart: four of five minions.
+func mayRun(id string) bool {
+	number, err := strconv.Atoi(id[1:])
+	return err == nil && number%5 != 4
+}
+
+// playApart: a gang of 15 tasks, one on a minion, runs on a queue with advice; six
+// of its minions are lost for good.
+func playApart(w *world, trouble bool) error {
+	job := &submission{id: "00000000000000f1", steps: []step{{Count: 15, CPU: 2000, MemMB: 4000, EstimateMS: 8000, Gang: true, AntiAffinity: 1, workMS: 8000}}}
+	if !w.submit(job) {
+		return fmt.Errorf("the gang was not accepted")
+	}
+	time.Sleep(4 * time.Second)
+	if running := w.running(job.id); running != 15 {
+		return fmt.Errorf("%d of 15 tasks run before the disturbance", running)
+	}
+	if trouble {
+		for _, m := range w.joined(6) {
+			m.crash()
+		}
+	}
+	time.Sleep(finish + 36*time.Second)
+	_, found := w.request(http.MethodGet, job.id, nil, 3)
+	ended, free := time.Time{}, 0
+	for _, run := range w.settle() {
+		if run.Ended.IsZero() || run.How == "done" {
+			return nil
+		}
+		if run.Ended.After(ended) {
+			ended = run.Ended
+		}
+	}
+	for _, m := range w.minions {
+		m.mu.Lock()
+		if m.up && len(m.runs) == 0 && mayRun(m.id) {
+			free++
+		}
+		m.mu.Unlock()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.noteLocked("%d empty minions may run the step; the gang has %d tasks, one on a minion", free, job.steps[0].Count)
+	if free >= 2*job.steps[0].Count && time.Since(ended) > finish+3*time.Second {
+		w.violated("LOST: the gang %s, shown as %v, has had nothing running since %s, %.0f s; %d empty minions may run its %d tasks",
+			job.id, found["state"], w.at(ended), time.Since(ended).Seconds(), free, job.steps[0].Count)
+	}
+	return nil
+}
+
 // running returns how many runs of a submission are going on.
 func (w *world) running(id string) int {
 	count := 0
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -334,9 +334,13 @@
 	return true
 }
 
-// advice is the service that says which minions may run a step: all of them
-// here. It handles one call at a time.
-type advice struct{ mu sync.Mutex }
+// advice is the service that says which minions may run a step, which doesn't
+// change: here all of them, or those that allows names. It handles one call at a
+// time.
+type advice struct {
+	mu     sync.Mutex
+	allows func(id string) bool
+}
 
 func (a *advice) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var body struct {
@@ -351,6 +355,9 @@
 	time.Sleep(10*time.Millisecond + time.Duration(len(body.Workers))*150*time.Microsecond)
 	allowed := [][2]string{}
 	for _, id := range body.Workers {
+		if a.allows != nil && !a.allows(id) {
+			continue
+		}
 		allowed = append(allowed, [2]string{id, body.Step + "/" + id})
 	}
 	writeBody(w, http.StatusOK, map[string]any{"allowed": allowed})
