--- a/review/stand/minion.go
+++ b/review/stand/minion.go
@@ -29,16 +29,18 @@
 	address  string
 	up       bool
 	cut      bool // no packet passes between it and the system's processes
-	grey     bool // it fails all that it starts, soon after the start
-	born     time.Time
-	fence    int64
-	lease    time.Time
-	runs     map[string]*taskRun // by task
-	ended    []endedRun
-	lastEnd  int64
-	barred   map[string]int64
-	ending   chan struct{}
-	sequence int64
+	// clockAhead is how far its time of day was ahead at its start.
+	clockAhead time.Duration
+	grey       bool // it fails all that it starts, soon after the start
+	born       time.Time
+	fence      int64
+	lease      time.Time
+	runs       map[string]*taskRun // by task
+	ended      []endedRun
+	lastEnd    int64
+	barred     map[string]int64
+	ending     chan struct{}
+	sequence   int64
 }
 
 type capacity struct {
@@ -98,7 +100,7 @@
 	m.ending = make(chan struct{})
 	go func(s *http.Server) { _ = s.Serve(listener) }(m.server)
 	m.register()
-	m.world.note("minion %s starts: kind %s, born %d", m.id, m.kind, m.born.UnixMilli())
+	m.world.note("minion %s starts: kind %s, born %d", m.id, m.kind, m.bornMS())
 	return nil
 }
 
@@ -114,7 +116,7 @@
 	m.sequence++
 	m.world.store.put(rowKey{"servers", "", m.id}, map[string]any{
 		"service": "service", "addr": m.address, "zone": m.zone, "version": "1", "slots": 8, "state": "ready",
-		"cold_left_ms": 0, "sequence": m.sequence, "capacity": m.capacity, "labels": []string{m.kind, m.rack}, "born": m.born.UnixMilli(),
+		"cold_left_ms": 0, "sequence": m.sequence, "capacity": m.capacity, "labels": []string{m.kind, m.rack}, "born": m.bornMS(),
 	})
 }
 
@@ -216,6 +218,9 @@
 	m.wake()
 }
 
+// bornMS is the start of the minion by its own time of day.
+func (m *minion) bornMS() int64 { return m.born.Add(m.clockAhead).UnixMilli() }
+
 func (m *minion) clock(now time.Time) int64 { return now.Sub(m.born).Milliseconds() }
 
 // renew extends the lease to a time on the minion's clock.
@@ -259,7 +264,7 @@
 }
 
 func (m *minion) reject(w http.ResponseWriter, now time.Time, reason string) {
-	writeBody(w, http.StatusConflict, map[string]any{"clock_ms": m.clock(now), "reason": reason, "born": m.born.UnixMilli()})
+	writeBody(w, http.StatusConflict, map[string]any{"clock_ms": m.clock(now), "reason": reason, "born": m.bornMS()})
 }
 
 func (m *minion) runStart(w http.ResponseWriter, r *http.Request) {
@@ -312,7 +317,7 @@
 			m.world.gangMember(m, run, step)
 		}
 	}
-	writeBody(w, http.StatusOK, map[string]any{"clock_ms": m.clock(now), "born": m.born.UnixMilli()})
+	writeBody(w, http.StatusOK, map[string]any{"clock_ms": m.clock(now), "born": m.bornMS()})
 }
 
 func (m *minion) runStop(w http.ResponseWriter, r *http.Request) {
@@ -337,7 +342,7 @@
 	if run := m.runs[body.Task]; run != nil && run.Run <= body.Run {
 		m.end(run, "stopped", now)
 	}
-	writeBody(w, http.StatusOK, map[string]any{"clock_ms": m.clock(now), "born": m.born.UnixMilli()})
+	writeBody(w, http.StatusOK, map[string]any{"clock_ms": m.clock(now), "born": m.bornMS()})
 }
 
 func (m *minion) hold(w http.ResponseWriter, r *http.Request) {
@@ -402,7 +407,7 @@
 		<-r.Context().Done()
 		return
 	}
-	reply := map[string]any{"clock_ms": m.clock(now), "born": m.born.UnixMilli()}
+	reply := map[string]any{"clock_ms": m.clock(now), "born": m.bornMS()}
 	running := []runningRun{}
 	for _, run := range m.runs {
 		entry := runningRun{Task: run.Task, Run: run.Run, Percent: 100}
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -282,3 +282,13 @@
 	step, _ = strconv.Atoi(parts[2])
 	return parts[0], step
 }
+
+// occurrence returns K of a task's name, ID.K.STEP.INDEX.
+func occurrence(name string) int64 {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 {
+		return 0
+	}
+	number, _ := strconv.ParseInt(parts[1], 10, 64)
+	return number
+}
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -42,6 +42,8 @@
 	id       string
 	steps    []step
 	accepted time.Time
+	// repeats, firstMS and periodMS are set where the steps run at set times.
+	repeats, firstMS, periodMS int64
 }
 
 // world is a small deployment: entries as processes, the platform and the
@@ -92,6 +94,12 @@
 	defer w.mu.Unlock()
 	w.runs = append(w.runs, run)
 	w.noteLocked("start %s run %d on %s (%s), fence %d", run.Task, run.Run, m.id, m.kind, run.Fence)
+	id, _ := splitTask(run.Task)
+	if job := w.submissions[id]; job != nil && job.repeats > 0 {
+		if due := job.firstMS + occurrence(run.Task)*job.periodMS; run.Started.UnixMilli() < due-250 {
+			w.violated("ORDER: %s run %d started %d ms before its time", run.Task, run.Run, due-run.Started.UnixMilli())
+		}
+	}
 	if !hasLabel(m, s.RequiredLabel) {
 		w.violated("ROUTE: %s run %d started on %s, of kind %s, without the label %s", run.Task, run.Run, m.id, m.kind, s.RequiredLabel)
 	}
@@ -324,7 +332,11 @@
 	w.mu.Lock()
 	w.submissions[s.id] = s
 	w.mu.Unlock()
-	status, _ := w.request(http.MethodPost, s.id, map[string]any{"spec": "review", "steps": s.steps}, 5)
+	body := map[string]any{"spec": "review", "steps": s.steps}
+	if s.repeats > 0 {
+		body["repeats"], body["initial_delay_ms"], body["period_ms"] = s.repeats, s.firstMS, s.periodMS
+	}
+	status, _ := w.request(http.MethodPost, s.id, body, 5)
 	if status != http.StatusOK {
 		return false
 	}
