--- a/review/stand/minion.go
+++ b/review/stand/minion.go
@@ -208,6 +208,7 @@
 
 func (m *minion) end(run *taskRun, how string, at time.Time) {
 	run.Ended, run.How = at, how
+	m.world.note("end %d of %s: %s run %d, %s", m.lastEnd+1, m.id, run.Task, run.Run, how)
 	if run.gang && how != "done" && how != "broken" {
 		m.world.gangBreaks(run)
 	}
@@ -338,6 +339,7 @@
 		return
 	}
 	m.fence = body.Fence
+	m.world.note("stop %s run %d on %s, fence %d", body.Task, body.Run, m.id, body.Fence)
 	m.barred[body.Task] = max(m.barred[body.Task], body.Run)
 	if run := m.runs[body.Task]; run != nil && run.Run <= body.Run {
 		m.end(run, "stopped", now)
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -121,6 +121,7 @@
 	for _, run := range w.runs {
 		if run.Task == task && run.Run == number && run.Minion == minion {
 			run.Noted = true
+			w.noteLocked("taken note of: %s run %d on %s, %s", task, number, minion, run.How)
 		}
 	}
 }
