--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -168,10 +168,10 @@
 }
 
 // playGang: the store is slow while the owner is killed and, just then, some
-// minions crash; five times.
+// minions crash; eight times.
 func playGang(w *world, trouble bool) error {
 	var group sync.WaitGroup
-	const rounds, round = 6, 12500 * time.Millisecond
+	const rounds, round = 8, 10 * time.Second
 	stop := time.Now().Add(rounds * round)
 	group.Go(func() {
 		for n := 0; time.Now().Before(stop); n++ {
@@ -179,15 +179,15 @@
 				{Count: 3, CPU: 15000, MemMB: 20000, EstimateMS: 1000, Gang: true, AntiAffinity: 1, workMS: 700 + int64(n*137%600)},
 			}}
 			group.Go(func() { w.submit(s) })
-			time.Sleep(50 * time.Millisecond)
+			time.Sleep(40 * time.Millisecond)
 		}
 	})
 	for range rounds {
 		began := time.Now()
 		if trouble {
 			w.note("the store turns slow")
-			w.store.setDelay(240 * time.Millisecond)
-			time.Sleep(4000 * time.Millisecond)
+			w.store.setDelay(392 * time.Millisecond)
+			time.Sleep(3400 * time.Millisecond)
 			w.killOwner()
 			time.Sleep(100 * time.Millisecond)
 			crashed := w.joined(7)
