--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -39,6 +39,7 @@
 	"eager":   {setup{entries: 7, minions: 48, kinds: []string{"a", "b"}, capacity: capacity{32000, 131072, 0}, advice: true}, playEager},
 	"rack":    {setup{entries: 7, minions: 48, kinds: []string{"a", "b"}, capacity: capacity{32000, 131072, 0}}, playRack},
 	"rest":    {setup{entries: 7, minions: 48, kinds: []string{"a", "b"}, capacity: capacity{32000, 131072, 0}}, playRest},
+	"drift":   {setup{entries: 7, minions: 48, kinds: []string{"a", "b"}, capacity: capacity{32000, 131072, 0}}, playDrift},
 	"born":    {setup{entries: 7, minions: 48, kinds: []string{"a", "b"}, capacity: capacity{32000, 131072, 0}}, playBorn},
 	"timed":   {setup{entries: 7, minions: 48, kinds: []string{"a", "b"}, capacity: capacity{32000, 131072, 0}}, playTimed},
 	"apart":   {setup{entries: 7, minions: 48, kinds: []string{"a", "b"}, capacity: capacity{32000, 131072, 0}, advice: true, allows: mayRun}, playApart},
--- a/review/stand/minion.go
+++ b/review/stand/minion.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -312,6 +313,7 @@
 		} else if !step.LongRunning {
 			run.Ends = now.Add(time.Duration(step.workMS) * time.Millisecond)
 		}
+		run.fails = run.fails || step.failShare > 0 && rand.Float64() < step.failShare
 		m.runs[body.Task] = run
 		m.world.started(m, run, step)
 		if step.Gang {
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -36,6 +36,8 @@
 	Fills         bool   `json:"fills,omitempty"`
 
 	workMS int64
+	// failShare is the share of the runs that fail.
+	failShare float64
 }
 
 type submission struct {
