--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"time"
@@ -218,6 +219,9 @@
 	}
 }
 
+// adviceSection is the part of the template that names the advice service.
+var adviceSection = regexp.MustCompile(`\{\{#advice\}\}.*\{\{/advice\}\}`)
+
 // newEntry renders deploy/settings.yaml as the platform would.
 func (w *world) newEntry(name, zone, store, adviser string) (*entry, error) {
 	e := &entry{world: w, name: name, zone: zone, front: freeAddress(), ready: freeAddress(), file: filepath.Join(w.dir, name+".yaml")}
@@ -231,10 +235,9 @@
 		"{{listen.front|json}}", quote(e.front), "{{listen.ready|json}}", quote(e.ready),
 		"{{ip}}:{{port_range.0}}", freeAddress(), "{{ip}}:9464", freeAddress(),
 		"{{platform.addr|json}}", quote(store), "{{platform.writes_per_s}}", "600.0",
-		`{{#advice}}{{advice|json}}{{/advice}}{{^advice}}"0.0.0.0:0"{{/advice}}`, quote(adviser),
 		"{{bounds.grace_s}}", "6", "{{bounds.hold_max_ms}}", "10000",
 		"{{limits.memory_mb}}", "284", "{{limits.cpu_share}}", "0.4",
-	).Replace(string(template))
+	).Replace(adviceSection.ReplaceAllLiteralString(string(template), quote(adviser)))
 	if strings.Contains(text, "{{") {
 		return nil, fmt.Errorf("settings template has a placeholder that this stand-in does not know:\n%s", text)
 	}
