Process tests: listen on no ephemeral port

Cause: the test drew the port by listening on port 0, closed the listener and started the process later; 34859 lies in the range of ephemeral ports, and an outgoing connection of another test got it in between. The soak already drew ports below that range for this reason, by code of its own.

--- a/stager/process_test.go
+++ b/stager/process_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -156,19 +155,12 @@
 	return proxy
 }
 
-// freeAddress returns a loopback address with a port that was free when it was
-// called. Another process may bind the port before the caller does.
-func (c *processCluster) freeAddress() netip.AddrPort {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	c.must(err)
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
-}
-
 // configure writes the settings file of an entry and starts its proxies. The entry
 // advertises the address of linkProxy.
 func (c *processCluster) configure(site requester.DataCentre, id requester.EntryID) *process {
-	p := &process{id: id, address: c.freeAddress()}
+	address, err := standin.FreeAddress()
+	c.must(err)
+	p := &process{id: id, address: address}
 	p.linkProxy = c.startProxy(p.address)
 	p.tableProxy = c.startProxy(c.standIns.Table.Address())
 	settings := c.standIns.Settings(site, id)
--- /dev/null
+++ b/standin/port_test.go
@@ -0,0 +1,29 @@
+package standin
+
+import (
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestFreeAddressIsNoEphemeralPort guards against entries that can't start again
+// because an outgoing connection was given their port while they were down.
+func TestFreeAddressIsNoEphemeralPort(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range")
+	if err != nil {
+		t.Skipf("the range of ephemeral ports is unknown: %v", err)
+	}
+	var first, last uint16
+	_, err = fmt.Sscan(string(data), &first, &last)
+	is.NoErr(err)
+	for range 100 {
+		address, err := FreeAddress()
+		is.NoErr(err)
+		if port := address.Port(); port >= first && port <= last {
+			t.Fatalf("got port %d, expected none of %d to %d", port, first, last)
+		}
+	}
+}
