Check a stored job before the core gets it

Cause: a row of a job that can be decoded was passed to the core unchecked. Without steps, with a negative count or with a reference to a step that doesn't exist, the core panics and the owner's process ends; so does each successor's when it loads the cell. The row of a job with another job's ID was scheduled as that other job, and a job named @owner would have written its state over the owner's row.

Change: a job that is read from its row, or comes over a link, has to pass the check of an accepted job, and its key has to be that of its ID. One that doesn't is logged with its key and the field, counted as OddRows and not scheduled; its neighbours are.

--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -108,8 +108,12 @@
 // decodeJob decodes the row of a job. It logs and returns false if that fails.
 func (s *session) decodeJob(key string, value []byte) (scheduler.Job, bool) {
 	var job scheduler.Job
-	if err := scheduler.DecodeRow(value, &job); err != nil {
-		s.dispatcher.log.Error().Str("Event", "row").Str("Key", key).Err(err).Msg("decoding the row of a job failed; the job is not scheduled")
+	err := scheduler.DecodeRow(value, &job)
+	if err == nil {
+		err = checkJob(key, &job)
+	}
+	if err != nil {
+		s.dispatcher.logOddRow(key, err, "decoding the row of a job failed; the job is not scheduled")
 		return job, false
 	}
 	return job, true
--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -62,9 +62,12 @@
 	commits       atomic.Int64
 	commitsFailed atomic.Int64
 	adviceFailed  atomic.Int64
-	submitTime    latencyHistogram
-	commitTime    latencyHistogram
-	adviceTime    latencyHistogram
+	// oddRows counts the rows and messages that could not be decoded or had
+	// values out of range; see logOddRow.
+	oddRows    atomic.Int64
+	submitTime latencyHistogram
+	commitTime latencyHistogram
+	adviceTime latencyHistogram
 }
 
 // ObserveSubmit records the outcome and latency of a request to store a job.
@@ -105,6 +108,7 @@
 		Commits       int64
 		CommitsFailed int64
 		AdviceFailed  int64
+		OddRows       int64
 		SubmitMillis  quantiles
 		CommitMillis  quantiles
 		AdviceMillis  quantiles
@@ -117,6 +121,7 @@
 		Commits:       d.counters.commits.Load(),
 		CommitsFailed: d.counters.commitsFailed.Load(),
 		AdviceFailed:  d.counters.adviceFailed.Load(),
+		OddRows:       d.counters.oddRows.Load(),
 		SubmitMillis:  d.counters.submitTime.quantiles(),
 		CommitMillis:  d.counters.commitTime.quantiles(),
 		AdviceMillis:  d.counters.adviceTime.quantiles(),
--- a/dispatcher/notify.go
+++ b/dispatcher/notify.go
@@ -33,6 +33,11 @@
 		s.core.Cancel(now, message.Cancelled)
 		return
 	}
+	key := scheduler.JobKey(message.Job.JobID)
+	if err := checkJob(key, &message.Job); err != nil {
+		s.dispatcher.logOddRow(key, err, "an entry sent an invalid job; only its row counts")
+		return
+	}
 	s.addJob(now, message.Job)
 }
 
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"kumquatstall/requester"
@@ -95,12 +96,17 @@
 	MaxSteps       = 256
 	MaxStepTasks   = 100_000
 	MaxPayload     = 4000
+	maxJobIDLength = 100
 	maxOccurrences = 1_000_000_000
 )
 
 // Validate checks the job against its limits. The error is a
 // *requester.FieldError.
 func (j *Job) Validate() error {
+	if j.JobID == "" || len(j.JobID) > maxJobIDLength || strings.ContainsAny(string(j.JobID), "@/~") {
+		// Other rows have such names.
+		return &requester.FieldError{Field: "JobID", Expected: "a name of at most " + strconv.Itoa(maxJobIDLength) + " bytes without '@', '/' and '~'"}
+	}
 	if len(j.Payload) > MaxPayload {
 		return &requester.FieldError{Field: "Payload", Expected: "at most " + strconv.Itoa(MaxPayload) + " bytes"}
 	}
