Ignore states that lie in other partitions

Cause: the store watches whole tables, so a watch of the jobs' states also returns what another writer puts into another partition of that table. The state cache cut the prefix states/cell/ off every key without looking; a shorter key, such as states//x, ended the process of every entry at once, and a longer one was taken as the state of a job.

Change: a key without the prefix names no state and is passed over.

--- a/dispatcher/statecache.go
+++ b/dispatcher/statecache.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -73,7 +74,12 @@
 	if change.Row.Key == ownerKey {
 		return c.applyOwner(now, change.Row)
 	}
-	id := requester.JobID(change.Row.Key[len(scheduler.StatePrefix):])
+	text, ok := strings.CutPrefix(change.Row.Key, scheduler.StatePrefix)
+	if !ok {
+		// A watch covers the whole table, also rows of other writers.
+		return nil
+	}
+	id := requester.JobID(text)
 	var row scheduler.StateRow
 	if !change.Removed {
 		if err := scheduler.DecodeRow(change.Row.Value, &row); err != nil {
