Keep reading states beside one that is odd

Cause: at its start, and after the store has dropped history, an entry lists all states. One that it couldn't decode made it give up the whole list and read it again every 100 ms. Such an entry was never ready: callers got 503 for good, and at every restart one more entry joined. A state with a number that names none was shown as queued or as ended.

Evidence: TestOddStateRowKeepsEntryUnready failed before with "entry 1 isn't ready" for each row that can't be decoded, and with "Done != NotFound" for a state of 77 or -1.

Change: the list is applied row by row.

Result: the test passes for all six rows, package dispatcher passes.

--- a/dispatcher/acquire.go
+++ b/dispatcher/acquire.go
@@ -132,7 +132,7 @@
 // a row that it cannot decode.
 func (d *Dispatcher) applyChange(change Change) {
 	if err := d.cache.apply(d.clock.Now(), change); err != nil {
-		d.logOddRow(change.Row.Key, err, "decoding a row failed; the state cache keeps its earlier version")
+		d.logOddRow(change.Row.Key, err, oddStateConsequence)
 	}
 }
 
--- a/dispatcher/odd.go
+++ b/dispatcher/odd.go
@@ -28,3 +28,17 @@
 	}
 	return nil
 }
+
+const oddStateConsequence = "decoding a row failed; the state cache keeps its earlier version"
+
+// decodeState decodes the row of a job's state.
+func decodeState(value []byte) (scheduler.StateRow, error) {
+	var row scheduler.StateRow
+	if err := scheduler.DecodeRow(value, &row); err != nil {
+		return scheduler.StateRow{}, err
+	}
+	if row.State < scheduler.StateQueued || row.State > scheduler.StateCancelled {
+		return scheduler.StateRow{}, errors.Newf("decode state: got State %d, expected %d to %d", int(row.State), int(scheduler.StateQueued), int(scheduler.StateCancelled))
+	}
+	return row, nil
+}
--- a/dispatcher/odd_rows_test.go
+++ b/dispatcher/odd_rows_test.go
@@ -92,3 +92,37 @@
 		})
 	}
 }
+
+// TestOddStateRowKeepsEntryUnready checks that an entry becomes ready though the
+// state of one job cannot be decoded, and that it reports the other states.
+func TestOddStateRowKeepsEntryUnready(t *testing.T) {
+	for name, value := range map[string][]byte{
+		"not CBOR": {0xff}, "nested": nested(100_000), "another type": {0xa0}, "no such state": scheduler.EncodeRow(scheduler.StateRow{State: 77}),
+		"negative state": scheduler.EncodeRow(scheduler.StateRow{State: -1}), "no value": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newSite(t, 3)
+				defer s.close()
+				is.Equal(s.submit(0, 300), dispatcher.OutcomeDone)
+				time.Sleep(5 * time.Second)
+				s.write(map[string][]byte{scheduler.StateKey(oddJobID): value})
+				s.takeOver()
+				for i, d := range s.entries {
+					if !d.Ready() {
+						t.Errorf("entry %d isn't ready", i)
+					}
+				}
+				is.Equal(s.submit(0, 300), dispatcher.OutcomeDone)
+				time.Sleep(5 * time.Second)
+				s.checkCompleted()
+				for _, d := range s.entries {
+					row, outcome := d.State(context.Background(), oddJobID)
+					is.Equal(outcome, dispatcher.OutcomeNotFound) // an odd state names no state
+					is.Equal(row, scheduler.StateRow{})
+				}
+			})
+		})
+	}
+}
--- a/dispatcher/statecache.go
+++ b/dispatcher/statecache.go
@@ -82,7 +82,8 @@
 	id := requester.JobID(text)
 	var row scheduler.StateRow
 	if !change.Removed {
-		if err := scheduler.DecodeRow(change.Row.Value, &row); err != nil {
+		var err error
+		if row, err = decodeState(change.Row.Value); err != nil {
 			return err
 		}
 	}
@@ -154,13 +155,14 @@
 
 // replace applies a list of all rows as of a revision, and removes the states
 // that the list lacks. It is used at the start and when changes may have been
-// missed.
-func (c *stateCache) replace(now time.Time, rows []keeper.Row, revision int64) error {
+// missed. It passes each row that it cannot decode to odd, and keeps the earlier
+// version of that row.
+func (c *stateCache) replace(now time.Time, rows []keeper.Row, revision int64, odd func(key string, err error)) {
 	listed := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		listed[row.Key] = true
 		if err := c.apply(now, Change{Row: row}); err != nil {
-			return err
+			odd(row.Key, err)
 		}
 	}
 	c.mu.Lock()
@@ -172,11 +174,11 @@
 	}
 	c.mu.Unlock()
 	for _, id := range removed {
-		if err := c.apply(now, Change{Row: keeper.Row{Key: scheduler.StateKey(id), Revision: revision + 1}, Removed: true}); err != nil {
-			return err
+		key := scheduler.StateKey(id)
+		if err := c.apply(now, Change{Row: keeper.Row{Key: key, Revision: revision + 1}, Removed: true}); err != nil {
+			odd(key, err)
 		}
 	}
-	return nil
 }
 
 // endedBefore returns up to limit jobs that ended before a time.
--- a/dispatcher/watch.go
+++ b/dispatcher/watch.go
@@ -97,7 +97,10 @@
 	if err != nil {
 		return 0, err
 	}
-	return revision, d.cache.replace(d.clock.Now(), rows, revision)
+	d.cache.replace(d.clock.Now(), rows, revision, func(key string, err error) {
+		d.logOddRow(key, err, oddStateConsequence)
+	})
+	return revision, nil
 }
 
 // watchStatesOnce waits for changes of the states after a revision and applies
