Acquire the cell though its owner's row is odd

Cause: an owner's row that could not be decoded left every entry at the row as it was before, or at none. Each acquisition then required the revision of a row that was gone, conflicted, and didn't learn the new revision from the conflict either: the cell had no owner for good. A removed row did the same. Numbers out of range were worse: an epoch of 2^63-1 overflowed to a negative fence, a huge term kept all others away.

Change: the row's epoch, term and cores are checked; a row that is odd or removed counts as released by the last known owner at its own revision. The next owner takes a higher epoch, or the time where none is known, and assumes eager starts and the longest term, so that nothing is started twice.

--- a/dispatcher/acquire.go
+++ b/dispatcher/acquire.go
@@ -169,7 +169,7 @@
 	revision := result.Revision
 	if !result.Committed {
 		current, own := conflictingRow(result, ownerKey, value)
-		d.applyChange(Change{Row: current})
+		d.applyChange(Change{Row: current, Removed: current.Revision == 0})
 		if !own {
 			return row, 0, false
 		}
--- a/dispatcher/odd.go
+++ b/dispatcher/odd.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 
 	"kumquatstall/scheduler"
@@ -42,3 +44,40 @@
 	}
 	return row, nil
 }
+
+// Limits of the values in the owner's row.
+const (
+	// maxEpoch leaves room for runsPerEpoch run numbers in each epoch.
+	maxEpoch = 1 << 40
+	maxCores = 1 << 20
+)
+
+// decodeOwner decodes the owner's row.
+func decodeOwner(value []byte) (ownerRow, error) {
+	var row ownerRow
+	if err := scheduler.DecodeRow(value, &row); err != nil {
+		return ownerRow{}, err
+	}
+	switch {
+	case row.Epoch < 1 || row.Epoch > maxEpoch:
+		return ownerRow{}, errors.Newf("decode owner's row: got Epoch %d, expected 1 to %d", row.Epoch, int64(maxEpoch))
+	case row.TermMillis < 0 || row.TermMillis > maxOwnerTerm.Milliseconds():
+		return ownerRow{}, errors.Newf("decode owner's row: got TermMillis %d, expected 0 to %d", row.TermMillis, maxOwnerTerm.Milliseconds())
+	case !(row.MaxCores >= 0 && row.MaxCores <= maxCores):
+		return ownerRow{}, errors.Newf("decode owner's row: got MaxCores %g, expected 0 to %d", row.MaxCores, maxCores)
+	}
+	return row, nil
+}
+
+// vacate returns the row of a cell whose owner's row was lost. last is the last
+// one that this entry observed. The next owner must have a higher epoch than any
+// before it, and must assume the most that the last owner may have done. If no
+// row was ever observed, the time is a higher epoch: an epoch lasts for longer
+// than a second on average.
+func vacate(now time.Time, last ownerRow) ownerRow {
+	row := ownerRow{Holder: last.Holder, Address: last.Address, Epoch: last.Epoch, MaxCores: last.MaxCores, Released: true, Eager: true, TermMillis: maxOwnerTerm.Milliseconds()}
+	if row.Epoch == 0 {
+		row.Epoch = now.Unix()
+	}
+	return row
+}
--- a/dispatcher/odd_rows_test.go
+++ b/dispatcher/odd_rows_test.go
@@ -29,6 +29,14 @@
 	}
 }
 
+// remove removes a row as another writer would.
+func (s *site) remove(key string) {
+	s.t.Helper()
+	if _, err := s.cell.PlatformFor("writer").Transact(context.Background(), keeper.Transaction{Writes: []keeper.Write{{Key: key, Delete: true}}}); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
 // takeOver replaces the owner by another entry.
 func (s *site) takeOver() {
 	owner := s.owner()
--- a/dispatcher/statecache.go
+++ b/dispatcher/statecache.go
@@ -72,7 +72,7 @@
 // revision that is not newer than the cached one.
 func (c *stateCache) apply(now time.Time, change Change) error {
 	if change.Row.Key == ownerKey {
-		return c.applyOwner(now, change.Row)
+		return c.applyOwner(now, change)
 	}
 	text, ok := strings.CutPrefix(change.Row.Key, scheduler.StatePrefix)
 	if !ok {
@@ -111,19 +111,28 @@
 // occurrences at set times.
 func isPending(row scheduler.StateRow) bool { return row.State == scheduler.StateQueued && !row.Timed }
 
-// applyOwner applies a change of the owner's row.
-func (c *stateCache) applyOwner(now time.Time, row keeper.Row) error {
-	var owner ownerRow
-	if err := scheduler.DecodeRow(row.Value, &owner); err != nil {
-		return err
+// applyOwner applies a change of the owner's row. A row that cannot be decoded
+// names no owner, and neither does a removed one: the cell then counts as
+// released. The removal may be known from a conflict, which has no revision.
+func (c *stateCache) applyOwner(now time.Time, change Change) error {
+	row, err := decodeOwner(change.Row.Value)
+	if change.Removed {
+		err = nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.owner.known && row.Revision <= c.owner.revision {
+	revision := change.Row.Revision
+	if c.owner.known && revision <= c.owner.revision && !(change.Removed && revision == 0) {
 		return nil
 	}
-	c.owner = ownerView{row: owner, revision: row.Revision, observedAt: now, known: true}
-	return nil
+	if change.Removed || err != nil {
+		row = vacate(now, c.owner.row)
+	}
+	if change.Removed {
+		revision = 0
+	}
+	c.owner = ownerView{row: row, revision: revision, observedAt: now, known: true}
+	return err
 }
 
 func (c *stateCache) ownerView() ownerView {
