Read the store's rows beside one that is odd

Cause: a response of the store was decoded as a whole. One row whose value is no base64, whose version is no int64 or whose key is no UTF-8 failed the whole list or watch, so the workers, states or jobs in it were followed no more. A row without a table ended the process: the list of workers cut a prefix off its key without looking.

Evidence: TestOddRowStopsReading failed before, with "decode rows of the store: cbor: invalid UTF-8 string", with "cannot unmarshal positive integer", and for a row without fields with "slice bounds out of range [9:2]".

Change: each row is decoded by itself. One that is odd is logged with its key and the reason once for as long as it stays as it is, and counted in the new expvar variable kumquatstall_platform. If its key can be read, it is passed on without a value, so that it counts as existing and nothing is dropped for its absence; the decoder of its kind then refuses it.

--- a/cmd/kumquatstall/serve.go
+++ b/cmd/kumquatstall/serve.go
@@ -97,7 +97,7 @@
 func (s *siteServer) start() error {
 	site := s.site
 	s.serveErrors = make(chan error, 4)
-	s.client = platform.New(platform.Options{Store: site.Store.Address, Advice: site.Advice})
+	s.client = platform.New(platform.Options{Store: site.Store.Address, Advice: site.Advice, Log: s.log})
 	s.dispatcher = dispatcher.Start(dispatcher.Options{
 		Self:            site.EntryID,
 		DataCentre:      site.DataCentre,
@@ -107,6 +107,7 @@
 		WritesPerSecond: site.Store.WritesPerSecond * storeWriteShare,
 	}, s.client, nil, s.log)
 	expvar.Publish("kumquatstall", jsonVar(s.dispatcher.Metrics))
+	expvar.Publish("kumquatstall_platform", jsonVar(s.client.Metrics))
 	links := http.NewServeMux()
 	links.Handle(linker.Path, s.dispatcher.Links())
 	listeners := []struct {
