Coordinators: don't trust records of an earlier tenure of a shard

Cause: a coordinator keeps the record of a request that did not run, so that it may run a later attempt under the same write-ahead row. It lost the shard, another entry acquired it, ran the request and stood still, and the first acquired the shard again: it found its own old record and ran the request a second time. The same holds for a record that has not ended yet and that later attempts join.

Change: an entry that acquires a shard which another one has held since its own last tenure marks its records of that shard as superseded. They prove only what did run: NotRun becomes Unknown, nothing is reopened or run under them, and a record that the coordinator in between transfers replaces them.

--- a/decider/coordinator.go
+++ b/decider/coordinator.go
@@ -105,6 +105,7 @@
 // the shard: it may be dead, and the replicas of its records are at others.
 func (c *Core) becomeCoordinator(number int, epoch int64) {
 	shard := &coordinatorShard{number: number, epoch: epoch, acquiredAt: c.now, firstHolder: epoch == 1, pendingReplicas: make(map[requester.EntryID]bool)}
+	c.supersedeRecords(number, epoch)
 	c.coordinatorShards[number] = shard
 	if shard.firstHolder || number == leaser.PlacementShard {
 		return
@@ -122,6 +123,22 @@
 	}
 }
 
+// supersedeRecords marks the records that this entry has of a shard acquired
+// under epoch, if another entry held the shard since: it may have run requests
+// that did not run here.
+func (c *Core) supersedeRecords(number int, epoch int64) {
+	last, ok := c.coordinatorShards[number]
+	if !ok {
+		last, ok = c.formerShards[number]
+	}
+	if !ok || last.epoch == epoch-1 {
+		return
+	}
+	c.registry.Supersede(func(id requester.RequestID) bool {
+		return c.shardOf(c.options.DataCentre, string(id)).Number == number
+	})
+}
+
 // fetchReplicas requests from a peer its replicas for a shard and, if it held
 // the shard before, the requests that ended there.
 func (c *Core) fetchReplicas(id requester.EntryID, number int) {
@@ -241,18 +258,12 @@
 	case recorder.VerdictNew:
 	}
 	if c.replicas.Has(call.RequestID) || repeated && !c.canFindEarlierAttempts(shard) {
-		c.finishRequest(call.RequestID, duplicateAnswer(call.RequestID))
+		c.finishRequest(call.RequestID, recorder.DuplicateAnswer(call.RequestID))
 		return
 	}
 	c.storeWriteAhead(&writeAhead{call: call, repeated: repeated})
 }
 
-// duplicateAnswer is the answer to an attempt if an earlier attempt of the
-// request may have run.
-func duplicateAnswer(id requester.RequestID) requester.Answer {
-	return requester.Answer{RequestID: id, Outcome: requester.OutcomeUnknown, Reason: requester.ReasonDuplicate}
-}
-
 // redirectToCoordinator handles a call that this entry does not coordinate any
 // more: a peer's call is returned to the peer, a caller's call is routed again.
 func (c *Core) redirectToCoordinator(call requester.Call, origin recorder.Origin, repeated bool) {
@@ -307,7 +318,7 @@
 		c.tableRequestFailed = true
 		c.continueWithoutTable(record)
 	case !result.Committed:
-		c.failWriteAhead(record, duplicateAnswer(id))
+		c.failWriteAhead(record, recorder.DuplicateAnswer(id))
 	default:
 		c.stats.IntentsTable++
 		c.registry.SetWriteAhead(id, result.Revision)
@@ -320,7 +331,7 @@
 // the record of an earlier attempt may be in the table.
 func (c *Core) continueWithoutTable(record *writeAhead) {
 	if record.repeated && !c.registryComplete(record) {
-		c.failWriteAhead(record, duplicateAnswer(record.call.RequestID))
+		c.failWriteAhead(record, recorder.DuplicateAnswer(record.call.RequestID))
 		return
 	}
 	c.replicateWriteAhead(record)
@@ -408,7 +419,7 @@
 		return
 	}
 	if !message.Granted {
-		c.failWriteAhead(record, duplicateAnswer(record.call.RequestID))
+		c.failWriteAhead(record, recorder.DuplicateAnswer(record.call.RequestID))
 		return
 	}
 	record.acknowledged++
@@ -440,10 +451,10 @@
 }
 
 // runCoordinated routes a call whose write-ahead record is stored to an owner
-// of endpoints. The shard must still be held, because a later coordinator may
-// already have handled another attempt.
+// of endpoints. The shard must have been held without a break, because another
+// coordinator may already have handled another attempt.
 func (c *Core) runCoordinated(call requester.Call) {
-	if !c.leaser.Owns(c.coordinatorShardOf(&call).Number, c.now) {
+	if !c.leaser.Owns(c.coordinatorShardOf(&call).Number, c.now) || c.registry.Superseded(call.RequestID) {
 		c.finishRequest(call.RequestID, requester.Answer{
 			RequestID: call.RequestID,
 			Outcome:   requester.OutcomeNotRun,
@@ -484,15 +495,16 @@
 // next coordinator.
 func (c *Core) transferRequest(call requester.Call) {
 	answer := requester.Answer{RequestID: call.RequestID, Outcome: requester.OutcomeNotRun, Reason: requester.ReasonDraining}
-	for _, origin := range c.registry.Finish(call.RequestID, answer, c.now.Add(c.options.RequestRetention)) {
+	waiters, _ := c.registry.Finish(call.RequestID, answer, c.now.Add(c.options.RequestRetention))
+	for _, origin := range waiters {
 		c.redirectToCoordinator(call, origin, call.Attempt > 1)
 	}
 }
 
 // finishRequest ends a request and answers all its attempts.
 func (c *Core) finishRequest(id requester.RequestID, answer requester.Answer) {
-	expires := c.now.Add(c.options.RequestRetention)
-	for _, origin := range c.registry.Finish(id, answer, expires) {
+	waiters, answer := c.registry.Finish(id, answer, c.now.Add(c.options.RequestRetention))
+	for _, origin := range waiters {
 		c.reply(origin, answer)
 	}
 }
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -63,6 +63,24 @@
 	// replicatedOnly is true while the write-ahead record is held by replicas
 	// and not yet stored in the table.
 	replicatedOnly bool
+	// superseded is true if another coordinator may have run the request since
+	// this record was made.
+	superseded bool
+}
+
+// truthful returns the answer that may be given for the record: that nothing ran
+// is not known of a superseded one.
+func (r *record) truthful(answer requester.Answer) requester.Answer {
+	if r.superseded && answer.Outcome.ProvesNotRun() {
+		return DuplicateAnswer(answer.RequestID)
+	}
+	return answer
+}
+
+// DuplicateAnswer is the answer to an attempt if an earlier attempt of the
+// request may have run.
+func DuplicateAnswer(id requester.RequestID) requester.Answer {
+	return requester.Answer{RequestID: id, Outcome: requester.OutcomeUnknown, Reason: requester.ReasonDuplicate}
 }
 
 // Registry holds the records of the requests that this entry coordinates.
@@ -136,14 +154,33 @@
 	return found[:min(limit, len(found))]
 }
 
-// Finish ends a request and returns the waiters, which are to receive the
-// answer. If the answer proves that nothing ran and there is no write-ahead
+// Supersede marks the records of the requests for which of returns true: another
+// coordinator may have run them meanwhile. From then on they prove only what did
+// run.
+func (r *Registry) Supersede(of func(requester.RequestID) bool) {
+	for id, known := range r.records {
+		if of(id) {
+			known.superseded = true
+			known.answer = known.truthful(known.answer)
+		}
+	}
+}
+
+// Superseded reports whether the request's record has been superseded.
+func (r *Registry) Superseded(id requester.RequestID) bool {
+	known, ok := r.records[id]
+	return ok && known.superseded
+}
+
+// Finish ends a request and returns the waiters and the answer that they are to
+// receive. If the answer proves that nothing ran and there is no write-ahead
 // record, the record is deleted and the request may be tried again.
-func (r *Registry) Finish(id requester.RequestID, answer requester.Answer, expires time.Time) []Origin {
+func (r *Registry) Finish(id requester.RequestID, answer requester.Answer, expires time.Time) ([]Origin, requester.Answer) {
 	known, ok := r.records[id]
 	if !ok || known.ended {
-		return nil
+		return nil, answer
 	}
+	answer = known.truthful(answer)
 	waiters := known.waiters
 	known.waiters = nil
 	known.ended = true
@@ -152,7 +189,7 @@
 	if answer.Outcome.ProvesNotRun() && known.writeAheadRevision == 0 && !known.replicatedOnly {
 		delete(r.records, id)
 	}
-	return waiters
+	return waiters, answer
 }
 
 // EndedRequest is a request that has ended, as one coordinator transfers it to
@@ -179,10 +216,15 @@
 }
 
 // Import adds a request that ended at an earlier coordinator. A record that
-// exists already is left unchanged.
+// exists already is left unchanged, unless it was superseded and has ended.
 func (r *Registry) Import(request EndedRequest, expires time.Time) {
-	if _, ok := r.records[request.RequestID]; ok {
-		return
+	if known, ok := r.records[request.RequestID]; ok {
+		if !known.superseded || !known.ended {
+			return
+		}
+		if known.replicatedOnly {
+			r.replicatedOnlyCount--
+		}
 	}
 	r.records[request.RequestID] = &record{
 		call:               requester.Call{RequestID: request.RequestID},
