Placement: acknowledge a repeated result only once it is stored

What callers would see: a task of a job of the product's own interface runs again, though its worker had been told that its success is stored.

Cause: a result waits for the job's row (acknowledgeOnCommit), but a worker that reports it again, in the full report after a lost answer, has a run that is bound to no task by then; it was taken for an orphan and acknowledged at once. If the holder was lost before the row committed, its successor found neither the row nor the result.

Change: an ended run of a known job is acknowledged once the row in its present version has committed, whatever the job's tasks look like in memory.

--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -208,3 +208,39 @@
 		})
 	}
 }
+
+// TestRepeatedResultIsNotAcknowledgedEarly guards against a task that runs again
+// after its success was acknowledged: the worker reports the result once more
+// before the job's row has committed, and the holder is lost after that.
+func TestRepeatedResultIsNotAcknowledgedEarly(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, requester.Resources{MilliCores: 8000, MemoryMB: 8000})
+	f.Add(testJob("j", requester.ShapeBatch, 1, requester.Resources{MilliCores: 4000, MemoryMB: 100}), 1, false)
+	is.Equal(f.Place(testStart), 1)
+	now := testStart
+	// exchange answers the next sync with a full report of the succeeded run, or
+	// loses the answer, and returns the acknowledgements that the sync contained.
+	exchange := func(task TaskID, lost bool) []TaskID {
+		now = now.Add(2 * time.Second)
+		sync := f.Syncs(now)[0]
+		if lost {
+			f.OnSyncFailed(now, sync)
+			return sync.Request.Acks
+		}
+		report := SyncReport{Now: now, Epoch: 1, Boot: 1, Sequence: 2}
+		report.Tasks = []TaskReport{{Task: task, Job: "j", State: RunSucceeded, Need: requester.Resources{MilliCores: 4000, MemoryMB: 100}}}
+		f.OnReport(now, sync, report)
+		return sync.Request.Acks
+	}
+	sync := f.Syncs(now)[0]
+	task := sync.Request.Starts[0].Task
+	f.OnReport(now, sync, SyncReport{Now: now, Epoch: 1, Boot: 1, Sequence: 1})
+
+	is.Equal(len(exchange(task, false)), 0)
+	is.Equal(len(exchange(task, true)), 0)
+	is.Equal(len(exchange(task, false)), 0) // reports the result again
+	is.Equal(len(exchange(task, false)), 0) // the row has not committed
+	write := f.RowWrites()[0]
+	f.WriteCommitted(write, 2)
+	is.True(len(exchange(task, false)) > 0)
+}
--- a/placer/sync.go
+++ b/placer/sync.go
@@ -211,9 +211,10 @@
 }
 
 // handleOrphan stops an orphaned run or, if it has ended, acknowledges it. The
-// resources of the run are allocated until it has stopped. A run of an unknown
-// job is an orphan because every job of which an earlier holder can have started
-// runs was in the table when this holder read it.
+// resources of the run are allocated until it has stopped. A worker may report a
+// result again before its job's row has committed, so the acknowledgement waits
+// for that. A run of an unknown job is an orphan because every job of which an
+// earlier holder can have started runs was in the table when this holder read it.
 func (f *Fleet) handleOrphan(w *worker, run TaskReport) {
 	_, counted := w.orphans[run.Task]
 	if run.State == RunRunning {
@@ -227,6 +228,10 @@
 	if counted {
 		f.dropOrphan(w, run.Task)
 	}
+	if j, ok := f.jobs[run.Job]; ok && j.committedVersion < j.version {
+		j.pendingAcks = append(j.pendingAcks, pendingAck{worker: w, task: run.Task, version: j.version})
+		return
+	}
 	w.acks = append(w.acks, run.Task)
 }
 
