Decider: give write-ahead records a file of their own

Each has a file now; no line of code has changed but the imports and the place of one constant. Package decider passes (28 s).

--- a/decider/core.go
+++ b/decider/core.go
@@ -42,7 +42,8 @@
 //   - peers: the other entries, their loads, clock offsets and shards
 //   - shards: the shards that this entry holds, acquires and releases
 //   - receive: routing and forwarding of calls
-//   - coordinator: deduplication of attempts, and write-ahead records
+//   - coordinator: deduplication of attempts
+//   - writeahead: the write-ahead records of requests
 //   - run: execution of calls at endpoints that this entry owns
 //   - demand: slots kept free for more urgent calls
 //   - config: changes and propagation of the configuration
