Scheduler: tasks that serve displace best-effort tasks

Cause: a task with a target doesn't run beside best-effort tasks, and these last, so a worker with one of them was never free for it.

Change: where the waiting tasks of such a step find no room, the best-effort runs of as many workers as they need are stopped, on the workers with the fewest runs first; until they have started, those workers get no other best-effort task. A step with MayMiss never misses more tasks by this than it says.

--- a/scheduler/candidate.go
+++ b/scheduler/candidate.go
@@ -186,7 +186,7 @@
 	if s.def.AntiAffinity > 0 {
 		limit = min(limit, s.def.AntiAffinity-s.countRuns(w))
 	}
-	if s.def.Fills && w.hasTargetedRun() || s.def.TargetMillis > 0 && w.hasBestEffortRun() {
+	if s.def.Fills && (w.hasTargetedRun() || w.clearing()) || s.def.TargetMillis > 0 && w.hasBestEffortRun() {
 		return 0
 	}
 	if w.health.probation {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -33,6 +33,9 @@
 		} else {
 			c.placeTasks(s)
 		}
+		if s.waiting > 0 {
+			c.displaceBestEffort(s)
+		}
 	}
 	c.trimFreed()
 }
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -69,6 +69,9 @@
 	reservation *reservation
 	// reserveAfter is the earliest time of the next reservation for the step.
 	reserveAfter time.Time
+	// displaceAfter is the earliest time of the next search for workers on which
+	// to stop best-effort runs for the step.
+	displaceAfter time.Time
 	// rank is the position of the step in the placement order, as last
 	// calculated.
 	rank rank
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -53,6 +53,9 @@
 	// that last beyond the time at which the reservation is ready.
 	reservation *reservation
 	unreserved  requester.Resources
+	// clearedFor is the step for whose waiting tasks the worker's best-effort
+	// runs were stopped; nil for none.
+	clearedFor *step
 	// speed is the speed of the worker's tasks at speedAt, relative to the
 	// expected one; 0 means that they made no progress.
 	speed   float64
