Scheduler: log each end, its acknowledgement and runs that vanish

The hypotheses of docs/incidents/twice-after-an-end.md can't be told apart. Each reported end, each poll that acknowledges further ends and each vanished run now leaves a line; Acknowledged and Vanished are counted and stand in the load line. No decision changes; the tests of scheduler pass.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -149,6 +149,9 @@
 	// Evacuated counts runs that were stopped because they were not expected to
 	// end before their worker leaves; the run of a whole gang counts once.
 	Evacuated int64
+	// Acknowledged counts the ends that polls have acknowledged to workers. A
+	// worker forgets them.
+	Acknowledged int64
 	// Vanished counts acknowledged runs that their worker no longer reported,
 	// neither as running nor as ended.
 	Vanished int64
--- a/scheduler/ends.go
+++ b/scheduler/ends.go
@@ -47,6 +47,10 @@
 // applyEnd applies the reported end of a run. A worker reports an end to each
 // new owner again until it is acknowledged.
 func (c *Core) applyEnd(w *worker, ended EndedRun) {
+	c.log(LogRecord{
+		Job: ended.Task.Job, Task: ended.Task, Run: ended.Run, Worker: w.info.HostID, Event: "run ended",
+		Why: ended.Kind.String() + ", end " + strconv.FormatInt(ended.Number, 10),
+	})
 	key := runKey{ended.Task, ended.Run}
 	t := c.findTask(ended.Task)
 	pending := pendingEnd{number: ended.Number}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -31,6 +32,7 @@
 		}
 		w.pollInFlight = true
 		c.stats.Looks++
+		c.logAcknowledged(w)
 		c.orders.Polls = append(c.orders.Polls, PollOrder{
 			Worker:          w.ref(),
 			Fence:           Fence(c.options.Epoch),
@@ -42,6 +44,17 @@
 	}
 }
 
+// logAcknowledged logs and counts the ends that a poll acknowledges for the
+// first time.
+func (c *Core) logAcknowledged(w *worker) {
+	if w.committedEnd <= w.acknowledgedEnd {
+		return
+	}
+	c.stats.Acknowledged += w.committedEnd - w.acknowledgedEnd
+	w.acknowledgedEnd = w.committedEnd
+	c.log(LogRecord{Worker: w.info.HostID, Event: "ends acknowledged", Why: "up to end " + strconv.FormatInt(w.committedEnd, 10)})
+}
+
 // PollDone handles the result of a poll order.
 func (c *Core) PollDone(now time.Time, order PollOrder, report *Report, result OrderResult) {
 	c.now = now
@@ -159,6 +172,7 @@
 			// The run is reported neither as running nor as ended, so its end
 			// has been acknowledged.
 			c.stats.Vanished++
+			c.log(LogRecord{Job: r.name.Job, Task: r.name, Run: r.number, Worker: w.info.HostID, Event: "run vanished", Why: "reported neither as running nor as ended"})
 			c.releaseLost(r, "no longer reported by its worker")
 		}
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -38,7 +38,9 @@
 	appliedEnd   int64
 	committedEnd int64
 	pendingEnds  []pendingEnd
-	pollInFlight bool
+	// acknowledgedEnd is the highest number that a poll has acknowledged.
+	acknowledgedEnd int64
+	pollInFlight    bool
 	// nextPollAt is the earliest time of the next poll.
 	nextPollAt time.Time
 	// unanswered counts consecutive polls and starts without a usable response;
@@ -222,7 +224,7 @@
 	}
 	w.bootedAt = bootedAt
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker reborn"})
-	w.appliedEnd, w.committedEnd, w.pendingEnds = 0, 0, nil
+	w.appliedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds = 0, 0, 0, nil
 	w.clock, w.leaseDeadline = 0, 0
 	w.clockAt = time.Time{}
 	w.reported = false
