Scheduler: acknowledge an end only once the stored rows imply it

Cause: applyEnd tied an end to a version of its job's rows only if its task was found and its job had not ended in memory. The ends of a gang's other members find the job ended or their occurrence removed, as do ends after a job's last attempt or a cancellation. They counted as committed at once, and the next poll made the workers forget them, while the state was on its way to the store. An owner lost in between left nothing from which its successor could know.

Change: acknowledge.go has one rule, that an end waits for the version of its job's rows that is current when it is applied, whatever has become of its task, its occurrence or its job in memory. That version implies the end, as what the end changes is in it and what it finds changed already was in it.

--- a/scheduler/ends.go
+++ b/scheduler/ends.go
@@ -53,7 +53,6 @@
 	})
 	key := runKey{ended.Task, ended.Run}
 	t := c.findTask(ended.Task)
-	pending := pendingEnd{number: ended.Number}
 	r := w.runs[key]
 	if r != nil {
 		// The end is certain, so no stop is needed.
@@ -61,9 +60,8 @@
 	}
 	if t != nil && !t.step.job().state.Ended() {
 		c.applyTaskEnd(w, t, ended)
-		pending.job, pending.version = t.step.job(), t.step.job().version
 	}
-	w.pendingEnds = append(w.pendingEnds, pending)
+	c.addPendingEnd(w, ended)
 	if r == nil {
 		return
 	}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 )
 
@@ -44,17 +43,6 @@
 	}
 }
 
-// logAcknowledged logs and counts the ends that a poll acknowledges for the
-// first time.
-func (c *Core) logAcknowledged(w *worker) {
-	if w.committedEnd <= w.acknowledgedEnd {
-		return
-	}
-	c.stats.Acknowledged += w.committedEnd - w.acknowledgedEnd
-	w.acknowledgedEnd = w.committedEnd
-	c.log(LogRecord{Worker: w.info.HostID, Event: "ends acknowledged", Why: "up to end " + strconv.FormatInt(w.committedEnd, 10)})
-}
-
 // PollDone handles the result of a poll order.
 func (c *Core) PollDone(now time.Time, order PollOrder, report *Report, result OrderResult) {
 	c.now = now
@@ -123,15 +111,6 @@
 	c.placementPending = true
 }
 
-// advanceCommittedEnd advances committedEnd to the last end up to which all
-// ends are committed.
-func (w *worker) advanceCommittedEnd() {
-	for len(w.pendingEnds) > 0 && (w.pendingEnds[0].job == nil || w.pendingEnds[0].job.committedVersion >= w.pendingEnds[0].version) {
-		w.committedEnd = w.pendingEnds[0].number
-		w.pendingEnds = w.pendingEnds[1:]
-	}
-}
-
 // reconcileRuns updates the runs on a worker from a report. A reported run that
 // is unknown is tracked; an unreported one is released if the report proves
 // that it has ended or can no longer start.
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -58,15 +58,6 @@
 	unsized bool
 }
 
-// pendingEnd is an applied end of a run that is acknowledged to the worker once
-// the given version of its job's rows is committed. job is nil if there is
-// nothing to commit.
-type pendingEnd struct {
-	number  int64
-	job     *job
-	version int64
-}
-
 type runKey struct {
 	name   TaskName
 	number RunNumber
