Scheduler: don't acknowledge ends of jobs that the owner may still learn of

A worker may report the end of a run whose job the owner hasn't been told of: a predecessor still in its term, with eager starts in force, learned of the job by a link and started it; the owner's watch returns it later. The end was acknowledged at once and dropped; when the job arrived, the owner started it again: TWICE, a start after an acknowledged end.

Cause: an end without a job in memory counted as the end of a removed job. Only the store can say which it is.

Change: such an end stays pending. Each commit gives a bound for the revisions of what was stored before it was sent (StoreReached), and the load and each watch say up to which revision the core knows all jobs (JobsKnown). Once every job stored before the end was reported is known and this one isn't among them, it has no row, so no owner can start it, and the end is acknowledged. If the job arrives first, the end is applied to it before anything is placed. That holds for an occurrence that isn't active yet too. A stale response of a watch has a lower revision, so it proves nothing too early.

--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -144,6 +144,7 @@
 	s.mu.Unlock()
 	d.counters.commitTime.Observe(now.Sub(sentAt))
 	s.core.Committed(now, batch)
+	s.core.StoreReached(sentAt, revision)
 	if s.loaded && next.Eager && d.store.Latency() > eagerOffLatency {
 		s.core.SetEager(true)
 	}
--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -48,7 +48,10 @@
 	for _, row := range rows {
 		byKey[row.Key] = row.Value
 	}
-	s.post(func() { s.recover(byKey) })
+	s.post(func() {
+		s.recover(byKey)
+		s.core.JobsKnown(revision)
+	})
 	return revision, nil
 }
 
@@ -132,9 +135,10 @@
 			continue
 		}
 		revision = next
-		if len(changes) > 0 {
-			s.post(func() { s.applyJobs(changes) })
-		}
+		s.post(func() {
+			s.applyJobs(changes)
+			s.core.JobsKnown(next)
+		})
 		if !sleep(s.ctx, jobsWatchInterval) {
 			return
 		}
--- a/scheduler/acknowledge_test.go
+++ b/scheduler/acknowledge_test.go
@@ -109,3 +109,37 @@
 	h.commit()
 	is.Equal(h.exchange(time.Second, ends)["w000"], int64(1))
 }
+
+// TestEndOfAnUnknownJob guards against the acknowledgement of an end whose job
+// the owner has not been told of yet. It is acknowledged only once every job
+// that was stored before the end is known.
+func TestEndOfAnUnknownJob(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	task := TaskName{StepName: StepName{Job: "j"}}
+	ends := map[requester.HostID][]EndedRun{"w000": {{Number: 1, Task: task, Run: 1, Kind: EndDone}}}
+	h.core.JobsKnown(7)
+	h.core.StoreReached(h.now, 9)
+	is.Equal(h.exchange(time.Second, ends)["w000"], int64(0))
+	h.core.JobsKnown(9)
+	is.Equal(h.exchange(time.Second, ends)["w000"], int64(0)) // the job may be in revision 10
+	h.core.StoreReached(h.now, 10)
+	h.core.JobsKnown(10)
+	is.Equal(h.exchange(time.Second, ends)["w000"], int64(1)) // the job was removed, or never stored
+}
+
+// TestEndBeforeItsJobIsKnown guards against the loss of an end that a worker
+// has reported before the owner is told of the job.
+func TestEndBeforeItsJobIsKnown(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	task := TaskName{StepName: StepName{Job: "j"}}
+	ends := map[requester.HostID][]EndedRun{"w000": {{Number: 1, Task: task, Run: 1, Kind: EndDone}}}
+	is.Equal(h.exchange(time.Second, ends)["w000"], int64(0))
+	h.add("j", Policy{Service: "service", MaxAttempts: 3, Stretch: 2}, stepOf(1, 1000))
+	is.Equal(h.core.jobs["j"].state, StateCompleted)
+	is.Equal(h.exchange(time.Second, ends)["w000"], int64(0))
+	h.commit()
+	is.Equal(h.exchange(time.Second, ends)["w000"], int64(1))
+	is.Equal(len(h.settle()), 0)
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -88,6 +88,14 @@
 	leasedWorkersDirty bool
 	// timed are the unfinished jobs with occurrences at set times.
 	timed map[requester.JobID]*job
+	// unknownEnds are the jobs of pending ends whose job or occurrence the core
+	// has not been told of. Of the jobs in the store, the core has been told of
+	// all as of jobsRevision, and of all that were stored before jobsKnownAt.
+	// storeMarks, oldest first, relate the two.
+	unknownEnds  map[requester.JobID]bool
+	jobsRevision int64
+	jobsKnownAt  time.Time
+	storeMarks   []storeMark
 	// awaitingAdvice are the steps with advice requests in flight.
 	awaitingAdvice map[StepName]*step
 	// longInFlight counts the long advice requests in flight. adviceLoad is the
@@ -188,6 +196,7 @@
 		jobs:           make(map[requester.JobID]*job),
 		workers:        make(map[requester.HostID]*worker),
 		timed:          make(map[requester.JobID]*job),
+		unknownEnds:    make(map[requester.JobID]bool),
 		awaitingAdvice: make(map[StepName]*step),
 		allowedShares:  make(map[string]float64),
 
@@ -346,7 +355,7 @@
 		c.openReadySteps(write.job)
 	}
 	for _, w := range c.sortedWorkers {
-		w.advanceCommittedEnd()
+		c.advanceCommittedEnd(w)
 	}
 	c.placementPending = true
 }
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -107,7 +107,7 @@
 	c.reconcileRuns(w, order, report)
 	c.updateSpeed(w)
 	c.stopStalled(w)
-	w.advanceCommittedEnd()
+	c.advanceCommittedEnd(w)
 	c.placementPending = true
 }
 
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -199,6 +199,7 @@
 	}
 	j.nextOccurrence = 1
 	c.newOccurrence(j, 0)
+	c.applyUnknownEnds(j)
 	c.openReadySteps(j)
 }
 
@@ -423,6 +424,7 @@
 		j.nextOccurrence++
 		c.markDirty(j)
 		o.version = j.version
+		c.applyUnknownEnds(j)
 	}
 }
 
