Scheduler: store which steps an eager predecessor may have started

The second owner took over and was lost too; the third started the same tasks at once, though their runs went on on workers that it could not reach.

Cause: Recover marked every step as one that may have unknown runs, but only in memory. Nothing was dirty, so the next commit of the quick store cleared Eager in the owner's row while the stored progress did not say Started. The knowledge was lost with the second owner. It is the class of this incident: what a successor can't learn from workers must be in the store until it is known.

Change: jobs with new marks are written, after those on which decisions wait, and Dirty counts them, so that Eager is cleared by the transaction that stores the last mark, or later.

Evidence: TestEagerStartsOfAnOwnerBeforeLast failed before with "not true: h.core.Dirty()".

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -64,6 +64,10 @@
 	// dirty are the jobs with changes that no batch contains yet, oldest change
 	// first.
 	dirty []*job
+	// marked are the jobs whose marks of steps that may have unknown runs were
+	// not stored at the takeover. No decision waits for these, so they are
+	// written after the dirty jobs.
+	marked []*job
 	// open are the incomplete steps whose predecessors are committed as done.
 	// Each placement pass sorts them by rank.
 	open    []*step
@@ -325,20 +329,27 @@
 		}
 		batch.Writes = append(batch.Writes, RowWrite{Key: LeasedWorkersKey, Value: EncodeRow(row)})
 	}
-	taken := 0
-	for _, j := range c.dirty {
-		if len(batch.Writes)+writesPerJob > limit {
-			break
+	for len(c.dirty) > 0 && len(batch.Writes)+writesPerJob <= limit {
+		batch.add(c.dirty[0])
+		c.dirty = c.dirty[1:]
+	}
+	for len(c.marked) > 0 && len(batch.Writes)+writesPerJob <= limit {
+		// A job that was dirty meanwhile is in a batch already.
+		if c.marked[0].marksUnstored {
+			batch.add(c.marked[0])
 		}
-		taken++
-		j.dirty = false
-		batch.jobs = append(batch.jobs, jobWrite{job: j, version: j.version, state: j.state})
-		batch.Writes = append(batch.Writes, j.rowWrites()...)
+		c.marked = c.marked[1:]
 	}
-	c.dirty = slices.Delete(c.dirty, 0, taken)
 	return batch
 }
 
+// add adds the rows of a job to the batch.
+func (b *Batch) add(j *job) {
+	j.dirty, j.marksUnstored = false, false
+	b.jobs = append(b.jobs, jobWrite{job: j, version: j.version, state: j.state})
+	b.Writes = append(b.Writes, j.rowWrites()...)
+}
+
 // Committed records that a batch was committed: ended runs may be acknowledged
 // to their workers, and steps that depend on them may start.
 func (c *Core) Committed(now time.Time, batch *Batch) {
@@ -437,4 +448,4 @@
 }
 
 // Dirty reports whether there are changes that no batch contains yet.
-func (c *Core) Dirty() bool { return len(c.dirty) > 0 || c.leasedWorkersDirty }
+func (c *Core) Dirty() bool { return len(c.dirty) > 0 || len(c.marked) > 0 || c.leasedWorkersDirty }
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -28,8 +28,10 @@
 	// version increases with each change of the job's rows; committedVersion is
 	// the last one committed.
 	version, committedVersion int64
-	// dirty is true if the job is in Core.dirty.
-	dirty bool
+	// dirty is true if the job is in Core.dirty. marksUnstored is true if no
+	// batch contains the marks of its steps yet that Core.marked is about.
+	dirty         bool
+	marksUnstored bool
 	// activeRuns counts the tasks with a run.
 	activeRuns int
 	endedAt    time.Time
@@ -169,9 +171,7 @@
 		c.timed[j.name()] = j
 	}
 	if c.options.PreviousOwnerEager {
-		for _, o := range j.occurrences {
-			o.markUnknownRuns()
-		}
+		c.markUnknownRuns(j)
 	}
 	if rows.Cancelled {
 		c.Cancel(c.now, j.name())
@@ -278,10 +278,21 @@
 	}
 }
 
-// markUnknownRuns records that a previous owner may have started any step.
-func (o *occurrence) markUnknownRuns() {
-	for _, s := range o.steps {
-		s.mayHaveUnknownRuns = true
+// markUnknownRuns records that a previous owner may have started any step of a
+// job. Only the row of that owner says so, and only until the next commit, so
+// the marks are stored with the job.
+func (c *Core) markUnknownRuns(j *job) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.mayHaveUnknownRuns || s.complete() {
+				continue
+			}
+			s.mayHaveUnknownRuns = true
+			if !j.marksUnstored {
+				j.marksUnstored = true
+				c.marked = append(c.marked, j)
+			}
+		}
 	}
 }
 
--- /dev/null
+++ b/scheduler/takeover_test.go
@@ -0,0 +1,73 @@
+package scheduler
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"kumquatstall/requester"
+)
+
+// takeOver replaces the core by one of a new owner that recovers the given jobs
+// and knows of one worker, which a previous owner may have given orders.
+func (h *harness) takeOver(options Options, rows ...JobRows) error {
+	h.core = New(options, h.now)
+	worker := WorkerInfo{HostID: "w000", Service: "service", Total: workerTotal, BootedAt: h.now, Address: h.address(0)}
+	h.core.RestoreLeasedWorkers(LeasedWorkersRow{Workers: []LeasedWorker{{HostID: worker.HostID, Address: worker.Address}}})
+	for _, row := range rows {
+		if err := h.core.Recover(row); err != nil {
+			return err
+		}
+	}
+	h.core.SetWorkers(h.now, []WorkerInfo{worker})
+	return nil
+}
+
+var eagerPredecessor = Options{Epoch: 2, PreviousOwnerEager: true, PreviousOwnerTerm: time.Second}
+
+func jobOf(id string, steps ...Step) Job {
+	return Job{JobID: requester.JobID(id), Queue: "q", Policy: Policy{Service: "service", MaxAttempts: 3, Stretch: 2}, Steps: steps, AcceptedAt: time.Date(2026, 7, 10, 12, 0, 0, 0, time.UTC)}
+}
+
+// storedStarts returns, for each step of a job's only occurrence, whether the
+// row that a batch writes says that it may have been started.
+func storedStarts(t *testing.T, batch *Batch, id requester.JobID) []bool {
+	t.Helper()
+	for _, write := range batch.Writes {
+		if write.Key != ProgressKey(id) {
+			continue
+		}
+		var row progressRow
+		if err := DecodeRow(write.Value, &row); err != nil {
+			t.Fatal(err)
+		}
+		var started []bool
+		for _, s := range row.Occurrences[0].Steps {
+			started = append(started, s.Started)
+		}
+		return started
+	}
+	return nil
+}
+
+// TestEagerStartsOfAnOwnerBeforeLast guards against an owner that learns from its
+// predecessor's row that any step may have been started, and leaves nothing in
+// the store from which its own successor would know.
+func TestEagerStartsOfAnOwnerBeforeLast(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	second := stepOf(1, 1000)
+	second.After = []int{0}
+	job := jobOf("j", stepOf(1, 1000), second)
+	job.Advice = &Advice{DecideMillis: 1, ValidMillis: 1000}
+	stored := EncodeRow(progressRow{State: StateRunning, NextOccurrence: 1, Occurrences: []occurrenceProgress{{Steps: []stepProgress{{Started: true}, {}}}}})
+	is.NoErr(h.takeOver(eagerPredecessor, JobRows{Job: job, Progress: stored}))
+	is.True(h.core.Dirty()) // so the owner's row must stay eager
+	is.Equal(storedStarts(t, h.core.TakeBatch(1000), "j"), []bool{true, true})
+}
+
+func (h *harness) address(i byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i}), 1)
+}
