Scheduler: fence off orders to earlier incarnations of a worker

A worker that crashes and starts again under its id numbers its ends from 1 and its clock from 0 again, and a call without a response may be executed seconds later. The id in the header is the same, so nothing kept the new incarnation from executing an order to the old one: a poll made it forget ends that nobody had read (AcknowledgedEnd of the old life), a start or poll granted a lease on the old life's clock of which leaseExpiry knew nothing, and a start ran there.

Change: the fence of an order is the owner's epoch and, in the low 12 bits, the number of the incarnation that the order is meant for, as this owner has seen them (fence.go). A new incarnation that has answered a poll of its own rejects everything meant for earlier ones. A new one that answers a poll meant for an earlier one is only noted as new, and polled again at once. Results of orders to an earlier incarnation say nothing about the current one; in particular OrderFenced ends the ownership only if the order carried the worker's current fence. A worker that is removed and listed again gets a higher number too. Run numbers depend on the epoch alone, as before.

The tests of scheduler pass. Four polls that tests made by hand lacked a fence, as no order of a core does; they carry that of their start now.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -13,7 +13,8 @@
 
 // Options configure a Core. A zero duration means its default.
 type Options struct {
-	// Epoch is the epoch of the ownership. It is the fence of all orders.
+	// Epoch is the epoch of the ownership. It is part of the fence of all
+	// orders.
 	Epoch int64
 	// LeaseTerm is the duration of the lease that an order grants to a worker;
 	// default 9 s, longer than most partitions last.
@@ -72,6 +73,9 @@
 	// Each placement pass sorts them by rank.
 	open    []*step
 	workers map[requester.HostID]*worker
+	// lives has the last value of worker.life of every worker that this owner
+	// has ever known.
+	lives map[requester.HostID]int64
 	// sortedWorkers are the workers in the order of their host IDs.
 	sortedWorkers []*worker
 	// eligible are the workers that may get new tasks in the current placement
@@ -199,6 +203,7 @@
 		tookOverAt:     now,
 		jobs:           make(map[requester.JobID]*job),
 		workers:        make(map[requester.HostID]*worker),
+		lives:          make(map[requester.HostID]int64),
 		timed:          make(map[requester.JobID]*job),
 		unknownEnds:    make(map[requester.JobID]bool),
 		awaitingAdvice: make(map[StepName]*step),
--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -113,7 +113,7 @@
 		}
 	}
 	h.running = kept
-	h.core.PollDone(h.now, PollOrder{Worker: start.Worker, SentAt: h.now}, report, OrderAccepted)
+	h.core.PollDone(h.now, PollOrder{Worker: start.Worker, Fence: start.Fence, SentAt: h.now}, report, OrderAccepted)
 	h.commit()
 }
 
@@ -344,7 +344,7 @@
 	start := orders.Starts[0]
 	h.core.StartDone(h.now, start, OrderUnknown)
 	report := &Report{Clock: 1000, BootedAt: start.Worker.BootedAt}
-	earlyPoll := PollOrder{Worker: start.Worker, SentAt: h.now}
+	earlyPoll := PollOrder{Worker: start.Worker, Fence: start.Fence, SentAt: h.now}
 	h.core.PollDone(h.now, earlyPoll, report, OrderAccepted) // the run is not reported, so a stop is sent
 	h.now = h.now.Add(50 * time.Millisecond)
 	stops := h.core.Tick(h.now).Stops
@@ -352,7 +352,7 @@
 	h.core.StopDone(h.now, stops[0], OrderAccepted)
 	h.core.PollDone(h.now, earlyPoll, report, OrderAccepted)
 	is.Equal(len(h.core.workers[start.Worker.HostID].runs), 1) // the run may still be stopping
-	h.core.PollDone(h.now, PollOrder{Worker: start.Worker, SentAt: h.now}, report, OrderAccepted)
+	h.core.PollDone(h.now, PollOrder{Worker: start.Worker, Fence: start.Fence, SentAt: h.now}, report, OrderAccepted)
 	is.Equal(len(h.core.workers[start.Worker.HostID].runs), 0)
 }
 
@@ -371,7 +371,7 @@
 		Clock: 1000, BootedAt: starts[0].Worker.BootedAt, Running: []RunningTask{h.report(starts[1])},
 		Ended: []EndedRun{{Number: 1, Task: starts[0].Task, Run: starts[0].Run, Kind: EndDone}},
 	}
-	poll := PollOrder{Worker: starts[0].Worker, SentAt: h.now}
+	poll := PollOrder{Worker: starts[0].Worker, Fence: starts[0].Fence, SentAt: h.now}
 	h.core.PollDone(h.now, poll, report, OrderAccepted)
 	h.now = h.now.Add(30 * time.Millisecond)
 	is.Equal(len(h.core.Tick(h.now).Polls), 0) // the end is not committed yet
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -34,7 +34,7 @@
 		c.logAcknowledged(w)
 		c.orders.Polls = append(c.orders.Polls, PollOrder{
 			Worker:          w.ref(),
-			Fence:           Fence(c.options.Epoch),
+			Fence:           c.fence(w),
 			AcknowledgedEnd: w.committedEnd,
 			Deadline:        c.grantLease(w),
 			LongPoll:        w.reported && !uncommitted && w.unanswered == 0,
@@ -50,6 +50,12 @@
 	if !ok {
 		return
 	}
+	if !c.addressesCurrent(w, order.Fence) {
+		if result == OrderAccepted {
+			c.updateIncarnation(w, report.BootedAt)
+		}
+		return
+	}
 	w.pollInFlight = false
 	switch result {
 	case OrderAccepted:
@@ -81,10 +87,11 @@
 }
 
 // applyReport applies a worker's report. A report of an earlier incarnation is
-// ignored.
+// ignored, and so is that of a new one that responds to a poll which was meant
+// for an earlier one: only a poll of its own makes it reject such orders.
 func (c *Core) applyReport(w *worker, order PollOrder, report *Report) {
 	c.updateIncarnation(w, report.BootedAt)
-	if !report.BootedAt.IsZero() && report.BootedAt.Before(w.bootedAt) {
+	if !c.addressesCurrent(w, order.Fence) || !report.BootedAt.IsZero() && report.BootedAt.Before(w.bootedAt) {
 		return
 	}
 	if w.unanswered > 0 || !w.reported {
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -92,7 +92,7 @@
 		return
 	}
 	r.stopInFlight = true
-	c.orders.Stops = append(c.orders.Stops, StopOrder{Worker: r.worker.ref(), Task: r.name, Run: r.number, Fence: Fence(c.options.Epoch)})
+	c.orders.Stops = append(c.orders.Stops, StopOrder{Worker: r.worker.ref(), Task: r.name, Run: r.number, Fence: c.fence(r.worker)})
 }
 
 // StopDone handles the result of a stop order.
@@ -103,7 +103,7 @@
 		return
 	}
 	r, ok := w.runs[runKey{order.Task, order.Run}]
-	if !ok {
+	if !ok || !c.addressesCurrent(w, order.Fence) {
 		return
 	}
 	r.stopInFlight = false
@@ -127,7 +127,7 @@
 		return
 	}
 	r, ok := w.runs[runKey{order.Task, order.Run}]
-	if !ok || r.phase != runStarting && r.phase != runStopping {
+	if !ok || !c.addressesCurrent(w, order.Fence) || r.phase != runStarting && r.phase != runStopping {
 		return
 	}
 	switch result {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -22,8 +22,9 @@
 //
 // A worker runs tasks only while its lease lasts. The starts and polls sent to
 // a responsive worker renew its lease up to a deadline on the worker's own
-// clock. Every order carries the owner's epoch as a fence, and a worker rejects
-// an order whose fence is lower than the highest that it has seen.
+// clock. Every order carries a fence, which increases with the owner's epoch and
+// with each incarnation of the worker that the owner has seen, and a worker
+// rejects an order whose fence is lower than the highest that it has seen.
 //
 // A run occupies its resources from the moment its start order is issued until
 // the worker rejects the start or reports the end of the run, a later
@@ -81,8 +82,9 @@
 // WorkerTime is a time on a worker's own monotonic clock, in milliseconds.
 type WorkerTime int64
 
-// Fence is an owner's fencing token, its epoch. A worker rejects an order whose
-// fence is lower than the highest that it has seen.
+// Fence is a fencing token: an owner's epoch and, in the low bits, the number of
+// the worker's incarnation. A worker rejects an order whose fence is lower than
+// the highest that it has seen.
 type Fence int64
 
 // RunNumber numbers the runs of a task. It increases with each start.
--- a/scheduler/start.go
+++ b/scheduler/start.go
@@ -45,7 +45,7 @@
 		Run:        number,
 		Payload:    s.job().spec.Payload,
 		Deadline:   c.grantLease(w),
-		Fence:      Fence(c.options.Epoch),
+		Fence:      c.fence(w),
 		Checkpoint: t.checkpoint,
 		Ticket:     ticket,
 	})
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -19,8 +19,11 @@
 	inherited bool
 	// reported is true if the worker's current incarnation has responded to a
 	// poll of this owner.
-	reported  bool
-	bootedAt  time.Time
+	reported bool
+	bootedAt time.Time
+	// life numbers the worker's incarnations as far as this owner has seen
+	// them.
+	life      int64
 	runs      map[runKey]*run
 	allocated requester.Resources
 	// clock is a reading of the worker's clock, taken no later than clockAt.
@@ -134,6 +137,7 @@
 		return w
 	}
 	w := &worker{info: info, runs: make(map[runKey]*run), unreportedSince: c.tookOverAt}
+	c.nextLife(w)
 	c.workers[info.HostID] = w
 	c.sortedWorkers = append(c.sortedWorkers, w)
 	slices.SortFunc(c.sortedWorkers, func(a, b *worker) int { return compareHosts(a.info.HostID, b.info.HostID) })
@@ -224,11 +228,14 @@
 	}
 	w.bootedAt = bootedAt
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker reborn"})
+	c.nextLife(w)
 	w.appliedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds = 0, 0, 0, nil
 	w.clock, w.leaseDeadline = 0, 0
 	w.clockAt = time.Time{}
 	w.reported = false
 	w.unreportedSince = c.now
+	// A poll in flight was meant for the previous incarnation.
+	w.pollInFlight, w.nextPollAt = false, c.now
 	w.health = health{}
 	w.speedAt = time.Time{}
 	for _, r := range w.sortedRuns() {
