Scheduler: don't carry bars and accepted starts over to a worker's next life

What callers would see: TWICE, two runs of a task at the same time. When a new incarnation of a worker was observed, a run whose stop the earlier one had accepted stayed barred, though the new one knows nothing of the bar: the next report without the run released it ("its start was never executed"), the task started elsewhere, and the late start then ran on the new incarnation. In the same way a run whose start was accepted counted as a run of the earlier incarnation, though the new one may have been the one that accepted it, under the same id and at the same address, before its birth was observed by the list.

Change: only a run that a report has shown on the earlier incarnation is released when the new one is observed. Every other one becomes unacknowledged, without a bar, and a result of a stop or start to the earlier incarnation changes nothing. It is released by a report to a poll with a higher fence than that of its start: from that poll on the worker rejects the start, and had it been executed before, the report would show it. So no stop is needed either, and the task starts again as soon as the new incarnation has answered once.

--- a/scheduler/fence_test.go
+++ b/scheduler/fence_test.go
@@ -79,3 +79,67 @@
 	h.core.SetWorkers(h.now, []WorkerInfo{info})
 	is.True(pollOf(t, h.core.Tick(h.now)).Fence > before.Fence)
 }
+
+// unansweredStop starts a run without a response, and returns the start and the
+// stop that a report without the run causes.
+func unansweredStop(t *testing.T, h *harness) (StartOrder, StopOrder) {
+	t.Helper()
+	h.add("j", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 8000))
+	h.commit()
+	h.now = h.now.Add(time.Second)
+	orders := h.core.Tick(h.now)
+	if len(orders.Starts) != 1 {
+		t.Fatalf("tick issued %d starts, want 1", len(orders.Starts))
+	}
+	start := orders.Starts[0]
+	h.core.StartDone(h.now, start, OrderUnknown)
+	h.core.PollDone(h.now, pollOf(t, orders), &Report{Clock: 1000, BootedAt: start.Worker.BootedAt}, OrderAccepted)
+	stops := h.core.Tick(h.now.Add(50 * time.Millisecond)).Stops
+	if len(stops) != 1 {
+		t.Fatalf("tick issued %d stops, want 1", len(stops))
+	}
+	return start, stops[0]
+}
+
+// TestBarOfAnEarlierLife guards against a stop that an earlier incarnation of a
+// worker has accepted, and which the next one knows nothing of: a late start
+// can run there while the task starts elsewhere.
+func TestBarOfAnEarlierLife(t *testing.T) {
+	is := is.New(t)
+	for _, late := range []bool{false, true} {
+		h := newHarness(1)
+		start, stop := unansweredStop(t, h)
+		if !late {
+			h.core.StopDone(h.now, stop, OrderAccepted)
+		}
+		bootedAt := h.reborn()
+		w := h.core.sortedWorkers[0]
+		if late {
+			h.core.StopDone(h.now, stop, OrderAccepted)
+		}
+		is.Equal(len(w.runs), 1)
+		is.True(w.runs[runKey{start.Task, start.Run}].barredAt.IsZero())
+		// The new incarnation has executed the start by now.
+		h.now = h.now.Add(time.Second)
+		running := []RunningTask{{Task: start.Task, Run: start.Run}}
+		h.core.PollDone(h.now, pollOf(t, h.core.Tick(h.now)), &Report{Clock: 1000, BootedAt: bootedAt, Running: running}, OrderAccepted)
+		is.Equal(len(w.runs), 1)
+		is.Equal(len(h.core.Tick(h.now).Starts), 0)
+	}
+}
+
+// TestStartAcceptedByTheNextLife guards against a start that a worker's next
+// incarnation has accepted before its birth is observed: that run goes on.
+func TestStartAcceptedByTheNextLife(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.add("j", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 8000))
+	starts := h.advance(0)
+	is.Equal(len(starts), 1) // accepted, but not yet reported
+	h.reborn()
+	is.Equal(len(h.core.sortedWorkers[0].runs), 1)
+	h.now = h.now.Add(time.Second)
+	poll := pollOf(t, h.core.Tick(h.now))
+	h.core.PollDone(h.now, poll, &Report{Clock: 1000, BootedAt: poll.Worker.BootedAt}, OrderAccepted)
+	is.Equal(len(h.core.sortedWorkers[0].runs), 0) // the new incarnation rejects the start from the poll on
+}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -148,8 +148,11 @@
 		switch {
 		case r.phase == runUnacknowledged || r.phase == runStopping && r.acknowledgedAt.IsZero():
 			// The response to a poll that was sent before the stop was
-			// acknowledged may miss a run that started in between.
-			if !r.barredAt.IsZero() && !order.SentAt.Before(r.barredAt) {
+			// acknowledged may miss a run that started in between. A start that
+			// was meant for an earlier incarnation is rejected from the poll on.
+			if r.startFence < order.Fence {
+				c.releaseLost(r, "its start was never executed")
+			} else if !r.barredAt.IsZero() && !order.SentAt.Before(r.barredAt) {
 				c.releaseLost(r, "its start was never executed")
 			} else if r.barredAt.IsZero() {
 				c.sendStop(r)
@@ -169,7 +172,7 @@
 // and it is stopped.
 func (c *Core) trackReportedRun(w *worker, running RunningTask) *run {
 	t := c.findTask(running.Task)
-	r := &run{name: running.Task, number: running.Run, worker: w, phase: runAcknowledged, startedAt: c.now, acknowledgedAt: c.now}
+	r := &run{name: running.Task, number: running.Run, worker: w, phase: runAcknowledged, startedAt: c.now, acknowledgedAt: c.now, startFence: c.fence(w)}
 	if t != nil {
 		r.need = t.step.def.allocation()
 		t.lastRun = max(t.lastRun, running.Run)
@@ -221,6 +224,7 @@
 	if r.acknowledgedAt.IsZero() {
 		r.acknowledgedAt = c.now
 	}
+	r.reported = true
 	r.checkpoint = running.Checkpoint
 	r.recordPercent(c.now, running.Percent)
 	if r.phase == runStopping && !r.stopInFlight {
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -39,6 +39,11 @@
 	// acknowledgedAt is when the worker accepted or first reported the run;
 	// zero before that.
 	acknowledgedAt time.Time
+	// startFence is the fence of the start, or that of the worker when it first
+	// reported the run. reported is true once the worker's current incarnation
+	// has reported the run.
+	startFence Fence
+	reported   bool
 	// expectedEnd is when the run should end, by the expected duration or by
 	// its progress.
 	expectedEnd time.Time
--- a/scheduler/start.go
+++ b/scheduler/start.go
@@ -23,6 +23,7 @@
 		worker:      w,
 		need:        need,
 		startedAt:   c.now,
+		startFence:  c.fence(w),
 		expectedEnd: c.now.Add(s.expectedDuration()),
 		resumed:     t.checkpoint != "",
 	}
@@ -45,7 +46,7 @@
 		Run:        number,
 		Payload:    s.job().spec.Payload,
 		Deadline:   c.grantLease(w),
-		Fence:      c.fence(w),
+		Fence:      r.startFence,
 		Checkpoint: t.checkpoint,
 		Ticket:     ticket,
 	})
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -216,8 +216,8 @@
 }
 
 // updateIncarnation handles a boot time observed for a worker. If it shows a
-// new incarnation, the runs of the previous one have ended, except for
-// unacknowledged starts, which the new incarnation may still execute.
+// new incarnation, the runs that the previous one has reported have ended. The
+// new incarnation may have executed all other starts, or may still do so.
 func (c *Core) updateIncarnation(w *worker, bootedAt time.Time) {
 	if bootedAt.IsZero() || !bootedAt.After(w.bootedAt) {
 		return
@@ -239,12 +239,14 @@
 	w.health = health{}
 	w.speedAt = time.Time{}
 	for _, r := range w.sortedRuns() {
-		if r.phase == runStarting || r.phase == runUnacknowledged || r.phase == runStopping && r.acknowledgedAt.IsZero() {
-			r.phase = runUnacknowledged
-			r.stopInFlight = false
+		if r.reported {
+			c.stats.Lapsed++
+			c.releaseLost(r, "its worker restarted")
 			continue
 		}
-		c.stats.Lapsed++
-		c.releaseLost(r, "its worker restarted")
+		if r.phase != runStopping {
+			r.phase = runUnacknowledged
+		}
+		r.acknowledgedAt, r.barredAt, r.stopInFlight = time.Time{}, time.Time{}, false
 	}
 }
