Scheduler: a 421 from a worker's old address doesn't end its runs

A 421 shows that the addressed incarnation has left the address to which the order went, but endIncarnation released all runs of the worker, wherever it was by then. A late response from the address of an earlier entry ended the runs at the present one; a list of workers older than the last report even put the old address back, so that every further order went there.

Change: the 421 counts only for the address at which the worker is listed now (results of orders to an earlier incarnation are ignored already), and what a list says of an incarnation earlier than the known one is not applied.

Evidence: before, TestMisdirectedFromAnotherAddress failed with "0 != 1" runs and TestOlderListOfWorkers with the old address in the worker's ref. Both pass, and so do the tests of scheduler.

--- a/scheduler/fence_test.go
+++ b/scheduler/fence_test.go
@@ -143,3 +143,39 @@
 	h.core.PollDone(h.now, poll, &Report{Clock: 1000, BootedAt: poll.Worker.BootedAt}, OrderAccepted)
 	is.Equal(len(h.core.sortedWorkers[0].runs), 0) // the new incarnation rejects the start from the poll on
 }
+
+// TestMisdirectedFromAnotherAddress guards against a late response from an
+// address at which the worker is not listed any more: that another incarnation
+// responds there does not end the runs at the present address.
+func TestMisdirectedFromAnotherAddress(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.add("j", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 8000))
+	is.Equal(len(h.settle()), 1)
+	h.now = h.now.Add(time.Second)
+	poll := pollOf(t, h.core.Tick(h.now))
+	w := h.core.sortedWorkers[0]
+	info := w.info
+	info.Address = h.address(77)
+	h.core.SetWorkers(h.now, []WorkerInfo{info})
+	h.core.PollDone(h.now, poll, nil, OrderOtherIncarnation)
+	is.Equal(len(w.runs), 1)
+	is.Equal(w.unanswered, 0)
+	h.core.PollDone(h.now, pollOf(t, h.core.Tick(h.now)), nil, OrderOtherIncarnation)
+	is.Equal(len(w.runs), 0) // nothing of that incarnation is left at its address
+}
+
+// TestOlderListOfWorkers guards against a list that is older than what a worker
+// has said of itself: the address of its earlier incarnation is not the present
+// one's, and a response from there would end the present one's runs.
+func TestOlderListOfWorkers(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	older := h.core.sortedWorkers[0].info
+	h.now = h.now.Add(time.Second)
+	newer := older
+	newer.Address, newer.BootedAt = h.address(77), h.now
+	h.core.SetWorkers(h.now, []WorkerInfo{newer})
+	h.core.SetWorkers(h.now, []WorkerInfo{older})
+	is.Equal(h.core.sortedWorkers[0].ref(), WorkerRef{HostID: newer.HostID, Address: newer.Address, BootedAt: newer.BootedAt})
+}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -63,8 +63,7 @@
 	case OrderFenced:
 		c.fenced = true
 	case OrderOtherIncarnation:
-		// Another incarnation responds at the address, so this one has ended.
-		c.endIncarnation(w)
+		c.endIncarnation(w, order.Worker)
 	default:
 		if w.unanswered == 0 {
 			c.log(LogRecord{Worker: w.info.HostID, Event: "worker doesn't answer"})
@@ -74,8 +73,13 @@
 	}
 }
 
-// endIncarnation releases the runs of an incarnation that has provably ended.
-func (c *Core) endIncarnation(w *worker) {
+// endIncarnation releases the runs of an incarnation that has provably ended,
+// because another one responded to an order at its address. It does nothing if
+// the worker is at another address by now.
+func (c *Core) endIncarnation(w *worker, addressed WorkerRef) {
+	if addressed.Address != w.info.Address {
+		return
+	}
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker's incarnation ended", Why: "another incarnation responded at its address"})
 	w.unanswered++
 	w.nextPollAt = c.now.Add(pollRetryInterval)
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -120,7 +120,7 @@
 	case OrderFenced:
 		c.fenced = true
 	case OrderOtherIncarnation:
-		c.endIncarnation(w)
+		c.endIncarnation(w, order.Worker)
 	}
 }
 
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -154,7 +154,9 @@
 	return 0
 }
 
-// SetWorkers replaces the list of workers.
+// SetWorkers replaces the list of workers. The list may be older than what a
+// worker has reported of itself; what it says of an earlier incarnation is then
+// ignored.
 func (c *Core) SetWorkers(now time.Time, infos []WorkerInfo) {
 	c.now = now
 	listed := make(map[requester.HostID]bool, len(infos))
@@ -170,7 +172,9 @@
 			c.markFreed(w)
 			w.nextPollAt = now
 		}
-		w.setInfo(info)
+		if !info.BootedAt.Before(w.bootedAt) || info.BootedAt.IsZero() {
+			w.setInfo(info)
+		}
 		w.listed = true
 		c.updateIncarnation(w, info.BootedAt)
 	}
