Dispatcher: keep the progress of a job whose rows can't be decoded

Change: a progress row is an orphan only if its job has no row. A job whose rows can't be decoded is excluded in the core (Core.Exclude): it isn't added when its row is observed again, and the ends of its runs are not acknowledged, so that an owner that can decode the rows continues it.

Evidence: before, TestRowsThatCannotBeDecoded/job and /progress failed with "not true: s.cell.Row(progress) != nil", and TestEndOfAnExcludedJob with "1 != 0". Both pass, and so do the tests of scheduler and dispatcher.

--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -97,22 +97,25 @@
 }
 
 // removeOrphanedProgress queues the removal of progress rows whose jobs have no
-// row any more.
+// row any more. A job that the core lacks because one of its rows cannot be
+// decoded keeps its progress.
 func (s *session) removeOrphanedProgress(rows map[string][]byte) {
 	for key := range rows {
 		id := requester.JobID(strings.TrimPrefix(key, scheduler.ProgressPrefix))
-		if !strings.HasPrefix(key, scheduler.ProgressPrefix) || key == scheduler.LeasedWorkersKey || s.core.HasJob(id) {
+		if !strings.HasPrefix(key, scheduler.ProgressPrefix) || key == scheduler.LeasedWorkersKey || rows[scheduler.JobKey(id)] != nil {
 			continue
 		}
 		s.pendingDeletes = append(s.pendingDeletes, keeper.Write{Key: key, Delete: true})
 	}
 }
 
-// decodeJob decodes the row of a job. It logs and returns false if that fails.
+// decodeJob decodes the row of a job. If that fails, it logs the error, excludes
+// the job and returns false.
 func (s *session) decodeJob(key string, value []byte) (scheduler.Job, bool) {
 	var job scheduler.Job
 	if err := scheduler.DecodeRow(value, &job); err != nil {
 		s.dispatcher.log.Error().Str("Event", "row").Str("Key", key).Err(err).Msg("decoding the row of a job failed; the job is not scheduled")
+		s.core.Exclude(requester.JobID(key[strings.LastIndex(key, "/")+1:]))
 		return job, false
 	}
 	return job, true
--- a/scheduler/acknowledge.go
+++ b/scheduler/acknowledge.go
@@ -63,7 +63,8 @@
 	if p.job != nil {
 		return p.job.committedVersion >= p.version
 	}
-	return c.jobs[p.ended.Task.Job] == nil && !c.jobsKnownAt.Before(p.reportedAt)
+	id := p.ended.Task.Job
+	return c.jobs[id] == nil && !c.excluded[id] && !c.jobsKnownAt.Before(p.reportedAt)
 }
 
 // storeMark says that whatever was stored before at has a revision of at most
--- a/scheduler/acknowledge_test.go
+++ b/scheduler/acknowledge_test.go
@@ -143,3 +143,21 @@
 	is.Equal(h.exchange(time.Second, ends)["w000"], int64(1))
 	is.Equal(len(h.settle()), 0)
 }
+
+// TestEndOfAnExcludedJob guards against the acknowledgement of an end whose job
+// is stored with rows that this owner cannot decode, and against a start of that
+// job from nothing when its row is observed again.
+func TestEndOfAnExcludedJob(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	job := jobOf("j", stepOf(1, 1000))
+	is.True(h.core.Recover(JobRows{Job: job, Progress: []byte{0xff}}) != nil)
+	task := TaskName{StepName: StepName{Job: "j"}}
+	ends := map[requester.HostID][]EndedRun{"w000": {{Number: 1, Task: task, Run: 1, Kind: EndDone}}}
+	h.exchange(time.Second, ends)
+	h.core.StoreReached(h.now, 10)
+	h.core.JobsKnown(10)
+	is.Equal(h.exchange(time.Second, ends)["w000"], int64(0))
+	h.core.Add(h.now, job)
+	is.Equal(len(h.settle()), 0)
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -96,6 +96,8 @@
 	leasedWorkersDirty bool
 	// timed are the unfinished jobs with occurrences at set times.
 	timed map[requester.JobID]*job
+	// excluded are the jobs whose rows cannot be decoded.
+	excluded map[requester.JobID]bool
 	// unknownEnds are the jobs of pending ends whose job or occurrence the core
 	// has not been told of. Of the jobs in the store, the core has been told of
 	// all as of jobsRevision, and of all that were stored before jobsKnownAt.
@@ -205,6 +207,7 @@
 		workers:        make(map[requester.HostID]*worker),
 		lives:          make(map[requester.HostID]int64),
 		timed:          make(map[requester.JobID]*job),
+		excluded:       make(map[requester.JobID]bool),
 		unknownEnds:    make(map[requester.JobID]bool),
 		awaitingAdvice: make(map[StepName]*step),
 		allowedShares:  make(map[string]float64),
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -136,11 +136,18 @@
 	Cancelled bool
 }
 
-// Recover adds a job that was in the store at the takeover.
+// Exclude excludes a job whose rows cannot be decoded: an owner that can decode
+// them continues it. Until then it is not scheduled, and the ends of its runs
+// are not acknowledged.
+func (c *Core) Exclude(id requester.JobID) { c.excluded[id] = true }
+
+// Recover adds a job that was in the store at the takeover. It excludes the job
+// if its progress cannot be decoded.
 func (c *Core) Recover(rows JobRows) error {
 	var progress progressRow
 	if rows.Progress != nil {
 		if err := DecodeRow(rows.Progress, &progress); err != nil {
+			c.Exclude(rows.Job.JobID)
 			return err
 		}
 	}
@@ -185,7 +192,7 @@
 // Add adds a job that was accepted after the takeover.
 func (c *Core) Add(now time.Time, spec Job) {
 	c.now = now
-	if _, ok := c.jobs[spec.JobID]; ok {
+	if _, ok := c.jobs[spec.JobID]; ok || c.excluded[spec.JobID] {
 		return
 	}
 	j := &job{spec: spec, storedState: notStored}
