Dispatcher: wait for leases that can't be decoded

If the row of leased workers could not be decoded, the error was logged and scheduling started as if no worker held a lease: what still ran on a worker that the new owner could not reach was started again at once, and the row was replaced by one without that worker.

Change: the core assumes that unknown workers hold leases until the longest one that a previous owner can have granted has expired. Until then no run of a previous owner counts as known, and the row is left as it is, so that a successor is no worse off; as a worker gets tasks only once the row contains it, nothing starts meanwhile (some 14 s with the default terms).

Evidence: before, TestLeasesThatCannotBeDecoded failed with "{{ 0 0} 0}: runs 1 and 1048577 overlap". It passes, as do TestUnknownLeasesStayStored and the tests of scheduler and dispatcher.

--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -60,11 +60,7 @@
 func (s *session) recover(rows map[string][]byte) {
 	d := s.dispatcher
 	if leased := rows[scheduler.LeasedWorkersKey]; leased != nil {
-		var row scheduler.LeasedWorkersRow
-		if err := scheduler.DecodeRow(leased, &row); err != nil {
-			d.log.Error().Str("Event", "row").Str("Key", scheduler.LeasedWorkersKey).Err(err).Msg("decoding the row of leased workers failed; workers that may hold leases are missing")
-		}
-		s.core.RestoreLeasedWorkers(row)
+		s.restoreLeasedWorkers(leased)
 	}
 	jobs := 0
 	for key, value := range rows {
@@ -96,6 +92,18 @@
 	d.log.Info().Str("Event", "recovered").Int64("Epoch", s.row.Epoch).Int("Jobs", jobs).Msg("recovered the cell from its rows; scheduling starts")
 }
 
+// restoreLeasedWorkers restores the workers that may hold leases from the value
+// of their row.
+func (s *session) restoreLeasedWorkers(value []byte) {
+	var row scheduler.LeasedWorkersRow
+	if err := scheduler.DecodeRow(value, &row); err != nil {
+		s.dispatcher.log.Error().Str("Event", "row").Str("Key", scheduler.LeasedWorkersKey).Err(err).Msg("decoding the row of leased workers failed; nothing starts until every lease of a previous owner has expired")
+		s.core.AssumeUnknownLeases()
+		return
+	}
+	s.core.RestoreLeasedWorkers(row)
+}
+
 // removeOrphanedProgress queues the removal of progress rows whose jobs have no
 // row any more. A job that the core lacks because one of its rows cannot be
 // decoded keeps its progress.
--- a/dispatcher/rows_test.go
+++ b/dispatcher/rows_test.go
@@ -11,6 +11,7 @@
 	"kumquatstall/dispatcher"
 	"kumquatstall/keeper"
 	"kumquatstall/scheduler"
+	"kumquatstall/standin"
 )
 
 // spoil overwrites rows with bytes that cannot be decoded.
@@ -79,3 +80,33 @@
 	}
 	return count
 }
+
+// TestLeasesThatCannotBeDecoded guards against a new owner that cannot decode
+// which workers may hold leases, and starts again at once what still runs on a
+// worker that it cannot reach.
+func TestLeasesThatCannotBeDecoded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t, 1)
+		defer s.close()
+		for range 4 {
+			is.Equal(s.submit(0, 7000), dispatcher.OutcomeDone)
+		}
+		time.Sleep(time.Second)
+		var cut []*standin.TaskWorker
+		for _, w := range s.cell.Workers() {
+			if runs, _ := w.Runs(time.Now()); len(runs) > 0 && len(cut) < 2 {
+				w.SetPartitioned(true)
+				cut = append(cut, w)
+			}
+		}
+		is.True(len(cut) > 0)
+		s.replaceOwner(func() { s.spoil(scheduler.LeasedWorkersKey) })
+		time.Sleep(6 * time.Second)
+		for _, w := range cut {
+			w.SetPartitioned(false)
+		}
+		time.Sleep(60 * time.Second)
+		s.checkCompleted()
+	})
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -94,6 +94,9 @@
 	// leasedWorkersDirty is true if the stored row of leased workers lacks a
 	// worker or contains a removed one.
 	leasedWorkersDirty bool
+	// unknownLeases is true if workers that this owner does not know of may
+	// hold leases granted by a previous one.
+	unknownLeases bool
 	// timed are the unfinished jobs with occurrences at set times.
 	timed map[requester.JobID]*job
 	// excluded are the jobs whose rows cannot be decoded.
@@ -256,6 +259,9 @@
 // does not know of: each worker to which a previous owner may have granted a
 // lease has reported, or its lease has expired.
 func (c *Core) Reconciled() bool {
+	if c.leasesUnknown() {
+		return false
+	}
 	for _, w := range c.sortedWorkers {
 		if w.inherited && !w.reported && c.now.Before(w.leaseExpiry(c)) {
 			return false
@@ -328,7 +334,7 @@
 // Committed once the transaction has committed.
 func (c *Core) TakeBatch(limit int) *Batch {
 	batch := &Batch{}
-	if c.leasedWorkersDirty {
+	if c.leasedWorkersDirty && !c.leasesUnknown() {
 		c.leasedWorkersDirty = false
 		row := LeasedWorkersRow{}
 		for _, w := range c.sortedWorkers {
--- a/scheduler/takeover_test.go
+++ b/scheduler/takeover_test.go
@@ -71,3 +71,24 @@
 func (h *harness) address(i byte) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i}), 1)
 }
+
+// TestUnknownLeasesStayStored guards against an owner that replaces a row of
+// leased workers that it could not decode while leases of that row may last: its
+// successor would not wait for these workers either.
+func TestUnknownLeasesStayStored(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(0)
+	h.core = New(Options{Epoch: 2, PreviousOwnerTerm: time.Second}, h.now)
+	h.core.AssumeUnknownLeases()
+	h.core.SetWorkers(h.now, []WorkerInfo{{HostID: "w000", Service: "service", Total: workerTotal, BootedAt: h.now, Address: h.address(0)}})
+	writesRow := func() bool {
+		batch := h.core.TakeBatch(1000)
+		return len(batch.Writes) > 0 && batch.Writes[0].Key == LeasedWorkersKey
+	}
+	h.core.Tick(h.now.Add(11 * time.Second)) // a lease of 10 s was granted up to a second after the takeover
+	is.True(!writesRow())
+	is.True(!h.core.Reconciled())
+	h.core.Tick(h.now.Add(12 * time.Second))
+	is.True(writesRow())
+	is.True(h.core.Reconciled())
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -102,13 +102,30 @@
 // MaxLease.
 func (w *worker) leaseExpiry(c *Core) time.Time {
 	if !w.reported {
-		longest := c.options.PreviousOwnerTerm + time.Duration(float64(c.options.MaxLease)/minClockRate)
-		return w.unreportedSince.Add(longest + expiryMargin)
+		return w.unreportedSince.Add(c.longestUnreported())
 	}
 	left := time.Duration(w.leaseDeadline-w.clock) * time.Millisecond
 	return w.clockAt.Add(time.Duration(float64(left)/minClockRate) + expiryMargin)
 }
 
+// longestUnreported returns for how long a worker that has not reported may hold
+// a lease of a previous owner.
+func (c *Core) longestUnreported() time.Duration {
+	return c.options.PreviousOwnerTerm + time.Duration(float64(c.options.MaxLease)/minClockRate) + expiryMargin
+}
+
+// AssumeUnknownLeases is called instead of RestoreLeasedWorkers if the row of
+// leased workers cannot be decoded. Until every lease of a previous owner has
+// expired, the row is not replaced, so that a successor finds it as it is, and no
+// worker gets new tasks.
+func (c *Core) AssumeUnknownLeases() { c.unknownLeases = true }
+
+// leasesUnknown reports whether workers that this owner does not know of may
+// still hold leases.
+func (c *Core) leasesUnknown() bool {
+	return c.unknownLeases && c.now.Before(c.tookOverAt.Add(c.longestUnreported()))
+}
+
 // grantLease returns the lease deadline for an order issued now, or 0 to not
 // renew the lease. The lease of an unresponsive worker is not renewed, so that
 // its tasks can start again elsewhere once it has expired.
