--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -48,7 +48,10 @@
 	for _, row := range rows {
 		byKey[row.Key] = row.Value
 	}
-	s.post(func() { s.recover(byKey) })
+	s.post(func() {
+		s.recover(byKey)
+		s.core.JobsKnown(revision)
+	})
 	return revision, nil
 }
 
@@ -57,11 +60,7 @@
 func (s *session) recover(rows map[string][]byte) {
 	d := s.dispatcher
 	if leased := rows[scheduler.LeasedWorkersKey]; leased != nil {
-		var row scheduler.LeasedWorkersRow
-		if err := scheduler.DecodeRow(leased, &row); err != nil {
-			d.log.Error().Str("Event", "row").Str("Key", scheduler.LeasedWorkersKey).Err(err).Msg("decoding the row of leased workers failed; workers that may hold leases are missing")
-		}
-		s.core.RestoreLeasedWorkers(row)
+		s.restoreLeasedWorkers(leased)
 	}
 	jobs := 0
 	for key, value := range rows {
@@ -93,19 +92,33 @@
 	d.log.Info().Str("Event", "recovered").Int64("Epoch", s.row.Epoch).Int("Jobs", jobs).Msg("recovered the cell from its rows; scheduling starts")
 }
 
+// restoreLeasedWorkers restores the workers that may hold leases from the value
+// of their row.
+func (s *session) restoreLeasedWorkers(value []byte) {
+	var row scheduler.LeasedWorkersRow
+	if err := scheduler.DecodeRow(value, &row); err != nil {
+		s.dispatcher.log.Error().Str("Event", "row").Str("Key", scheduler.LeasedWorkersKey).Err(err).Msg("decoding the row of leased workers failed; nothing starts until every lease of a previous owner has expired")
+		s.core.AssumeUnknownLeases()
+		return
+	}
+	s.core.RestoreLeasedWorkers(row)
+}
+
 // removeOrphanedProgress queues the removal of progress rows whose jobs have no
-// row any more.
+// row any more. A job that the core lacks because one of its rows cannot be
+// decoded keeps its progress.
 func (s *session) removeOrphanedProgress(rows map[string][]byte) {
 	for key := range rows {
 		id := requester.JobID(strings.TrimPrefix(key, scheduler.ProgressPrefix))
-		if !strings.HasPrefix(key, scheduler.ProgressPrefix) || key == scheduler.LeasedWorkersKey || s.core.HasJob(id) {
+		if !strings.HasPrefix(key, scheduler.ProgressPrefix) || key == scheduler.LeasedWorkersKey || rows[scheduler.JobKey(id)] != nil {
 			continue
 		}
 		s.pendingDeletes = append(s.pendingDeletes, keeper.Write{Key: key, Delete: true})
 	}
 }
 
-// decodeJob decodes the row of a job. It logs and returns false if that fails.
+// decodeJob decodes the row of a job. If that fails, it logs the error, excludes
+// the job and returns false.
 func (s *session) decodeJob(key string, value []byte) (scheduler.Job, bool) {
 	var job scheduler.Job
 	err := scheduler.DecodeRow(value, &job)
@@ -114,6 +127,7 @@
 	}
 	if err != nil {
 		s.dispatcher.logOddRow(key, err, "decoding the row of a job failed; the job is not scheduled")
+		s.core.Exclude(requester.JobID(key[strings.LastIndex(key, "/")+1:]))
 		return job, false
 	}
 	return job, true
@@ -136,9 +150,10 @@
 			continue
 		}
 		revision = next
-		if len(changes) > 0 {
-			s.post(func() { s.applyJobs(changes) })
-		}
+		s.post(func() {
+			s.applyJobs(changes)
+			s.core.JobsKnown(next)
+		})
 		if !sleep(s.ctx, jobsWatchInterval) {
 			return
 		}
--- a/scheduler/ends.go
+++ b/scheduler/ends.go
@@ -47,9 +47,12 @@
 // applyEnd applies the reported end of a run. A worker reports an end to each
 // new owner again until it is acknowledged.
 func (c *Core) applyEnd(w *worker, ended EndedRun) {
+	c.log(LogRecord{
+		Job: ended.Task.Job, Task: ended.Task, Run: ended.Run, Worker: w.info.HostID, Event: "run ended",
+		Why: ended.Kind.String() + ", end " + strconv.FormatInt(ended.Number, 10),
+	})
 	key := runKey{ended.Task, ended.Run}
 	t := c.findTask(ended.Task)
-	pending := pendingEnd{number: ended.Number}
 	r := w.runs[key]
 	if r != nil {
 		// The end is certain, so no stop is needed.
@@ -57,9 +60,8 @@
 	}
 	if t != nil && !t.step.job().state.Ended() {
 		c.applyTaskEnd(w, t, ended)
-		pending.job, pending.version = t.step.job(), t.step.job().version
 	}
-	w.pendingEnds = append(w.pendingEnds, pending)
+	c.addPendingEnd(w, ended)
 	if r == nil {
 		return
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -19,8 +19,11 @@
 	inherited bool
 	// reported is true if the worker's current incarnation has responded to a
 	// poll of this owner.
-	reported  bool
-	bootedAt  time.Time
+	reported bool
+	bootedAt time.Time
+	// life numbers the worker's incarnations as far as this owner has seen
+	// them.
+	life      int64
 	runs      map[runKey]*run
 	allocated requester.Resources
 	// clock is a reading of the worker's clock, taken no later than clockAt.
@@ -38,7 +41,9 @@
 	appliedEnd   int64
 	committedEnd int64
 	pendingEnds  []pendingEnd
-	pollInFlight bool
+	// acknowledgedEnd is the highest number that a poll has acknowledged.
+	acknowledgedEnd int64
+	pollInFlight    bool
 	// nextPollAt is the earliest time of the next poll.
 	nextPollAt time.Time
 	// unanswered counts consecutive polls and starts without a usable response;
@@ -100,13 +105,30 @@
 // MaxLease.
 func (w *worker) leaseExpiry(c *Core) time.Time {
 	if !w.reported {
-		longest := c.options.PreviousOwnerTerm + time.Duration(float64(c.options.MaxLease)/minClockRate)
-		return w.unreportedSince.Add(longest + expiryMargin)
+		return w.unreportedSince.Add(c.longestUnreported())
 	}
 	left := time.Duration(w.leaseDeadline-w.clock) * time.Millisecond
 	return w.clockAt.Add(time.Duration(float64(left)/minClockRate) + expiryMargin)
 }
 
+// longestUnreported returns for how long a worker that has not reported may hold
+// a lease of a previous owner.
+func (c *Core) longestUnreported() time.Duration {
+	return c.options.PreviousOwnerTerm + time.Duration(float64(c.options.MaxLease)/minClockRate) + expiryMargin
+}
+
+// AssumeUnknownLeases is called instead of RestoreLeasedWorkers if the row of
+// leased workers cannot be decoded. Until every lease of a previous owner has
+// expired, the row is not replaced, so that a successor finds it as it is, and no
+// worker gets new tasks.
+func (c *Core) AssumeUnknownLeases() { c.unknownLeases = true }
+
+// leasesUnknown reports whether workers that this owner does not know of may
+// still hold leases.
+func (c *Core) leasesUnknown() bool {
+	return c.unknownLeases && c.now.Before(c.tookOverAt.Add(c.longestUnreported()))
+}
+
 // grantLease returns the lease deadline for an order issued now, or 0 to not
 // renew the lease. The lease of an unresponsive worker is not renewed, so that
 // its tasks can start again elsewhere once it has expired.
@@ -135,6 +157,7 @@
 		return w
 	}
 	w := &worker{info: info, runs: make(map[runKey]*run), unreportedSince: c.tookOverAt}
+	c.nextLife(w)
 	c.workers[info.HostID] = w
 	c.sortedWorkers = append(c.sortedWorkers, w)
 	slices.SortFunc(c.sortedWorkers, func(a, b *worker) int { return compareHosts(a.info.HostID, b.info.HostID) })
@@ -151,7 +174,9 @@
 	return 0
 }
 
-// SetWorkers replaces the list of workers.
+// SetWorkers replaces the list of workers. The list may be older than what a
+// worker has reported of itself; what it says of an earlier incarnation is then
+// ignored.
 func (c *Core) SetWorkers(now time.Time, infos []WorkerInfo) {
 	c.now = now
 	listed := make(map[requester.HostID]bool, len(infos))
@@ -167,7 +192,9 @@
 			c.markFreed(w)
 			w.nextPollAt = now
 		}
-		w.setInfo(info)
+		if !info.BootedAt.Before(w.bootedAt) || info.BootedAt.IsZero() {
+			w.setInfo(info)
+		}
 		w.listed = true
 		c.updateIncarnation(w, info.BootedAt)
 	}
@@ -213,8 +240,8 @@
 }
 
 // updateIncarnation handles a boot time observed for a worker. If it shows a
-// new incarnation, the runs of the previous one have ended, except for
-// unacknowledged starts, which the new incarnation may still execute.
+// new incarnation, the runs that the previous one has reported have ended. The
+// new incarnation may have executed all other starts, or may still do so.
 func (c *Core) updateIncarnation(w *worker, bootedAt time.Time) {
 	if bootedAt.IsZero() || !bootedAt.After(w.bootedAt) {
 		return
@@ -225,20 +252,25 @@
 	}
 	w.bootedAt = bootedAt
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker reborn"})
-	w.appliedEnd, w.committedEnd, w.pendingEnds = 0, 0, nil
+	c.nextLife(w)
+	w.appliedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds = 0, 0, 0, nil
 	w.clock, w.leaseDeadline = 0, 0
 	w.clockAt = time.Time{}
 	w.reported = false
 	w.unreportedSince = c.now
+	// A poll in flight was meant for the previous incarnation.
+	w.pollInFlight, w.nextPollAt = false, c.now
 	w.health = health{}
 	w.speedAt = time.Time{}
 	for _, r := range w.sortedRuns() {
-		if r.phase == runStarting || r.phase == runUnacknowledged || r.phase == runStopping && r.acknowledgedAt.IsZero() {
-			r.phase = runUnacknowledged
-			r.stopInFlight = false
+		if r.reported {
+			c.stats.Lapsed++
+			c.releaseLost(r, "its worker restarted")
 			continue
 		}
-		c.stats.Lapsed++
-		c.releaseLost(r, "its worker restarted")
+		if r.phase != runStopping {
+			r.phase = runUnacknowledged
+		}
+		r.acknowledgedAt, r.barredAt, r.stopInFlight = time.Time{}, time.Time{}, false
 	}
 }
