scheduler: rooms of workers shrink and grow in the random runs

The simulation's workers now do: in one or all of three resources, to nothing, below what runs or to a share, for short, long or good, beside takeovers, an absent store, delayed orders, cancels and crashes. A row shows a room at the next heartbeat, a crashed worker's row stands until the next incarnation's replaces it, and that one may have less room. The check has the rule's bound: a start that was issued later than contact_ms and one heartbeat after a shrink has to fit, with all that still runs or stops there; none is counted within contact_ms after the store was away, as no list can be read meanwhile. Two mutations show that it bites: a core that doesn't heed a shrunk room, or not that of accelerators.

--- a/scheduler/mutation_test.go
+++ b/scheduler/mutation_test.go
@@ -72,6 +72,16 @@
 				}
 			}
 		}},
+		{"a shrunk room is not heeded", simulationOptions{shrinks: 15}, func(c *Core) {
+			for _, w := range c.sortedWorkers {
+				w.info.Total = fullRoom
+			}
+		}},
+		{"accelerators that have gone are not heeded", simulationOptions{shrinks: 15}, func(c *Core) {
+			for _, w := range c.sortedWorkers {
+				w.info.Total.Accelerators = fullRoom.Accelerators
+			}
+		}},
 		{"failed runs are counted twice", simulationOptions{failures: 0.15}, func(c *Core) {
 			for _, j := range c.jobs {
 				for _, o := range j.occurrences {
--- a/scheduler/randomised_test.go
+++ b/scheduler/randomised_test.go
@@ -23,7 +23,7 @@
 			ofStep++
 		}
 	}
-	if !used.Add(step.Need).Fits(f.info.Total) {
+	if !used.Add(step.Need).Fits(f.countedRoom()) {
 		sim.problem("%v started on %s beyond its capacity", name, f.info.HostID)
 	}
 	if step.AntiAffinity > 0 && ofStep >= step.AntiAffinity {
@@ -157,6 +157,11 @@
 		{"cancels, failures", simulationOptions{cancels: 0.3, failures: 0.2}},
 		{"takeovers, cancels", simulationOptions{takeovers: 6, cancels: 0.5}},
 		{"takeovers, failures", simulationOptions{takeovers: 8, failures: 0.3}},
+		{"shrinks", simulationOptions{shrinks: 15}},
+		{"shrinks, outages", simulationOptions{shrinks: 15, outages: 2}},
+		{"shrinks, takeovers, delayed orders", simulationOptions{shrinks: 15, takeovers: 3, delayedOrders: 0.03}},
+		{"shrinks, crashes, lost responses", simulationOptions{shrinks: 10, crashes: 2, lostResponses: 0.03}},
+		{"shrinks, cancels, partitions", simulationOptions{shrinks: 15, cancels: 0.3, partitions: 2}},
 		{"crashes, takeovers, failures", simulationOptions{crashes: 2, takeovers: 2, failures: 0.05}},
 	}
 	for _, kind := range kinds {
--- /dev/null
+++ b/scheduler/shrink_test.go
@@ -0,0 +1,221 @@
+package scheduler
+
+import (
+	"time"
+
+	"kumquatstall/requester"
+)
+
+// The workers of a simulation with the option shrinks have rooms that shrink
+// and grow. A worker's row shows its room at the worker's next heartbeat, and
+// no heartbeat reaches a store that is away. A worker that has crashed may come
+// back with another room, and its row is there until that of the next
+// incarnation replaces it.
+
+const (
+	// rowInterval is the interval between the heartbeats of a worker.
+	rowInterval = 1500 * time.Millisecond
+	// contactTime is how long the store must have been there for what is known
+	// of it to count as current.
+	contactTime = 3 * time.Second
+	// roomBound is the time from which on a start must heed that a room has
+	// shrunk.
+	roomBound = contactTime + rowInterval
+	// ownerTerm is how long an owner goes on without the store.
+	ownerTerm = 800 * time.Millisecond
+)
+
+// fullRoom is the room of a worker that has not shrunk.
+var fullRoom = requester.Resources{MilliCores: 8000, MemoryMB: 16000, Accelerators: 2}
+
+// simulatedRooms is what a simulation keeps for rooms that shrink.
+type simulatedRooms struct {
+	// outageEnds is when the store is there again, outageBegan when it was last
+	// lost.
+	outageBegan, outageEnds time.Time
+	// shrunkForGood counts the workers whose room does not grow again.
+	shrunkForGood int
+}
+
+// fakeRoom is a worker's room over time.
+type fakeRoom struct {
+	// changes are the rooms of the current incarnation, oldest first.
+	changes []roomChange
+	// shown and shownBoot are the room and the incarnation that the worker's
+	// row shows.
+	shown     requester.Resources
+	shownBoot time.Time
+	// nextRowAt is the time of the next heartbeat.
+	nextRowAt time.Time
+	// crashedAt is when the worker last crashed.
+	crashedAt time.Time
+	// issuedAt is when the start that is being executed was issued.
+	issuedAt time.Time
+	// serial numbers the changes, so that the end of a shrink does not undo a
+	// later one.
+	serial int
+}
+
+type roomChange struct {
+	at    time.Time
+	total requester.Resources
+}
+
+// furnish gives the workers their first rooms.
+func (sim *simulation) furnish() {
+	for i, f := range sim.workers {
+		if sim.options.shrinks > 0 {
+			f.info.Total = fullRoom
+		}
+		f.room.changes = []roomChange{{sim.now, f.info.Total}}
+		f.room.shown, f.room.shownBoot = f.info.Total, f.info.BootedAt
+		f.room.nextRowAt = sim.now.Add(time.Duration(i) * rowInterval / time.Duration(len(sim.workers)))
+	}
+}
+
+// furnishAnew gives a new incarnation its room, which may be smaller than that
+// of the one before. Its row shows it a little later.
+func (f *fakeWorker) furnishAnew() {
+	if f.sim.options.shrinks == 0 {
+		return
+	}
+	room := fullRoom
+	if f.sim.random.IntN(2) == 0 {
+		room = requester.Resources{MilliCores: 4000, MemoryMB: 6000, Accelerators: 1}
+	}
+	f.room.changes = nil
+	f.setRoom(room)
+	f.room.nextRowAt = f.sim.now.Add(time.Duration(f.sim.random.IntN(300)) * time.Millisecond)
+	f.growAfter(time.Duration(f.sim.random.IntN(9000)) * time.Millisecond)
+}
+
+func (f *fakeWorker) setRoom(total requester.Resources) {
+	f.room.serial++
+	f.room.changes = append(f.room.changes, roomChange{f.sim.now, total})
+}
+
+// growAfter gives the worker its full room again, unless it changes before.
+func (f *fakeWorker) growAfter(wait time.Duration) {
+	serial := f.room.serial
+	f.sim.after(wait, func() {
+		if serial == f.room.serial && !f.crashed {
+			f.setRoom(fullRoom)
+		}
+	})
+}
+
+// shrink shrinks the worker's room in one or all resources: to nothing, below
+// what runs, or to some share. Few rooms stay small; the others grow again
+// after a short or a long time.
+func (f *fakeWorker) shrink() {
+	sim, r := f.sim, f.sim.random
+	if f.crashed {
+		return
+	}
+	var used requester.Resources
+	for _, run := range f.runs {
+		used = used.Add(run.need)
+	}
+	smaller := func(full, used int64) int64 {
+		switch r.IntN(3) {
+		case 0:
+			return 0
+		case 1:
+			return min(full, used/2)
+		}
+		return r.Int64N(full + 1)
+	}
+	room := requester.Resources{
+		MilliCores:   smaller(fullRoom.MilliCores, used.MilliCores),
+		MemoryMB:     smaller(fullRoom.MemoryMB, used.MemoryMB),
+		Accelerators: smaller(fullRoom.Accelerators, used.Accelerators),
+	}
+	switch r.IntN(4) {
+	case 0:
+		room.MemoryMB, room.Accelerators = fullRoom.MemoryMB, fullRoom.Accelerators
+	case 1:
+		room.MilliCores, room.Accelerators = fullRoom.MilliCores, fullRoom.Accelerators
+	case 2:
+		room.MilliCores, room.MemoryMB = fullRoom.MilliCores, fullRoom.MemoryMB
+	}
+	f.setRoom(room)
+	switch {
+	case r.IntN(20) == 0 && sim.rooms.shrunkForGood < len(sim.workers)/3:
+		sim.rooms.shrunkForGood++
+	case r.IntN(2) == 0:
+		f.growAfter(time.Duration(20+r.IntN(2000)) * time.Millisecond)
+	default:
+		f.growAfter(time.Duration(2000+r.IntN(12000)) * time.Millisecond)
+	}
+}
+
+// rowStands reports whether the row of a crashed worker is still there. It is
+// removed after three intervals of silence.
+func (f *fakeWorker) rowStands() bool {
+	return f.sim.options.shrinks > 0 && f.sim.now.Sub(f.room.crashedAt) < 3*rowInterval
+}
+
+// showRoom makes the worker's row show its room once its heartbeat is due.
+func (f *fakeWorker) showRoom() {
+	if f.sim.now.Before(f.room.nextRowAt) || f.sim.storeAway() {
+		return
+	}
+	f.room.nextRowAt = f.sim.now.Add(rowInterval)
+	f.room.shown, f.room.shownBoot = f.room.changes[len(f.room.changes)-1].total, f.bootedAt
+}
+
+// row returns the worker's row in the list of workers.
+func (f *fakeWorker) row() WorkerInfo {
+	info := f.info
+	if f.sim.options.shrinks > 0 {
+		info.Total, info.BootedAt = f.room.shown, f.room.shownBoot
+	}
+	return info
+}
+
+// countedRoom returns the room that counts for the start that is being
+// executed: in each resource the largest since roomBound before the start was
+// issued. If the store was away within contactTime before that, the owner need
+// not know any room.
+func (f *fakeWorker) countedRoom() requester.Resources {
+	sim, issuedAt := f.sim, f.room.issuedAt
+	if !sim.rooms.outageBegan.IsZero() && sim.rooms.outageBegan.Before(issuedAt) && issuedAt.Before(sim.rooms.outageEnds.Add(contactTime)) {
+		return fullRoom
+	}
+	since := issuedAt.Add(-roomBound)
+	var counted requester.Resources
+	for i, change := range f.room.changes {
+		if i+1 < len(f.room.changes) && f.room.changes[i+1].at.Before(since) {
+			continue // it ended before
+		}
+		counted = counted.Max(change.total)
+	}
+	return counted
+}
+
+// startOutage makes the store go away for some time, during which no list is
+// read, no batch is committed, and the owner stops once its term is over.
+func (sim *simulation) startOutage() {
+	if !sim.storeAway() {
+		sim.rooms.outageBegan = sim.now
+		sim.rooms.outageEnds = sim.now.Add(time.Duration(200+sim.random.IntN(9000)) * time.Millisecond)
+	}
+}
+
+func (sim *simulation) storeAway() bool { return sim.now.Before(sim.rooms.outageEnds) }
+
+func (sim *simulation) untilStoreIsBack() time.Duration {
+	return max(0, sim.rooms.outageEnds.Sub(sim.now))
+}
+
+func (sim *simulation) ownerWithoutTerm() bool {
+	return sim.storeAway() && sim.now.Sub(sim.rooms.outageBegan) >= ownerTerm
+}
+
+// addAccelerators makes some steps of a simulation with rooms that shrink need
+// accelerators.
+func (sim *simulation) addAccelerators(s *Step) {
+	if sim.options.shrinks > 0 && sim.random.IntN(4) == 0 {
+		s.Need.Accelerators = 1
+	}
+}
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -36,6 +36,7 @@
 	problems     []string
 	// permanentCrashes counts the workers that crashed and never restart.
 	permanentCrashes int
+	rooms            simulatedRooms
 }
 
 // simulationOptions sets the load and the rates of faults.
@@ -59,6 +60,10 @@
 	// runs that fail.
 	cancels  float64
 	failures float64
+	// shrinks and outages are the probabilities, in thousandths per tick, that
+	// a worker's room shrinks and that the store is away.
+	shrinks float64
+	outages float64
 	// mutate breaks a rule of the core before each tick, if it is set.
 	mutate func(*Core)
 }
@@ -93,6 +98,7 @@
 	crashed      bool
 	// clockRate is the rate of its clock, 1 being exact.
 	clockRate float64
+	room      fakeRoom
 }
 
 type fakeRun struct {
@@ -152,6 +158,7 @@
 			clockRate:  0.98 + 0.02*sim.random.Float64(),
 		})
 	}
+	sim.furnish()
 	sim.takeOver()
 	return sim
 }
@@ -207,8 +214,8 @@
 func (sim *simulation) listWorkers() {
 	var infos []WorkerInfo
 	for _, f := range sim.workers {
-		if !f.crashed {
-			infos = append(infos, f.info)
+		if !f.crashed || f.rowStands() {
+			infos = append(infos, f.row())
 		}
 	}
 	sim.core.SetWorkers(sim.now, infos)
@@ -237,6 +244,7 @@
 		if i > 0 && r.IntN(3) > 0 {
 			s.After = []int{r.IntN(i)}
 		}
+		sim.addAccelerators(&s)
 		job.Steps = append(job.Steps, s)
 	}
 	sim.accepted[job.JobID] = job
@@ -266,13 +274,15 @@
 		for _, f := range sim.workers {
 			f.tick()
 		}
-		if step%70 == 0 {
+		if step%70 == 0 && !sim.storeAway() {
 			sim.listWorkers()
 		}
 		if sim.options.mutate != nil {
 			sim.options.mutate(sim.core)
 		}
-		sim.deliver(sim.core.Tick(sim.now))
+		if !sim.ownerWithoutTerm() {
+			sim.deliver(sim.core.Tick(sim.now))
+		}
 		sim.commit()
 		sim.check()
 		if len(sim.problems) > 0 {
@@ -291,9 +301,15 @@
 	case draw < o.crashes+o.partitions:
 		f.partitionedUntil = sim.now.Add(time.Duration(r.IntN(14000)) * time.Millisecond)
 	case draw < o.crashes+o.partitions+o.takeovers:
-		sim.takeOver()
+		if !sim.storeAway() {
+			sim.takeOver()
+		}
 	case draw < o.crashes+o.partitions+o.takeovers+o.stalls:
 		f.stalledUntil = sim.now.Add(time.Duration(r.IntN(9000)) * time.Millisecond)
+	case draw < o.crashes+o.partitions+o.takeovers+o.stalls+o.shrinks:
+		f.shrink()
+	case draw < o.crashes+o.partitions+o.takeovers+o.stalls+o.shrinks+o.outages:
+		sim.startOutage()
 	}
 }
 
@@ -324,7 +340,7 @@
 	}
 	sim.commitInFlight = batch
 	core := sim.core
-	sim.after(time.Duration(5+sim.random.IntN(60))*time.Millisecond, func() {
+	sim.after(sim.untilStoreIsBack()+time.Duration(5+sim.random.IntN(60))*time.Millisecond, func() {
 		if core != sim.core {
 			return
 		}
@@ -356,8 +372,10 @@
 			return func() { core.StopDone(sim.now, order, result) }
 		}, func() { core.StopDone(sim.now, order, OrderUnknown) }, core, true)
 	}
+	issuedAt := sim.now
 	for _, order := range orders.Starts {
 		sim.send(order.Worker, func(f *fakeWorker) func() {
+			f.room.issuedAt = issuedAt
 			result := f.start(order)
 			return func() { core.StartDone(sim.now, order, result) }
 		}, func() { core.StartDone(sim.now, order, OrderUnknown) }, core, true)
@@ -487,6 +505,7 @@
 	if f.crashed {
 		return
 	}
+	f.showRoom()
 	keys := make([]runKey, 0, len(f.runs))
 	for key := range f.runs {
 		keys = append(keys, key)
@@ -602,6 +621,7 @@
 		return
 	}
 	f.crashed = true
+	f.room.crashedAt = sim.now
 	for key := range f.runs {
 		delete(f.runs, key)
 	}
@@ -617,5 +637,6 @@
 		f.barredRuns = make(map[TaskName]RunNumber)
 		f.bootedAt = sim.now
 		f.info.BootedAt = sim.now
+		f.furnishAnew()
 	})
 }
