scheduler: a worker born again gets tasks by its own room and labels

A worker may come back as another kind under its id. Its first report makes the core use it again at once, but the list with its new room and labels is read up to 700 ms later, after the worker's first heartbeat; until then the core placed by those of the incarnation before.

Now a worker is usable only while the list shows the incarnation that its reports come from, and waiting tasks look at it again as soon as the list does.

Failed before: TestRoomOfEarlierIncarnation (1 start, want 0) and, each time, TestRandomisedFaults/shrinks,_crashes,_lost_responses/2 and /4 ("started on w04 beyond its capacity").

--- a/scheduler/shrink_test.go
+++ b/scheduler/shrink_test.go
@@ -1,8 +1,11 @@
 package scheduler
 
 import (
+	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"kumquatstall/requester"
 )
 
@@ -231,3 +234,48 @@
 		s.Need.Accelerators = 1
 	}
 }
+
+// info returns what the list shows of a worker of a harness.
+func (h *harness) info(number int) WorkerInfo { return h.core.sortedWorkers[number].info }
+
+// list shows a list that differs from the last one in the given workers.
+func (h *harness) list(changed ...WorkerInfo) {
+	var infos []WorkerInfo
+	for _, w := range h.core.sortedWorkers {
+		info := w.info
+		for _, other := range changed {
+			if other.HostID == info.HostID {
+				info = other
+			}
+		}
+		infos = append(infos, info)
+	}
+	h.core.SetWorkers(h.now, infos)
+}
+
+// resize lists a worker with another room.
+func (h *harness) resize(number int, total requester.Resources) {
+	info := h.info(number)
+	info.Total = total
+	h.list(info)
+}
+
+// TestRoomOfEarlierIncarnation guards against tasks that a worker that has
+// started again, with less room, gets by the room that it had before.
+func TestRoomOfEarlierIncarnation(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	w := h.core.sortedWorkers[0]
+	h.now = h.now.Add(time.Second)
+	reborn := h.info(0)
+	reborn.BootedAt = h.now
+	reborn.Total = requester.Resources{MilliCores: 2000, MemoryMB: 4000}
+	h.core.PollDone(h.now, PollOrder{Worker: w.ref(), SentAt: h.now}, &Report{Clock: 1, BootedAt: h.now}, OrderAccepted)
+	h.add("large", Policy{Stretch: 9}, stepOf(1, 8000))
+	h.add("small", Policy{Stretch: 9}, stepOf(1, 1000))
+	is.Equal(len(h.settle()), 0) // the list still has the earlier incarnation
+	h.list(reborn)
+	starts := h.settle()
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Task.Job, requester.JobID("small"))
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -70,7 +70,7 @@
 // usable reports whether the worker may get new tasks, leaving aside transient
 // conditions.
 func (w *worker) usable() bool {
-	return w.listed && w.leaseRecorded && w.reported && !w.info.Leaving && w.unsized == 0
+	return w.listed && w.leaseRecorded && w.reported && !w.info.Leaving && w.unsized == 0 && w.roomKnown()
 }
 
 // eligible reports whether the worker may get new tasks now: it is usable, has
@@ -164,6 +164,7 @@
 			c.markFreed(w)
 			w.nextPollAt = now
 		}
+		c.updateRoom(w, info)
 		w.setInfo(info)
 		w.listed = true
 		c.updateIncarnation(w, info.BootedAt)
