scheduler: waiting tasks find room that has grown at once

When a worker's capacity grew again, tasks that waited for room found it only at the next scan of all workers, up to 500 ms later: a pass between two full scans looks only at the workers that are marked as freed, and the list of workers replaced the capacity without such a mark.

TestGrownRoomIsUsedAtOnce failed before (0 starts in the tick after the list, want 1). A worker that the list shows with more of any resource than before is now marked as freed, as one on which a run has ended, so the next pass looks at it for every waiting step. A step that needs advice and has none on the worker still waits for its next look at further workers, as for a new worker.

--- a/scheduler/shrink.go
+++ b/scheduler/shrink.go
@@ -13,7 +13,7 @@
 // updateRoom prepares a worker for the info that replaces its present one:
 // waiting tasks look at it again if it may have more room than was known.
 func (c *Core) updateRoom(w *worker, info WorkerInfo) {
-	if !info.BootedAt.Equal(w.info.BootedAt) {
+	if !info.BootedAt.Equal(w.info.BootedAt) || !info.Total.Fits(w.info.Total) {
 		c.markFreed(w)
 	}
 }
--- a/scheduler/shrink_test.go
+++ b/scheduler/shrink_test.go
@@ -279,3 +279,20 @@
 	is.Equal(len(starts), 1)
 	is.Equal(starts[0].Task.Job, requester.JobID("small"))
 }
+
+// TestGrownRoomIsUsedAtOnce guards against waiting tasks that find room that
+// has grown only at the next scan of all workers.
+func TestGrownRoomIsUsedAtOnce(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(3)
+	h.resize(1, requester.Resources{})
+	h.add("full", Policy{Stretch: 9}, stepOf(2, 8000))
+	is.Equal(len(h.settle()), 2)
+	h.add("waiting", Policy{Stretch: 9}, stepOf(1, 4000))
+	is.Equal(len(h.settle()), 0)
+	h.resize(1, workerTotal)
+	is.Equal(len(h.advance(tickOfSession)), 1)
+}
+
+// tickOfSession is the time between two ticks of a busy owner.
+const tickOfSession = 10 * time.Millisecond
