scheduler: no workers are held for a gang on a worker that is over its room

A gang could have workers reserved for it that it can't use: other tasks were kept off them until the reservation timed out, and after a cool-down of 3 s it was planned the same way again. Where a worker's accelerators have shrunk below what runs there, no task starts, not even one without accelerators. But slotsIn counts a resource that isn't needed as unbounded, also where it is exceeded, so a reservation took the worker for one with room now.

TestShrunkRoomHoldsNoGang failed before (1 reservation, want 0; the worker takes nothing for a minute). slotsIn now says that nothing fits where Fits says so, so that plans and starts count alike.

--- a/scheduler/candidate.go
+++ b/scheduler/candidate.go
@@ -264,8 +264,12 @@
 }
 
 // slotsIn returns how many tasks with the given need fit into the available
-// resources, at most limit.
+// resources, at most limit. None fit where a resource is exceeded already, even
+// if they need none of it.
 func slotsIn(available, need requester.Resources, limit int) int {
+	if !need.Fits(available) {
+		return 0
+	}
 	return max(0, min(limit,
 		quotient(available.MilliCores, need.MilliCores, limit),
 		quotient(available.MemoryMB, need.MemoryMB, limit),
--- a/scheduler/shrink_test.go
+++ b/scheduler/shrink_test.go
@@ -296,3 +296,30 @@
 
 // tickOfSession is the time between two ticks of a busy owner.
 const tickOfSession = 10 * time.Millisecond
+
+// TestShrunkRoomHoldsNoGang guards against a gang for which a worker is
+// reserved whose accelerators have shrunk below what runs there, so that it
+// takes no task at all until that ends.
+func TestShrunkRoomHoldsNoGang(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(8)
+	total := workerTotal
+	total.Accelerators = 2
+	h.resize(0, total)
+	accelerated := Step{Count: 1, Need: requester.Resources{MilliCores: 1000, MemoryMB: 100, Accelerators: 2}, EstimateMillis: 60_000}
+	h.add("accelerated", Policy{Stretch: 9}, accelerated)
+	is.Equal(len(h.settle()), 1)
+	busy := stepOf(1, 8000)
+	busy.EstimateMillis = 2000
+	h.add("busy", Policy{Stretch: 9}, busy)
+	long := stepOf(6, 8000)
+	long.EstimateMillis = 60_000
+	h.add("long", Policy{Stretch: 9}, long)
+	is.Equal(len(h.settle()), 7)
+	total.Accelerators = 1
+	h.resize(0, total)
+	h.add("gang", Policy{Stretch: 20}, gangOf(2, 5000))
+	h.settle()
+	h.advance(reservationInterval)
+	is.Equal(len(h.core.reservations), 0) // the first worker takes nothing for a minute
+}
