scheduler: tests of what a shrunk room leaves alone

Two tests of what holds already, so that it stays: a reservation for a gang ends when the room of a reserved worker shrinks below what the gang needs, and the gang starts where there is room; and when a room shrinks to nothing, what runs there runs on (gangs and tasks that last included), nothing is started there, and waiting tasks go to other workers. Both pass on the commit before as well.

--- a/scheduler/shrink_test.go
+++ b/scheduler/shrink_test.go
@@ -323,3 +323,50 @@
 	h.advance(reservationInterval)
 	is.Equal(len(h.core.reservations), 0) // the first worker takes nothing for a minute
 }
+
+// TestShrunkRoomEndsReservation checks that a gang loses a reservation once the
+// room of a reserved worker has shrunk below what the gang needs, and starts
+// where there is room.
+func TestShrunkRoomEndsReservation(t *testing.T) {
+	is := is.New(t)
+	h := reservedHarness(t)
+	reserved := h.core.reservations[0].workers[0].worker
+	info := reserved.info
+	info.Total.MilliCores = 5000
+	h.list(info)
+	h.advance(reservationInterval)
+	for _, res := range h.core.reservations {
+		is.True(res.workers[0].worker != reserved)
+	}
+	is.Equal(reserved.reservation, nil)
+	h.advance(2 * time.Second)
+	h.endAfter(2 * time.Second)
+	starts := h.settle()
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Task.Job, requester.JobID("gang"))
+	is.True(starts[0].Worker.HostID != reserved.info.HostID)
+}
+
+// TestShrunkRoomStopsNothing checks that what runs on a worker runs on when its
+// room shrinks to nothing, gangs and tasks that last included, that nothing is
+// started there until it has grown again, and that waiting tasks go elsewhere.
+func TestShrunkRoomStopsNothing(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(2)
+	lasting := stepOf(1, 1000)
+	lasting.LongRunning = true
+	h.add("gang", Policy{Stretch: 9}, gangOf(2, 5000))
+	h.add("lasting", Policy{Stretch: 9}, lasting)
+	is.Equal(len(h.settle()), 3)
+	h.resize(0, requester.Resources{})
+	h.add("waiting", Policy{Stretch: 9}, stepOf(4, 500))
+	starts := h.settle()
+	for range 20 {
+		starts = append(starts, h.advance(100*time.Millisecond)...)
+	}
+	is.Equal(h.core.Stats().Stops, int64(0))
+	is.Equal(len(starts), 4)
+	for _, start := range starts {
+		is.Equal(start.Worker.HostID, h.info(1).HostID)
+	}
+}
