scheduler: log and count changes of a worker's capacity

An operator couldn't see that a worker's capacity had changed: the list of workers replaced it without a line or a counter, so tasks that wait while a worker looks half empty had no visible cause. TestChangedRoomIsLogged checks lines and counters, and that a list that repeats a capacity adds neither.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -141,6 +141,10 @@
 	// WorkersRested counts suspensions of workers on which several jobs failed
 	// in a row.
 	WorkersRested int64
+	// RoomsShrunk and RoomsGrown count the changes of the capacity of workers to
+	// less, or more, of a resource; a change may be both.
+	RoomsShrunk int64
+	RoomsGrown  int64
 	// Holds counts the reservations of workers for gangs.
 	Holds int64
 	// Stalled counts runs that were stopped because they made no progress; the
--- a/scheduler/shrink_test.go
+++ b/scheduler/shrink_test.go
@@ -347,6 +347,37 @@
 	is.True(starts[0].Worker.HostID != reserved.info.HostID)
 }
 
+// TestChangedRoomIsLogged checks the log line and the counters of a worker's
+// changed capacity; a list that repeats the capacity adds neither.
+func TestChangedRoomIsLogged(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.add("job", Policy{Stretch: 9}, stepOf(1, 5000))
+	is.Equal(len(h.settle()), 1)
+	h.core.TakeLogRecords()
+	for _, total := range []requester.Resources{
+		workerTotal,
+		{MilliCores: 4000, MemoryMB: 16000},
+		{MilliCores: 8000, MemoryMB: 8000},
+		workerTotal,
+	} {
+		h.resize(0, total)
+	}
+	var lines []string
+	for _, record := range h.core.TakeLogRecords() {
+		is.Equal(record.Event, "worker's capacity")
+		is.Equal(record.Worker, h.info(0).HostID)
+		lines = append(lines, record.Why)
+	}
+	is.Equal(lines, []string{
+		"now 4000 MilliCores, 16000 MemoryMB, 0 Accelerators, before 8000 MilliCores, 16000 MemoryMB, 0 Accelerators; its runs exceed it, with 5000 MilliCores, 100 MemoryMB, 0 Accelerators",
+		"now 8000 MilliCores, 8000 MemoryMB, 0 Accelerators, before 4000 MilliCores, 16000 MemoryMB, 0 Accelerators",
+		"now 8000 MilliCores, 16000 MemoryMB, 0 Accelerators, before 8000 MilliCores, 8000 MemoryMB, 0 Accelerators",
+	})
+	is.Equal(h.core.Stats().RoomsShrunk, int64(2))
+	is.Equal(h.core.Stats().RoomsGrown, int64(2))
+}
+
 // TestShrunkRoomStopsNothing checks that what runs on a worker runs on when its
 // room shrinks to nothing, gangs and tasks that last included, that nothing is
 // started there until it has grown again, and that waiting tasks go elsewhere.
