--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -78,7 +78,7 @@
 // usable reports whether the worker may get new tasks, leaving aside transient
 // conditions.
 func (w *worker) usable() bool {
-	return w.listed && w.leaseRecorded && w.reported && !w.info.Leaving && w.unsized == 0
+	return w.listed && w.leaseRecorded && w.reported && !w.info.Leaving && w.unsized == 0 && w.roomKnown()
 }
 
 // eligible reports whether the worker may get new tasks now: it is usable, has
@@ -193,6 +193,7 @@
 			w.nextPollAt = now
 		}
 		if !info.BootedAt.Before(w.bootedAt) || info.BootedAt.IsZero() {
+			c.updateRoom(w, info)
 			w.setInfo(info)
 		}
 		w.listed = true
