Stand-in: slow store, late orders, acknowledgements on arrival

The cell could not slow its store down, nor carry an order out late, so no soak lost an owner inside a commit or let an old order reach a worker's next life. An order to an earlier life is lost while the present life has executed none, since no owner could prevent its effect.

CheckRuns names worker and times.

--- a/standin/cell.go
+++ b/standin/cell.go
@@ -31,6 +31,13 @@
 	// OrderResponseLoss is the share, from 0 to 1, of the orders delivered to a
 	// worker that return OrderUnknown, as if no response were received.
 	OrderResponseLoss float64
+	// StoreDelay is how much longer each call to the store, the configuration and
+	// the list of workers takes. A transaction commits at a random moment of it.
+	StoreDelay time.Duration
+	// OrdersLate is the share, from 0 to 1, of the orders that get no response and
+	// that the worker executes minOrderDelay to maxOrderDelay later, also if it
+	// has restarted by then.
+	OrdersLate float64
 	// WorkerRowsExpired makes the list of workers empty, as if the workers had
 	// stopped renewing their rows.
 	WorkerRowsExpired bool
@@ -172,10 +179,18 @@
 // errStoreUnreachable marks the errors of calls that a fault has blocked.
 var errStoreUnreachable = errors.New("store does not respond")
 
-// awaitStore waits for the latency of a call. If a fault makes the store
-// unreachable, it blocks until ctx ends and returns an error.
+// awaitStore waits for the latency of a call and the delay of a slow store. If a
+// fault makes the store unreachable, it blocks until ctx ends and returns an error.
 func (c *entryPlatform) awaitStore(ctx context.Context) error {
-	timer := time.NewTimer(c.Latency)
+	c.mu.Lock()
+	delay := c.faults.StoreDelay
+	c.mu.Unlock()
+	return c.awaitStoreFor(ctx, c.Latency+delay)
+}
+
+// awaitStoreFor is awaitStore for a call that takes the given time.
+func (c *entryPlatform) awaitStoreFor(ctx context.Context, latency time.Duration) error {
+	timer := time.NewTimer(latency)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -194,9 +209,35 @@
 
 // Transact implements keeper.Table.
 func (c *entryPlatform) Transact(ctx context.Context, transaction keeper.Transaction) (keeper.TransactResult, error) {
-	if err := c.awaitStore(ctx); err != nil {
+	before, after := c.splitStoreDelay()
+	if err := c.awaitStoreFor(ctx, c.Latency+before); err != nil {
 		return keeper.TransactResult{}, err
 	}
+	result, err := c.commit(transaction)
+	if after > 0 {
+		if err := c.awaitStoreFor(ctx, after); err != nil {
+			return keeper.TransactResult{}, err
+		}
+	}
+	return result, err
+}
+
+// splitStoreDelay returns how much of the delay of a slow store passes before and
+// after a transaction commits.
+func (c *Cell) splitStoreDelay() (before, after time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delay := c.faults.StoreDelay
+	if delay == 0 {
+		return 0, 0
+	}
+	before = time.Duration(c.random.Int64N(int64(delay)))
+	return before, delay - before
+}
+
+// commit applies a transaction. It returns an error, as if no response were
+// received, for the share of commits whose response is lost.
+func (c *Cell) commit(transaction keeper.Transaction) (keeper.TransactResult, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	result := c.table.Apply(transaction)
@@ -338,6 +379,47 @@
 	return w
 }
 
+// How much later a late order is executed.
+const (
+	minOrderDelay = 2 * time.Second
+	maxOrderDelay = 12 * time.Second
+)
+
+// randomOrderDelay returns a random delay for the share of orders that are late,
+// and 0 for the others.
+func (c *Cell) randomOrderDelay() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.faults.OrdersLate == 0 || c.random.Float64() >= c.faults.OrdersLate {
+		return 0
+	}
+	return minOrderDelay + time.Duration(c.random.Int64N(int64(maxOrderDelay-minOrderDelay)))
+}
+
+// delayOrder decides whether an order is executed late. If it is, the order is
+// executed after a random delay, unless the worker is unreachable then;
+// delayOrder blocks until ctx ends and returns true. An order to an earlier
+// incarnation is lost if the present one has executed none: the owner could not
+// prevent what the order would start.
+func (c *entryPlatform) delayOrder(ctx context.Context, ref scheduler.WorkerRef, execute func(*TaskWorker, time.Time)) bool {
+	delay := c.randomOrderDelay()
+	if delay == 0 {
+		return false
+	}
+	var sentTo time.Time
+	if w := c.Worker(ref.HostID); w != nil {
+		info, _ := w.Info()
+		sentTo = info.BootedAt
+	}
+	time.AfterFunc(delay, func() {
+		if w := c.Worker(ref.HostID); w != nil && w.Reachable() && w.knows(sentTo) {
+			execute(w, time.Now())
+		}
+	})
+	<-ctx.Done()
+	return true
+}
+
 // respond returns result, or OrderUnknown for the share of orders whose response
 // is lost.
 func (c *entryPlatform) respond(result scheduler.OrderResult) scheduler.OrderResult {
@@ -351,6 +433,9 @@
 
 // Start implements dispatcher.Workers.
 func (c *entryPlatform) Start(ctx context.Context, order scheduler.StartOrder) scheduler.OrderResult {
+	if c.delayOrder(ctx, order.Worker, func(w *TaskWorker, now time.Time) { w.Start(order, now) }) {
+		return scheduler.OrderUnknown
+	}
 	if w := c.deliver(ctx, order.Worker); w != nil {
 		return c.respond(w.Start(order, time.Now()))
 	}
@@ -359,6 +444,9 @@
 
 // Stop implements dispatcher.Workers.
 func (c *entryPlatform) Stop(ctx context.Context, order scheduler.StopOrder) scheduler.OrderResult {
+	if c.delayOrder(ctx, order.Worker, func(w *TaskWorker, now time.Time) { w.Stop(order, now) }) {
+		return scheduler.OrderUnknown
+	}
 	if w := c.deliver(ctx, order.Worker); w != nil {
 		return c.respond(w.Stop(order, time.Now()))
 	}
@@ -367,6 +455,9 @@
 
 // Poll implements dispatcher.Workers.
 func (c *entryPlatform) Poll(ctx context.Context, order scheduler.PollOrder, wait time.Duration) (*scheduler.Report, scheduler.OrderResult) {
+	if c.delayOrder(ctx, order.Worker, func(w *TaskWorker, now time.Time) { w.Poll(order, now) }) {
+		return nil, scheduler.OrderUnknown
+	}
 	w := c.deliver(ctx, order.Worker)
 	if w == nil {
 		return nil, scheduler.OrderUnknown
@@ -382,6 +473,9 @@
 		if result != scheduler.OrderAccepted || len(report.Ended) > 0 || !time.Now().Before(until) {
 			return report, c.respond(result)
 		}
+		// The order acknowledges and renews when it arrives, not while the
+		// response waits for an end.
+		order.AcknowledgedEnd, order.Deadline = 0, 0
 		timer := time.NewTimer(pollCheckInterval)
 		select {
 		case <-ctx.Done():
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -35,6 +35,7 @@
 
 // RunRecord is one run, as recorded by the worker.
 type RunRecord struct {
+	Worker    requester.HostID
 	Task      scheduler.TaskName
 	Run       scheduler.RunNumber
 	Need      requester.Resources
@@ -47,6 +48,8 @@
 	// Acknowledged is true if an owner acknowledged the end before the lease
 	// expired.
 	Acknowledged bool
+	// incarnation is the boot time of the incarnation that ran it.
+	incarnation time.Time
 	// endNumber is the number under which polls return and acknowledge the end; 0
 	// while the run is running, or if the worker crashed before it ended.
 	endNumber int64
@@ -56,6 +59,16 @@
 	fails            bool
 }
 
+// String returns where, when and how the run ran, for messages.
+func (r *RunRecord) String() string {
+	const clock = "15:04:05.000"
+	end := "now"
+	if !r.EndedAt.IsZero() {
+		end = fmt.Sprintf("%s %v", r.EndedAt.Format(clock), r.Kind)
+	}
+	return fmt.Sprintf("run %d on %s, %s to %s", r.Run, r.Worker, r.StartedAt.Format(clock), end)
+}
+
 // percent returns the percentage of the run's execution time that has passed.
 func (r *RunRecord) percent(now time.Time) int {
 	return int(100 * now.Sub(r.StartedAt) / max(1, r.EndsAt.Sub(r.StartedAt)))
@@ -114,6 +127,14 @@
 	return !w.down && !w.partitioned
 }
 
+// knows reports whether the incarnation that booted at sentTo is still up, or the
+// present one has received a fence.
+func (w *TaskWorker) knows(sentTo time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.bootedAt.Equal(sentTo) || w.fence > 0
+}
+
 // SetPartitioned starts or ends a network partition, during which the worker's
 // tasks continue but no order reaches it.
 func (w *TaskWorker) SetPartitioned(partitioned bool) {
@@ -226,7 +247,7 @@
 	}
 	w.renewLease(order.Deadline, now)
 	spec, need := parsePayload(order.Payload)
-	run := &RunRecord{Task: order.Task, Run: order.Run, Need: need, StartedAt: now, EndsAt: now.Add(time.Duration(spec.Millis) * time.Millisecond), fails: spec.Fails}
+	run := &RunRecord{Worker: w.info.HostID, Task: order.Task, Run: order.Run, Need: need, StartedAt: now, incarnation: w.bootedAt, EndsAt: now.Add(time.Duration(spec.Millis) * time.Millisecond), fails: spec.Fails}
 	w.running = append(w.running, run)
 	w.history = append(w.history, run)
 	var used requester.Resources
@@ -268,7 +289,7 @@
 	}
 	w.renewLease(order.Deadline, now)
 	for _, run := range w.history {
-		if run.endNumber > 0 && run.endNumber <= order.AcknowledgedEnd && run.EndedAt.After(w.bootedAt) && !run.maybeRescheduled {
+		if run.endNumber > 0 && run.endNumber <= order.AcknowledgedEnd && run.incarnation.Equal(w.bootedAt) && !run.maybeRescheduled {
 			run.Acknowledged = true
 		}
 	}
@@ -325,10 +346,10 @@
 		for i := 1; i < len(runs); i++ {
 			previous := runs[i-1]
 			if previous.EndedAt.IsZero() || previous.EndedAt.After(runs[i].StartedAt) {
-				problems = append(problems, fmt.Sprintf("%v: runs %d and %d overlap", task, previous.Run, runs[i].Run))
+				problems = append(problems, fmt.Sprintf("%v: runs %d and %d overlap (%v; %v)", task, previous.Run, runs[i].Run, &previous, &runs[i]))
 			}
 			if previous.Kind == scheduler.EndDone && previous.Acknowledged {
-				problems = append(problems, fmt.Sprintf("%v: run %d started after run %d was acknowledged as done", task, runs[i].Run, previous.Run))
+				problems = append(problems, fmt.Sprintf("%v: run %d started after run %d was acknowledged as done (%v; %v)", task, runs[i].Run, previous.Run, &previous, &runs[i]))
 			}
 		}
 	}
--- /dev/null
+++ b/standin/taskworker_test.go
@@ -0,0 +1,168 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"kumquatstall/keeper"
+	"kumquatstall/requester"
+	"kumquatstall/scheduler"
+)
+
+var testTask = scheduler.TaskName{StepName: scheduler.StepName{Job: "0123456789abcdef"}}
+
+// startOrder returns an order to start a run of 100 ms with a lease to the given
+// reading of the worker's clock.
+func startOrder(task scheduler.TaskName, number scheduler.RunNumber, deadline time.Duration) scheduler.StartOrder {
+	return scheduler.StartOrder{
+		Task: task, Run: number, Fence: 1, Deadline: scheduler.WorkerTime(deadline / time.Millisecond),
+		Payload: RunSpec{Millis: 100}.Payload(requester.Resources{MilliCores: 1}),
+	}
+}
+
+// testWorkers returns two workers that booted at now.
+func testWorkers(now time.Time) (a, b *TaskWorker) {
+	infos := CellWorkers("service", 2, requester.Resources{MilliCores: 8000, MemoryMB: 16000})
+	return NewTaskWorker(infos[0], now), NewTaskWorker(infos[1], now)
+}
+
+func checkProblems(is *is.I, problems []string, parts ...string) {
+	is.Helper()
+	is.Equal(len(problems), len(parts)) // number of problems
+	for i, part := range parts {
+		is.True(strings.Contains(problems[i], part)) // text of the problem
+	}
+}
+
+// An order for an earlier incarnation that arrives late makes the new one forget an
+// end, so that a second run is one too many.
+func TestLateAcknowledgementCounts(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	a, b := testWorkers(now)
+	a.Crash(now)
+	a.Restart(now.Add(time.Second))
+	now = now.Add(time.Second)
+	is.Equal(a.Start(startOrder(testTask, 1, 5*time.Second), now), scheduler.OrderAccepted)
+	now = now.Add(time.Second)
+	report, _ := a.Poll(scheduler.PollOrder{Fence: 1, AcknowledgedEnd: 57}, now)
+	is.Equal(len(report.Ended), 0)
+	is.Equal(b.Start(startOrder(testTask, 2, 5*time.Second), now), scheduler.OrderAccepted)
+	checkProblems(is, CheckRuns([]*TaskWorker{a, b}, now), "run 2 started after run 1 was acknowledged as done")
+}
+
+// An acknowledgement after the lease has lapsed, or in another incarnation, does
+// not count.
+func TestAcknowledgementThatDoesNotCount(t *testing.T) {
+	for _, crash := range []bool{false, true} {
+		t.Run(fmt.Sprint("crash ", crash), func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			a, b := testWorkers(now)
+			is.Equal(a.Start(startOrder(testTask, 1, time.Second), now), scheduler.OrderAccepted)
+			now = now.Add(2 * time.Second)
+			if crash {
+				a.Crash(now.Add(-1500 * time.Millisecond))
+				a.Restart(now)
+			}
+			a.Poll(scheduler.PollOrder{Fence: 1, AcknowledgedEnd: 1}, now)
+			is.Equal(b.Start(startOrder(testTask, 2, 9*time.Second), now), scheduler.OrderAccepted)
+			checkProblems(is, CheckRuns([]*TaskWorker{a, b}, now))
+		})
+	}
+}
+
+// A poll acknowledged ends of runs that ended while its response waited.
+func TestPollAcknowledgesOnArrival(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		infos := CellWorkers("service", 1, requester.Resources{MilliCores: 8000, MemoryMB: 16000})
+		cell := NewCell(1, infos)
+		platform := cell.PlatformFor("entry")
+		ref := scheduler.WorkerRef{HostID: infos[0].HostID}
+		order := startOrder(testTask, 1, 5*time.Second)
+		order.Worker = ref
+		is.Equal(platform.Start(context.Background(), order), scheduler.OrderAccepted)
+		report, result := platform.Poll(context.Background(), scheduler.PollOrder{Worker: ref, Fence: 1, AcknowledgedEnd: 57}, time.Second)
+		is.Equal(result, scheduler.OrderAccepted)
+		is.Equal(len(report.Ended), 1)
+	})
+}
+
+// A late order is executed by the next incarnation of its worker, if that has
+// executed an order before.
+func TestLateOrderReachesNextIncarnation(t *testing.T) {
+	for _, contacted := range []bool{false, true} {
+		t.Run(fmt.Sprint("contacted ", contacted), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				infos := CellWorkers("service", 1, requester.Resources{MilliCores: 8000, MemoryMB: 16000})
+				cell := NewCell(1, infos)
+				cell.SetFaults(CellFaults{OrdersLate: 1})
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				order := startOrder(testTask, 1, time.Minute)
+				order.Worker = scheduler.WorkerRef{HostID: infos[0].HostID}
+				is.Equal(cell.PlatformFor("entry").Start(ctx, order), scheduler.OrderUnknown)
+				w := cell.Worker(infos[0].HostID)
+				w.Crash(time.Now())
+				w.Restart(time.Now())
+				if contacted {
+					w.Poll(scheduler.PollOrder{Fence: 1}, time.Now())
+				}
+				runs, _ := w.Runs(time.Now())
+				is.Equal(len(runs), 0)
+				time.Sleep(maxOrderDelay)
+				runs, _ = w.Runs(time.Now())
+				is.Equal(len(runs) == 1, contacted)
+			})
+		})
+	}
+}
+
+// A slow store commits a transaction whose caller has gone.
+func TestSlowStoreCommitsBeforeItAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cell := NewCell(1, nil)
+		cell.SetFaults(CellFaults{StoreDelay: time.Second})
+		committed := 0
+		for i := range 20 {
+			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+			_, err := cell.PlatformFor("entry").Transact(ctx, rowTransaction(fmt.Sprintf("jobs/%02d", i)))
+			cancel()
+			is.True(err != nil)
+			committed = len(cell.Keys("jobs/"))
+		}
+		is.True(committed > 0 && committed < 20)
+	})
+}
+
+// A gang may run again only if the end that stands for it was not acknowledged.
+func TestGangRunsAgainAfterAcknowledgedEnd(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	a, b := testWorkers(now)
+	other := testTask
+	other.Index = 1
+	is.Equal(a.Start(startOrder(testTask, 1, 9*time.Second), now), scheduler.OrderAccepted)
+	now = now.Add(time.Second)
+	a.Poll(scheduler.PollOrder{Fence: 1, AcknowledgedEnd: 1}, now)
+	is.Equal(b.Start(startOrder(other, 1, 9*time.Second), now), scheduler.OrderAccepted)
+	isGang := func(scheduler.StepName) bool { return true }
+	checkProblems(is, CheckGangs([]*TaskWorker{a, b}, isGang, now)) // a member's first run may come late
+	now = now.Add(time.Second)
+	is.Equal(b.Start(startOrder(other, 2, 9*time.Second), now), scheduler.OrderAccepted)
+	checkProblems(is, CheckGangs([]*TaskWorker{a, b}, isGang, now), "run 2 started after run 1 of its gang was acknowledged as done")
+	checkProblems(is, CheckGangs([]*TaskWorker{a, b}, func(scheduler.StepName) bool { return false }, now))
+}
+
+func rowTransaction(key string) keeper.Transaction {
+	return keeper.Transaction{Writes: []keeper.Write{{Key: key, Value: []byte("value")}}}
+}
