--- a/dispatcher/acquire.go
+++ b/dispatcher/acquire.go
@@ -132,7 +132,7 @@
 // a row that it cannot decode.
 func (d *Dispatcher) applyChange(change Change) {
 	if err := d.cache.apply(d.clock.Now(), change); err != nil {
-		d.log.Error().Str("Event", "row").Str("Key", change.Row.Key).Err(err).Msg("decoding a row failed; the state cache keeps its earlier version")
+		d.logOddRow(change.Row.Key, err, oddStateConsequence)
 	}
 }
 
@@ -169,7 +169,7 @@
 	revision := result.Revision
 	if !result.Committed {
 		current, own := conflictingRow(result, ownerKey, value)
-		d.applyChange(Change{Row: current})
+		d.applyChange(Change{Row: current, Removed: current.Revision == 0})
 		if !own {
 			return row, 0, false
 		}
--- a/dispatcher/statecache.go
+++ b/dispatcher/statecache.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -71,12 +72,18 @@
 // revision that is not newer than the cached one.
 func (c *stateCache) apply(now time.Time, change Change) error {
 	if change.Row.Key == ownerKey {
-		return c.applyOwner(now, change.Row)
+		return c.applyOwner(now, change)
 	}
-	id := requester.JobID(change.Row.Key[len(scheduler.StatePrefix):])
+	text, ok := strings.CutPrefix(change.Row.Key, scheduler.StatePrefix)
+	if !ok {
+		// A watch covers the whole table, also rows of other writers.
+		return nil
+	}
+	id := requester.JobID(text)
 	var row scheduler.StateRow
 	if !change.Removed {
-		if err := scheduler.DecodeRow(change.Row.Value, &row); err != nil {
+		var err error
+		if row, err = decodeState(change.Row.Value); err != nil {
 			return err
 		}
 	}
@@ -104,19 +111,28 @@
 // occurrences at set times.
 func isPending(row scheduler.StateRow) bool { return row.State == scheduler.StateQueued && !row.Timed }
 
-// applyOwner applies a change of the owner's row.
-func (c *stateCache) applyOwner(now time.Time, row keeper.Row) error {
-	var owner ownerRow
-	if err := scheduler.DecodeRow(row.Value, &owner); err != nil {
-		return err
+// applyOwner applies a change of the owner's row. A row that cannot be decoded
+// names no owner, and neither does a removed one: the cell then counts as
+// released. The removal may be known from a conflict, which has no revision.
+func (c *stateCache) applyOwner(now time.Time, change Change) error {
+	row, err := decodeOwner(change.Row.Value)
+	if change.Removed {
+		err = nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.owner.known && row.Revision <= c.owner.revision {
+	revision := change.Row.Revision
+	if c.owner.known && revision <= c.owner.revision && !(change.Removed && revision == 0) {
 		return nil
 	}
-	c.owner = ownerView{row: owner, revision: row.Revision, observedAt: now, known: true}
-	return nil
+	if change.Removed || err != nil {
+		row = vacate(now, c.owner.row)
+	}
+	if change.Removed {
+		revision = 0
+	}
+	c.owner = ownerView{row: row, revision: revision, observedAt: now, known: true}
+	return err
 }
 
 func (c *stateCache) ownerView() ownerView {
@@ -148,13 +164,14 @@
 
 // replace applies a list of all rows as of a revision, and removes the states
 // that the list lacks. It is used at the start and when changes may have been
-// missed.
-func (c *stateCache) replace(now time.Time, rows []keeper.Row, revision int64) error {
+// missed. It passes each row that it cannot decode to odd, and keeps the earlier
+// version of that row.
+func (c *stateCache) replace(now time.Time, rows []keeper.Row, revision int64, odd func(key string, err error)) {
 	listed := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		listed[row.Key] = true
 		if err := c.apply(now, Change{Row: row}); err != nil {
-			return err
+			odd(row.Key, err)
 		}
 	}
 	c.mu.Lock()
@@ -166,11 +183,11 @@
 	}
 	c.mu.Unlock()
 	for _, id := range removed {
-		if err := c.apply(now, Change{Row: keeper.Row{Key: scheduler.StateKey(id), Revision: revision + 1}, Removed: true}); err != nil {
-			return err
+		key := scheduler.StateKey(id)
+		if err := c.apply(now, Change{Row: keeper.Row{Key: key, Revision: revision + 1}, Removed: true}); err != nil {
+			odd(key, err)
 		}
 	}
-	return nil
 }
 
 // endedBefore returns up to limit jobs that ended before a time.
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -13,7 +13,8 @@
 
 // Options configure a Core. A zero duration means its default.
 type Options struct {
-	// Epoch is the epoch of the ownership. It is the fence of all orders.
+	// Epoch is the epoch of the ownership. It is part of the fence of all
+	// orders.
 	Epoch int64
 	// LeaseTerm is the duration of the lease that an order grants to a worker;
 	// default 9 s, longer than most partitions last.
@@ -64,10 +65,17 @@
 	// dirty are the jobs with changes that no batch contains yet, oldest change
 	// first.
 	dirty []*job
+	// marked are the jobs whose marks of steps that may have unknown runs were
+	// not stored at the takeover. No decision waits for these, so they are
+	// written after the dirty jobs.
+	marked []*job
 	// open are the incomplete steps whose predecessors are committed as done.
 	// Each placement pass sorts them by rank.
 	open    []*step
 	workers map[requester.HostID]*worker
+	// lives has the last value of worker.life of every worker that this owner
+	// has ever known.
+	lives map[requester.HostID]int64
 	// sortedWorkers are the workers in the order of their host IDs.
 	sortedWorkers []*worker
 	// eligible are the workers that may get new tasks in the current placement
@@ -86,8 +94,21 @@
 	// leasedWorkersDirty is true if the stored row of leased workers lacks a
 	// worker or contains a removed one.
 	leasedWorkersDirty bool
+	// unknownLeases is true if workers that this owner does not know of may
+	// hold leases granted by a previous one.
+	unknownLeases bool
 	// timed are the unfinished jobs with occurrences at set times.
 	timed map[requester.JobID]*job
+	// excluded are the jobs whose rows cannot be decoded.
+	excluded map[requester.JobID]bool
+	// unknownEnds are the jobs of pending ends whose job or occurrence the core
+	// has not been told of. Of the jobs in the store, the core has been told of
+	// all as of jobsRevision, and of all that were stored before jobsKnownAt.
+	// storeMarks, oldest first, relate the two.
+	unknownEnds  map[requester.JobID]bool
+	jobsRevision int64
+	jobsKnownAt  time.Time
+	storeMarks   []storeMark
 	// awaitingAdvice are the steps with advice requests in flight.
 	awaitingAdvice map[StepName]*step
 	// longInFlight counts the long advice requests in flight. adviceLoad is the
@@ -149,6 +170,12 @@
 	// Evacuated counts runs that were stopped because they were not expected to
 	// end before their worker leaves; the run of a whole gang counts once.
 	Evacuated int64
+	// Displaced counts best-effort runs that were stopped for tasks with a
+	// target for their response times.
+	Displaced int64
+	// Acknowledged counts the ends that polls have acknowledged to workers. A
+	// worker forgets them.
+	Acknowledged int64
 	// Vanished counts acknowledged runs that their worker no longer reported,
 	// neither as running nor as ended.
 	Vanished int64
@@ -184,7 +211,10 @@
 		tookOverAt:     now,
 		jobs:           make(map[requester.JobID]*job),
 		workers:        make(map[requester.HostID]*worker),
+		lives:          make(map[requester.HostID]int64),
 		timed:          make(map[requester.JobID]*job),
+		excluded:       make(map[requester.JobID]bool),
+		unknownEnds:    make(map[requester.JobID]bool),
 		awaitingAdvice: make(map[StepName]*step),
 		allowedShares:  make(map[string]float64),
 
@@ -232,6 +262,9 @@
 // does not know of: each worker to which a previous owner may have granted a
 // lease has reported, or its lease has expired.
 func (c *Core) Reconciled() bool {
+	if c.leasesUnknown() {
+		return false
+	}
 	for _, w := range c.sortedWorkers {
 		if w.inherited && !w.reported && c.now.Before(w.leaseExpiry(c)) {
 			return false
@@ -304,7 +337,7 @@
 // Committed once the transaction has committed.
 func (c *Core) TakeBatch(limit int) *Batch {
 	batch := &Batch{}
-	if c.leasedWorkersDirty {
+	if c.leasedWorkersDirty && !c.leasesUnknown() {
 		c.leasedWorkersDirty = false
 		row := LeasedWorkersRow{}
 		for _, w := range c.sortedWorkers {
@@ -313,20 +346,27 @@
 		}
 		batch.Writes = append(batch.Writes, RowWrite{Key: LeasedWorkersKey, Value: EncodeRow(row)})
 	}
-	taken := 0
-	for _, j := range c.dirty {
-		if len(batch.Writes)+writesPerJob > limit {
-			break
+	for len(c.dirty) > 0 && len(batch.Writes)+writesPerJob <= limit {
+		batch.add(c.dirty[0])
+		c.dirty = c.dirty[1:]
+	}
+	for len(c.marked) > 0 && len(batch.Writes)+writesPerJob <= limit {
+		// A job that was dirty meanwhile is in a batch already.
+		if c.marked[0].marksUnstored {
+			batch.add(c.marked[0])
 		}
-		taken++
-		j.dirty = false
-		batch.jobs = append(batch.jobs, jobWrite{job: j, version: j.version, state: j.state})
-		batch.Writes = append(batch.Writes, j.rowWrites()...)
+		c.marked = c.marked[1:]
 	}
-	c.dirty = slices.Delete(c.dirty, 0, taken)
 	return batch
 }
 
+// add adds the rows of a job to the batch.
+func (b *Batch) add(j *job) {
+	j.dirty, j.marksUnstored = false, false
+	b.jobs = append(b.jobs, jobWrite{job: j, version: j.version, state: j.state})
+	b.Writes = append(b.Writes, j.rowWrites()...)
+}
+
 // Committed records that a batch was committed: ended runs may be acknowledged
 // to their workers, and steps that depend on them may start.
 func (c *Core) Committed(now time.Time, batch *Batch) {
@@ -343,7 +383,7 @@
 		c.openReadySteps(write.job)
 	}
 	for _, w := range c.sortedWorkers {
-		w.advanceCommittedEnd()
+		c.advanceCommittedEnd(w)
 	}
 	c.placementPending = true
 }
@@ -425,4 +465,4 @@
 }
 
 // Dirty reports whether there are changes that no batch contains yet.
-func (c *Core) Dirty() bool { return len(c.dirty) > 0 || c.leasedWorkersDirty }
+func (c *Core) Dirty() bool { return len(c.dirty) > 0 || len(c.marked) > 0 || c.leasedWorkersDirty }
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -31,9 +31,10 @@
 		}
 		w.pollInFlight = true
 		c.stats.Looks++
+		c.logAcknowledged(w)
 		c.orders.Polls = append(c.orders.Polls, PollOrder{
 			Worker:          w.ref(),
-			Fence:           Fence(c.options.Epoch),
+			Fence:           c.fence(w),
 			AcknowledgedEnd: w.committedEnd,
 			Deadline:        c.grantLease(w),
 			LongPoll:        w.reported && !uncommitted && w.unanswered == 0,
@@ -49,6 +50,12 @@
 	if !ok {
 		return
 	}
+	if !c.addressesCurrent(w, order.Fence) {
+		if result == OrderAccepted {
+			c.updateIncarnation(w, report.BootedAt)
+		}
+		return
+	}
 	w.pollInFlight = false
 	switch result {
 	case OrderAccepted:
@@ -56,8 +63,7 @@
 	case OrderFenced:
 		c.fenced = true
 	case OrderOtherIncarnation:
-		// Another incarnation responds at the address, so this one has ended.
-		c.endIncarnation(w)
+		c.endIncarnation(w, order.Worker)
 	default:
 		if w.unanswered == 0 {
 			c.log(LogRecord{Worker: w.info.HostID, Event: "worker doesn't answer"})
@@ -67,8 +73,13 @@
 	}
 }
 
-// endIncarnation releases the runs of an incarnation that has provably ended.
-func (c *Core) endIncarnation(w *worker) {
+// endIncarnation releases the runs of an incarnation that has provably ended,
+// because another one responded to an order at its address. It does nothing if
+// the worker is at another address by now.
+func (c *Core) endIncarnation(w *worker, addressed WorkerRef) {
+	if addressed.Address != w.info.Address {
+		return
+	}
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker's incarnation ended", Why: "another incarnation responded at its address"})
 	w.unanswered++
 	w.nextPollAt = c.now.Add(pollRetryInterval)
@@ -80,10 +91,11 @@
 }
 
 // applyReport applies a worker's report. A report of an earlier incarnation is
-// ignored.
+// ignored, and so is that of a new one that responds to a poll which was meant
+// for an earlier one: only a poll of its own makes it reject such orders.
 func (c *Core) applyReport(w *worker, order PollOrder, report *Report) {
 	c.updateIncarnation(w, report.BootedAt)
-	if !report.BootedAt.IsZero() && report.BootedAt.Before(w.bootedAt) {
+	if !c.addressesCurrent(w, order.Fence) || !report.BootedAt.IsZero() && report.BootedAt.Before(w.bootedAt) {
 		return
 	}
 	if w.unanswered > 0 || !w.reported {
@@ -106,19 +118,10 @@
 	c.reconcileRuns(w, order, report)
 	c.updateSpeed(w)
 	c.stopStalled(w)
-	w.advanceCommittedEnd()
+	c.advanceCommittedEnd(w)
 	c.placementPending = true
 }
 
-// advanceCommittedEnd advances committedEnd to the last end up to which all
-// ends are committed.
-func (w *worker) advanceCommittedEnd() {
-	for len(w.pendingEnds) > 0 && (w.pendingEnds[0].job == nil || w.pendingEnds[0].job.committedVersion >= w.pendingEnds[0].version) {
-		w.committedEnd = w.pendingEnds[0].number
-		w.pendingEnds = w.pendingEnds[1:]
-	}
-}
-
 // reconcileRuns updates the runs on a worker from a report. A reported run that
 // is unknown is tracked; an unreported one is released if the report proves
 // that it has ended or can no longer start.
@@ -149,8 +152,11 @@
 		switch {
 		case r.phase == runUnacknowledged || r.phase == runStopping && r.acknowledgedAt.IsZero():
 			// The response to a poll that was sent before the stop was
-			// acknowledged may miss a run that started in between.
-			if !r.barredAt.IsZero() && !order.SentAt.Before(r.barredAt) {
+			// acknowledged may miss a run that started in between. A start that
+			// was meant for an earlier incarnation is rejected from the poll on.
+			if r.startFence < order.Fence {
+				c.releaseLost(r, "its start was never executed")
+			} else if !r.barredAt.IsZero() && !order.SentAt.Before(r.barredAt) {
 				c.releaseLost(r, "its start was never executed")
 			} else if r.barredAt.IsZero() {
 				c.sendStop(r)
@@ -159,6 +165,7 @@
 			// The run is reported neither as running nor as ended, so its end
 			// has been acknowledged.
 			c.stats.Vanished++
+			c.log(LogRecord{Job: r.name.Job, Task: r.name, Run: r.number, Worker: w.info.HostID, Event: "run vanished", Why: "reported neither as running nor as ended"})
 			c.releaseLost(r, "no longer reported by its worker")
 		}
 	}
@@ -169,7 +176,7 @@
 // and it is stopped.
 func (c *Core) trackReportedRun(w *worker, running RunningTask) *run {
 	t := c.findTask(running.Task)
-	r := &run{name: running.Task, number: running.Run, worker: w, phase: runAcknowledged, startedAt: c.now, acknowledgedAt: c.now}
+	r := &run{name: running.Task, number: running.Run, worker: w, phase: runAcknowledged, startedAt: c.now, acknowledgedAt: c.now, startFence: c.fence(w)}
 	if t != nil {
 		r.need = t.step.def.allocation()
 		t.lastRun = max(t.lastRun, running.Run)
@@ -221,6 +228,7 @@
 	if r.acknowledgedAt.IsZero() {
 		r.acknowledgedAt = c.now
 	}
+	r.reported = true
 	r.checkpoint = running.Checkpoint
 	r.recordPercent(c.now, running.Percent)
 	if r.phase == runStopping && !r.stopInFlight {
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -28,8 +28,10 @@
 	// version increases with each change of the job's rows; committedVersion is
 	// the last one committed.
 	version, committedVersion int64
-	// dirty is true if the job is in Core.dirty.
-	dirty bool
+	// dirty is true if the job is in Core.dirty. marksUnstored is true if no
+	// batch contains the marks of its steps yet that Core.marked is about.
+	dirty         bool
+	marksUnstored bool
 	// activeRuns counts the tasks with a run.
 	activeRuns int
 	endedAt    time.Time
@@ -69,6 +71,9 @@
 	reservation *reservation
 	// reserveAfter is the earliest time of the next reservation for the step.
 	reserveAfter time.Time
+	// displaceAfter is the earliest time of the next search for workers on which
+	// to stop best-effort runs for the step.
+	displaceAfter time.Time
 	// rank is the position of the step in the placement order, as last
 	// calculated.
 	rank rank
@@ -134,11 +139,18 @@
 	Cancelled bool
 }
 
-// Recover adds a job that was in the store at the takeover.
+// Exclude excludes a job whose rows cannot be decoded: an owner that can decode
+// them continues it. Until then it is not scheduled, and the ends of its runs
+// are not acknowledged.
+func (c *Core) Exclude(id requester.JobID) { c.excluded[id] = true }
+
+// Recover adds a job that was in the store at the takeover. It excludes the job
+// if its progress cannot be decoded.
 func (c *Core) Recover(rows JobRows) error {
 	var progress progressRow
 	if rows.Progress != nil {
 		if err := DecodeRow(rows.Progress, &progress); err != nil {
+			c.Exclude(rows.Job.JobID)
 			return err
 		}
 	}
@@ -169,9 +181,7 @@
 		c.timed[j.name()] = j
 	}
 	if c.options.PreviousOwnerEager {
-		for _, o := range j.occurrences {
-			o.markUnknownRuns()
-		}
+		c.markUnknownRuns(j)
 	}
 	if rows.Cancelled {
 		c.Cancel(c.now, j.name())
@@ -185,7 +195,7 @@
 // Add adds a job that was accepted after the takeover.
 func (c *Core) Add(now time.Time, spec Job) {
 	c.now = now
-	if _, ok := c.jobs[spec.JobID]; ok {
+	if _, ok := c.jobs[spec.JobID]; ok || c.excluded[spec.JobID] {
 		return
 	}
 	j := &job{spec: spec, storedState: notStored}
@@ -199,6 +209,7 @@
 	}
 	j.nextOccurrence = 1
 	c.newOccurrence(j, 0)
+	c.applyUnknownEnds(j)
 	c.openReadySteps(j)
 }
 
@@ -277,10 +288,21 @@
 	}
 }
 
-// markUnknownRuns records that a previous owner may have started any step.
-func (o *occurrence) markUnknownRuns() {
-	for _, s := range o.steps {
-		s.mayHaveUnknownRuns = true
+// markUnknownRuns records that a previous owner may have started any step of a
+// job. Only the row of that owner says so, and only until the next commit, so
+// the marks are stored with the job.
+func (c *Core) markUnknownRuns(j *job) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.mayHaveUnknownRuns || s.complete() {
+				continue
+			}
+			s.mayHaveUnknownRuns = true
+			if !j.marksUnstored {
+				j.marksUnstored = true
+				c.marked = append(c.marked, j)
+			}
+		}
 	}
 }
 
@@ -423,6 +445,7 @@
 		j.nextOccurrence++
 		c.markDirty(j)
 		o.version = j.version
+		c.applyUnknownEnds(j)
 	}
 }
 
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -39,6 +39,11 @@
 	// acknowledgedAt is when the worker accepted or first reported the run;
 	// zero before that.
 	acknowledgedAt time.Time
+	// startFence is the fence of the start, or that of the worker when it first
+	// reported the run. reported is true once the worker's current incarnation
+	// has reported the run.
+	startFence Fence
+	reported   bool
 	// expectedEnd is when the run should end, by the expected duration or by
 	// its progress.
 	expectedEnd time.Time
@@ -58,15 +63,6 @@
 	unsized bool
 }
 
-// pendingEnd is an applied end of a run that is acknowledged to the worker once
-// the given version of its job's rows is committed. job is nil if there is
-// nothing to commit.
-type pendingEnd struct {
-	number  int64
-	job     *job
-	version int64
-}
-
 type runKey struct {
 	name   TaskName
 	number RunNumber
@@ -101,7 +97,7 @@
 		return
 	}
 	r.stopInFlight = true
-	c.orders.Stops = append(c.orders.Stops, StopOrder{Worker: r.worker.ref(), Task: r.name, Run: r.number, Fence: Fence(c.options.Epoch)})
+	c.orders.Stops = append(c.orders.Stops, StopOrder{Worker: r.worker.ref(), Task: r.name, Run: r.number, Fence: c.fence(r.worker)})
 }
 
 // StopDone handles the result of a stop order.
@@ -112,7 +108,7 @@
 		return
 	}
 	r, ok := w.runs[runKey{order.Task, order.Run}]
-	if !ok {
+	if !ok || !c.addressesCurrent(w, order.Fence) {
 		return
 	}
 	r.stopInFlight = false
@@ -124,7 +120,7 @@
 	case OrderFenced:
 		c.fenced = true
 	case OrderOtherIncarnation:
-		c.endIncarnation(w)
+		c.endIncarnation(w, order.Worker)
 	}
 }
 
@@ -136,7 +132,7 @@
 		return
 	}
 	r, ok := w.runs[runKey{order.Task, order.Run}]
-	if !ok || r.phase != runStarting && r.phase != runStopping {
+	if !ok || !c.addressesCurrent(w, order.Fence) || r.phase != runStarting && r.phase != runStopping {
 		return
 	}
 	switch result {
