Dispatcher: don't recover the cell from lists older than its acquisition

What callers would see: TWICE, a start after an acknowledged end. A store that answers reads seconds behind may return progress from before the previous owner's last commits. The new owner took it for the present rows and started again what was stored as done and acknowledged.

Change: loadOnce demands that the revision of each list is at least that of the acquisition, after which no other owner can write progress, and tries again until it is. A store that says a newer revision than that of the rows it returns can't be detected.

--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"kumquatstall/keeper"
 	"kumquatstall/requester"
 	"kumquatstall/scheduler"
@@ -33,7 +35,7 @@
 	d := s.dispatcher
 	ctx, cancel := context.WithTimeout(s.ctx, 3*storeTimeout)
 	defer cancel()
-	progress, _, err := d.platform.List(ctx, scheduler.ProgressPrefix)
+	progress, progressRevision, err := d.platform.List(ctx, scheduler.ProgressPrefix)
 	if err != nil {
 		return 0, err
 	}
@@ -41,6 +43,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if oldest := min(progressRevision, revision); oldest < s.acquiredRevision {
+		return 0, errors.Newf("list rows of the cell: store returned revision %d, expected at least that of the acquisition, %d", oldest, s.acquiredRevision)
+	}
 	byKey := make(map[string][]byte, len(progress)+len(rows))
 	for _, row := range progress {
 		byKey[row.Key] = row.Value
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -69,6 +69,10 @@
 	mailbox []func()
 	signal  chan struct{}
 
+	// acquiredRevision is the revision of the acquisition. Rows as of an earlier
+	// one may lack what the previous owner has committed.
+	acquiredRevision int64
+
 	// The remaining fields are used by the control goroutine only, with the
 	// exception of leaseValidUntil.
 
@@ -120,17 +124,18 @@
 			PreviousOwnerEager: previous.Eager,
 			PreviousOwnerTerm:  previous.term() + ownerSafetyMargin,
 		}, now),
-		ctx:             ctx,
-		cancel:          cancel,
-		done:            make(chan struct{}),
-		signal:          make(chan struct{}, 1),
-		row:             row,
-		revision:        revision,
-		startedAt:       now,
-		leaseValidUntil: acquiredAt.Add(row.term()),
-		renewedAt:       acquiredAt,
-		prunedAt:        now,
-		pendingAdvice:   make(map[uint64]pendingAdvice),
+		ctx:              ctx,
+		cancel:           cancel,
+		done:             make(chan struct{}),
+		signal:           make(chan struct{}, 1),
+		row:              row,
+		revision:         revision,
+		acquiredRevision: revision,
+		startedAt:        now,
+		leaseValidUntil:  acquiredAt.Add(row.term()),
+		renewedAt:        acquiredAt,
+		prunedAt:         now,
+		pendingAdvice:    make(map[uint64]pendingAdvice),
 	}
 	s.relays.add(d.options.Self)
 	return s
