Scheduler: wait for runs of added jobs that an eager predecessor may have started

What callers would see: TWICE, two runs of a task at the same time. The cell may be acquired while the previous owner is still in its term (released, refused, its own earlier session). With eager starts in force, that owner may have learned of a job by a link and started it after the new one has listed the jobs. Add started such a job at once, without waiting for the workers that had not reported.

Change: Add marks the steps of a job like Recover does, until every job that was stored before the end of the predecessor's term is known (jobsKnownAt; a job that is new after that can't have been started by it).

Evidence: before, TestAddedJobOfAnEagerOwner failed with "1 != 0 // w000 may run it", and TestEagerUntilAddedJobsAreKnown with "not true: ..StartsMayBeUnknown()" (then Dirty alone). Both pass, and so do the tests of scheduler and dispatcher.

--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -83,9 +83,10 @@
 		return true
 	}
 	// From now on no step starts before its start record is committed. The row
-	// may say so once the records of all started steps are committed.
+	// may say so once the records of all started steps are committed, also of
+	// those that an eager predecessor may have started.
 	s.core.SetEager(false)
-	return s.core.Dirty()
+	return s.core.StartsMayBeUnknown()
 }
 
 // Eager starts are enabled once commits take longer than eagerOnLatency, and
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -206,6 +206,9 @@
 	}
 	j.nextOccurrence = 1
 	c.newOccurrence(j, 0)
+	if c.mayLearnOfStarts() {
+		c.markUnknownRuns(j)
+	}
 	c.applyUnknownEnds(j)
 	c.openReadySteps(j)
 }
@@ -285,6 +288,18 @@
 	}
 }
 
+// mayLearnOfStarts reports whether a job that the core is told of may have been
+// started by a previous owner without a start record: that owner had eager starts
+// in force, and not every job stored before the end of its term is known yet.
+func (c *Core) mayLearnOfStarts() bool {
+	return c.options.PreviousOwnerEager && c.jobsKnownAt.Before(c.tookOverAt.Add(c.options.PreviousOwnerTerm))
+}
+
+// StartsMayBeUnknown reports whether steps may have been started of which the
+// stored rows, with all batches taken, do not say so. As long as that is the
+// case, the row of the owner must say that it is eager.
+func (c *Core) StartsMayBeUnknown() bool { return c.Dirty() || c.mayLearnOfStarts() }
+
 // markUnknownRuns records that a previous owner may have started any step of a
 // job. Only the row of that owner says so, and only until the next commit, so
 // the marks are stored with the job.
--- a/scheduler/takeover_test.go
+++ b/scheduler/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -92,3 +93,63 @@
 	is.True(writesRow())
 	is.True(h.core.Reconciled())
 }
+
+// TestAddedJobOfAnEagerOwner guards against the start of a job that was accepted
+// after the takeover, while its eager predecessor, still in its term, may have
+// started it on a worker that has not reported yet.
+func TestAddedJobOfAnEagerOwner(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(0)
+	is.NoErr(h.takeOver(eagerPredecessor))
+	reporting := WorkerInfo{HostID: "w001", Service: "service", Total: workerTotal, BootedAt: h.now, Address: h.address(1)}
+	h.core.SetWorkers(h.now, append([]WorkerInfo{h.core.workers["w000"].info}, reporting))
+	h.core.Add(h.now, jobOf("j", stepOf(1, 1000)))
+	var starts []StartOrder
+	tick := func(wait time.Duration, answers ...requester.HostID) {
+		h.now = h.now.Add(wait)
+		h.commit()
+		orders := h.core.Tick(h.now)
+		starts = append(starts, orders.Starts...)
+		for _, poll := range orders.Polls {
+			if !slices.Contains(answers, poll.Worker.HostID) {
+				h.core.PollDone(h.now, poll, nil, OrderUnknown)
+				continue
+			}
+			h.core.PollDone(h.now, poll, &Report{Clock: WorkerTime(h.now.Sub(reporting.BootedAt).Milliseconds()), BootedAt: poll.Worker.BootedAt}, OrderAccepted)
+		}
+	}
+	for range 20 {
+		tick(400*time.Millisecond, "w001")
+	}
+	is.Equal(len(starts), 0) // w000 may run it
+	for range 4 {
+		tick(400*time.Millisecond, "w000", "w001")
+	}
+	is.Equal(len(starts), 1)
+}
+
+// TestEagerUntilAddedJobsAreKnown guards against an owner's row that says Eager
+// no more while jobs that an eager predecessor may have started are still to be
+// learned of: if this owner is lost before it stores their marks, its successor
+// would start them at once.
+func TestEagerUntilAddedJobsAreKnown(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(0)
+	is.NoErr(h.takeOver(eagerPredecessor))
+	h.commit()
+	is.True(h.core.StartsMayBeUnknown())
+	h.now = h.now.Add(500 * time.Millisecond)
+	h.core.StoreReached(h.now, 5) // the predecessor is still in its term
+	h.core.JobsKnown(5)
+	is.True(h.core.StartsMayBeUnknown())
+	h.now = h.now.Add(time.Second)
+	h.core.StoreReached(h.now, 6)
+	is.True(h.core.StartsMayBeUnknown())
+	h.core.JobsKnown(6)
+	is.True(!h.core.StartsMayBeUnknown())
+	h.core.Add(h.now, jobOf("j", stepOf(1, 1000)))
+	is.True(h.core.StartsMayBeUnknown()) // until its row is written
+	batch := h.core.TakeBatch(1000)
+	is.True(!h.core.StartsMayBeUnknown())
+	is.Equal(storedStarts(t, batch, "j"), []bool{true})
+}
