Scheduler: apply the ends of a report in the order of their numbers

An acknowledgement covers all numbers up to its own, and a reported end is applied only if its number is higher than the last one applied. The protocol doesn't say that a report lists ends in ascending order. If a lower number came after a higher one, that end was never applied, but acknowledged with the other: its run counted as vanished, and the task started again.

Change: applyReport sorts the ends by number, without a copy in the usual case.

Evidence: before, TestEndsInAnyOrder failed with "1 != 2" applied ends.

--- a/scheduler/acknowledge_test.go
+++ b/scheduler/acknowledge_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -161,3 +162,19 @@
 	h.core.Add(h.now, job)
 	is.Equal(len(h.settle()), 0)
 }
+
+// TestEndsInAnyOrder guards against a report that lists a higher number before a
+// lower one: the lower one was never applied, but acknowledged.
+func TestEndsInAnyOrder(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.add("j", Policy{Service: "service", MaxAttempts: 3, Stretch: 2}, stepOf(2, 1000))
+	starts := h.settle()
+	is.Equal(len(starts), 2)
+	ends := endsOf(starts, EndDone)
+	slices.Reverse(ends["w000"])
+	h.exchange(time.Second, ends)
+	is.Equal(h.core.Stats().Done, int64(2))
+	h.commit()
+	is.Equal(h.exchange(time.Second, ends)["w000"], int64(2))
+}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -109,7 +110,7 @@
 		w.reported = true
 		w.leaseDeadline = w.clock + WorkerTime(c.options.MaxLease/time.Millisecond)
 	}
-	for _, ended := range report.Ended {
+	for _, ended := range sortedEnds(report) {
 		if ended.Number > w.appliedEnd {
 			w.appliedEnd = ended.Number
 			c.applyEnd(w, ended)
@@ -122,6 +123,16 @@
 	c.placementPending = true
 }
 
+// sortedEnds returns the ends of a report in the order of their numbers, as an
+// acknowledgement covers all lower numbers.
+func sortedEnds(report *Report) []EndedRun {
+	byNumber := func(a, b EndedRun) int { return cmp.Compare(a.Number, b.Number) }
+	if slices.IsSortedFunc(report.Ended, byNumber) {
+		return report.Ended
+	}
+	return slices.SortedFunc(slices.Values(report.Ended), byNumber)
+}
+
 // reconcileRuns updates the runs on a worker from a report. A reported run that
 // is unknown is tracked; an unreported one is released if the report proves
 // that it has ended or can no longer start.
