Scheduler: don't start a task while an orphaned run of it may be active

What callers would see: TWICE, two runs of a task at the same time. A reported run that no unfinished task needs is stopped as an orphan, without a tie to its task. The task could start at once although the stop takes up to stop_ms, or much longer on a worker that doesn't answer: when the job of the orphan was added after the report, or when the run that the task had beside the orphan was lost.

Change: the core counts orphaned runs by task until they are released; a task, or a gang with such a task, waits for them, and the invariant that withholds a start ("the task may be running") includes them.

Evidence: before, TestStrayOfAJobThatIsAdded and TestStrayBesideAnAdoptedRun failed with "1 != 0" starts. Both pass, and so do the tests of scheduler.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -99,6 +99,8 @@
 	unknownLeases bool
 	// timed are the unfinished jobs with occurrences at set times.
 	timed map[requester.JobID]*job
+	// strays counts, by task, the orphaned runs that may still be active.
+	strays map[TaskName]int
 	// excluded are the jobs whose rows cannot be decoded.
 	excluded map[requester.JobID]bool
 	// unknownEnds are the jobs of pending ends whose job or occurrence the core
@@ -210,6 +212,7 @@
 		workers:        make(map[requester.HostID]*worker),
 		lives:          make(map[requester.HostID]int64),
 		timed:          make(map[requester.JobID]*job),
+		strays:         make(map[TaskName]int),
 		excluded:       make(map[requester.JobID]bool),
 		unknownEnds:    make(map[requester.JobID]bool),
 		awaitingAdvice: make(map[StepName]*step),
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -8,7 +8,7 @@
 
 // placeGang starts all tasks of a gang if they fit, else none.
 func (c *Core) placeGang(s *step) {
-	if s.waiting < len(s.tasks) {
+	if s.waiting < len(s.tasks) || c.anyMayRun(s) {
 		// Some members of an earlier run have not ended yet.
 		return
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -55,7 +55,7 @@
 		if len(found) == 0 {
 			return
 		}
-		if t.done || t.run != nil {
+		if t.done || c.mayRun(t) {
 			continue
 		}
 		best := c.bestFit(s, found)
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -202,6 +202,7 @@
 	w.allocated = w.allocated.Add(r.need)
 	needed := t != nil && !t.done && t.run == nil && !t.step.job().state.Ended() && !c.conflictsWithGang(t, running.Run)
 	if !needed {
+		c.strays[r.name]++
 		c.stats.StraysStopped++
 		c.log(LogRecord{Job: running.Task.Job, Task: running.Task, Run: running.Run, Worker: w.info.HostID, Event: "orphaned run stopped"})
 		c.stop(r, "orphaned, no unfinished task needs it")
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -188,6 +188,9 @@
 	}
 	c.markFreed(w)
 	t := r.task
+	if t == nil {
+		c.removeStray(r.name)
+	}
 	if t == nil || t.run != r {
 		return
 	}
@@ -202,6 +205,24 @@
 	}
 }
 
+// removeStray removes an orphaned run of a task that has ended.
+func (c *Core) removeStray(name TaskName) {
+	c.strays[name]--
+	if c.strays[name] <= 0 {
+		delete(c.strays, name)
+	}
+}
+
+// mayRun reports whether some run of the task may be active.
+func (c *Core) mayRun(t *task) bool {
+	return t.run != nil || len(c.strays) > 0 && c.strays[t.name()] > 0
+}
+
+// anyMayRun reports whether some run of a task of the step may be active.
+func (c *Core) anyMayRun(s *step) bool {
+	return slices.ContainsFunc(s.tasks, c.mayRun)
+}
+
 // releaseLost releases a run without a reported completion or failure: its
 // start was rejected, it was stopped, or it was lost with its worker. It stops
 // the other members of the run's gang, unless their tasks are done.
--- a/scheduler/start.go
+++ b/scheduler/start.go
@@ -63,7 +63,7 @@
 	switch {
 	case t.done:
 		return "the task is done"
-	case t.run != nil:
+	case c.mayRun(t):
 		return "the task may be running"
 	case s.job().state.Ended():
 		return "the job has ended"
