Scheduler: verify acknowledgements against the committed rows

An acknowledgement of an end that the store doesn't imply can't be taken back, and nothing noticed it: the only account of what may be acknowledged was the one that had the fault. The core now keeps the bytes of each job's last committed progress and the reported ends apart from pendingEnds, versions and its own state of the job. Before a poll is issued, every end that it would acknowledge for the first time is compared with these bytes (done, failed attempt counted, occurrence or job ended); if they don't imply it, the poll acknowledges less, and the violation is logged and counted once. It costs one decoding of a row for each end.

--- a/scheduler/acknowledge.go
+++ b/scheduler/acknowledge.go
@@ -128,11 +128,11 @@
 
 // logAcknowledged logs and counts the ends that a poll acknowledges for the
 // first time.
-func (c *Core) logAcknowledged(w *worker) {
-	if w.committedEnd <= w.acknowledgedEnd {
+func (c *Core) logAcknowledged(w *worker, number int64) {
+	if number <= w.acknowledgedEnd {
 		return
 	}
-	c.stats.Acknowledged += w.committedEnd - w.acknowledgedEnd
-	w.acknowledgedEnd = w.committedEnd
-	c.log(LogRecord{Worker: w.info.HostID, Event: "ends acknowledged", Why: "up to end " + strconv.FormatInt(w.committedEnd, 10)})
+	c.stats.Acknowledged += number - w.acknowledgedEnd
+	w.acknowledgedEnd = number
+	c.log(LogRecord{Worker: w.info.HostID, Event: "ends acknowledged", Why: "up to end " + strconv.FormatInt(number, 10)})
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -158,8 +158,8 @@
 	JobsCompleted int64
 	JobsFailed    int64
 	JobsCancelled int64
-	// Violations counts starts withheld because they would have violated an
-	// invariant.
+	// Violations counts starts and acknowledgements withheld because they would
+	// have violated an invariant.
 	Violations int64
 	// WorkersRested counts suspensions of workers on which several jobs failed
 	// in a row.
@@ -320,11 +320,12 @@
 	leasedWorkers []*worker
 }
 
-// jobWrite is the version and state of a job that a batch writes.
+// jobWrite is the version, state and progress of a job that a batch writes.
 type jobWrite struct {
-	job     *job
-	version int64
-	state   State
+	job      *job
+	version  int64
+	state    State
+	progress []byte
 }
 
 // Empty reports whether there is nothing to write.
@@ -363,8 +364,9 @@
 // add adds the rows of a job to the batch.
 func (b *Batch) add(j *job) {
 	j.dirty, j.marksUnstored = false, false
-	b.jobs = append(b.jobs, jobWrite{job: j, version: j.version, state: j.state})
-	b.Writes = append(b.Writes, j.rowWrites()...)
+	writes := j.rowWrites()
+	b.jobs = append(b.jobs, jobWrite{job: j, version: j.version, state: j.state, progress: writes[len(writes)-1].Value})
+	b.Writes = append(b.Writes, writes...)
 }
 
 // Committed records that a batch was committed: ended runs may be acknowledged
@@ -380,6 +382,7 @@
 	for _, write := range batch.jobs {
 		write.job.committedVersion = write.version
 		write.job.storedState = write.state
+		write.job.storedProgress = write.progress
 		c.openReadySteps(write.job)
 	}
 	for _, w := range c.sortedWorkers {
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -32,11 +32,12 @@
 		}
 		w.pollInFlight = true
 		c.stats.Looks++
-		c.logAcknowledged(w)
+		acknowledged := c.verifyAcknowledgement(w)
+		c.logAcknowledged(w, acknowledged)
 		c.orders.Polls = append(c.orders.Polls, PollOrder{
 			Worker:          w.ref(),
 			Fence:           c.fence(w),
-			AcknowledgedEnd: w.committedEnd,
+			AcknowledgedEnd: acknowledged,
 			Deadline:        c.grantLease(w),
 			LongPoll:        w.reported && !uncommitted && w.unanswered == 0,
 			SentAt:          c.now,
@@ -113,6 +114,7 @@
 	for _, ended := range sortedEnds(report) {
 		if ended.Number > w.appliedEnd {
 			w.appliedEnd = ended.Number
+			w.unverifiedEnds = append(w.unverifiedEnds, ended)
 			c.applyEnd(w, ended)
 		}
 	}
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -15,7 +15,10 @@
 	state State
 	// storedState is the state in the last committed row, or notStored.
 	storedState State
-	occurrences []*occurrence
+	// storedProgress is the value of the last committed row with the job's
+	// progress; nil for none.
+	storedProgress []byte
+	occurrences    []*occurrence
 	// nextOccurrence is the first occurrence that has not been activated.
 	nextOccurrence int64
 	// durations are the predicted durations of the tasks of each step;
@@ -151,7 +154,7 @@
 			return err
 		}
 	}
-	j := &job{spec: rows.Job, state: progress.State, storedState: progress.State}
+	j := &job{spec: rows.Job, state: progress.State, storedState: progress.State, storedProgress: rows.Progress}
 	c.predictDurations(j)
 	if rows.Progress == nil {
 		j.storedState = notStored
@@ -461,7 +464,8 @@
 	}
 }
 
-// rowWrites returns the writes that bring the stored rows of a job up to date.
+// rowWrites returns the writes that bring the stored rows of a job up to date,
+// last that of its progress.
 func (j *job) rowWrites() []RowWrite {
 	row := StateRow{Queue: j.spec.Queue, State: j.state, Timed: j.spec.Occurrences > 0}
 	if j.state.Ended() {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -43,7 +43,12 @@
 	pendingEnds  []pendingEnd
 	// acknowledgedEnd is the highest number that a poll has acknowledged.
 	acknowledgedEnd int64
-	pollInFlight    bool
+	// unverifiedEnds are the reported ends that have not been compared with the
+	// stored rows. violatedEnd is the number of the last one that was to be
+	// acknowledged although these did not imply it.
+	unverifiedEnds []EndedRun
+	violatedEnd    int64
+	pollInFlight   bool
 	// nextPollAt is the earliest time of the next poll.
 	nextPollAt time.Time
 	// unanswered counts consecutive polls and starts without a usable response;
@@ -251,6 +256,7 @@
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker reborn"})
 	c.nextLife(w)
 	w.appliedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds = 0, 0, 0, nil
+	w.unverifiedEnds, w.violatedEnd = nil, 0
 	w.clock, w.leaseDeadline = 0, 0
 	w.clockAt = time.Time{}
 	w.reported = false
