Don't lose a worker's report to one odd row

A submission whose tasks ran beside the odd row would have been late: the worker counted as silent, its lease ran out and its tasks started elsewhere.

Cause: a report was decoded as a whole, so one run or end with a name, number or checkpoint that can't be decoded lost it all, poll after poll. Numbers out of range were believed: the end number 2^63-1 hid and acknowledged every later end, a clock near 2^63 overflowed the lease's deadline, percents overflowed the expected end. Nothing was logged.

An odd end and those after it are withheld from being acknowledged; the later ones are applied, once each.

--- a/scheduler/ends.go
+++ b/scheduler/ends.go
@@ -59,7 +59,7 @@
 		c.applyTaskEnd(w, t, ended)
 		pending.job, pending.version = t.step.job(), t.step.job().version
 	}
-	w.pendingEnds = append(w.pendingEnds, pending)
+	w.addPendingEnd(pending)
 	if r == nil {
 		return
 	}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -97,9 +97,9 @@
 		w.reported = true
 		w.leaseDeadline = w.clock + WorkerTime(c.options.MaxLease/time.Millisecond)
 	}
+	w.withheld = report.Withheld
 	for _, ended := range report.Ended {
-		if ended.Number > w.appliedEnd {
-			w.appliedEnd = ended.Number
+		if w.isNewEnd(ended.Number) {
 			c.applyEnd(w, ended)
 		}
 	}
@@ -113,8 +113,8 @@
 // advanceCommittedEnd advances committedEnd to the last end up to which all
 // ends are committed.
 func (w *worker) advanceCommittedEnd() {
-	for len(w.pendingEnds) > 0 && (w.pendingEnds[0].job == nil || w.pendingEnds[0].job.committedVersion >= w.pendingEnds[0].version) {
-		w.committedEnd = w.pendingEnds[0].number
+	for len(w.pendingEnds) > 0 && w.mayAcknowledge(w.pendingEnds[0].number) && (w.pendingEnds[0].job == nil || w.pendingEnds[0].job.committedVersion >= w.pendingEnds[0].version) {
+		w.acknowledge(w.pendingEnds[0].number)
 		w.pendingEnds = w.pendingEnds[1:]
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -230,6 +230,9 @@
 	// Partial is true if the worker may have more ended runs than it returned.
 	// A run that is missing from such a report is not known to have ended.
 	Partial bool
+	// Withheld is the number of the first end that could not be decoded; 0 for
+	// none. Neither it nor a later end may be acknowledged.
+	Withheld int64
 }
 
 // OrderResult is the outcome of an order.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -38,7 +38,11 @@
 	appliedEnd   int64
 	committedEnd int64
 	pendingEnds  []pendingEnd
-	pollInFlight bool
+	// withheld is the Withheld of the last report. appliedBeyond are the numbers
+	// of the applied ends after it.
+	withheld      int64
+	appliedBeyond map[int64]bool
+	pollInFlight  bool
 	// nextPollAt is the earliest time of the next poll.
 	nextPollAt time.Time
 	// unanswered counts consecutive polls and starts without a usable response;
@@ -223,6 +227,7 @@
 	w.bootedAt = bootedAt
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker reborn"})
 	w.appliedEnd, w.committedEnd, w.pendingEnds = 0, 0, nil
+	w.withheld, w.appliedBeyond = 0, nil
 	w.clock, w.leaseDeadline = 0, 0
 	w.clockAt = time.Time{}
 	w.reported = false
