Refuse jobs whose numbers overflow

What callers saw: a submission with a number too large was accepted with 200. With initial_delay_ms beyond the year 9999 its row couldn't be read again, so it never ran; with estimate_ms or period_ms near 2^63 its rank and the times of its occurrences were wrong; with 256 steps of 100,000 tasks each owner in turn would have needed gigabytes for it.

Cause: only the signs of a job's numbers were checked, and sums and products of them overflowed. Policies weren't checked at all.

Change: each field of a job and of its policy has a range, and all steps together have at most 100,000 tasks. Chains of steps, objectives and due times are cut at a length that can be added and multiplied.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -93,13 +94,25 @@
 
 // Limits of a job.
 const (
-	MaxSteps       = 256
+	MaxSteps = 256
+	// MaxStepTasks bounds the tasks of all steps together.
 	MaxStepTasks   = 100_000
 	MaxPayload     = 4000
 	maxJobIDLength = 100
 	maxOccurrences = 1_000_000_000
+	// MaxMillis bounds the durations of a job. It is a leap year.
+	MaxMillis = 366 * 24 * int64(time.Hour/time.Millisecond)
+	// MaxNeed bounds the amount of each resource that a task needs.
+	MaxNeed = 1_000_000_000_000
+	// MaxStretch and MaxAdviceMillis bound the policy of a queue.
+	MaxStretch      = 1_000_000
+	MaxAdviceMillis = 3_600_000
 )
 
+// maxSpan bounds the spans of time that are calculated from the durations of a
+// job, so that they can be added and multiplied by small numbers.
+const maxSpan = 20 * 366 * 24 * time.Hour
+
 // Validate checks the job against its limits. The error is a
 // *requester.FieldError.
 func (j *Job) Validate() error {
@@ -114,15 +127,56 @@
 		return &requester.FieldError{Field: "Steps", Expected: "between 1 and " + strconv.Itoa(MaxSteps) + " steps"}
 	}
 	if j.Occurrences < 0 || j.Occurrences > maxOccurrences {
-		return &requester.FieldError{Field: "Occurrences", Expected: "a count of at least 0"}
+		return &requester.FieldError{Field: "Occurrences", Expected: "a count of at least 0 and at most " + strconv.Itoa(maxOccurrences)}
+	}
+	if j.PeriodMillis < 0 || j.PeriodMillis > MaxMillis {
+		return &requester.FieldError{Field: "PeriodMillis", Expected: expectedMillis}
 	}
-	if j.PeriodMillis < 0 {
-		return &requester.FieldError{Field: "PeriodMillis", Expected: "at least 0"}
+	if !j.FirstDue.IsZero() && (j.FirstDue.Before(firstTime) || !j.FirstDue.Before(lastTime)) {
+		return &requester.FieldError{Field: "FirstDue", Expected: "a time of the years 1970 to 9999"}
 	}
+	if err := j.Policy.validate(); err != nil {
+		return err
+	}
+	tasks := 0
 	for number := range j.Steps {
 		if err := j.Steps[number].validate(number); err != nil {
 			return err
 		}
+		tasks += j.Steps[number].Count
+	}
+	if tasks > MaxStepTasks {
+		return &requester.FieldError{Field: "Steps", Expected: "at most " + strconv.Itoa(MaxStepTasks) + " tasks in all steps"}
+	}
+	return nil
+}
+
+var (
+	firstTime = time.Unix(0, 0)
+	// lastTime is the first time that the encoding of rows cannot hold.
+	lastTime = time.Date(10_000, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
+var expectedMillis = "between 0 and " + strconv.FormatInt(MaxMillis, 10)
+
+// validate checks the policy against its limits. A number that is none fails
+// every comparison.
+func (p *Policy) validate() error {
+	switch {
+	case p.MaxAttempts < 0:
+		return &requester.FieldError{Field: "MaxAttempts", Expected: "at least 0"}
+	case !(p.Stretch >= 0 && p.Stretch <= MaxStretch):
+		return &requester.FieldError{Field: "Stretch", Expected: "between 0 and " + strconv.Itoa(MaxStretch)}
+	case p.ObjectiveMillis < 0 || p.ObjectiveMillis > MaxMillis:
+		return &requester.FieldError{Field: "ObjectiveMillis", Expected: expectedMillis}
+	case p.Advice == nil:
+		return nil
+	case !(p.Advice.DecideMillis >= 0 && p.Advice.DecideMillis <= MaxAdviceMillis):
+		return &requester.FieldError{Field: "Advice.DecideMillis", Expected: "between 0 and " + strconv.Itoa(MaxAdviceMillis)}
+	case !(p.Advice.WorkerMillis >= 0 && p.Advice.WorkerMillis <= MaxAdviceMillis):
+		return &requester.FieldError{Field: "Advice.WorkerMillis", Expected: "between 0 and " + strconv.Itoa(MaxAdviceMillis)}
+	case p.Advice.ValidMillis < 0 || p.Advice.ValidMillis > MaxMillis:
+		return &requester.FieldError{Field: "Advice.ValidMillis", Expected: expectedMillis}
 	}
 	return nil
 }
@@ -132,14 +186,22 @@
 	if s.Count < 1 || s.Count > MaxStepTasks {
 		return &requester.FieldError{Field: prefix + "Count", Expected: "between 1 and " + strconv.Itoa(MaxStepTasks)}
 	}
-	if s.Need.MilliCores < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 {
-		return &requester.FieldError{Field: prefix + "Need", Expected: "at least 0 of each"}
+	ranges := []struct {
+		field       string
+		value, most int64
+	}{
+		{"Need.MilliCores", s.Need.MilliCores, MaxNeed},
+		{"Need.MemoryMB", s.Need.MemoryMB, MaxNeed},
+		{"Need.Accelerators", s.Need.Accelerators, MaxNeed},
+		{"EstimateMillis", s.EstimateMillis, MaxMillis},
+		{"TargetMillis", s.TargetMillis, MaxMillis},
+		{"AntiAffinity", int64(s.AntiAffinity), math.MaxInt64},
+		{"MayMiss", int64(s.MayMiss), math.MaxInt64},
 	}
-	if s.EstimateMillis < 0 {
-		return &requester.FieldError{Field: prefix + "EstimateMillis", Expected: "at least 0"}
-	}
-	if s.AntiAffinity < 0 {
-		return &requester.FieldError{Field: prefix + "AntiAffinity", Expected: "at least 0"}
+	for _, r := range ranges {
+		if r.value < 0 || r.value > r.most {
+			return &requester.FieldError{Field: prefix + r.field, Expected: "between 0 and " + strconv.FormatInt(r.most, 10)}
+		}
 	}
 	for _, earlier := range s.After {
 		if earlier < 0 || earlier >= number {
@@ -177,7 +239,7 @@
 func (j *Job) criticalPaths(durations []time.Duration) []time.Duration {
 	paths := make([]time.Duration, len(j.Steps))
 	for number := len(j.Steps) - 1; number >= 0; number-- {
-		paths[number] += durations[number] + j.adviceTime()
+		paths[number] = min(paths[number]+durations[number]+j.adviceTime(), maxSpan)
 		for _, earlier := range j.Steps[number].After {
 			paths[earlier] = max(paths[earlier], paths[number])
 		}
@@ -187,7 +249,8 @@
 
 // objective returns the time in which the job should be done.
 func (j *Job) objective(criticalPaths []time.Duration) time.Duration {
-	return time.Duration(j.Stretch*float64(slices.Max(criticalPaths))) + time.Duration(j.ObjectiveMillis)*time.Millisecond
+	stretched := min(j.Stretch*float64(slices.Max(criticalPaths)), float64(maxSpan))
+	return time.Duration(stretched) + time.Duration(j.ObjectiveMillis)*time.Millisecond
 }
 
 // objectiveAdviceWorkers is the number of workers in the one advice request per
@@ -203,10 +266,15 @@
 	return j.Advice.duration(objectiveAdviceWorkers)
 }
 
-// dueAt returns the earliest time at which an occurrence may start.
+// dueAt returns the earliest time at which an occurrence may start. Occurrences
+// beyond the range of time.Duration count as due at its end.
 func (j *Job) dueAt(occurrence int64) time.Time {
 	if j.Occurrences == 0 {
 		return j.AcceptedAt
 	}
+	const mostMillis = int64(math.MaxInt64 / time.Millisecond)
+	if j.PeriodMillis > 0 {
+		occurrence = min(occurrence, mostMillis/j.PeriodMillis)
+	}
 	return j.FirstDue.Add(time.Duration(occurrence*j.PeriodMillis) * time.Millisecond)
 }
