Bound the active occurrences of a job

Cause: a job whose occurrences are all due, with period_ms 0 and repeats of up to a billion, got the state of one more occurrence with every tick, whether or not an earlier one had ended. One submission of 10,000 tasks made the owner hold a million tasks after a second; the process would have run out of memory, and so would each successor, as its progress row holds them all.

Evidence: TestOverlappingOccurrencesFillMemory failed before with "not true: tasks <= MaxStepTasks" after a hundred ticks.

Change: a further occurrence becomes active only while the active ones of its job are fewer than 1,000 and have at most as many tasks as one may have. Occurrences still overlap, and the next one starts when an earlier one ends.

Result: the test passes, package scheduler passes.

--- a/scheduler/limits_test.go
+++ b/scheduler/limits_test.go
@@ -112,3 +112,32 @@
 		})
 	}
 }
+
+// TestOverlappingOccurrencesFillMemory checks that a job whose occurrences are all
+// due at once does not get the state of all of them at once, and that they all
+// run in the end.
+func TestOverlappingOccurrencesFillMemory(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 12, 5, 4, 0, 0, 0, time.UTC)
+	core := New(Options{Epoch: 1}, now)
+	job := Job{
+		JobID: "j1", Queue: "queue", Policy: Policy{Service: "service"}, AcceptedAt: now, FirstDue: now,
+		Occurrences: maxOccurrences, Steps: []Step{{Count: MaxStepTasks / 10}},
+	}
+	is.NoErr(job.Validate())
+	core.Add(now, job)
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		core.Tick(now)
+	}
+	j := core.jobs["j1"]
+	tasks := 0
+	for _, o := range j.occurrences {
+		tasks += len(o.steps[0].tasks)
+	}
+	is.True(tasks <= MaxStepTasks)
+	j.occurrences = j.occurrences[1:] // as if one had completed
+	before := j.nextOccurrence
+	core.Tick(now.Add(10 * time.Millisecond))
+	is.Equal(j.nextOccurrence, before+1)
+}
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -402,6 +402,22 @@
 	}
 }
 
+// maxOverlapping is the greatest number of active occurrences of a job. Its
+// progress row contains them all.
+const maxOverlapping = 1000
+
+// mayOverlap reports whether the job may have one more active occurrence, besides
+// those that it has. The state of all of them together is bounded like that of
+// one, so that a job whose occurrences are all due does not fill the memory.
+func (j *job) mayOverlap() bool {
+	tasks := 0
+	for i := range j.spec.Steps {
+		tasks += j.spec.Steps[i].Count
+	}
+	active := len(j.occurrences)
+	return active == 0 || active < maxOverlapping && (active+1)*tasks <= MaxStepTasks
+}
+
 // activateOccurrences creates the next occurrence of each job for which it is
 // due.
 func (c *Core) activateOccurrences() {
@@ -410,7 +426,7 @@
 	}
 	var due []*job
 	for _, j := range c.timed {
-		if j.nextOccurrence < j.spec.Occurrences && !c.now.Before(j.spec.dueAt(j.nextOccurrence)) {
+		if j.nextOccurrence < j.spec.Occurrences && !c.now.Before(j.spec.dueAt(j.nextOccurrence)) && j.mayOverlap() {
 			due = append(due, j)
 		}
 	}
