--- a/scheduler/acknowledge.go
+++ b/scheduler/acknowledge.go
@@ -31,7 +31,7 @@
 	} else {
 		c.unknownEnds[ended.Task.Job] = true
 	}
-	w.pendingEnds = append(w.pendingEnds, pending)
+	w.pendingEnds = insertEnd(w.pendingEnds, pending, func(p pendingEnd) int64 { return p.ended.Number })
 }
 
 // applyUnknownEnds applies the ends that workers reported before the core was
@@ -120,8 +120,8 @@
 // advanceCommittedEnd advances committedEnd to the last end up to which all
 // ends are committed.
 func (c *Core) advanceCommittedEnd(w *worker) {
-	for len(w.pendingEnds) > 0 && c.committed(&w.pendingEnds[0]) {
-		w.committedEnd = w.pendingEnds[0].ended.Number
+	for len(w.pendingEnds) > 0 && w.mayAcknowledge(w.pendingEnds[0].ended.Number) && c.committed(&w.pendingEnds[0]) {
+		w.acknowledge(w.pendingEnds[0].ended.Number)
 		w.pendingEnds = w.pendingEnds[1:]
 	}
 }
--- a/scheduler/implied.go
+++ b/scheduler/implied.go
@@ -51,6 +51,11 @@
 	return j == nil && !c.excluded[ended.Task.Job] || j != nil && ended.impliedBy(j.storedProgress, &j.spec)
 }
 
+// addUnverifiedEnd queues a reported end for verifyAcknowledgement.
+func (w *worker) addUnverifiedEnd(ended EndedRun) {
+	w.unverifiedEnds = insertEnd(w.unverifiedEnds, ended, func(e EndedRun) int64 { return e.Number })
+}
+
 // verifyAcknowledgement returns the number up to which a poll may acknowledge a
 // worker's ends: committedEnd, or less if the stored rows don't imply an end up
 // to it, which is a violation.
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -111,10 +111,10 @@
 		w.reported = true
 		w.leaseDeadline = w.clock + WorkerTime(c.options.MaxLease/time.Millisecond)
 	}
+	w.withheld = report.Withheld
 	for _, ended := range sortedEnds(report) {
-		if ended.Number > w.appliedEnd {
-			w.appliedEnd = ended.Number
-			w.unverifiedEnds = append(w.unverifiedEnds, ended)
+		if w.isNewEnd(ended.Number) {
+			w.addUnverifiedEnd(ended)
 			c.applyEnd(w, ended)
 		}
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -48,7 +48,11 @@
 	// acknowledged although these did not imply it.
 	unverifiedEnds []EndedRun
 	violatedEnd    int64
-	pollInFlight   bool
+	// withheld is the Withheld of the last report. appliedBeyond are the numbers
+	// of the applied ends after it.
+	withheld      int64
+	appliedBeyond map[int64]bool
+	pollInFlight  bool
 	// nextPollAt is the earliest time of the next poll.
 	nextPollAt time.Time
 	// unanswered counts consecutive polls and starts without a usable response;
@@ -261,6 +265,7 @@
 	c.nextLife(w)
 	w.appliedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds = 0, 0, 0, nil
 	w.unverifiedEnds, w.violatedEnd = nil, 0
+	w.withheld, w.appliedBeyond = 0, nil
 	w.clock, w.leaseDeadline = 0, 0
 	w.clockAt = time.Time{}
 	w.reported = false
