Take a run in a negative step for a stray

What callers saw: nothing yet; the platform package refuses such a name today.

Cause: the core looked a reported run's step up by its number, and checked that it isn't too large but not that it isn't negative. A report that names step -1 of a job ends the owner's process.

Change: a run in a step that the job doesn't have counts as of unknown size, as one of an unknown job does.

--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -174,7 +174,7 @@
 		r.need = t.step.def.allocation()
 		t.lastRun = max(t.lastRun, running.Run)
 		t.step.lastRun = max(t.step.lastRun, running.Run)
-	} else if j := c.jobs[running.Task.Job]; j != nil && running.Task.Step < len(j.spec.Steps) {
+	} else if j := c.jobs[running.Task.Job]; j != nil && running.Task.Step >= 0 && running.Task.Step < len(j.spec.Steps) {
 		r.need = j.spec.Steps[running.Task.Step].allocation()
 	} else {
 		r.unsized = true
