Believe a worker about its birth before the list

What callers saw: tasks that ran twice, and workers that were never heard again.

Cause: the highest birth that was seen counted as the current incarnation, from whatever source. An entry with a higher one ended the runs of a living worker at once, which started again elsewhere, and from then on each true report counted as one of an earlier life. A worker whose birth fell was in the same place, while its leases were renewed for ever.

Evidence: TestListedBirthInFutureStartsTwice failed before with "the task starts again on w2 while it runs on w1", TestFirstListedBirthInFutureNeverHeard with "not true: usable()", TestFallenBirthNeverHeard with "not true: bootedAt.Equal(fallen)", TestLateReportOfLastLife in its case of a fallen birth.

Change: a report that answers a poll sent after the known birth was observed is certain, whether its birth is higher or lower. A birth in the list counts only if it is higher than all that the list has shown, as a reading may be old, and if it doesn't lie more than 5 s ahead; else the next report decides.

A forged birth between the true one and now can't be told from a restart by the list alone and still ends the runs; the worker is heard again after one poll.

--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -82,8 +82,7 @@
 // applyReport applies a worker's report. A report of an earlier incarnation is
 // ignored.
 func (c *Core) applyReport(w *worker, order PollOrder, report *Report) {
-	c.updateIncarnation(w, report.BootedAt)
-	if !report.BootedAt.IsZero() && report.BootedAt.Before(w.bootedAt) {
+	if !c.observeReportedBirth(w, order, report.BootedAt) {
 		return
 	}
 	if w.unanswered > 0 || !w.reported {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -19,10 +19,14 @@
 	inherited bool
 	// reported is true if the worker's current incarnation has responded to a
 	// poll of this owner.
-	reported  bool
-	bootedAt  time.Time
-	runs      map[runKey]*run
-	allocated requester.Resources
+	reported bool
+	bootedAt time.Time
+	// birthSeenAt is when bootedAt was first observed, listedBirth the latest
+	// birth that the list has shown.
+	birthSeenAt time.Time
+	listedBirth time.Time
+	runs        map[runKey]*run
+	allocated   requester.Resources
 	// clock is a reading of the worker's clock, taken no later than clockAt.
 	clock   WorkerTime
 	clockAt time.Time
@@ -170,7 +174,7 @@
 		}
 		w.setInfo(info)
 		w.listed = true
-		c.updateIncarnation(w, info.BootedAt)
+		c.observeListedBirth(w, info.BootedAt)
 	}
 	for _, w := range c.sortedWorkers {
 		if w.listed && !listed[w.info.HostID] {
@@ -221,10 +225,15 @@
 		return
 	}
 	if w.bootedAt.IsZero() {
-		w.bootedAt = bootedAt
+		w.bootedAt, w.birthSeenAt = bootedAt, c.now
 		return
 	}
-	w.bootedAt = bootedAt
+	c.reborn(w, bootedAt)
+}
+
+// reborn records that a worker is in another incarnation than before.
+func (c *Core) reborn(w *worker, bootedAt time.Time) {
+	w.bootedAt, w.birthSeenAt = bootedAt, c.now
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker reborn"})
 	w.appliedEnd, w.committedEnd, w.pendingEnds = 0, 0, nil
 	w.withheld, w.appliedBeyond = 0, nil
