--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -54,7 +54,7 @@
 	}
 	if !c.addressesCurrent(w, order.Fence) {
 		if result == OrderAccepted {
-			c.updateIncarnation(w, report.BootedAt)
+			c.observeReportedBirth(w, order, report.BootedAt)
 		}
 		return
 	}
@@ -96,8 +96,7 @@
 // ignored, and so is that of a new one that responds to a poll which was meant
 // for an earlier one: only a poll of its own makes it reject such orders.
 func (c *Core) applyReport(w *worker, order PollOrder, report *Report) {
-	c.updateIncarnation(w, report.BootedAt)
-	if !c.addressesCurrent(w, order.Fence) || !report.BootedAt.IsZero() && report.BootedAt.Before(w.bootedAt) {
+	if !c.observeReportedBirth(w, order, report.BootedAt) || !c.addressesCurrent(w, order.Fence) {
 		return
 	}
 	if w.unanswered > 0 || !w.reported {
@@ -194,7 +193,7 @@
 		r.need = t.step.def.allocation()
 		t.lastRun = max(t.lastRun, running.Run)
 		t.step.lastRun = max(t.step.lastRun, running.Run)
-	} else if j := c.jobs[running.Task.Job]; j != nil && running.Task.Step < len(j.spec.Steps) {
+	} else if j := c.jobs[running.Task.Job]; j != nil && running.Task.Step >= 0 && running.Task.Step < len(j.spec.Steps) {
 		r.need = j.spec.Steps[running.Task.Step].allocation()
 	} else {
 		r.unsized = true
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -21,6 +21,10 @@
 	// poll of this owner.
 	reported bool
 	bootedAt time.Time
+	// birthSeenAt is when bootedAt was first observed, listedBirth the latest
+	// birth that the list has shown.
+	birthSeenAt time.Time
+	listedBirth time.Time
 	// life numbers the worker's incarnations as far as this owner has seen
 	// them.
 	life      int64
@@ -206,7 +210,7 @@
 			w.setInfo(info)
 		}
 		w.listed = true
-		c.updateIncarnation(w, info.BootedAt)
+		c.observeListedBirth(w, info.BootedAt)
 	}
 	for _, w := range c.sortedWorkers {
 		if w.listed && !listed[w.info.HostID] {
@@ -257,10 +261,15 @@
 		return
 	}
 	if w.bootedAt.IsZero() {
-		w.bootedAt = bootedAt
+		w.bootedAt, w.birthSeenAt = bootedAt, c.now
 		return
 	}
-	w.bootedAt = bootedAt
+	c.reborn(w, bootedAt)
+}
+
+// reborn records that a worker is in another incarnation than before.
+func (c *Core) reborn(w *worker, bootedAt time.Time) {
+	w.bootedAt, w.birthSeenAt = bootedAt, c.now
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker reborn"})
 	c.nextLife(w)
 	w.appliedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds = 0, 0, 0, nil
