Scheduler: acknowledge nothing to a worker that doesn't answer

A worker crashes while a start is under way to it, starts again under its id and executes that start late; the run ends as done, as end 1 of the new incarnation. The owner hasn't seen the new birth yet and goes on polling with the fence of the old one and its AcknowledgedEnd, so the new incarnation forgets end 1 unread. The next poll, with a fence of its own, then shows neither the run nor its end: it counts as never executed and the task starts again. The fences per incarnation don't help, as the new one hasn't seen a higher fence until it has answered such a poll.

Change: a poll of a worker that hasn't answered the last order acknowledges nothing, as it grants no lease either. The first poll after an answer from the same incarnation acknowledges again, so an acknowledgement is late by one poll.

Evidence: TestEndForgottenByTheNextLife failed before with "1 != 0 // the task is done" (the task was started again); it passes now, as do the tests of scheduler and dispatcher. A poll that was sent while the worker still answered and is executed late by the next incarnation can still do so.

--- a/scheduler/acknowledge.go
+++ b/scheduler/acknowledge.go
@@ -126,6 +126,16 @@
 	}
 }
 
+// acknowledgement returns the number up to which a poll of a worker acknowledges
+// ends. A worker that doesn't answer may have started again and numbered other
+// ends since, which such a poll would make it forget unread.
+func (c *Core) acknowledgement(w *worker) int64 {
+	if w.unanswered > 0 {
+		return 0
+	}
+	return c.verifyAcknowledgement(w)
+}
+
 // logAcknowledged logs and counts the ends that a poll acknowledges for the
 // first time.
 func (c *Core) logAcknowledged(w *worker, number int64) {
--- /dev/null
+++ b/scheduler/nextlife_test.go
@@ -0,0 +1,50 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestEndForgottenByTheNextLife guards against polls of a worker that doesn't
+// answer, because it has started again, which make its next incarnation forget
+// ends that nobody has read.
+func TestEndForgottenByTheNextLife(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.add("a", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 8000))
+	first := h.settle()
+	is.Equal(len(first), 1)
+	h.endRun(first[0], EndDone)
+	h.advance(time.Second) // a poll has acknowledged end 1
+	h.add("b", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 8000))
+	h.commit()
+	h.now = h.now.Add(time.Second)
+	orders := h.core.Tick(h.now)
+	is.Equal(len(orders.Starts), 1)
+	start := orders.Starts[0]
+	h.core.StartDone(h.now, start, OrderUnknown)
+	h.core.PollDone(h.now, pollOf(t, orders), nil, OrderUnknown)
+
+	// The next incarnation has executed the start late, and the task is done.
+	bootedAt := h.now
+	info := h.core.sortedWorkers[0].info
+	info.BootedAt = bootedAt
+	ended := []EndedRun{{Number: 1, Task: start.Task, Run: start.Run, Kind: EndDone}}
+	for range 10 {
+		h.now = h.now.Add(pollRetryInterval)
+		h.commit()
+		orders := h.core.Tick(h.now)
+		is.Equal(len(orders.Starts), 0) // the task is done
+		for _, poll := range orders.Polls {
+			if len(ended) > 0 && poll.AcknowledgedEnd >= ended[0].Number {
+				ended = nil
+			}
+			report := &Report{Clock: WorkerTime(h.now.Sub(bootedAt).Milliseconds()), BootedAt: bootedAt, Ended: ended}
+			h.core.PollDone(h.now, poll, report, OrderAccepted)
+		}
+		h.core.SetWorkers(h.now, []WorkerInfo{info})
+	}
+	is.Equal(h.core.Stats().JobsCompleted, int64(2))
+}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -32,7 +32,7 @@
 		}
 		w.pollInFlight = true
 		c.stats.Looks++
-		acknowledged := c.verifyAcknowledgement(w)
+		acknowledged := c.acknowledgement(w)
 		c.logAcknowledged(w, acknowledged)
 		c.orders.Polls = append(c.orders.Polls, PollOrder{
 			Worker:          w.ref(),
