Dispatcher: a row without a value is not a missing row

The platform returns a row whose value can't be decoded without a value, so that it is known to exist. The new owner took it for missing all the same: progress without a value counted as none, so that the job started from nothing; a job's row without a value had the job's progress removed, so that a later owner which can read it starts from nothing; leased workers without a value counted as none, and nobody waited for their leases.

Change: where the rows of the cell are put together, a missing value becomes an empty one. That can't be decoded, so the existing paths exclude the job, keep its progress and wait for unknown leases.

Evidence: before, TestRowsWithoutAValue failed with "6 != 3 // none of the first step's tasks ran again" (progress) and "<nil> != [132 1 0 ...]" (job: progress removed), TestLeasesWithoutAValue with "110 != 0 // not replaced while leases may last". Now these and the other tests of dispatcher pass.

--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -47,10 +47,11 @@
 		return 0, errors.Newf("list rows of the cell: store returned revision %d, expected at least that of the acquisition, %d", oldest, s.acquiredRevision)
 	}
 	byKey := make(map[string][]byte, len(progress)+len(rows))
-	for _, row := range progress {
-		byKey[row.Key] = row.Value
-	}
-	for _, row := range rows {
+	for _, row := range append(progress, rows...) {
+		if row.Value == nil {
+			// The row exists, but its value cannot be decoded.
+			row.Value = []byte{}
+		}
 		byKey[row.Key] = row.Value
 	}
 	s.post(func() {
