Scheduler: keep the owner's row eager while a job is excluded

An owner that takes over from an eager one marks each step that may have been started, stores the marks and then says in its row that it is not eager. It can't store the marks of a job whose rows it can't decode. A successor that can decode them, because it is of another version or the rows were put right, finds neither the mark nor Eager and starts a step again that still runs on a worker that hasn't reported.

Change: StartsMayBeUnknown stays true while a job is excluded and the predecessor was eager, so that the row says Eager on. It costs a successor the wait for silent workers before it starts steps, as after any eager owner.

Evidence: TestEagerStartsOfAnExcludedJob failed before with "not true: h.core.StartsMayBeUnknown()"; it passes now, as do the tests of scheduler.

--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -303,8 +303,11 @@
 
 // StartsMayBeUnknown reports whether steps may have been started of which the
 // stored rows, with all batches taken, do not say so. As long as that is the
-// case, the row of the owner must say that it is eager.
-func (c *Core) StartsMayBeUnknown() bool { return c.Dirty() || c.mayLearnOfStarts() }
+// case, the row of the owner must say that it is eager. The rows of an excluded
+// job are not written, so they never say so.
+func (c *Core) StartsMayBeUnknown() bool {
+	return c.Dirty() || c.mayLearnOfStarts() || c.options.PreviousOwnerEager && len(c.excluded) > 0
+}
 
 // markUnknownRuns records that a previous owner may have started any step of a
 // job. Only the row of that owner says so, and only until the next commit, so
