Scheduler: pause between polls of a worker whose ends are withheld

What callers would see: the owner busy, and looks at a worker, which are priced, a hundred times a second. A worker responds to a poll at once while it has ends that aren't acknowledged. The pause between such polls counted only ends that wait for a commit, not an end that can't be decoded with those after it, nor one whose acknowledgement verifyAcknowledgement withholds.

Change: keepsEnds names all three cases; these workers are polled every 150 ms and without a wait.

Evidence: TestPollsOfAWithheldEnd failed before with "not true: polls < 10" for an end that can't be decoded, and with only that case in keepsEnds it failed so for a withheld acknowledgement. It passes now, as do the tests of scheduler.

--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -12,8 +12,8 @@
 	// again.
 	pollRetryInterval = 300 * time.Millisecond
 	// commitWait is how long after a report with ended runs the poll of a
-	// worker is delayed unless these are committed earlier: a poll before that
-	// would only return them again.
+	// worker is delayed unless these are to be acknowledged earlier: a poll
+	// before that would only return them again.
 	commitWait = 150 * time.Millisecond
 	// freshnessWindow is how long after its last report a worker may get new
 	// tasks.
@@ -26,8 +26,8 @@
 		if w.pollInFlight || c.now.Before(w.nextPollAt) || !w.info.Address.IsValid() {
 			continue
 		}
-		uncommitted := w.appliedEnd > w.committedEnd
-		if uncommitted && c.now.Sub(w.clockAt) < commitWait {
+		keepsEnds := w.keepsEnds()
+		if keepsEnds && c.now.Sub(w.clockAt) < commitWait {
 			continue
 		}
 		w.pollInFlight = true
@@ -39,12 +39,18 @@
 			Fence:           c.fence(w),
 			AcknowledgedEnd: acknowledged,
 			Deadline:        c.grantLease(w),
-			LongPoll:        w.reported && !uncommitted && w.unanswered == 0,
+			LongPoll:        w.reported && !keepsEnds && w.unanswered == 0,
 			SentAt:          c.now,
 		})
 	}
 }
 
+// keepsEnds reports whether the worker has ends that a poll now would not
+// acknowledge, so that it would respond at once.
+func (w *worker) keepsEnds() bool {
+	return w.appliedEnd > w.committedEnd || w.withheld > 0 || w.violatedEnd > w.acknowledgedEnd
+}
+
 // PollDone handles the result of a poll order.
 func (c *Core) PollDone(now time.Time, order PollOrder, report *Report, result OrderResult) {
 	c.now = now
--- a/scheduler/withheld_test.go
+++ b/scheduler/withheld_test.go
@@ -117,3 +117,30 @@
 	}
 	is.Equal(c.report(t, ended), int64(3))
 }
+
+// TestPollsOfAWithheldEnd guards against a worker with an end that is not
+// acknowledged being polled without a pause: it responds at once for as long as
+// it has such ends.
+func TestPollsOfAWithheldEnd(t *testing.T) {
+	for _, violation := range []bool{false, true} {
+		is := is.New(t)
+		c := newWithheldCell(t, 2)
+		report := &Report{Clock: 2, Ended: []EndedRun{{Number: 3, Task: taskOfOne(1), Run: 1, Kind: EndDone}}}
+		if !violation {
+			report.Withheld, report.Partial = 2, true
+		}
+		polls := 0
+		for range 100 {
+			c.step()
+			if violation {
+				c.core.jobs["j1"].storedProgress = nil // which does not imply the end
+			}
+			for _, order := range c.core.Tick(c.now).Polls {
+				polls++
+				is.True(order.AcknowledgedEnd < 3)
+				c.core.PollDone(c.now, order, report, OrderAccepted)
+			}
+		}
+		is.True(polls < 10) // in a second
+	}
+}
