Dispatcher: a lost owner's row hides no epoch

What callers would see: two owners with one fence (ONE), and run numbers used twice. After the owner's row was removed or overwritten with something else, the next owner took the epoch after the last one that it had observed. If an owner had acquired the cell since, and its row was lost before this entry saw it, both had the same epoch: the new owner's orders carried the fences of the one before, which may go on until its lease expires.

Change: the epoch of a vacated row is at least the time in seconds, as it was already where no row had been observed. Two losses within seconds, observed by entries with clocks apart, could still collide.

--- a/dispatcher/odd.go
+++ b/dispatcher/odd.go
@@ -71,13 +71,12 @@
 
 // vacate returns the row of a cell whose owner's row was lost. last is the last
 // one that this entry observed. The next owner must have a higher epoch than any
-// before it, and must assume the most that the last owner may have done. If no
-// row was ever observed, the time is a higher epoch: an epoch lasts for longer
-// than a second on average.
+// before it, and must assume the most that the last owner may have done. There
+// may have been owners whose rows this entry never observed, so the epoch is at
+// least the time: an epoch lasts for longer than a second on average.
 func vacate(now time.Time, last ownerRow) ownerRow {
-	row := ownerRow{Holder: last.Holder, Address: last.Address, Epoch: last.Epoch, MaxCores: last.MaxCores, Released: true, Eager: true, TermMillis: maxOwnerTerm.Milliseconds()}
-	if row.Epoch == 0 {
-		row.Epoch = now.Unix()
+	return ownerRow{
+		Holder: last.Holder, Address: last.Address, Epoch: max(last.Epoch, now.Unix()), MaxCores: last.MaxCores,
+		Released: true, Eager: true, TermMillis: maxOwnerTerm.Milliseconds(),
 	}
-	return row
 }
