Scheduler: an end of an occurrence that no job has blocks nothing

What callers would see: the ends of a worker aren't acknowledged any more, so it is polled without waits, and once it keeps 500 of them it reports no later end. An end whose occurrence the core hasn't been told of waits for it, and with it all later ends of the worker. One of an occurrence beyond those that the job ever has waited until the job's row was removed: for ever with a job that lasts.

Change: such an end is about no task, like that of a step that the job doesn't have. It waits for nothing but the rows as they are (hasOccurrence).

Evidence: TestEndOfNoOccurrence failed before with "0 != 2" (nothing acknowledged after a minute); it passes now, as do the tests of scheduler.

--- a/scheduler/acknowledge.go
+++ b/scheduler/acknowledge.go
@@ -26,7 +26,7 @@
 // version of the job's rows is the first that is certain to imply the end.
 func (c *Core) addPendingEnd(w *worker, ended EndedRun) {
 	pending := pendingEnd{ended: ended, reportedAt: c.now}
-	if j := c.jobs[ended.Task.Job]; j != nil && (j.state.Ended() || ended.Task.Occurrence < j.nextOccurrence) {
+	if j := c.jobs[ended.Task.Job]; j != nil && (j.state.Ended() || ended.Task.Occurrence < j.nextOccurrence || !j.spec.hasOccurrence(ended.Task.Occurrence)) {
 		pending.job, pending.version = j, j.version
 	} else {
 		c.unknownEnds[ended.Task.Job] = true
--- a/scheduler/implied.go
+++ b/scheduler/implied.go
@@ -16,7 +16,7 @@
 		return true
 	}
 	def := &spec.Steps[e.Task.Step]
-	if def.LongRunning || e.Task.Index < 0 || e.Task.Index >= def.Count {
+	if def.LongRunning || e.Task.Index < 0 || e.Task.Index >= def.Count || !spec.hasOccurrence(e.Task.Occurrence) {
 		return true
 	}
 	var row progressRow
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -266,6 +266,10 @@
 	return j.Advice.duration(objectiveAdviceWorkers)
 }
 
+// hasOccurrence reports whether the job has, or will have, an occurrence of that
+// number.
+func (j *Job) hasOccurrence(number int64) bool { return number >= 0 && number < max(1, j.Occurrences) }
+
 // dueAt returns the earliest time at which an occurrence may start. Occurrences
 // beyond the range of time.Duration count as due at its end.
 func (j *Job) dueAt(occurrence int64) time.Time {
