--- a/scheduler/acknowledge.go
+++ b/scheduler/acknowledge.go
@@ -26,7 +26,7 @@
 // version of the job's rows is the first that is certain to imply the end.
 func (c *Core) addPendingEnd(w *worker, ended EndedRun) {
 	pending := pendingEnd{ended: ended, reportedAt: c.now}
-	if j := c.jobs[ended.Task.Job]; j != nil && (j.state.Ended() || ended.Task.Occurrence < j.nextOccurrence) {
+	if j := c.jobs[ended.Task.Job]; j != nil && (j.state.Ended() || ended.Task.Occurrence < j.nextOccurrence || !j.spec.hasOccurrence(ended.Task.Occurrence)) {
 		pending.job, pending.version = j, j.version
 	} else {
 		c.unknownEnds[ended.Task.Job] = true
@@ -126,6 +126,16 @@
 	}
 }
 
+// acknowledgement returns the number up to which a poll of a worker acknowledges
+// ends. A worker that doesn't answer may have started again and numbered other
+// ends since, which such a poll would make it forget unread.
+func (c *Core) acknowledgement(w *worker) int64 {
+	if w.unanswered > 0 {
+		return 0
+	}
+	return c.verifyAcknowledgement(w)
+}
+
 // logAcknowledged logs and counts the ends that a poll acknowledges for the
 // first time.
 func (c *Core) logAcknowledged(w *worker, number int64) {
