Scheduler: an owner's row stays eager until its workers have told what runs

Cause: the second owner stored a mark on every unfinished step that an eager predecessor might have started, and the marks stayed there for good, though all workers had told what ran a moment later.

Change: what a successor can't know stays in the store in one place, the owner's row, which says Eager until every worker of a previous owner has reported (or its lease has lapsed) and each job of the predecessor's term is known. Then the steps of which runs were reported get their start record, and the others are free of the mark. Only steps whose predecessors are stored as done are marked at all, as no other can have been started. The list of marked jobs and its writes are gone; eager.go holds the concept.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -65,10 +65,6 @@
 	// dirty are the jobs with changes that no batch contains yet, oldest change
 	// first.
 	dirty []*job
-	// marked are the jobs whose marks of steps that may have unknown runs were
-	// not stored at the takeover. No decision waits for these, so they are
-	// written after the dirty jobs.
-	marked []*job
 	// open are the incomplete steps whose predecessors are committed as done.
 	// Each placement pass sorts them by rank.
 	open    []*step
@@ -119,7 +115,10 @@
 	longInFlight int
 	adviceLoad   float64
 	// eager lets steps start before their start records are committed.
-	eager bool
+	// startsKnown is true once this owner knows which steps its predecessor has
+	// started.
+	eager       bool
+	startsKnown bool
 	// allowedShares is, by queue, the observed share of workers that the advice
 	// service allows to run a step.
 	allowedShares map[string]float64
@@ -229,12 +228,6 @@
 	}
 }
 
-// SetEager sets whether steps may start before their start records are
-// committed. The stored row of the owner must say so before eager starts are
-// enabled, and continue to say so after they are disabled until every start
-// record is committed.
-func (c *Core) SetEager(eager bool) { c.eager = eager }
-
 // Fenced reports whether a worker has rejected an order because of its fence,
 // which proves that another owner has taken over.
 func (c *Core) Fenced() bool { return c.fenced }
@@ -256,6 +249,7 @@
 func (c *Core) Tick(now time.Time) Orders {
 	c.now = now
 	c.expireLeases()
+	c.learnStarts()
 	c.evacuate()
 	c.activateOccurrences()
 	c.place()
@@ -358,19 +352,12 @@
 		batch.add(c.dirty[0])
 		c.dirty = c.dirty[1:]
 	}
-	for len(c.marked) > 0 && len(batch.Writes)+writesPerJob <= limit {
-		// A job that was dirty meanwhile is in a batch already.
-		if c.marked[0].marksUnstored {
-			batch.add(c.marked[0])
-		}
-		c.marked = c.marked[1:]
-	}
 	return batch
 }
 
 // add adds the rows of a job to the batch.
 func (b *Batch) add(j *job) {
-	j.dirty, j.marksUnstored = false, false
+	j.dirty = false
 	writes := j.rowWrites()
 	b.jobs = append(b.jobs, jobWrite{job: j, version: j.version, state: j.state, progress: writes[len(writes)-1].Value})
 	b.Writes = append(b.Writes, writes...)
@@ -475,4 +462,4 @@
 }
 
 // Dirty reports whether there are changes that no batch contains yet.
-func (c *Core) Dirty() bool { return len(c.dirty) > 0 || len(c.marked) > 0 || c.leasedWorkersDirty }
+func (c *Core) Dirty() bool { return len(c.dirty) > 0 || c.leasedWorkersDirty }
--- /dev/null
+++ b/scheduler/eager.go
@@ -0,0 +1,88 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+)
+
+// Before the first task of a step starts, the step's start record is committed,
+// from which a later owner knows that tasks of it may run. While the store is
+// slow, steps start before that: eagerly. The row of the owner says so until the
+// owner knows, and the rows of the jobs say, which steps have been started, also
+// by its predecessor.
+
+// SetEager sets whether steps may start before their start records are
+// committed. The stored row of the owner must say so before eager starts are
+// enabled, and continue to say so after they are disabled until every start
+// record is committed.
+func (c *Core) SetEager(eager bool) { c.eager = eager }
+
+// recordStart adds the step's start record to the job's rows. Unless eager
+// starts are in force, its tasks start only once it is committed, so that a
+// later owner knows which steps may have runs that no worker has reported.
+func (c *Core) recordStart(s *step) {
+	if s.startRecordVersion == 0 {
+		c.markDirty(s.job())
+		s.startRecordVersion = s.job().version
+	}
+}
+
+// startRecorded reports whether the start record of the step allows its tasks
+// to start: it is committed, or it is pending and eager starts are in force.
+func (c *Core) startRecorded(s *step) bool {
+	return s.startRecordVersion > 0 && (c.eager || s.startRecordVersion <= s.job().committedVersion)
+}
+
+// markStartable marks the steps of a job that an eager predecessor may have
+// started: those that the stored rows allow to start.
+func (c *Core) markStartable(j *job) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if !s.mayHaveUnknownRuns && !s.complete() && o.predecessorsDone(s) {
+				s.mayHaveUnknownRuns, s.eagerMark = true, true
+			}
+		}
+	}
+}
+
+// mayLearnOfStarts reports whether a job that the core is told of may have been
+// started by a previous owner without a start record: that owner had eager starts
+// in force, and not every job stored before the end of its term is known yet.
+func (c *Core) mayLearnOfStarts() bool {
+	return c.options.PreviousOwnerEager && c.jobsKnownAt.Before(c.tookOverAt.Add(c.options.PreviousOwnerTerm))
+}
+
+// learnStarts settles, once every run of an eager predecessor is known, which of
+// the marked steps have been started: those with a run get a start record.
+func (c *Core) learnStarts() {
+	if c.startsKnown || !c.options.PreviousOwnerEager || c.mayLearnOfStarts() || !c.Reconciled() {
+		return
+	}
+	c.startsKnown = true
+	c.placementPending = true
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		for _, o := range c.jobs[id].occurrences {
+			for _, s := range o.steps {
+				c.settleMark(s)
+			}
+		}
+	}
+}
+
+func (c *Core) settleMark(s *step) {
+	if !s.eagerMark {
+		return
+	}
+	s.mayHaveUnknownRuns, s.eagerMark = false, false
+	if c.anyMayRun(s) && !s.job().state.Ended() {
+		c.recordStart(s)
+	}
+}
+
+// StartsMayBeUnknown reports whether steps may have been started of which the
+// stored rows, with all batches taken, do not say so. As long as that is the
+// case, the row of the owner must say that it is eager. The rows of an excluded
+// job are not written, so they never say so.
+func (c *Core) StartsMayBeUnknown() bool {
+	return c.Dirty() || c.options.PreviousOwnerEager && (!c.startsKnown || len(c.excluded) > 0)
+}
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -31,10 +31,8 @@
 	// version increases with each change of the job's rows; committedVersion is
 	// the last one committed.
 	version, committedVersion int64
-	// dirty is true if the job is in Core.dirty. marksUnstored is true if no
-	// batch contains the marks of its steps yet that Core.marked is about.
-	dirty         bool
-	marksUnstored bool
+	// dirty is true if the job is in Core.dirty.
+	dirty bool
 	// activeRuns counts the tasks with a run.
 	activeRuns int
 	endedAt    time.Time
@@ -91,8 +89,10 @@
 	// start record; 0 if there is none yet.
 	startRecordVersion int64
 	// mayHaveUnknownRuns is true if a previous owner may have started tasks of
-	// the step that no worker has reported.
+	// the step that no worker has reported. eagerMark is true if only the row of
+	// an eager owner says so, and not the step's own start record.
 	mayHaveUnknownRuns bool
+	eagerMark          bool
 	// doneVersion is the first version of the job's rows in which the step is
 	// complete; 0 if a previous owner committed that, or it is not complete.
 	doneVersion int64
@@ -184,7 +184,7 @@
 		c.timed[j.name()] = j
 	}
 	if c.options.PreviousOwnerEager {
-		c.markUnknownRuns(j)
+		c.markStartable(j)
 	}
 	if rows.Cancelled {
 		c.Cancel(c.now, j.name())
@@ -213,7 +213,7 @@
 	j.nextOccurrence = 1
 	c.newOccurrence(j, 0)
 	if c.mayLearnOfStarts() {
-		c.markUnknownRuns(j)
+		c.markStartable(j)
 	}
 	c.applyUnknownEnds(j)
 	c.openReadySteps(j)
@@ -294,39 +294,6 @@
 	}
 }
 
-// mayLearnOfStarts reports whether a job that the core is told of may have been
-// started by a previous owner without a start record: that owner had eager starts
-// in force, and not every job stored before the end of its term is known yet.
-func (c *Core) mayLearnOfStarts() bool {
-	return c.options.PreviousOwnerEager && c.jobsKnownAt.Before(c.tookOverAt.Add(c.options.PreviousOwnerTerm))
-}
-
-// StartsMayBeUnknown reports whether steps may have been started of which the
-// stored rows, with all batches taken, do not say so. As long as that is the
-// case, the row of the owner must say that it is eager. The rows of an excluded
-// job are not written, so they never say so.
-func (c *Core) StartsMayBeUnknown() bool {
-	return c.Dirty() || c.mayLearnOfStarts() || c.options.PreviousOwnerEager && len(c.excluded) > 0
-}
-
-// markUnknownRuns records that a previous owner may have started any step of a
-// job. Only the row of that owner says so, and only until the next commit, so
-// the marks are stored with the job.
-func (c *Core) markUnknownRuns(j *job) {
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			if s.mayHaveUnknownRuns || s.complete() {
-				continue
-			}
-			s.mayHaveUnknownRuns = true
-			if !j.marksUnstored {
-				j.marksUnstored = true
-				c.marked = append(c.marked, j)
-			}
-		}
-	}
-}
-
 func bitSet(bits []byte, index int) bool {
 	return index/8 < len(bits) && bits[index/8]&(1<<(index%8)) != 0
 }
@@ -405,22 +372,6 @@
 	}
 }
 
-// recordStart adds the step's start record to the job's rows. Unless eager
-// starts are in force, its tasks start only once it is committed, so that a
-// later owner knows which steps may have runs that no worker has reported.
-func (c *Core) recordStart(s *step) {
-	if s.startRecordVersion == 0 {
-		c.markDirty(s.job())
-		s.startRecordVersion = s.job().version
-	}
-}
-
-// startRecorded reports whether the start record of the step allows its tasks
-// to start: it is committed, or it is pending and eager starts are in force.
-func (c *Core) startRecorded(s *step) bool {
-	return s.startRecordVersion > 0 && (c.eager || s.startRecordVersion <= s.job().committedVersion)
-}
-
 // predecessorsDone reports whether all predecessors of a step are committed as
 // complete.
 func (o *occurrence) predecessorsDone(s *step) bool {
