Scheduler: don't repeat acknowledgements that a worker has confirmed

Every poll carried the number of the last acknowledged end. A poll to an earlier incarnation that a worker's next one executes late, before it has answered a poll of its own, made it forget its own ends up to that number.

Change: a poll acknowledges only what no response has confirmed yet, and 0 otherwise.

Evidence: TestAcknowledgementIsNotRepeated fails without the condition ("1 != 0").

--- a/scheduler/acknowledge.go
+++ b/scheduler/acknowledge.go
@@ -126,6 +126,17 @@
 	}
 }
 
+// acknowledgement returns the number up to which a poll acknowledges a worker's
+// ends, or 0 if it acknowledges none for which a response is outstanding: a later
+// incarnation that executes the poll late would forget its own ends up to it.
+func (c *Core) acknowledgement(w *worker) int64 {
+	number := c.verifyAcknowledgement(w)
+	if number <= w.confirmedEnd {
+		return 0
+	}
+	return number
+}
+
 // logAcknowledged logs and counts the ends that a poll acknowledges for the
 // first time.
 func (c *Core) logAcknowledged(w *worker, number int64) {
--- a/scheduler/acknowledge_test.go
+++ b/scheduler/acknowledge_test.go
@@ -178,3 +178,17 @@
 	h.commit()
 	is.Equal(h.exchange(time.Second, ends)["w000"], int64(2))
 }
+
+// TestAcknowledgementIsNotRepeated guards against polls that repeat an
+// acknowledgement which the worker has confirmed: the worker's next incarnation
+// would forget its own ends up to that number if it executes one of them late.
+func TestAcknowledgementIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.add("j", Policy{Service: "service", MaxAttempts: 3, Stretch: 2}, stepOf(1, 1000))
+	ends := endsOf(h.settle(), EndDone)
+	h.exchange(time.Second, ends)
+	h.commit()
+	is.Equal(h.exchange(time.Second, ends)["w000"], int64(1))
+	is.Equal(h.exchange(time.Second, ends)["w000"], int64(0))
+}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -32,7 +32,7 @@
 		}
 		w.pollInFlight = true
 		c.stats.Looks++
-		acknowledged := c.verifyAcknowledgement(w)
+		acknowledged := c.acknowledgement(w)
 		c.logAcknowledged(w, acknowledged)
 		c.orders.Polls = append(c.orders.Polls, PollOrder{
 			Worker:          w.ref(),
@@ -100,6 +100,7 @@
 	if !c.addressesCurrent(w, order.Fence) || !report.BootedAt.IsZero() && report.BootedAt.Before(w.bootedAt) {
 		return
 	}
+	w.confirmedEnd = max(w.confirmedEnd, order.AcknowledgedEnd)
 	if w.unanswered > 0 || !w.reported {
 		c.markFreed(w)
 		c.log(LogRecord{Worker: w.info.HostID, Event: "worker answers"})
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -154,7 +154,7 @@
 	Worker WorkerRef
 	Fence  Fence
 	// AcknowledgedEnd is the highest number of an ended run that the worker
-	// need not report again.
+	// need not report again; 0 if an earlier poll has told it all.
 	AcknowledgedEnd int64
 	// Deadline is when the lease expires; 0 does not renew it.
 	Deadline WorkerTime
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -43,6 +43,9 @@
 	pendingEnds  []pendingEnd
 	// acknowledgedEnd is the highest number that a poll has acknowledged.
 	acknowledgedEnd int64
+	// confirmedEnd is the highest number in a poll to which the worker has
+	// responded.
+	confirmedEnd int64
 	// unverifiedEnds are the reported ends that have not been compared with the
 	// stored rows. violatedEnd is the number of the last one that was to be
 	// acknowledged although these did not imply it.
@@ -256,7 +259,7 @@
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker reborn"})
 	c.nextLife(w)
 	w.appliedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds = 0, 0, 0, nil
-	w.unverifiedEnds, w.violatedEnd = nil, 0
+	w.unverifiedEnds, w.violatedEnd, w.confirmedEnd = nil, 0, 0
 	w.clock, w.leaseDeadline = 0, 0
 	w.clockAt = time.Time{}
 	w.reported = false
