Scheduler: randomised runs with eager owners, late orders and reborn workers

Two checks don't use the core's account: when a worker forgets an end done, the stored rows must say that the task is done or its job has ended; and when the owner's row is not eager, they must say of whatever runs that its step may have been started. An acknowledged end of a gang stands for all of its tasks, and ORDER is checked within an occurrence (before, against occurrence 0 of any).

A start that an earlier incarnation, or one between, would reject is dropped when it reaches a later one: no owner can know that this has been forgotten.

Six mutations show that the checks bite: acknowledgements before a commit without verification, ends of jobs and of occurrences that have ended in memory, jobs added and not marked, orders to an earlier incarnation with the same fence, and accepted starts taken for runs of the earlier incarnation.

--- a/scheduler/mutation_test.go
+++ b/scheduler/mutation_test.go
@@ -47,6 +47,45 @@
 				w.committedEnd, w.pendingEnds = w.appliedEnd, nil
 			}
 		}},
+		{"ends are acknowledged before they are committed, and not verified", simulationOptions{takeovers: 15}, func(c *Core) {
+			for _, w := range c.sortedWorkers {
+				w.committedEnd, w.pendingEnds, w.unverifiedEnds = w.appliedEnd, nil, nil
+			}
+		}},
+		{"ends of jobs that have ended in memory are acknowledged", simulationOptions{takeovers: 6, ownerFaults: ownerFaults{slowStore: 6}}, func(c *Core) {
+			for _, w := range c.sortedWorkers {
+				w.unverifiedEnds = nil
+				for i := range w.pendingEnds {
+					if p := &w.pendingEnds[i]; p.job != nil && p.job.state.Ended() {
+						p.version = 0
+					}
+				}
+			}
+		}},
+		{"ends of occurrences that have ended in memory are acknowledged", simulationOptions{takeovers: 6, ownerFaults: ownerFaults{slowStore: 6, timed: 0.7}}, func(c *Core) {
+			for _, w := range c.sortedWorkers {
+				w.unverifiedEnds = nil
+				for i := range w.pendingEnds {
+					if p := &w.pendingEnds[i]; p.job != nil && c.findTask(p.ended.Task) == nil {
+						p.version = 0
+					}
+				}
+			}
+		}},
+		{"jobs added after the takeover are not marked", simulationOptions{takeovers: 8, partitions: 8, ownerFaults: ownerFaults{slowStore: 8, overlap: true}}, func(c *Core) {
+			c.options.PreviousOwnerEager = false
+		}},
+		{"orders to an earlier incarnation carry the same fence", simulationOptions{crashes: 6, delayedOrders: 0.1, ownerFaults: ownerFaults{latePolls: 0.1, quickRebirths: true}}, func(c *Core) {
+			for _, w := range c.sortedWorkers {
+				w.life = 0
+			}
+			clear(c.lives)
+		}},
+		{"accepted starts count as runs of the earlier incarnation", simulationOptions{crashes: 8, ownerFaults: ownerFaults{quickRebirths: true}}, func(c *Core) {
+			forRuns(c, func(w *worker, r *run) {
+				r.reported = r.reported || !r.acknowledgedAt.IsZero()
+			})
+		}},
 		{"steps that may have unknown runs are started", simulationOptions{takeovers: 4, partitions: 6}, func(c *Core) {
 			for _, s := range c.open {
 				s.mayHaveUnknownRuns = false
@@ -107,8 +146,12 @@
 // found, or an empty string.
 func runSimulation(seed uint64, options simulationOptions, mutate func(*Core)) string {
 	options.workers, options.jobs, options.mutate = 6, 60, mutate
+	steps := 9000
+	if options.slowed() {
+		steps = 20_000
+	}
 	sim := newSimulation(seed, options)
-	sim.run(9000)
+	sim.run(steps)
 	if len(sim.problems) == 0 {
 		sim.checkEnd()
 	}
--- a/scheduler/randomised_test.go
+++ b/scheduler/randomised_test.go
@@ -42,7 +42,7 @@
 	job := sim.accepted[name.Job]
 	for _, earlier := range step.After {
 		for index := range job.Steps[earlier].Count {
-			before := TaskName{StepName: StepName{Job: name.Job, Step: earlier}, Index: index}
+			before := TaskName{StepName: StepName{Job: name.Job, Occurrence: name.Occurrence, Step: earlier}, Index: index}
 			if !sim.finished[before] && !job.Steps[earlier].Gang {
 				sim.problem("%v started before %v was done", name, before)
 			}
@@ -158,14 +158,23 @@
 		{"takeovers, cancels", simulationOptions{takeovers: 6, cancels: 0.5}},
 		{"takeovers, failures", simulationOptions{takeovers: 8, failures: 0.3}},
 		{"crashes, takeovers, failures", simulationOptions{crashes: 2, takeovers: 2, failures: 0.05}},
+		{"slow store, takeovers", simulationOptions{takeovers: 6, ownerFaults: ownerFaults{slowStore: 4, timed: 0.3}}},
+		{"slow store, takeovers, crashes", simulationOptions{takeovers: 5, crashes: 3, ownerFaults: ownerFaults{slowStore: 4, timed: 0.3}}},
+		{"slow store, takeovers, partitions", simulationOptions{takeovers: 5, partitions: 4, ownerFaults: ownerFaults{slowStore: 4, overlap: true, advised: 0.5}}},
+		{"reborn workers, late orders", simulationOptions{crashes: 6, delayedOrders: 0.04, ownerFaults: ownerFaults{latePolls: 0.04, quickRebirths: true, timed: 0.2}}},
+		{"reborn workers, late orders, takeovers", simulationOptions{crashes: 4, takeovers: 3, delayedOrders: 0.04, ownerFaults: ownerFaults{latePolls: 0.04, quickRebirths: true, slowStore: 3, overlap: true}}},
 	}
 	for _, kind := range kinds {
 		for _, seed := range seedsFrom(t, 1, 4) {
 			t.Run(kind.name+"/"+strconv.FormatUint(seed, 10), func(t *testing.T) {
 				options := kind.options
 				options.workers, options.jobs = 9, 60
+				steps := 6000
+				if options.slowed() {
+					steps = 12000
+				}
 				sim := newSimulation(seed, options)
-				sim.run(6000)
+				sim.run(steps)
 				if len(sim.problems) == 0 {
 					sim.checkEnd()
 				}
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -36,6 +36,7 @@
 	problems     []string
 	// permanentCrashes counts the workers that crashed and never restart.
 	permanentCrashes int
+	owners
 }
 
 // simulationOptions sets the load and the rates of faults.
@@ -59,6 +60,7 @@
 	// runs that fail.
 	cancels  float64
 	failures float64
+	ownerFaults
 	// mutate breaks a rule of the core before each tick, if it is set.
 	mutate func(*Core)
 }
@@ -88,11 +90,16 @@
 	lastEnd          int64
 	bootedAt         time.Time
 	partitionedUntil time.Time
+	// hiddenUntil is when the present owner reaches the worker again; a replaced
+	// one reaches it before.
+	hiddenUntil time.Time
 	// stalledUntil is when its runs make progress again.
 	stalledUntil time.Time
 	crashed      bool
 	// clockRate is the rate of its clock, 1 being exact.
 	clockRate float64
+	// formerLives holds the earlier incarnations by the time of their boot.
+	formerLives map[time.Time]formerLife
 }
 
 type fakeRun struct {
@@ -169,8 +176,9 @@
 // takeOver replaces the core by one of a new owner, recovered from the store.
 func (sim *simulation) takeOver() {
 	sim.epoch++
+	sim.replaceOwner()
 	sim.commitInFlight = nil
-	sim.core = New(Options{Epoch: sim.epoch, LeaseTerm: 9 * time.Second, MaxLease: 10 * time.Second, PreviousOwnerTerm: time.Second}, sim.now)
+	sim.core = New(Options{Epoch: sim.epoch, LeaseTerm: 9 * time.Second, MaxLease: 10 * time.Second, PreviousOwnerEager: sim.ownerEager, PreviousOwnerTerm: previousOwnerTerm}, sim.now)
 	if value, ok := sim.rows[LeasedWorkersKey]; ok {
 		var row LeasedWorkersRow
 		if err := DecodeRow(value, &row); err != nil {
@@ -239,9 +247,10 @@
 		}
 		job.Steps = append(job.Steps, s)
 	}
+	sim.vary(&job)
 	sim.accepted[job.JobID] = job
 	sim.rows[JobKey(job.JobID)] = EncodeRow(job)
-	sim.core.Add(sim.now, job)
+	sim.tellJob(job)
 	if r.Float64() < sim.options.cancels {
 		sim.after(time.Duration(r.IntN(2000))*time.Millisecond, func() {
 			sim.cancelled[job.JobID] = true
@@ -261,6 +270,7 @@
 		faults := step < steps/2
 		if faults {
 			sim.injectFault()
+			sim.injectOwnerFault()
 		}
 		sim.runEvents()
 		for _, f := range sim.workers {
@@ -269,10 +279,15 @@
 		if step%70 == 0 {
 			sim.listWorkers()
 		}
+		if step%30 == 0 {
+			sim.watchJobs()
+		}
+		sim.runPrevious()
 		if sim.options.mutate != nil {
 			sim.options.mutate(sim.core)
 		}
 		sim.deliver(sim.core.Tick(sim.now))
+		sim.answerAdvice()
 		sim.commit()
 		sim.check()
 		if len(sim.problems) > 0 {
@@ -319,64 +334,65 @@
 		return
 	}
 	batch := sim.core.TakeBatch(40)
-	if batch.Empty() {
+	if batch.Empty() && !sim.renewalDue() {
 		return
 	}
 	sim.commitInFlight = batch
-	core := sim.core
-	sim.after(time.Duration(5+sim.random.IntN(60))*time.Millisecond, func() {
+	core, sentAt, eager := sim.core, sim.now, sim.nextOwnerEager()
+	sim.after(sim.commitTime(), func() {
 		if core != sim.core {
 			return
 		}
-		for _, write := range batch.Writes {
-			if write.Value == nil {
-				delete(sim.rows, write.Key)
-			} else {
-				sim.rows[write.Key] = write.Value
-			}
-		}
-		sim.commitInFlight = nil
+		sim.store(batch, eager)
+		sim.commitInFlight, sim.committedAt = nil, sim.now
 		core.Committed(sim.now, batch)
+		core.StoreReached(sentAt, sim.revision)
+		if eager && sim.slow() {
+			core.SetEager(true)
+		}
 	})
 }
 
 // deliver sends orders to the workers. A core that has been replaced receives
 // no responses.
-func (sim *simulation) deliver(orders Orders) {
-	core := sim.core
+func (sim *simulation) deliver(orders Orders) { sim.deliverFrom(sim.core, orders) }
+
+// deliverFrom sends orders of an owner that may have been replaced.
+func (sim *simulation) deliverFrom(core *Core, orders Orders) {
 	for _, order := range orders.Polls {
 		sim.send(order.Worker, func(f *fakeWorker) func() {
 			report, result := f.poll(order)
 			return func() { core.PollDone(sim.now, order, report, result) }
-		}, func() { core.PollDone(sim.now, order, nil, OrderUnknown) }, core, false)
+		}, func() { core.PollDone(sim.now, order, nil, OrderUnknown) }, core, sim.options.latePolls)
 	}
 	for _, order := range orders.Stops {
 		sim.send(order.Worker, func(f *fakeWorker) func() {
 			result := f.stop(order)
 			return func() { core.StopDone(sim.now, order, result) }
-		}, func() { core.StopDone(sim.now, order, OrderUnknown) }, core, true)
+		}, func() { core.StopDone(sim.now, order, OrderUnknown) }, core, sim.options.delayedOrders)
 	}
 	for _, order := range orders.Starts {
 		sim.send(order.Worker, func(f *fakeWorker) func() {
 			result := f.start(order)
 			return func() { core.StartDone(sim.now, order, result) }
-		}, func() { core.StartDone(sim.now, order, OrderUnknown) }, core, true)
+		}, func() { core.StartDone(sim.now, order, OrderUnknown) }, core, sim.options.delayedOrders)
 	}
 }
 
-// send delivers an order to a worker and its response to the core.
-func (sim *simulation) send(to WorkerRef, do func(*fakeWorker) func(), fail func(), core *Core, mayDelay bool) {
+// send delivers an order to a worker and its response to the core. The order is
+// late with the given probability.
+func (sim *simulation) send(to WorkerRef, do func(*fakeWorker) func(), fail func(), core *Core, late float64) {
 	r := sim.random
 	index := slices.IndexFunc(sim.workers, func(f *fakeWorker) bool { return f.info.HostID == to.HostID })
 	f := sim.workers[index]
 	outbound := time.Duration(1+r.IntN(20)) * time.Millisecond
 	inbound := time.Duration(1+r.IntN(20)) * time.Millisecond
 	respond := func(reply func()) {
-		if core == sim.core {
+		if sim.active(core) {
 			reply()
 		}
 	}
-	if mayDelay && r.Float64() < sim.options.delayedOrders {
+	if late > 0 && r.Float64() < late {
 		sim.after(time.Duration(2000+r.IntN(10000))*time.Millisecond, func() {
 			if !f.crashed {
 				do(f)
@@ -387,7 +403,7 @@
 	}
 	lost := r.Float64() < sim.options.lostResponses
 	sim.after(outbound, func() {
-		if f.crashed || sim.now.Before(f.partitionedUntil) {
+		if f.crashed || f.hides(core) {
 			sim.after(700*time.Millisecond, func() { respond(fail) })
 			return
 		}
@@ -426,6 +442,9 @@
 }
 
 func (f *fakeWorker) start(order StartOrder) OrderResult {
+	if f.formerlyRejected(order) {
+		return OrderUnknown
+	}
 	if !f.acceptFence(order.Fence) {
 		return OrderFenced
 	}
@@ -465,12 +484,7 @@
 		return nil, OrderFenced
 	}
 	f.extendLease(order.Deadline)
-	for _, ended := range f.ended {
-		if ended.Number <= order.AcknowledgedEnd && ended.Kind == EndDone {
-			f.sim.acknowledged[ended.Task] = true
-		}
-	}
-	f.ended = slices.DeleteFunc(f.ended, func(e EndedRun) bool { return e.Number <= order.AcknowledgedEnd })
+	f.forget(order.AcknowledgedEnd)
 	report := &Report{Clock: f.clock(), BootedAt: f.info.BootedAt, Ended: slices.Clone(f.ended)}
 	for key, r := range f.runs {
 		report.Running = append(report.Running, RunningTask{Task: key.name, Run: key.number, Percent: r.percent(f.sim.now)})
@@ -611,7 +625,8 @@
 		sim.permanentCrashes++
 		return
 	}
-	sim.after(time.Duration(500+sim.random.IntN(5000))*time.Millisecond, func() {
+	f.endLife()
+	sim.after(sim.rebirthDelay(), func() {
 		f.crashed = false
 		f.fence, f.lease, f.lastEnd, f.ended = 0, time.Time{}, 0, nil
 		f.barredRuns = make(map[TaskName]RunNumber)
