--- a/scheduler/acknowledge.go
+++ b/scheduler/acknowledge.go
@@ -126,14 +126,19 @@
 	}
 }
 
-// acknowledgement returns the number up to which a poll of a worker acknowledges
-// ends. A worker that doesn't answer may have started again and numbered other
-// ends since, which such a poll would make it forget unread.
+// acknowledgement returns the number up to which a poll acknowledges a worker's
+// ends, or 0 if it acknowledges none for which a response is outstanding: a later
+// incarnation that executes the poll late would forget its own ends up to it. A
+// worker that doesn't answer may have started again and numbered other ends.
 func (c *Core) acknowledgement(w *worker) int64 {
 	if w.unanswered > 0 {
 		return 0
 	}
-	return c.verifyAcknowledgement(w)
+	number := c.verifyAcknowledgement(w)
+	if number <= w.confirmedEnd {
+		return 0
+	}
+	return number
 }
 
 // logAcknowledged logs and counts the ends that a poll acknowledges for the
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -105,6 +105,7 @@
 	if !c.observeReportedBirth(w, order, report.BootedAt) || !c.addressesCurrent(w, order.Fence) {
 		return
 	}
+	w.confirmedEnd = max(w.confirmedEnd, order.AcknowledgedEnd)
 	if w.unanswered > 0 || !w.reported {
 		c.markFreed(w)
 		c.log(LogRecord{Worker: w.info.HostID, Event: "worker answers"})
