Give up tasks that crash their workers, and start suspects where little is lost

Cause: a run that is lost with its worker counted against nothing. The end of an incarnation only put its tasks back into the queue. The same class of fault as an unbounded retry.

Change: each task, or gang as a whole, has a record of the lives of workers that ended under it, with how likely each was to end by chance so soon after a start. It is committed before the task starts again, so it counts over owners. Two proven lives that can't be chance, or four to five in all, and the task is given up; a long-running one is held back instead. Suspects, and new tasks of a queue that has just silenced a worker, start where little is lost, with nothing else beside them for a moment.

--- a/scheduler/candidate.go
+++ b/scheduler/candidate.go
@@ -180,8 +180,12 @@
 
 // taskLimit returns how many more tasks of the step a worker may run by rules
 // other than capacity: anti-affinity, no best-effort tasks beside tasks with a
-// target for response times, and one task at a time on probation.
+// target for response times, none beside a task on trial, and one task at a
+// time on probation.
 func (s *step) taskLimit(w *worker) int {
+	if w.trial != nil && w.trial.job != s.job() {
+		return 0
+	}
 	limit := len(s.tasks)
 	if s.def.AntiAffinity > 0 {
 		limit = min(limit, s.def.AntiAffinity-s.countRuns(w))
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -108,7 +108,16 @@
 	// let tasks start.
 	placementPending bool
 	// fenced is true if a worker has seen a higher fence.
-	fenced     bool
+	fenced bool
+	// lostLives are the incarnations of workers that ended lately.
+	lostLives []lostLife
+	// unknownLivesRecorded is true once the tasks that a previous owner may have
+	// started and no worker has reported are recorded as such.
+	unknownLivesRecorded bool
+	// silences are the recent events in which a worker fell silent right after a
+	// start; risky counts them by queue.
+	silences   []silence
+	risky      map[string]int
 	logRecords []LogRecord
 	stats      Stats
 }
@@ -155,6 +164,12 @@
 	// StraysStopped counts orphaned runs: a worker reported them, and no
 	// unfinished task needed them.
 	StraysStopped int64
+	// Crashes counts incarnations of workers that ended while they ran tasks.
+	// Trials counts the starts of tasks under suspicion. GivenUp counts the
+	// jobs that failed because a task crashes its workers.
+	Crashes int64
+	Trials  int64
+	GivenUp int64
 }
 
 // LogRecord is an event for the log.
@@ -187,6 +202,7 @@
 		timed:          make(map[requester.JobID]*job),
 		awaitingAdvice: make(map[StepName]*step),
 		allowedShares:  make(map[string]float64),
+		risky:          make(map[string]int),
 
 		corrections: make(map[string]*estimator.Correction),
 	}
@@ -219,6 +235,8 @@
 func (c *Core) Tick(now time.Time) Orders {
 	c.now = now
 	c.expireLeases()
+	c.updateTrials()
+	c.recordUnknownLives()
 	c.evacuate()
 	c.activateOccurrences()
 	c.place()
--- /dev/null
+++ b/scheduler/crash.go
@@ -0,0 +1,408 @@
+package scheduler
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"kumquatstall/requester"
+)
+
+// A task may crash each worker that starts it. The owner sees only that a
+// worker's incarnation has ended, with all of its runs, and every worker
+// crashes now and then. So it records with each task the incarnations that
+// ended under it, and how likely each of them was to end by chance as soon
+// after the start of the task. The sooner workers crash after the starts of a
+// task, the stronger is the evidence against it. A task against which there is
+// enough is given up; one under suspicion starts where the least is lost with
+// the worker, as the only task that starts there until it is cleared.
+//
+// The records are committed before the task starts again. What a later owner
+// cannot know is whether a task of a started step that no worker reports was
+// lost with its worker or never started. It records that as a life of unknown
+// outcome, which is no evidence by itself.
+
+// crash records an incarnation of a worker that ended while it ran a task, or a
+// member of a gang.
+type crash struct {
+	_      struct{} `cbor:",toarray"`
+	Run    RunNumber
+	Worker requester.HostID
+	// AgeMillis is the longest time for which the run may have existed when the
+	// worker fell silent.
+	AgeMillis int64
+	// ChancePPM is the probability, in millionths, that a worker of the run
+	// crashes by chance within that time. It is certain if the crash says
+	// nothing about the task.
+	ChancePPM int64
+	// Unproven is true if it isn't certain that the worker had started the run.
+	Unproven bool
+}
+
+// crashHistory is the record of the crashes under a task, or under a gang.
+type crashHistory struct {
+	crashes []crash
+	// version is the first version of the job's rows with the last crash.
+	version int64
+	// heldUntil is the earliest time of the next start of a long-running task.
+	heldUntil time.Time
+}
+
+// lostLife is an incarnation of a worker that has ended.
+type lostLife struct {
+	worker   requester.HostID
+	silentAt time.Time
+}
+
+const (
+	// certainPPM is a probability of 1.
+	certainPPM = 1_000_000
+	// minCrashes is the least number of proven crashes after which a task is
+	// given up.
+	minCrashes = 2
+	// maxCrashes is the number of lives from which unproven ones count as well.
+	maxCrashes = 4
+	// suspectPPM is the chance of a crash below which its runs are under
+	// suspicion if they had existed for at most suspectAge.
+	suspectPPM = 50_000
+	suspectAge = 2 * time.Second
+	// A task is cleared of a crash once a run of it has lasted for clearFactor
+	// times the run that crashed, and at least minTrial.
+	clearFactor = 2
+	minTrial    = 300 * time.Millisecond
+	// crashMemory is the time over which the rate of crashes is measured.
+	// crashPrior is added to the time, and one crash to those counted, so that
+	// a new owner doesn't assume that workers never crash.
+	crashMemory = time.Minute
+	crashPrior  = 5 * time.Second
+	// minAge is the least age with which a chance is calculated.
+	minAge = 10 * time.Millisecond
+	// A run that was explainedFactor times as old as the youngest one on its
+	// worker, and at least minTrial, is less likely the cause than that one. The
+	// chance of its crash is at least explainedPPM.
+	explainedFactor = 4
+	explainedPPM    = 200_000
+	// taskPriorPPM and suspectPriorPPM are the probabilities that a task, or a
+	// suspect, crashes its workers, as far as is known before a crash.
+	taskPriorPPM    = 1_000
+	suspectPriorPPM = 300_000
+	// wideWindow and wideCrashes define a wide failure: so many other workers
+	// fall silent within that time before or after. It says nothing about the
+	// tasks.
+	wideWindow  = 300 * time.Millisecond
+	wideCrashes = 3
+	// firstHold is how long a long-running task that crashes its workers is
+	// held back after the second crash. The time doubles with each further one,
+	// at most maxHoldDoublings times.
+	firstHold        = time.Second
+	maxHoldDoublings = 5
+)
+
+// history returns where the crashes under a task, or its gang, are recorded.
+func (t *task) history() **crashHistory {
+	if t.step.def.Gang {
+		return &t.step.crashes
+	}
+	return &t.crashes
+}
+
+// chance returns the probability that all crashes happened by chance.
+func (h *crashHistory) chance() float64 {
+	chance := 1.0
+	for _, crash := range h.crashes {
+		chance *= float64(crash.ChancePPM) / certainPPM
+	}
+	return chance
+}
+
+// guiltyChances are, by the number of lives recorded with a task, the
+// probabilities of chance below which the task is given up. The last one holds
+// for all higher numbers.
+var guiltyChances = [...]float64{0, 0, 1e-5, 1e-5, 1e-3, 5e-2}
+
+// guilty reports whether the task is to be given up. Of the lives recorded with
+// it, minCrashes must say something about the task. From maxCrashes on these
+// need not be proven: a task may crash its workers before they acknowledge the
+// start.
+func (h *crashHistory) guilty() bool {
+	telling := 0
+	for _, crash := range h.crashes {
+		if crash.ChancePPM < certainPPM && (!crash.Unproven || len(h.crashes) >= maxCrashes) {
+			telling++
+		}
+	}
+	return telling >= minCrashes && h.chance() < guiltyChances[min(len(h.crashes), len(guiltyChances)-1)]
+}
+
+// suspect reports whether the task has to start on trial.
+func (h *crashHistory) suspect() bool {
+	return h != nil && slices.ContainsFunc(h.crashes, func(crash crash) bool {
+		return crash.ChancePPM < suspectPPM && crash.age() <= suspectAge
+	})
+}
+
+func (crash *crash) age() time.Duration { return time.Duration(crash.AgeMillis) * time.Millisecond }
+
+// clearedAfter is how long a run must last to clear its task of the crash.
+func (crash *crash) clearedAfter() time.Duration { return max(minTrial, clearFactor*crash.age()) }
+
+// describe names the workers and runs of the crashes.
+func (h *crashHistory) describe() string {
+	var parts []string
+	for _, crash := range h.crashes {
+		worker := string(crash.Worker)
+		if worker == "" {
+			worker = "an unknown worker"
+		}
+		parts = append(parts, fmt.Sprintf("run %d on %s within %v", crash.Run, worker, crash.age()))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// recordCrash records that an incarnation of a worker has provably ended, under
+// each task that it may have run. The caller does so before it releases the
+// runs.
+func (c *Core) recordCrash(w *worker) {
+	c.noteSilent(w)
+	w.trial = nil
+	if len(w.runs) == 0 || w.info.Leaving {
+		return
+	}
+	silentAt := w.silentAt
+	c.stats.Crashes++
+	c.lostLives = append(c.lostLives, lostLife{w.info.HostID, silentAt})
+	aliveAt, youngest := w.lastSign(silentAt)
+	found := make(map[*run]crash)
+	runs := slices.DeleteFunc(w.sortedRuns(), func(r *run) bool {
+		return r.task == nil || r.task.run != r || r.task.done || r.task.step.job().state.Ended()
+	})
+	for _, r := range runs {
+		if !r.task.step.def.Gang {
+			(*r.task.history()).clearOutlasted(aliveAt.Sub(r.startedAt))
+		}
+		age := max(minAge, silentAt.Sub(r.startedAt))
+		found[r] = crash{
+			Run: r.number, Worker: w.info.HostID, AgeMillis: age.Milliseconds(),
+			ChancePPM: c.crashChance(w, r, silentAt, age, youngest), Unproven: r.acknowledgedAt.IsZero(),
+		}
+	}
+	for _, r := range runs {
+		if !r.task.step.job().state.Ended() {
+			c.addCrash(r.task, found[r])
+		}
+	}
+}
+
+// lastSign returns when the worker last gave a sign of life, and how old its
+// youngest run was when it fell silent.
+func (w *worker) lastSign(silentAt time.Time) (aliveAt time.Time, youngest time.Duration) {
+	aliveAt, youngest = w.clockAt, silentAt.Sub(time.Time{})
+	for _, r := range w.runs {
+		aliveAt = latest(aliveAt, r.acknowledgedAt)
+		youngest = min(youngest, max(minAge, silentAt.Sub(r.startedAt)))
+	}
+	return aliveAt, youngest
+}
+
+// crashChance returns the probability, in millionths, that a worker of the run
+// crashes by chance within the given time.
+func (c *Core) crashChance(w *worker, r *run, silentAt time.Time, age, youngest time.Duration) int64 {
+	if r.tracked || c.wideFailure(w, r, silentAt) {
+		return certainPPM
+	}
+	c.lostLives = slices.DeleteFunc(c.lostLives, func(life lostLife) bool { return c.now.Sub(life.silentAt) > crashMemory })
+	workers := float64(max(1, len(c.sortedWorkers)))
+	observed := min(crashMemory, c.now.Sub(c.tookOverAt)) + crashPrior
+	rate := float64(len(c.lostLives)+1) / (workers * observed.Seconds())
+	hosts := 1.0
+	if r.task.step.def.Gang {
+		hosts = min(workers, float64(len(r.task.step.tasks)))
+	}
+	chance := int64(certainPPM * rate * age.Seconds() * hosts)
+	if age >= explainedFactor*youngest && age >= minTrial {
+		chance = max(chance, explainedPPM)
+	}
+	chance += c.othersChance(w, r, silentAt, age)
+	return min(certainPPM, max(1, chance))
+}
+
+// othersChance returns the probability, in millionths, that another task on the
+// worker that started at about the same time, or later, is the cause.
+func (c *Core) othersChance(w *worker, r *run, silentAt time.Time, age time.Duration) int64 {
+	var chance int64
+	for _, other := range w.runs {
+		if other == r || other.task == nil || other.task.step.def.Gang && other.task.step == r.task.step || silentAt.Sub(other.startedAt) > 2*age {
+			continue
+		}
+		if other.task.suspect() {
+			chance += suspectPriorPPM
+		} else {
+			chance += taskPriorPPM
+		}
+	}
+	return chance
+}
+
+// wideFailure reports whether a worker fell silent together with others that
+// did not run the same gang.
+func (c *Core) wideFailure(w *worker, r *run, silentAt time.Time) bool {
+	others := make(map[requester.HostID]bool)
+	for _, life := range c.lostLives {
+		if life.silentAt.Sub(silentAt).Abs() <= wideWindow {
+			others[life.worker] = true
+		}
+	}
+	for _, other := range c.sortedWorkers {
+		if other.unanswered > 0 && other.silentAt.Sub(silentAt).Abs() <= wideWindow {
+			others[other.info.HostID] = true
+		}
+	}
+	delete(others, w.info.HostID)
+	if s := r.task.step; s.def.Gang {
+		for _, id := range s.hosts {
+			delete(others, id)
+		}
+	}
+	return len(others) >= wideCrashes
+}
+
+// appendCrash adds a life to the history of a task, or of its gang. The lives of
+// one run count once, by the strongest evidence.
+func (t *task) appendCrash(found crash) *crashHistory {
+	history := t.history()
+	if *history == nil {
+		*history = &crashHistory{}
+	}
+	h := *history
+	if i := slices.IndexFunc(h.crashes, func(known crash) bool { return known.Run == found.Run }); i < 0 {
+		h.crashes = append(h.crashes, found)
+	} else if found.ChancePPM < h.crashes[i].ChancePPM {
+		h.crashes[i] = found
+	}
+	return h
+}
+
+// addCrash adds a crash to the record of a task, or of its gang, and gives the
+// task up if it is guilty.
+func (c *Core) addCrash(t *task, found crash) {
+	j := t.step.job()
+	h := t.appendCrash(found)
+	c.markDirty(j)
+	h.version = j.version
+	c.log(LogRecord{
+		Job: j.name(), Task: t.name(), Run: found.Run, Worker: found.Worker, Event: "worker crashed under a run",
+		Why: fmt.Sprintf("crash %d under the task, within %v of the start; by chance: %.2g", len(h.crashes), found.age(), h.chance()),
+	})
+	if !h.guilty() {
+		return
+	}
+	if t.step.def.LongRunning {
+		doublings := min(len(h.crashes)-minCrashes, maxHoldDoublings)
+		h.heldUntil = c.now.Add(firstHold << doublings)
+		c.log(LogRecord{Job: j.name(), Task: t.name(), Event: "task held back", Why: "it crashes its workers: " + h.describe()})
+		return
+	}
+	c.stats.GivenUp++
+	c.stats.JobsFailed++
+	c.log(LogRecord{Job: j.name(), Task: t.name(), Run: found.Run, Worker: found.Worker, Event: "task given up", Why: "it crashes its workers: " + h.describe()})
+	c.endJob(j, StateFailed, "a task crashes its workers")
+}
+
+// recordUnknownLives records a life of unknown outcome with each task that a
+// previous owner may have started and that no worker has reported. The caller
+// does so once, when every worker has reported or lost its lease.
+func (c *Core) recordUnknownLives() {
+	if c.unknownLivesRecorded || !c.Reconciled() {
+		return
+	}
+	c.unknownLivesRecorded = true
+	for _, s := range c.open {
+		if !s.mayHaveUnknownRuns || s.waiting == 0 {
+			continue
+		}
+		for _, t := range s.tasks {
+			if !t.done && t.run == nil {
+				t.appendCrash(crash{Run: c.firstRun() - 1, ChancePPM: certainPPM})
+			}
+		}
+		c.markDirty(s.job())
+	}
+}
+
+// mayStart reports whether a task, or its gang, may start now as far as its
+// crashes are concerned.
+func (c *Core) mayStart(t *task) bool {
+	h := *t.history()
+	if h == nil {
+		return true
+	}
+	if h.committed(t.step.job()) && !c.now.Before(h.heldUntil) && !(h.suspect() && c.trials(true) >= c.maxTrials(suspectShare)) {
+		return true
+	}
+	// Neither time nor a commit frees a worker, so a scan of freed workers only
+	// would not find one for the task.
+	t.step.scannedAt = time.Time{}
+	return false
+}
+
+// committed reports whether the record is in the store.
+func (h *crashHistory) committed(j *job) bool { return h == nil || h.version <= j.committedVersion }
+
+// clearRun clears the task of a run that a worker reports of the crashes that
+// the run has outlasted.
+func (c *Core) clearRun(r *run) {
+	if r.task == nil || r.task.run != r {
+		return
+	}
+	h := *r.task.history()
+	if h == nil {
+		return
+	}
+	h.clearOutlasted(r.lasted())
+}
+
+// lasted returns how long a run has surely existed by its worker's last report.
+// A gang has lasted as long as the member of which that is least.
+func (r *run) lasted() time.Duration {
+	s := r.task.step
+	if !s.def.Gang {
+		return r.worker.clockAt.Sub(r.acknowledgedAt)
+	}
+	shortest := time.Duration(math.MaxInt64)
+	for _, member := range s.tasks {
+		if member.run == nil || member.run.number != r.number || member.run.acknowledgedAt.IsZero() {
+			return 0
+		}
+		shortest = min(shortest, member.run.worker.clockAt.Sub(member.run.acknowledgedAt))
+	}
+	return shortest
+}
+
+// clearOutlasted removes the crashes that a run of the task has outlasted.
+func (h *crashHistory) clearOutlasted(lasted time.Duration) {
+	if h != nil {
+		h.crashes = slices.DeleteFunc(h.crashes, func(crash crash) bool { return lasted >= crash.clearedAfter() })
+	}
+}
+
+// restoredCrashes returns the history that a previous owner stored; nil for
+// none.
+func restoredCrashes(stored []crash) *crashHistory {
+	if len(stored) == 0 {
+		return nil
+	}
+	return &crashHistory{crashes: stored}
+}
+
+// addCrashes adds the history of a task, or of a gang, to the stored progress.
+func (p *stepProgress) addCrashes(index int, h *crashHistory) {
+	if h == nil || len(h.crashes) == 0 {
+		return
+	}
+	if p.Crashes == nil {
+		p.Crashes = make(map[int][]crash)
+	}
+	p.Crashes[index] = h.crashes
+}
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -17,7 +17,7 @@
 	}
 	s.scannedAt = time.Time{}
 	chosen := c.chooseGang(s, c.candidates(s))
-	if chosen == nil {
+	if chosen == nil || !c.mayStart(s.tasks[0]) {
 		return
 	}
 	number := max(s.lastRun+1, c.firstRun())
@@ -25,9 +25,16 @@
 	if s.reservation != nil {
 		c.releaseReservation(s.reservation)
 	}
+	s.hosts = s.hosts[:0]
 	for i, cand := range chosen {
+		s.hosts = append(s.hosts, cand.worker.info.HostID)
 		c.startRun(s.tasks[i], cand.worker, number, cand.ticket)
 	}
+	if s.tasks[0].suspect() {
+		for _, t := range s.tasks {
+			c.putOnTrial(t)
+		}
+	}
 }
 
 // chooseGang returns a candidate for each member of a gang, or nil if they do
--- a/scheduler/mutation_test.go
+++ b/scheduler/mutation_test.go
@@ -16,6 +16,15 @@
 			}
 		}
 	}
+	forHistories := func(c *Core, do func(*crashHistory)) {
+		for _, s := range c.open {
+			for _, task := range s.tasks {
+				if h := *task.history(); h != nil {
+					do(h)
+				}
+			}
+		}
+	}
 	mutations := []struct {
 		name    string
 		options simulationOptions
@@ -85,6 +94,16 @@
 				}
 			}
 		}},
+		{"crashes under tasks are forgotten", simulationOptions{deadly: 0.1}, func(c *Core) {
+			forHistories(c, func(h *crashHistory) { h.crashes = nil })
+		}},
+		{"any crash counts as evidence", simulationOptions{deadly: 0.1, racks: 0.5}, func(c *Core) {
+			forHistories(c, func(h *crashHistory) {
+				for i := range h.crashes {
+					h.crashes[i].ChancePPM = 1
+				}
+			})
+		}},
 	}
 	const seeds = 12
 	for _, mutation := range mutations {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -55,13 +55,21 @@
 		if len(found) == 0 {
 			return
 		}
-		if t.done || t.run != nil {
+		if t.done || t.run != nil || !c.mayStart(t) {
 			continue
 		}
 		best := c.bestFit(s, found)
+		onTrial := c.needsTrial(t)
+		if onTrial {
+			best = c.leastStake(t, found)
+		}
 		chosen := &found[best]
 		c.startRun(t, chosen.worker, t.nextRun(c), chosen.ticket)
 		chosen.slots--
+		if onTrial {
+			c.putOnTrial(t)
+			chosen.slots = min(chosen.slots, s.taskLimit(chosen.worker))
+		}
 		if chosen.slots == 0 || !s.def.allocation().Fits(c.availableFor(s, chosen.worker)) {
 			found = slices.Delete(found, best, best+1)
 		}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -62,6 +62,7 @@
 		if w.unanswered == 0 {
 			c.log(LogRecord{Worker: w.info.HostID, Event: "worker doesn't answer"})
 		}
+		c.noteSilent(w)
 		w.unanswered++
 		w.nextPollAt = now.Add(pollRetryInterval)
 	}
@@ -70,6 +71,7 @@
 // endIncarnation releases the runs of an incarnation that has provably ended.
 func (c *Core) endIncarnation(w *worker) {
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker's incarnation ended", Why: "another incarnation responded at its address"})
+	c.recordCrash(w)
 	w.unanswered++
 	w.nextPollAt = c.now.Add(pollRetryInterval)
 	for _, r := range w.sortedRuns() {
@@ -190,7 +192,7 @@
 		return r
 	}
 	r.task = t
-	r.resumed = true
+	r.resumed, r.tracked = true, true
 	t.run = r
 	t.step.waiting--
 	t.step.job().activeRuns++
@@ -223,6 +225,7 @@
 	}
 	r.checkpoint = running.Checkpoint
 	r.recordPercent(c.now, running.Percent)
+	c.clearRun(r)
 	if r.phase == runStopping && !r.stopInFlight {
 		c.sendStop(r)
 	}
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -61,7 +61,11 @@
 	lastRun RunNumber
 	// failedRuns are the numbers of the failed runs of a gang.
 	failedRuns []RunNumber
-	advice     stepAdvice
+	// crashes are the crashes under a gang, nil if there are none; hosts are
+	// the workers on which it last started.
+	crashes *crashHistory
+	hosts   []requester.HostID
+	advice  stepAdvice
 	// stalls counts how often a run of the step, or a whole gang, was stopped
 	// because it made no progress.
 	stalls int
@@ -98,6 +102,9 @@
 	failedRuns []RunNumber
 	checkpoint string
 	lastRun    RunNumber
+	// crashes are the crashes under the task; nil if there are none, or for a
+	// member of a gang.
+	crashes *crashHistory
 	// run is the run that is active, or may be; nil for none.
 	run *run
 }
@@ -262,10 +269,12 @@
 		s.mayHaveUnknownRuns = progress.Started
 		if s.def.Gang {
 			s.failedRuns = progress.FailedRuns[0]
+			s.crashes = restoredCrashes(progress.Crashes[0])
 		}
 		for index, t := range s.tasks {
 			if !s.def.Gang {
 				t.failedRuns = progress.FailedRuns[index]
+				t.crashes = restoredCrashes(progress.Crashes[index])
 			}
 			t.checkpoint = progress.Checkpoints[index]
 			if progress.AllDone || bitSet(progress.Done, index) {
@@ -456,7 +465,7 @@
 }
 
 func (s *step) progress() stepProgress {
-	row := stepProgress{Started: s.startRecordVersion > 0 || s.mayHaveUnknownRuns}
+	row := stepProgress{calmProgress: calmProgress{Started: s.startRecordVersion > 0 || s.mayHaveUnknownRuns}}
 	if s.complete() {
 		row.AllDone = true
 		return row
@@ -464,6 +473,9 @@
 	if s.def.Gang && len(s.failedRuns) > 0 {
 		row.FailedRuns = map[int][]RunNumber{0: s.failedRuns}
 	}
+	if s.def.Gang {
+		row.addCrashes(0, s.crashes)
+	}
 	for index, t := range s.tasks {
 		if t.done {
 			if row.Done == nil {
@@ -478,6 +490,9 @@
 			}
 			row.FailedRuns[index] = t.failedRuns
 		}
+		if !s.def.Gang {
+			row.addCrashes(index, t.crashes)
+		}
 		if t.checkpoint != "" {
 			if row.Checkpoints == nil {
 				row.Checkpoints = make(map[int]string)
--- a/scheduler/row.go
+++ b/scheduler/row.go
@@ -59,8 +59,18 @@
 	Steps  []stepProgress
 }
 
-// stepProgress is the progress of a step of one occurrence.
+// stepProgress is the progress of a step of one occurrence. Without crashes it
+// is stored as its calmProgress alone.
 type stepProgress struct {
+	calmProgress
+	// Crashes are the crashes under each task; those under a gang are at index
+	// 0.
+	Crashes map[int][]crash
+}
+
+// calmProgress is the progress of a step under which no worker has crashed. It
+// is the layout of rows from before crashes were recorded.
+type calmProgress struct {
 	_ struct{} `cbor:",toarray"`
 	// Started is the start record: tasks may have been started.
 	Started bool
@@ -75,6 +85,39 @@
 	Checkpoints map[int]string
 }
 
+// crashedProgress is the stored form of a stepProgress with crashes.
+type crashedProgress struct {
+	_       struct{} `cbor:",toarray"`
+	Calm    calmProgress
+	Crashes map[int][]crash
+}
+
+// MarshalCBOR encodes the progress of a step.
+func (p stepProgress) MarshalCBOR() ([]byte, error) {
+	if len(p.Crashes) == 0 {
+		return rowEncoding.Marshal(p.calmProgress)
+	}
+	return rowEncoding.Marshal(crashedProgress{Calm: p.calmProgress, Crashes: p.Crashes})
+}
+
+// crashedProgressHeader is the first byte of an encoded crashedProgress, an
+// array of two items. A calmProgress has five.
+const crashedProgressHeader = 0x82
+
+// UnmarshalCBOR decodes the progress of a step.
+func (p *stepProgress) UnmarshalCBOR(data []byte) error {
+	if len(data) == 0 || data[0] != crashedProgressHeader {
+		*p = stepProgress{}
+		return errors.Wrap(rowDecoding.Unmarshal(data, &p.calmProgress), "decode the progress of a step")
+	}
+	var crashed crashedProgress
+	if err := rowDecoding.Unmarshal(data, &crashed); err != nil {
+		return errors.Wrap(err, "decode the progress of a step with crashes")
+	}
+	*p = stepProgress{calmProgress: crashed.Calm, Crashes: crashed.Crashes}
+	return nil
+}
+
 // LeasedWorkersRow lists the workers that may hold leases and run tasks. It is
 // committed with a worker in it before that worker gets its first task.
 type LeasedWorkersRow struct {
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -45,6 +45,9 @@
 	// resumed is true if the run started from a checkpoint or was started by a
 	// previous owner, so that its duration says nothing about the whole task.
 	resumed bool
+	// tracked is true if the run was first known from a worker's report, so
+	// that it is older than startedAt says.
+	tracked bool
 	// checkpoint is the last one that the worker reported.
 	checkpoint string
 	// progress is the reported progress over time.
@@ -153,6 +156,7 @@
 		if r.phase == runStarting {
 			r.phase = runUnacknowledged
 		}
+		c.noteSilent(w)
 		w.unanswered++
 		w.nextPollAt = now
 		return
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -48,6 +48,10 @@
 	// because jobs failed on it in a row or it refused a start.
 	suspendedUntil time.Time
 	health         health
+	// silentAt is when the worker last stopped answering.
+	silentAt time.Time
+	// trial is the trial of a task that may crash the worker; nil for none.
+	trial *trial
 	// reservation is the reservation that includes the worker; nil for none.
 	// unreserved is the part of the worker's resources for runs of other steps
 	// that last beyond the time at which the reservation is ready.
@@ -222,6 +226,7 @@
 	}
 	w.bootedAt = bootedAt
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker reborn"})
+	c.recordCrash(w)
 	w.appliedEnd, w.committedEnd, w.pendingEnds = 0, 0, nil
 	w.clock, w.leaseDeadline = 0, 0
 	w.clockAt = time.Time{}
