Record crashes for each member of a gang, not for the gang as one

Callers would have seen a gang fail that crashes nothing. Each of its runs counted once for whichever worker crashed, so a gang of six on six workers, hit by the crashes of others five times in a row, looked guilty.

A guilty gang's crashes are under the same member in every run.

Change: the record is the member's, and its chance that of one worker, not of all. The gang starts, is tried and is given up as one as before. A start that wasn't acknowledged counts little beside one that was, and isn't blamed for a silence: it was probably sent after the crash.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -24,8 +24,7 @@
 // lost with its worker or never started. It records that as a life of unknown
 // outcome, which is no evidence by itself.
 
-// crash records an incarnation of a worker that ended while it ran a task, or a
-// member of a gang.
+// crash records an incarnation of a worker that ended while it ran a task.
 type crash struct {
 	_      struct{} `cbor:",toarray"`
 	Run    RunNumber
@@ -33,15 +32,17 @@
 	// AgeMillis is the longest time for which the run may have existed when the
 	// worker fell silent.
 	AgeMillis int64
-	// ChancePPM is the probability, in millionths, that a worker of the run
-	// crashes by chance within that time. It is certain if the crash says
-	// nothing about the task.
+	// ChancePPM is the probability, in millionths, that the worker crashes by
+	// chance within that time. It is certain if the crash says nothing about
+	// the task.
 	ChancePPM int64
 	// Unproven is true if it isn't certain that the worker had started the run.
 	Unproven bool
 }
 
-// crashHistory is the record of the crashes under a task, or under a gang.
+// crashHistory is the record of the crashes under a task. The members of a gang
+// have a record each: a member that crashes its workers does so in every run,
+// while others crash workers of different members.
 type crashHistory struct {
 	crashes []crash
 	// version is the first version of the job's rows with the last crash.
@@ -80,8 +81,9 @@
 	// minAge is the least age with which a chance is calculated.
 	minAge = 10 * time.Millisecond
 	// A run that was explainedFactor times as old as the youngest one on its
-	// worker, and at least minTrial, is less likely the cause than that one. The
-	// chance of its crash is at least explainedPPM.
+	// worker, and at least minTrial, is less likely the cause than that one. So
+	// is one whose start had not been acknowledged, beside one that had, within
+	// silenceAge. The chance of its crash is at least explainedPPM.
 	explainedFactor = 4
 	explainedPPM    = 200_000
 	// taskPriorPPM and suspectPriorPPM are the probabilities that a task, or a
@@ -100,14 +102,6 @@
 	maxHoldDoublings = 5
 )
 
-// history returns where the crashes under a task, or its gang, are recorded.
-func (t *task) history() **crashHistory {
-	if t.step.def.Gang {
-		return &t.step.crashes
-	}
-	return &t.crashes
-}
-
 // chance returns the probability that all crashes happened by chance.
 func (h *crashHistory) chance() float64 {
 	chance := 1.0
@@ -180,7 +174,7 @@
 	})
 	for _, r := range runs {
 		if !r.task.step.def.Gang {
-			(*r.task.history()).clearOutlasted(aliveAt.Sub(r.startedAt))
+			r.task.crashes.clearOutlasted(aliveAt.Sub(r.startedAt))
 		}
 		age := max(minAge, silentAt.Sub(r.startedAt))
 		found[r] = crash{
@@ -195,19 +189,21 @@
 	}
 }
 
-// lastSign returns when the worker last gave a sign of life, and how old its
-// youngest run was when it fell silent.
+// lastSign returns when the worker last gave a sign of life, and how old the
+// youngest run that it had acknowledged was when it fell silent.
 func (w *worker) lastSign(silentAt time.Time) (aliveAt time.Time, youngest time.Duration) {
 	aliveAt, youngest = w.clockAt, silentAt.Sub(time.Time{})
 	for _, r := range w.runs {
-		aliveAt = latest(aliveAt, r.acknowledgedAt)
-		youngest = min(youngest, max(minAge, silentAt.Sub(r.startedAt)))
+		if !r.acknowledgedAt.IsZero() {
+			aliveAt = latest(aliveAt, r.acknowledgedAt)
+			youngest = min(youngest, max(minAge, silentAt.Sub(r.startedAt)))
+		}
 	}
 	return aliveAt, youngest
 }
 
-// crashChance returns the probability, in millionths, that a worker of the run
-// crashes by chance within the given time.
+// crashChance returns the probability, in millionths, that the worker crashes by
+// chance within the given time from the start of the run.
 func (c *Core) crashChance(w *worker, r *run, silentAt time.Time, age, youngest time.Duration) int64 {
 	if r.tracked || c.wideFailure(w, r, silentAt) {
 		return certainPPM
@@ -216,12 +212,8 @@
 	workers := float64(max(1, len(c.sortedWorkers)))
 	observed := min(crashMemory, c.now.Sub(c.tookOverAt)) + crashPrior
 	rate := float64(len(c.lostLives)+1) / (workers * observed.Seconds())
-	hosts := 1.0
-	if r.task.step.def.Gang {
-		hosts = min(workers, float64(len(r.task.step.tasks)))
-	}
-	chance := int64(certainPPM * rate * age.Seconds() * hosts)
-	if age >= explainedFactor*youngest && age >= minTrial {
+	chance := int64(certainPPM * rate * age.Seconds())
+	if age >= explainedFactor*youngest && age >= minTrial || r.acknowledgedAt.IsZero() && youngest <= silenceAge {
 		chance = max(chance, explainedPPM)
 	}
 	chance += c.othersChance(w, r, silentAt, age)
@@ -268,14 +260,13 @@
 	return len(others) >= wideCrashes
 }
 
-// appendCrash adds a life to the history of a task, or of its gang. The lives of
-// one run count once, by the strongest evidence.
+// appendCrash adds a life to the history of a task. The lives of one run count
+// once, by the strongest evidence.
 func (t *task) appendCrash(found crash) *crashHistory {
-	history := t.history()
-	if *history == nil {
-		*history = &crashHistory{}
+	if t.crashes == nil {
+		t.crashes = &crashHistory{}
 	}
-	h := *history
+	h := t.crashes
 	if i := slices.IndexFunc(h.crashes, func(known crash) bool { return known.Run == found.Run }); i < 0 {
 		h.crashes = append(h.crashes, found)
 	} else if found.ChancePPM < h.crashes[i].ChancePPM {
@@ -284,8 +275,8 @@
 	return h
 }
 
-// addCrash adds a crash to the record of a task, or of its gang, and gives the
-// task up if it is guilty.
+// addCrash adds a crash to the record of a task, and gives the task up if it is
+// guilty.
 func (c *Core) addCrash(t *task, found crash) {
 	j := t.step.job()
 	h := t.appendCrash(found)
@@ -331,10 +322,10 @@
 	}
 }
 
-// mayStart reports whether a task, or its gang, may start now as far as its
-// crashes are concerned.
+// mayStart reports whether a task may start now as far as its crashes are
+// concerned.
 func (c *Core) mayStart(t *task) bool {
-	h := *t.history()
+	h := t.crashes
 	if h == nil {
 		return true
 	}
@@ -356,11 +347,9 @@
 	if r.task == nil || r.task.run != r {
 		return
 	}
-	h := *r.task.history()
-	if h == nil {
-		return
+	if r.task.crashes != nil {
+		r.task.crashes.clearOutlasted(r.lasted())
 	}
-	h.clearOutlasted(r.lasted())
 }
 
 // lasted returns how long a run has surely existed by its worker's last report.
@@ -396,7 +385,7 @@
 	return &crashHistory{crashes: stored}
 }
 
-// addCrashes adds the history of a task, or of a gang, to the stored progress.
+// addCrashes adds the history of a task to the stored progress.
 func (p *stepProgress) addCrashes(index int, h *crashHistory) {
 	if h == nil || len(h.crashes) == 0 {
 		return
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -17,7 +17,7 @@
 	}
 	s.scannedAt = time.Time{}
 	chosen := c.chooseGang(s, c.candidates(s))
-	if chosen == nil || !c.mayStart(s.tasks[0]) {
+	if chosen == nil || slices.ContainsFunc(s.tasks, func(t *task) bool { return !c.mayStart(t) }) {
 		return
 	}
 	number := max(s.lastRun+1, c.firstRun())
--- a/scheduler/mutation_test.go
+++ b/scheduler/mutation_test.go
@@ -19,7 +19,7 @@
 	forHistories := func(c *Core, do func(*crashHistory)) {
 		for _, s := range c.open {
 			for _, task := range s.tasks {
-				if h := *task.history(); h != nil {
+				if h := task.crashes; h != nil {
 					do(h)
 				}
 			}
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -61,11 +61,9 @@
 	lastRun RunNumber
 	// failedRuns are the numbers of the failed runs of a gang.
 	failedRuns []RunNumber
-	// crashes are the crashes under a gang, nil if there are none; hosts are
-	// the workers on which it last started.
-	crashes *crashHistory
-	hosts   []requester.HostID
-	advice  stepAdvice
+	// hosts are the workers on which a gang last started.
+	hosts  []requester.HostID
+	advice stepAdvice
 	// stalls counts how often a run of the step, or a whole gang, was stopped
 	// because it made no progress.
 	stalls int
@@ -102,8 +100,7 @@
 	failedRuns []RunNumber
 	checkpoint string
 	lastRun    RunNumber
-	// crashes are the crashes under the task; nil if there are none, or for a
-	// member of a gang.
+	// crashes are the crashes under the task; nil if there are none.
 	crashes *crashHistory
 	// run is the run that is active, or may be; nil for none.
 	run *run
@@ -269,13 +266,12 @@
 		s.mayHaveUnknownRuns = progress.Started
 		if s.def.Gang {
 			s.failedRuns = progress.FailedRuns[0]
-			s.crashes = restoredCrashes(progress.Crashes[0])
 		}
 		for index, t := range s.tasks {
 			if !s.def.Gang {
 				t.failedRuns = progress.FailedRuns[index]
-				t.crashes = restoredCrashes(progress.Crashes[index])
 			}
+			t.crashes = restoredCrashes(progress.Crashes[index])
 			t.checkpoint = progress.Checkpoints[index]
 			if progress.AllDone || bitSet(progress.Done, index) {
 				t.done = true
@@ -473,9 +469,6 @@
 	if s.def.Gang && len(s.failedRuns) > 0 {
 		row.FailedRuns = map[int][]RunNumber{0: s.failedRuns}
 	}
-	if s.def.Gang {
-		row.addCrashes(0, s.crashes)
-	}
 	for index, t := range s.tasks {
 		if t.done {
 			if row.Done == nil {
@@ -490,9 +483,7 @@
 			}
 			row.FailedRuns[index] = t.failedRuns
 		}
-		if !s.def.Gang {
-			row.addCrashes(index, t.crashes)
-		}
+		row.addCrashes(index, t.crashes)
 		if t.checkpoint != "" {
 			if row.Checkpoints == nil {
 				row.Checkpoints = make(map[int]string)
--- a/scheduler/row.go
+++ b/scheduler/row.go
@@ -63,8 +63,7 @@
 // is stored as its calmProgress alone.
 type stepProgress struct {
 	calmProgress
-	// Crashes are the crashes under each task; those under a gang are at index
-	// 0.
+	// Crashes are the crashes under each task.
 	Crashes map[int][]crash
 }
 
--- a/scheduler/start.go
+++ b/scheduler/start.go
@@ -80,7 +80,7 @@
 		return "best-effort tasks beside tasks with a response time target"
 	case !c.startRecorded(s):
 		return "the step's start record is not committed"
-	case !(*t.history()).committed(s.job()):
+	case !t.crashes.committed(s.job()):
 		return "the crashes under the task are not committed"
 	case s.mayHaveUnknownRuns && !c.Reconciled():
 		return "a run of a previous owner may not have been reported"
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -47,8 +47,8 @@
 	crashDelay = 4 * time.Second
 )
 
-// noteSilent records when a worker stopped answering, and which queue the task
-// belongs to that had just been started there. The caller does so before it
+// noteSilent records when a worker stopped answering, and which queue the last
+// task belongs to whose start it had just acknowledged. The caller does so before it
 // counts the order without an answer.
 func (c *Core) noteSilent(w *worker) {
 	if w.unanswered > 0 {
@@ -57,7 +57,8 @@
 	w.silentAt = c.now
 	var last *run
 	for _, r := range w.sortedRuns() {
-		if r.task != nil && !r.tracked && (last == nil || r.startedAt.After(last.startedAt)) {
+		// A start that isn't acknowledged probably came after the crash.
+		if r.task != nil && !r.tracked && !r.acknowledgedAt.IsZero() && (last == nil || r.startedAt.After(last.startedAt)) {
 			last = r
 		}
 	}
@@ -124,8 +125,14 @@
 	return max(minTrials, int(share*float64(len(c.sortedWorkers))))
 }
 
-// suspect reports whether a worker has crashed soon after a start of the task.
-func (t *task) suspect() bool { return (*t.history()).suspect() }
+// suspect reports whether a worker has crashed soon after a start of the task,
+// or of a member of its gang.
+func (t *task) suspect() bool {
+	if t.step.def.Gang {
+		return slices.ContainsFunc(t.step.tasks, func(member *task) bool { return member.crashes.suspect() })
+	}
+	return t.crashes.suspect()
+}
 
 // needsTrial reports whether a task that starts now has to start on trial.
 func (c *Core) needsTrial(t *task) bool {
@@ -138,8 +145,8 @@
 		return
 	}
 	c.stats.Trials++
-	if h := *t.history(); h.suspect() {
-		t.run.worker.trial = &trial{until: c.now.Add(h.trialTime())}
+	if t.suspect() {
+		t.run.worker.trial = &trial{until: c.now.Add(t.crashes.trialTime())}
 		return
 	}
 	t.run.worker.trial = &trial{job: t.step.job(), until: c.now.Add(queueTrial)}
@@ -148,6 +155,9 @@
 // trialTime is how long a suspect is on trial.
 func (h *crashHistory) trialTime() time.Duration {
 	longest := minTrial
+	if h == nil {
+		return longest
+	}
 	for _, crash := range h.crashes {
 		if crash.age() <= suspectAge {
 			longest = max(longest, crash.clearedAfter())
--- /dev/null
+++ b/scheduler/trial_test.go
@@ -0,0 +1,90 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"kumquatstall/requester"
+)
+
+// startsOn returns the tasks that run on a worker.
+func (h *deadlyHarness) startsOn(host requester.HostID) []TaskName {
+	var names []TaskName
+	for _, start := range h.running {
+		if start.Worker.HostID == host {
+			names = append(names, start.Task)
+		}
+	}
+	return names
+}
+
+// hostOf returns the worker on which a task runs, or an empty string.
+func (h *deadlyHarness) hostOf(name TaskName) requester.HostID {
+	for _, start := range h.running {
+		if start.Task == name {
+			return start.Worker.HostID
+		}
+	}
+	return ""
+}
+
+// TestSuspectStartsBesideOthers guards against a suspect that starts where other
+// work would be lost with it, or beside which others start before it is cleared.
+func TestSuspectStartsBesideOthers(t *testing.T) {
+	is := is.New(t)
+	h := newDeadlyHarness(4)
+	lasting := stepOf(3, 6000)
+	lasting.LongRunning = true
+	lasting.AntiAffinity = 1
+	h.add("lasting", Policy{Stretch: 3, ObjectiveMillis: 500}, lasting)
+	h.step(20 * time.Millisecond)
+	h.step(20 * time.Millisecond)
+	is.Equal(len(h.running), 3)
+	suspect := taskOf("suspect", 0)
+	h.add("suspect", Policy{Stretch: 3, ObjectiveMillis: 500}, stepOf(1, 1000))
+	for h.hostOf(suspect) == "" {
+		h.step(20 * time.Millisecond)
+	}
+	h.crash(h.hostOf(suspect))
+	for h.hostOf(suspect) == "" {
+		h.step(20 * time.Millisecond)
+	}
+	is.Equal(h.startsOn(h.hostOf(suspect)), []TaskName{suspect}) // on the worker with nothing to lose
+	begun := h.now
+	h.add("others", Policy{Stretch: 3, ObjectiveMillis: 500}, stepOf(12, 1000))
+	for h.now.Sub(begun) < minTrial-20*time.Millisecond {
+		h.step(20 * time.Millisecond)
+		is.Equal(h.startsOn(h.hostOf(suspect)), []TaskName{suspect})
+	}
+	for range 10 {
+		h.step(20 * time.Millisecond)
+	}
+	is.True(len(h.startsOn(h.hostOf(suspect))) > 1) // cleared, others may start there
+}
+
+// TestQueueOfDeadlyTasksTakesOthersAlong guards against tasks of a queue that
+// has just crashed a worker which start beside the work of other queues although
+// a worker is idle.
+func TestQueueOfDeadlyTasksTakesOthersAlong(t *testing.T) {
+	is := is.New(t)
+	h := newDeadlyHarness(4)
+	first := taskOf("first", 0)
+	h.deadly[first] = true
+	h.add("first", Policy{Stretch: 3, ObjectiveMillis: 500}, stepOf(1, 1000))
+	for h.crashes[first] == 0 {
+		h.step(20 * time.Millisecond)
+	}
+	h.core.Add(h.now, Job{JobID: "other", Queue: "other", Policy: Policy{Service: "service", MaxAttempts: 3, Stretch: 1.1, ObjectiveMillis: 100}, Steps: []Step{stepOf(1, 1000)}, AcceptedAt: h.now})
+	for h.hostOf(taskOf("other", 0)) == "" {
+		h.step(20 * time.Millisecond)
+	}
+	h.step(500 * time.Millisecond)
+	h.add("second", Policy{Stretch: 3, ObjectiveMillis: 500}, stepOf(2, 1000))
+	for h.hostOf(taskOf("second", 1)) == "" {
+		h.step(20 * time.Millisecond)
+	}
+	is.Equal(h.hostOf(taskOf("second", 0)), h.hostOf(taskOf("second", 1))) // one job is tried together
+	is.True(h.hostOf(taskOf("second", 0)) != h.hostOf(taskOf("other", 0)))
+}
