--- a/scheduler/implied_test.go
+++ b/scheduler/implied_test.go
@@ -44,16 +44,16 @@
 		want   bool
 	}{
 		{"nothing stored", nil, EndedRun{Task: task(1, 0, 8), Kind: EndDone}, false},
-		{"not done", row(stepProgress{Done: []byte{0xff, 0}}, stepProgress{}), EndedRun{Task: task(1, 0, 8), Kind: EndDone}, false},
-		{"done", row(stepProgress{Done: []byte{0, 1}}, stepProgress{}), EndedRun{Task: task(1, 0, 8), Kind: EndDone}, true},
-		{"all done", row(stepProgress{AllDone: true}, stepProgress{}), EndedRun{Task: task(1, 0, 8), Kind: EndDone}, true},
+		{"not done", row(stepProgress{calmProgress: calmProgress{Done: []byte{0xff, 0}}}, stepProgress{}), EndedRun{Task: task(1, 0, 8), Kind: EndDone}, false},
+		{"done", row(stepProgress{calmProgress: calmProgress{Done: []byte{0, 1}}}, stepProgress{}), EndedRun{Task: task(1, 0, 8), Kind: EndDone}, true},
+		{"all done", row(stepProgress{calmProgress: calmProgress{AllDone: true}}, stepProgress{}), EndedRun{Task: task(1, 0, 8), Kind: EndDone}, true},
 		{"stopped", nil, EndedRun{Task: task(1, 0, 8), Kind: EndStopped}, true},
 		{"job ended", EncodeRow(progressRow{State: StateFailed}), EndedRun{Task: task(1, 0, 8), Kind: EndDone}, true},
 		{"occurrence ended", row(stepProgress{}, stepProgress{}), EndedRun{Task: task(0, 0, 8), Kind: EndDone}, true},
 		{"occurrence not stored", row(stepProgress{}, stepProgress{}), EndedRun{Task: task(2, 0, 8), Kind: EndDone}, false},
-		{"failure not counted", row(stepProgress{FailedRuns: map[int][]RunNumber{8: {3}}}, stepProgress{}), EndedRun{Task: task(1, 0, 8), Run: 4, Kind: EndFailed}, false},
-		{"failure counted", row(stepProgress{FailedRuns: map[int][]RunNumber{8: {3}}}, stepProgress{}), EndedRun{Task: task(1, 0, 8), Run: 3, Kind: EndFailed}, true},
-		{"failure of a gang", row(stepProgress{}, stepProgress{FailedRuns: map[int][]RunNumber{0: {3}}}), EndedRun{Task: task(1, 1, 1), Run: 3, Kind: EndFailed}, true},
+		{"failure not counted", row(stepProgress{calmProgress: calmProgress{FailedRuns: map[int][]RunNumber{8: {3}}}}, stepProgress{}), EndedRun{Task: task(1, 0, 8), Run: 4, Kind: EndFailed}, false},
+		{"failure counted", row(stepProgress{calmProgress: calmProgress{FailedRuns: map[int][]RunNumber{8: {3}}}}, stepProgress{}), EndedRun{Task: task(1, 0, 8), Run: 3, Kind: EndFailed}, true},
+		{"failure of a gang", row(stepProgress{}, stepProgress{calmProgress: calmProgress{FailedRuns: map[int][]RunNumber{0: {3}}}}), EndedRun{Task: task(1, 1, 1), Run: 3, Kind: EndFailed}, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -76,6 +76,7 @@
 		if w.unanswered == 0 {
 			c.log(LogRecord{Worker: w.info.HostID, Event: "worker doesn't answer"})
 		}
+		c.noteSilent(w)
 		w.unanswered++
 		w.nextPollAt = now.Add(pollRetryInterval)
 	}
@@ -89,6 +90,7 @@
 		return
 	}
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker's incarnation ended", Why: "another incarnation responded at its address"})
+	c.recordCrash(w)
 	w.unanswered++
 	w.nextPollAt = c.now.Add(pollRetryInterval)
 	for _, r := range w.sortedRuns() {
@@ -217,7 +219,7 @@
 		return r
 	}
 	r.task = t
-	r.resumed = true
+	r.resumed, r.tracked = true, true
 	t.run = r
 	t.step.waiting--
 	t.step.job().activeRuns++
@@ -251,6 +253,7 @@
 	r.reported = true
 	r.checkpoint = running.Checkpoint
 	r.recordPercent(c.now, running.Percent)
+	c.clearRun(r)
 	if r.phase == runStopping && !r.stopInFlight {
 		c.sendStop(r)
 	}
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -64,7 +64,9 @@
 	lastRun RunNumber
 	// failedRuns are the numbers of the failed runs of a gang.
 	failedRuns []RunNumber
-	advice     stepAdvice
+	// hosts are the workers on which a gang last started.
+	hosts  []requester.HostID
+	advice stepAdvice
 	// stalls counts how often a run of the step, or a whole gang, was stopped
 	// because it made no progress.
 	stalls int
@@ -106,6 +108,8 @@
 	failedRuns []RunNumber
 	checkpoint string
 	lastRun    RunNumber
+	// crashes are the crashes under the task; nil if there are none.
+	crashes *crashHistory
 	// run is the run that is active, or may be; nil for none.
 	run *run
 }
@@ -284,6 +288,7 @@
 			if !s.def.Gang {
 				t.failedRuns = progress.FailedRuns[index]
 			}
+			t.crashes = restoredCrashes(progress.Crashes[index])
 			t.checkpoint = progress.Checkpoints[index]
 			if progress.AllDone || bitSet(progress.Done, index) {
 				t.done = true
@@ -468,7 +473,7 @@
 }
 
 func (s *step) progress() stepProgress {
-	row := stepProgress{Started: s.startRecordVersion > 0 || s.mayHaveUnknownRuns}
+	row := stepProgress{calmProgress: calmProgress{Started: s.startRecordVersion > 0 || s.mayHaveUnknownRuns}}
 	if s.complete() {
 		row.AllDone = true
 		return row
@@ -490,6 +495,7 @@
 			}
 			row.FailedRuns[index] = t.failedRuns
 		}
+		row.addCrashes(index, t.crashes)
 		if t.checkpoint != "" {
 			if row.Checkpoints == nil {
 				row.Checkpoints = make(map[int]string)
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -33,7 +33,9 @@
 	acknowledged map[TaskName]bool
 	finished     map[TaskName]bool
 	failedRuns   map[TaskName]map[RunNumber]bool
-	problems     []string
+	// crashes is what is known of the tasks that crash their workers.
+	crashes  crashLog
+	problems []string
 	// permanentCrashes counts the workers that crashed and never restart.
 	permanentCrashes int
 	rooms            simulatedRooms
@@ -66,6 +68,14 @@
 	shrinks float64
 	outages float64
 	ownerFaults
+	// deadly is the share of jobs with a task that crashes each worker on which
+	// it starts, racks the probability per tick that a rack crashes, in
+	// thousandths.
+	deadly float64
+	racks  float64
+	// silent is true if workers on which deadly tasks start don't refuse
+	// connections but fall silent.
+	silent bool
 	// mutate breaks a rule of the core before each tick, if it is set.
 	mutate func(*Core)
 }
@@ -101,6 +111,9 @@
 	// stalledUntil is when its runs make progress again.
 	stalledUntil time.Time
 	crashed      bool
+	// refuses is true if only its process has crashed, so that its host refuses
+	// connections.
+	refuses bool
 	// clockRate is the rate of its clock, 1 being exact.
 	clockRate float64
 	room      fakeRoom
@@ -257,6 +270,7 @@
 	}
 	sim.vary(&job)
 	sim.accepted[job.JobID] = job
+	sim.chooseDeadly(job)
 	sim.rows[JobKey(job.JobID)] = EncodeRow(job)
 	sim.tellJob(job)
 	if r.Float64() < sim.options.cancels {
@@ -325,6 +339,8 @@
 		f.shrink()
 	case draw < o.crashes+o.partitions+o.takeovers+o.stalls+o.shrinks+o.outages:
 		sim.startOutage()
+	case draw < o.crashes+o.partitions+o.takeovers+o.stalls+o.shrinks+o.outages+o.racks:
+		sim.crashRack(f.info.Rack)
 	}
 }
 
@@ -421,6 +437,10 @@
 	}
 	lost := r.Float64() < sim.options.lostResponses
 	sim.after(outbound, func() {
+		if f.refuses && !sim.now.Before(f.partitionedUntil) {
+			sim.after(inbound, func() { respond(fail) })
+			return
+		}
 		if f.crashed || f.hides(core) {
 			sim.after(700*time.Millisecond, func() { respond(fail) })
 			return
@@ -483,6 +503,7 @@
 	sim.checkStart(f, order, step)
 	length := time.Duration(sim.random.IntN(int(step.EstimateMillis*2))) * time.Millisecond
 	f.runs[key] = &fakeRun{key: key, need: step.Need, gang: step.Gang, startedAt: sim.now, endsAt: sim.now.Add(length), willFail: sim.random.Float64() < sim.options.failures}
+	f.afterStart(key)
 	return OrderAccepted
 }
 
@@ -636,6 +657,7 @@
 	}
 	f.crashed = true
 	f.room.crashedAt = sim.now
+	f.recordCrash()
 	for key := range f.runs {
 		delete(f.runs, key)
 	}
@@ -647,7 +669,7 @@
 	}
 	f.endLife()
 	sim.after(sim.rebirthDelay(), func() {
-		f.crashed = false
+		f.crashed, f.refuses = false, false
 		f.fence, f.lease, f.lastEnd, f.ended = 0, time.Time{}, 0, nil
 		f.barredRuns = make(map[TaskName]RunNumber)
 		f.bootedAt = sim.now
--- a/scheduler/takeover_test.go
+++ b/scheduler/takeover_test.go
@@ -67,7 +67,7 @@
 		job.Advice = &Advice{DecideMillis: 1, ValidMillis: 1000}
 		return job
 	}
-	stored := EncodeRow(progressRow{State: StateRunning, NextOccurrence: 1, Occurrences: []occurrenceProgress{{Steps: []stepProgress{{AllDone: true}, {}}}}})
+	stored := EncodeRow(progressRow{State: StateRunning, NextOccurrence: 1, Occurrences: []occurrenceProgress{{Steps: []stepProgress{{calmProgress: calmProgress{AllDone: true}}, {}}}}})
 	is.NoErr(h.takeOver(eagerPredecessor, JobRows{Job: advised("runs", stepOf(1, 1000), second), Progress: stored}, JobRows{Job: advised("waits", stepOf(1, 1000), second), Progress: nil}))
 	h.core.StoreReached(h.now.Add(time.Minute), 5)
 	h.core.JobsKnown(5)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -69,6 +69,10 @@
 	// because jobs failed on it in a row or it refused a start.
 	suspendedUntil time.Time
 	health         health
+	// silentAt is when the worker last stopped answering.
+	silentAt time.Time
+	// trial is the trial of a task that may crash the worker; nil for none.
+	trial *trial
 	// reservation is the reservation that includes the worker; nil for none.
 	// unreserved is the part of the worker's resources for runs of other steps
 	// that last beyond the time at which the reservation is ready.
@@ -274,6 +278,7 @@
 func (c *Core) reborn(w *worker, bootedAt time.Time) {
 	w.bootedAt, w.birthSeenAt = bootedAt, c.now
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker reborn"})
+	c.recordCrash(w)
 	c.nextLife(w)
 	w.appliedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds = 0, 0, 0, nil
 	w.unverifiedEnds, w.violatedEnd, w.confirmedEnd = nil, 0, 0
