Scheduler: four crashes by chance are less proof than was taken

Cause: on a cell on which each worker crashes every few seconds, among thousands of tasks one meets four crashes in a row. A task that crashes its workers does so within milliseconds, or at the same age each time, and is far below any such bound.

Change: four lives have to be below 0.0001; five are judged as before, so that the rule's bound of five starts holds.

Measured: TestMutationsAreCaught and the tests of crashes, trials, racks and deadly tasks pass.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -114,7 +114,7 @@
 // guiltyChances are, by the number of lives recorded with a task, the
 // probabilities of chance below which the task is given up. The last one holds
 // for all higher numbers.
-var guiltyChances = [...]float64{0, 0, 1e-5, 1e-5, 1e-3, 5e-2}
+var guiltyChances = [...]float64{0, 0, 1e-5, 1e-5, 1e-4, 5e-2}
 
 // guilty reports whether the task is to be given up. Of the lives recorded with
 // it, minCrashes must say something about the task. From maxCrashes on these
