scheduler: a worker on probation gets trials beside what runs there for good

Callers saw work that was never started again: a worker on which three jobs had failed in a row got new work only while it was empty.

A trial is now a run that was started on probation; what has run there since before does not count, and there is one trial at a time over all steps, where each step of a pass could start one before. A task that lasts is sound once it has been at work for 3 s: it then neither blocks the next trial nor leaves the worker on probation.

--- a/scheduler/candidate.go
+++ b/scheduler/candidate.go
@@ -190,6 +190,9 @@
 		return 0
 	}
 	if w.health.probation {
+		if w.onTrial() {
+			return 0
+		}
 		limit = min(limit, 1)
 	}
 	return max(limit, 0)
--- a/scheduler/ends.go
+++ b/scheduler/ends.go
@@ -28,6 +28,8 @@
 	failureStreak int
 	lastJob       requester.JobID
 	probation     bool
+	// probationSince is when the probation began; zero without one.
+	probationSince time.Time
 	// suspensions counts the suspensions since the last completed run or
 	// restart.
 	suspensions int
@@ -162,7 +164,9 @@
 	if w.health.failureStreak < failuresToSuspend && !w.health.probation {
 		return
 	}
-	w.health.probation = true
+	if !w.health.probation {
+		w.health.probation, w.health.probationSince = true, c.now
+	}
 	factor := min(1<<w.health.suspensions, maxSuspensionFactor)
 	w.health.suspensions++
 	w.suspendedUntil = c.now.Add(time.Duration(factor) * firstSuspension)
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -223,6 +223,7 @@
 	}
 	r.checkpoint = running.Checkpoint
 	r.recordPercent(c.now, running.Percent)
+	c.recordAtWork(r)
 	if r.phase == runStopping && !r.stopInFlight {
 		c.sendStop(r)
 	}
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -54,6 +54,9 @@
 	// barredAt is when the worker acknowledged a stop or reported the end. From
 	// then on the worker rejects a start that is still in flight.
 	barredAt time.Time
+	// sound is true once the run has shown that its worker is sound, as a task
+	// that lasts and is not done otherwise.
+	sound bool
 	// unsized is true if the resources that the run occupies are unknown.
 	unsized bool
 }
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -79,7 +79,7 @@
 func (w *worker) eligible(now time.Time) bool {
 	return w.usable() && w.unanswered == 0 && now.Sub(w.clockAt) < freshnessWindow && !now.Before(w.suspendedUntil) &&
 		w.currentSpeed(now) > 0 &&
-		(!w.health.probation || len(w.runs) == 0)
+		(!w.health.probation || !w.onTrial())
 }
 
 // available returns the resources that no run occupies.
