--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -62,14 +62,14 @@
 			continue
 		}
 		best := c.bestFit(s, found)
-		onTrial := c.needsTrial(t)
-		if onTrial {
+		proving := c.needsTrial(t)
+		if proving {
 			best = c.leastStake(t, found)
 		}
 		chosen := &found[best]
 		c.startRun(t, chosen.worker, t.nextRun(c), chosen.ticket)
 		chosen.slots--
-		if onTrial {
+		if proving {
 			c.putOnTrial(t)
 			chosen.slots = min(chosen.slots, s.taskLimit(chosen.worker))
 		}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -254,6 +254,7 @@
 	r.checkpoint = running.Checkpoint
 	r.recordPercent(c.now, running.Percent)
 	c.clearRun(r)
+	c.recordAtWork(r)
 	if r.phase == runStopping && !r.stopInFlight {
 		c.sendStop(r)
 	}
