Placement: keep the results of a job whose row is odd

A holder that can't decode a job's row left the job out. A result of the job's runs then was that of an unknown job, an orphan, and acknowledged at once. The worker forgets it; a later holder that can decode the row, in which the task isn't done, starts the task again.

Change: the fleet excludes such a job and acknowledges none of its ended runs. Acknowledgements are one per run here, so nothing else waits for them.

Evidence: TestResultOfAnOddJobRow failed before with "{odd 0 1 0} != {gone 0 1 0}" (the result of the job with the odd row was acknowledged); it passes now, as do the tests of placer and decider.

--- a/decider/jobs.go
+++ b/decider/jobs.go
@@ -74,13 +74,14 @@
 
 // startFleet creates the fleet under an epoch with the stored jobs and the known
 // workers, whose syncs then report the tasks that run. A row that can't be decoded
-// is reported and left out.
+// is reported and its job excluded.
 func (c *Core) startFleet(epoch int64, rows []keeper.Row) {
 	c.fleet = placer.New(c.options.Self, epoch, c.now, c.placerLimits())
 	for _, row := range rows {
 		jobRow, err := placer.DecodeJobRow(row.Value)
 		if err != nil {
 			c.reportViolation("job row", row.Key+": "+err.Error())
+			c.fleet.Exclude(requester.JobID(strings.TrimPrefix(row.Key, c.jobKey(""))))
 			continue
 		}
 		c.fleet.Add(jobRow, row.Revision, true)
--- a/placer/job.go
+++ b/placer/job.go
@@ -32,6 +32,10 @@
 // JobPrefix returns the prefix of the keys of a data centre's job rows.
 func JobPrefix(dataCentre requester.DataCentre) string { return "job/" + string(dataCentre) + "/" }
 
+// Exclude excludes a job whose row cannot be decoded: the ends of its runs are not
+// acknowledged.
+func (f *Fleet) Exclude(id requester.JobID) { f.excluded[id] = true }
+
 // NewJobRow returns the encoded first row of a newly submitted job.
 func NewJobRow(spec requester.Job) []byte {
 	return mustMarshal(JobRow{Job: spec, Version: 1})
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -333,9 +333,11 @@
 	// scans all of them.
 	free []requester.Resources
 	// total is the sum of the resources of all workers that are not leaving.
-	total  requester.Resources
-	jobs   map[requester.JobID]*job
-	trades map[requester.Trade]*tradeState
+	total requester.Resources
+	jobs  map[requester.JobID]*job
+	// excluded are the jobs whose rows cannot be decoded.
+	excluded map[requester.JobID]bool
+	trades   map[requester.Trade]*tradeState
 	// peakUsage holds the peak usage to which the requirement of tasks is raised.
 	peakUsage *estimator.PeakUsage
 	// dirtyJobs queues the jobs whose rows are to be written.
@@ -355,6 +357,7 @@
 		tookOverAt: now,
 		workers:    make(map[requester.HostID]*worker),
 		jobs:       make(map[requester.JobID]*job),
+		excluded:   make(map[requester.JobID]bool),
 		trades:     make(map[requester.Trade]*tradeState),
 		peakUsage:  estimator.NewPeakUsage(),
 	}
--- a/placer/sync.go
+++ b/placer/sync.go
@@ -215,6 +215,7 @@
 // result again before its job's row has committed, so the acknowledgement waits
 // for that. A run of an unknown job is an orphan because every job of which an
 // earlier holder can have started runs was in the table when this holder read it.
+// Ended runs of an excluded job are kept for a holder that can decode its row.
 func (f *Fleet) handleOrphan(w *worker, run TaskReport) {
 	_, counted := w.orphans[run.Task]
 	if run.State == RunRunning {
@@ -228,6 +229,9 @@
 	if counted {
 		f.dropOrphan(w, run.Task)
 	}
+	if f.excluded[run.Job] {
+		return
+	}
 	if j, ok := f.jobs[run.Job]; ok && j.committedVersion < j.version {
 		j.pendingAcks = append(j.pendingAcks, pendingAck{worker: w, task: run.Task, version: j.version})
 		return
