--- /dev/null
+++ b/dispatcher/eager_test.go
@@ -0,0 +1,36 @@
+package dispatcher
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"kumquatstall/keeper"
+)
+
+// manualClock is a Clock that a test sets.
+type manualClock struct{ now time.Time }
+
+func (c *manualClock) Now() time.Time { return c.now }
+
+// TestOwnerRowStaysEager guards against an owner's row that says that no step was
+// started without a record while the owner may still be told of a job that an
+// eager predecessor has started so.
+func TestOwnerRowStaysEager(t *testing.T) {
+	is := is.New(t)
+	clock := &manualClock{now: time.Date(2026, 12, 5, 4, 0, 0, 0, time.UTC)}
+	d := &Dispatcher{clock: clock, ctx: context.Background(), store: keeper.NewHedged(nil)}
+	previous := ownerRow{Epoch: 1, Eager: true, TermMillis: 3000}
+	s := newSession(d, ownerRow{Epoch: 2, Eager: true, TermMillis: 3000}, 5, clock.now, previous)
+	is.True(s.nextEager()) // not loaded
+	s.loaded = true
+	is.True(!s.core.Dirty())
+	is.True(s.nextEager())
+	clock.now = clock.now.Add(previous.term() + ownerSafetyMargin)
+	s.core.StoreReached(clock.now, 9)
+	is.True(s.nextEager()) // the jobs are known up to an earlier revision only
+	s.core.JobsKnown(9)
+	is.True(!s.nextEager())
+}
