Heed SIGHUP from the start of an entry

Cause: signals were registered only when the listeners were up. Until then SIGHUP ends the process, as it does each one that hasn't registered it.

Evidence: TestReloadSignalAtStartEndsProcess, which sends SIGHUP while the entry reads its settings, failed before with "broken pipe // the entry still reads".

Change: signals are registered before anything else is done; those that come during the start are handled once it is over.

Result: the test passes.

--- a/cmd/kumquatstall/serve.go
+++ b/cmd/kumquatstall/serve.go
@@ -55,6 +55,8 @@
 // Run runs an entry until it receives SIGTERM or SIGINT or a listener fails, then
 // shuts it down gracefully.
 func (c *serveCommand) Run() error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	site, err := configurer.LoadSite(c.Config)
 	if err != nil {
 		return err
@@ -75,7 +77,7 @@
 	if err := s.start(); err != nil {
 		return err
 	}
-	s.waitForSignal(c.Config)
+	s.waitForSignal(c.Config, signals)
 	return s.shutdown()
 }
 
@@ -164,9 +166,7 @@
 
 // waitForSignal returns on SIGTERM, SIGINT or the failure of a listener. Until
 // then it reloads the settings on SIGHUP and every reloadInterval.
-func (s *siteServer) waitForSignal(path string) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+func (s *siteServer) waitForSignal(path string, signals <-chan os.Signal) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
