Don't decode settings that nest beyond reason

An entry reads its settings file again every two seconds.

Cause: the YAML decoder needs memory that grows with the square of the depth, so a file of 200 kB with nested brackets ends the process. Numbers that overflow where they are used (memory in bytes, an infinite rate or number of cores) and addresses of no host were taken.

The numbers have upper bounds, and the addresses of the store and of the advice service must be those of a host with a port.

--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -242,6 +242,9 @@
 			err = errors.Newf("malformed document: %v", cause)
 		}
 	}()
+	if err := checkNesting(data); err != nil {
+		return err
+	}
 	return yaml.UnmarshalWithOptions(data, settings, yaml.Strict())
 }
 
--- a/configurer/site.go
+++ b/configurer/site.go
@@ -90,7 +90,13 @@
 	return site, nil
 }
 
-const maxGraceSeconds = 3600
+// Limits of the values in the settings of a site.
+const (
+	maxGraceSeconds = 3600
+	maxRate         = 1e9
+	maxMemoryMB     = 1e9
+	maxCores        = 1e6
+)
 
 func (c *checker) checkSite(s *Site) {
 	c.require(validName(string(s.EntryID)), "EntryID", "a name of letters, digits, '-', '_' and '.'")
@@ -108,11 +114,15 @@
 	for _, a := range addresses {
 		c.require(a.address.IsValid(), a.key, "an IP address and port")
 	}
-	c.require(s.Store.WritesPerSecond >= 0, "Store.WritesPerSecond", "a rate of at least 0")
+	for _, a := range addresses[3:] {
+		ip := a.address.Addr().Unmap()
+		c.require(a.address.Port() != 0 && !ip.IsUnspecified() && !ip.IsMulticast(), a.key, "the address of a host, with a port")
+	}
+	c.require(s.Store.WritesPerSecond >= 0 && s.Store.WritesPerSecond <= maxRate, "Store.WritesPerSecond", "a rate between 0 and 1000000000")
 	c.require(s.Timing.GraceSeconds >= 0 && s.Timing.GraceSeconds <= maxGraceSeconds, "Timing.GraceSeconds", "between 0 and 3600")
 	c.require(s.Timing.LongestLeaseMillis >= 0 && s.Timing.LongestLeaseMillis <= maxMillis, "Timing.LongestLeaseMillis", "between 0 and 86400000")
-	c.require(s.Limits.MemoryMB >= 0, "Limits.MemoryMB", "at least 0")
-	c.require(s.Limits.Cores >= 0, "Limits.Cores", "at least 0")
+	c.require(s.Limits.MemoryMB >= 0 && s.Limits.MemoryMB <= maxMemoryMB, "Limits.MemoryMB", "between 0 and 1000000000")
+	c.require(s.Limits.Cores >= 0 && s.Limits.Cores <= maxCores, "Limits.Cores", "between 0 and 1000000")
 	levels := []string{"", "debug", "info", "warn", "error"}
 	c.require(slices.Contains(levels, s.Log.Level), "Log.Level", "one of debug, info, warn, error")
 }
