Follow the host list beside an odd host

Cause: the host list was decoded as a whole, so that one host with an unknown role, a port out of range or a number too large failed each reading, and the last list stayed. Values were taken as they came: port 0, multicast addresses, negative and enormous capacities.

Change: hosts are decoded one by one and checked. The good ones are returned beside an OddHostsError that names the others and the fields; the entry uses the good ones and logs the error once for as long as it stays as it is.

--- a/keeper/hosts.go
+++ b/keeper/hosts.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,7 +56,24 @@
 	return &HostLister{client: &http.Client{Timeout: 2 * time.Second}, address: address}
 }
 
-// List returns the hosts of a data centre.
+// OddHostsError reports the hosts on the list that cannot be used. The others are
+// returned beside it.
+type OddHostsError struct {
+	// Reasons says why, for each odd host.
+	Reasons []error
+}
+
+// Error implements error.
+func (e *OddHostsError) Error() string {
+	texts := make([]string, len(e.Reasons))
+	for i, reason := range e.Reasons {
+		texts[i] = reason.Error()
+	}
+	return "odd hosts on the host list: " + strings.Join(texts, "; ")
+}
+
+// List returns the hosts of a data centre. If some are odd, it returns the others
+// and an *OddHostsError.
 func (l *HostLister) List(ctx context.Context, dataCentre requester.DataCentre) ([]Host, error) {
 	target := "http://" + l.address.String() + "/v1/hosts?datacentre=" + url.QueryEscape(string(dataCentre))
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
@@ -70,9 +88,63 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Newf("read host list from %s: got status %d, expected 200", l.address, response.StatusCode)
 	}
-	var hosts []Host
-	err = json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&hosts)
-	return hosts, errors.Wrapf(err, "decode host list from %s", l.address)
+	var list []json.RawMessage
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&list); err != nil {
+		return nil, errors.Wrapf(err, "decode host list from %s", l.address)
+	}
+	hosts := make([]Host, 0, len(list))
+	var odd []error
+	for i, data := range list {
+		host, err := decodeHost(data)
+		if err != nil {
+			odd = append(odd, errors.Wrapf(err, "host %d (%.100q)", i, host.HostID))
+			continue
+		}
+		hosts = append(hosts, host)
+	}
+	if len(odd) > 0 {
+		return hosts, &OddHostsError{Reasons: odd}
+	}
+	return hosts, nil
+}
+
+// Limits of what the list says of a host, far above what any has.
+const (
+	maxMilliCores   = 1e9
+	maxMemoryMB     = 1e12
+	maxAccelerators = 1e6
+	maxSlots        = 1e6
+)
+
+// decodeHost decodes a host of the list. The error names the field.
+func decodeHost(data []byte) (Host, error) {
+	var host Host
+	if err := json.Unmarshal(data, &host); err != nil {
+		return host, errors.Wrap(err, "decode host")
+	}
+	if err := requester.CheckName("HostID", string(host.HostID)); err != nil {
+		return host, err
+	}
+	ip := host.Address.Addr().Unmap()
+	if !host.Address.IsValid() || host.Address.Port() == 0 || ip.IsUnspecified() || ip.IsMulticast() {
+		return host, errors.Newf("Address: got %s, expected the address of a host, with a port", host.Address)
+	}
+	ranges := []struct {
+		field       string
+		value, most int64
+	}{
+		{"Total.MilliCores", host.Total.MilliCores, maxMilliCores},
+		{"Total.MemoryMB", host.Total.MemoryMB, maxMemoryMB},
+		{"Total.Accelerators", host.Total.Accelerators, maxAccelerators},
+		{"Slots", int64(host.Slots), maxSlots},
+		{"Connections", int64(host.Connections), maxSlots},
+	}
+	for _, r := range ranges {
+		if r.value < 0 || r.value > r.most {
+			return host, errors.Newf("%s: got %d, expected between 0 and %d", r.field, r.value, r.most)
+		}
+	}
+	return host, nil
 }
 
 // MarshalText encodes the role as its name.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -51,12 +51,14 @@
 	linker   *linker.Linker
 	table    *keeper.Client
 	hosts    *keeper.HostLister
-	caller   *caller.Caller
-	server   *server.Server
-	meter    *meter.Meter
-	vars     *expvar.Map
-	view     atomic.Pointer[decider.View]
-	config   atomic.Pointer[configSnapshot]
+	// lastOddHosts is the last error about odd hosts that was logged.
+	lastOddHosts atomic.Pointer[string]
+	caller       *caller.Caller
+	server       *server.Server
+	meter        *meter.Meter
+	vars         *expvar.Map
+	view         atomic.Pointer[decider.View]
+	config       atomic.Pointer[configSnapshot]
 	// lastToken is the token of the last event that expects a reply; waiters
 	// maps each pending token to the channel for its reply.
 	lastToken atomic.Uint64
@@ -294,7 +296,7 @@
 	case decider.ListHosts:
 		e.runAsync(func(ctx context.Context) decider.Event {
 			hosts, err := e.hosts.List(ctx, e.settings.DataCentre)
-			return decider.HostsListed{Hosts: hosts, Failed: err != nil}
+			return decider.HostsListed{Hosts: hosts, Failed: err != nil && !e.onlyOddHosts(err)}
 		})
 	case decider.StartAttempt:
 		e.runAsync(func(ctx context.Context) decider.Event { return e.caller.Run(ctx, command) })
@@ -309,6 +311,21 @@
 	}
 }
 
+// onlyOddHosts reports whether the error of a reading of the host list is about odd
+// hosts only, so that the other hosts hold. It logs them once for as long as they
+// stay as they are.
+func (e *Entry) onlyOddHosts(err error) bool {
+	var odd *keeper.OddHostsError
+	if !errors.As(err, &odd) {
+		return false
+	}
+	text := odd.Error()
+	if last := e.lastOddHosts.Swap(&text); last == nil || *last != text {
+		e.log.Warn().Str("Event", "odd entry").Int("Hosts", len(odd.Reasons)).Err(odd).Msg("hosts on the host list cannot be used; the others hold")
+	}
+	return true
+}
+
 // runAsync runs an operation on a new goroutine and posts the event that it
 // returns.
 func (e *Entry) runAsync(operation func(context.Context) decider.Event) {
