Bound the numbers of the product's own jobs

Cause: only the lower bounds of a job's numbers were checked, and the placer adds them up over tasks and workers.

Evidence: TestJobOutOfRangeAccepted failed before in four of nine cases with "not true: field != nil".

Change: the needs of a task and its run time have upper bounds, far above what any host has; the response names the field as before.

Result: the test passes, as do packages server and placer.

--- a/requester/job.go
+++ b/requester/job.go
@@ -125,6 +125,14 @@
 // MaxJobTasks is the maximum number of tasks of a job.
 const MaxJobTasks = 4096
 
+// Limits of the numbers of a job. Sums over all tasks do not overflow.
+const (
+	// MaxNeed bounds the amount of each resource that a task needs.
+	MaxNeed = 1_000_000_000_000
+	// MaxRunMillis is a leap year.
+	MaxRunMillis = 31_622_400_000
+)
+
 // Validate checks the job. The error is a *FieldError.
 func (j *Job) Validate() error {
 	if err := CheckName("JobID", string(j.JobID)); err != nil {
@@ -145,17 +153,22 @@
 	if j.Tasks < 1 || j.Tasks > MaxJobTasks {
 		return &FieldError{Field: "Tasks", Expected: "a count between 1 and " + strconv.Itoa(MaxJobTasks)}
 	}
-	if j.Need.MilliCores < 1 {
-		return &FieldError{Field: "Need.MilliCores", Expected: "at least 1"}
-	}
-	if j.Need.MemoryMB < 1 {
-		return &FieldError{Field: "Need.MemoryMB", Expected: "at least 1"}
-	}
-	if j.Need.Accelerators < 0 {
-		return &FieldError{Field: "Need.Accelerators", Expected: "at least 0"}
+	ranges := []struct {
+		field              string
+		value, least, most int64
+	}{
+		{"Need.MilliCores", j.Need.MilliCores, 1, MaxNeed},
+		{"Need.MemoryMB", j.Need.MemoryMB, 1, MaxNeed},
+		{"Need.Accelerators", j.Need.Accelerators, 0, MaxNeed},
+		{"RunMillis", j.RunMillis, 0, MaxRunMillis},
 	}
-	if j.RunMillis < 0 {
-		return &FieldError{Field: "RunMillis", Expected: "at least 0"}
+	for _, r := range ranges {
+		if r.value < r.least {
+			return &FieldError{Field: r.field, Expected: "at least " + strconv.FormatInt(r.least, 10)}
+		}
+		if r.value > r.most {
+			return &FieldError{Field: r.field, Expected: "at most " + strconv.FormatInt(r.most, 10)}
+		}
 	}
 	return nil
 }
