--- a/dispatcher/eager_test.go
+++ b/dispatcher/eager_test.go
@@ -32,5 +32,7 @@
 	s.core.StoreReached(clock.now, 9)
 	is.True(s.nextEager()) // the jobs are known up to an earlier revision only
 	s.core.JobsKnown(9)
+	is.True(s.nextEager()) // the core has not compared them with what its workers run
+	s.core.Tick(clock.now)
 	is.True(!s.nextEager())
 }
