Scheduler: a 421 ends the leases of a worker that has not reported

Cause: another incarnation that responds at a worker's address proves that the worker's own has ended, but a new owner went on to wait for the longest lease that its predecessor may have granted, some 12 s, before it started any step that may have runs. If the owners change faster, such steps never start.

Change: the proof ends the leases of a worker that has not reported, too. It is one only if the owner knows the last address at which tasks may run: so no task starts at a new address of a worker before the row of leased workers has it.

Evidence: TestWorkerKnownToHaveEndedIsWaitedFor failed before with 'not true: h.core.Reconciled()', TestStartBeforeItsAddressIsStored with 'not true: ...leaseRecorded'; TestEndedElsewhereProvesNothing shows that an address that was left proves nothing. scheduler and dispatcher pass.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"net/netip"
 	"slices"
 	"strconv"
 	"time"
@@ -336,7 +337,13 @@
 type Batch struct {
 	Writes        []RowWrite
 	jobs          []jobWrite
-	leasedWorkers []*worker
+	leasedWorkers []leasedWrite
+}
+
+// leasedWrite is a worker and its address in a row of leased workers.
+type leasedWrite struct {
+	worker  *worker
+	address netip.AddrPort
 }
 
 // jobWrite is the version, state and progress of a job that a batch writes.
@@ -361,7 +368,7 @@
 		c.leasedWorkersDirty = false
 		row := LeasedWorkersRow{}
 		for _, w := range c.sortedWorkers {
-			batch.leasedWorkers = append(batch.leasedWorkers, w)
+			batch.leasedWorkers = append(batch.leasedWorkers, leasedWrite{w, w.info.Address})
 			row.Workers = append(row.Workers, LeasedWorker{HostID: w.info.HostID, Address: w.info.Address})
 		}
 		batch.Writes = append(batch.Writes, RowWrite{Key: LeasedWorkersKey, Value: EncodeRow(row)})
@@ -385,8 +392,8 @@
 // to their workers, and steps that depend on them may start.
 func (c *Core) Committed(now time.Time, batch *Batch) {
 	c.now = now
-	for _, w := range batch.leasedWorkers {
-		if !w.leaseRecorded {
+	for _, write := range batch.leasedWorkers {
+		if w := write.worker; !w.leaseRecorded && write.address == w.info.Address {
 			w.leaseRecorded = true
 			c.markFreed(w)
 		}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -83,8 +83,9 @@
 }
 
 // endIncarnation releases the runs of an incarnation that has provably ended,
-// because another one responded to an order at its address. It does nothing if
-// the worker is at another address by now.
+// because another one responded to an order at its address, and with it the
+// leases that any owner has granted it. It does nothing if the worker is at
+// another address by now.
 func (c *Core) endIncarnation(w *worker, addressed WorkerRef) {
 	if addressed.Address != w.info.Address {
 		return
@@ -97,7 +98,7 @@
 		c.stats.Lapsed++
 		c.releaseLost(r, "its worker's incarnation ended")
 	}
-	w.leaseDeadline = w.clock
+	w.ended = true
 }
 
 // applyReport applies a worker's report. A report of an earlier incarnation is
@@ -112,7 +113,7 @@
 		c.markFreed(w)
 		c.log(LogRecord{Worker: w.info.HostID, Event: "worker answers"})
 	}
-	w.unanswered = 0
+	w.unanswered, w.ended = 0, false
 	w.clock, w.clockAt = report.Clock, c.now
 	if !w.reported {
 		// A previous owner may have granted a lease of this length just now.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -13,8 +13,11 @@
 	// listed is true if the current list of workers contains the worker.
 	listed bool
 	// leaseRecorded is true if the committed row of leased workers contains the
-	// worker.
+	// worker with its present address.
 	leaseRecorded bool
+	// ended is true if the incarnation at the worker's present address has
+	// provably ended. Nothing runs there, and no lease is held.
+	ended bool
 	// inherited is true if a previous owner may have sent the worker orders.
 	inherited bool
 	// reported is true if the worker's current incarnation has responded to a
@@ -120,10 +123,13 @@
 }
 
 // leaseExpiry returns the time by which every lease that the worker can hold
-// has expired. As long as the worker has not reported, leases may have been
-// granted up to PreviousOwnerTerm after unreportedSince, each for at most
-// MaxLease.
+// has expired; zero if it has ended. As long as the worker has not reported,
+// leases may have been granted up to PreviousOwnerTerm after unreportedSince, each
+// for at most MaxLease.
 func (w *worker) leaseExpiry(c *Core) time.Time {
+	if w.ended {
+		return time.Time{}
+	}
 	if !w.reported {
 		return w.unreportedSince.Add(c.longestUnreported())
 	}
@@ -214,6 +220,7 @@
 		}
 		if !info.BootedAt.Before(w.bootedAt) || info.BootedAt.IsZero() {
 			c.updateRoom(w, info)
+			c.updateAddress(w, info)
 			w.setInfo(info)
 		}
 		w.listed = true
@@ -228,6 +235,17 @@
 	c.removeUnlistedWorkers()
 }
 
+// updateAddress prepares a worker for the info that replaces its present one. No
+// task starts at another address before the row of leased workers has it: from
+// the row, a later owner knows where the worker's last incarnation with tasks
+// was, and that it has ended once another one responds there.
+func (c *Core) updateAddress(w *worker, info WorkerInfo) {
+	if info.Address != w.info.Address {
+		w.leaseRecorded, w.ended = false, false
+		c.leasedWorkersDirty = true
+	}
+}
+
 // setInfo replaces the worker's info. The list repeats the remaining time of a
 // leaving worker unchanged, so LeavesAt stays as it was computed when the
 // notice was first observed.
@@ -285,7 +303,7 @@
 	w.withheld, w.appliedBeyond = 0, nil
 	w.clock, w.leaseDeadline = 0, 0
 	w.clockAt = time.Time{}
-	w.reported = false
+	w.reported, w.ended = false, false
 	w.unreportedSince = c.now
 	// A poll in flight was meant for the previous incarnation.
 	w.pollInFlight, w.nextPollAt = false, c.now
