Scheduler: fence off orders whose responses were lost

A call without a response may be executed seconds later, after newer calls. With a fence that rose only with a worker's incarnation, a late poll still reached a next one that had executed a start meant for its predecessor, but no poll of its own, and made it forget an end unread.

Change: the fence's low bits (20 now) are a generation that also rises with each order that receives no response. Whatever newer order the worker executes first makes it reject the late one, in the same incarnation or the next. A start without a response is given up as soon as the worker has answered a newer poll without it, without a stop. An order of an older generation that is rejected because of its fence was overtaken by one of our own, and isn't taken for the sign of another owner; a start so rejected was not executed.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -73,9 +73,9 @@
 	// Each placement pass sorts them by rank.
 	open    []*step
 	workers map[requester.HostID]*worker
-	// lives has the last value of worker.life of every worker that this owner
-	// has ever known.
-	lives map[requester.HostID]int64
+	// generations has the last generation of every worker that this owner has
+	// ever known.
+	generations map[requester.HostID]int64
 	// sortedWorkers are the workers in the order of their host IDs.
 	sortedWorkers []*worker
 	// eligible are the workers that may get new tasks in the current placement
@@ -210,7 +210,7 @@
 		tookOverAt:     now,
 		jobs:           make(map[requester.JobID]*job),
 		workers:        make(map[requester.HostID]*worker),
-		lives:          make(map[requester.HostID]int64),
+		generations:    make(map[requester.HostID]int64),
 		timed:          make(map[requester.JobID]*job),
 		strays:         make(map[TaskName]int),
 		excluded:       make(map[requester.JobID]bool),
--- a/scheduler/fence.go
+++ b/scheduler/fence.go
@@ -1,31 +1,47 @@
 package scheduler
 
-// A worker that crashes and starts again under the same host ID numbers its ends
-// from 1 and its clock from 0 again, and may still execute orders to its earlier
-// incarnation seconds later. These would acknowledge ends that nobody has read
-// and grant leases that nobody knows of. So the fence of an order also tells the
-// incarnations of its worker apart: one that has responded to a poll of this
-// owner rejects what was meant for an earlier one.
+// An order without a response may be executed seconds later, after newer ones,
+// and also by the worker's next incarnation: one that crashes and starts again
+// under the same host ID numbers its ends from 1 and its clock from 0 again. A
+// late order would acknowledge ends that nobody has read, grant leases that
+// nobody knows of, or start a run that counts as never started. So the fence of
+// an order also has a generation. It is raised whenever an order to the worker
+// has received no response and whenever a new incarnation of it is observed:
+// once the worker has executed an order of the new generation, it rejects what
+// is left of earlier ones.
 
-// lifeBits is how many low bits of a fence count the incarnations of a worker
-// that the owner has seen. The bits above them are the owner's epoch.
-const lifeBits = 12
+// generationBits is how many low bits of a fence hold the generation. The bits
+// above them are the owner's epoch.
+const generationBits = 20
 
-// fence returns the fence of orders to the worker's current incarnation.
+// fence returns the fence of new orders to the worker.
 func (c *Core) fence(w *worker) Fence {
-	return Fence(c.options.Epoch)<<lifeBits | Fence(min(w.life, 1<<lifeBits-1))
+	return Fence(c.options.Epoch)<<generationBits | Fence(min(w.generation, 1<<generationBits-1))
 }
 
 // addressesCurrent reports whether an order with that fence was meant for the
 // worker's current incarnation. The result of any other order says nothing
 // about it.
-func (c *Core) addressesCurrent(w *worker, fence Fence) bool { return fence == c.fence(w) }
+func (c *Core) addressesCurrent(w *worker, fence Fence) bool { return fence >= w.bornFence }
 
-// nextLife makes the fence of further orders to a worker higher than that of
-// earlier ones. Lives of removed workers are kept, as they may be listed again.
-func (c *Core) nextLife(w *worker) {
-	if last, seen := c.lives[w.info.HostID]; seen {
-		w.life = last + 1
+// raiseGeneration makes the fence of further orders to a worker higher than that
+// of earlier ones. The generations of removed workers are kept, as they may be
+// listed again.
+func (c *Core) raiseGeneration(w *worker) {
+	if last, seen := c.generations[w.info.HostID]; seen {
+		w.generation = last + 1
 	}
-	c.lives[w.info.HostID] = w.life
+	c.generations[w.info.HostID] = w.generation
+}
+
+// observeBirth raises the generation for a new incarnation of the worker.
+func (c *Core) observeBirth(w *worker) {
+	c.raiseGeneration(w)
+	w.bornFence = c.fence(w)
+}
+
+// rejectedByFence handles the rejection of an order because of its fence. If the
+// order had the worker's latest fence, only another owner can have raised it.
+func (c *Core) rejectedByFence(w *worker, fence Fence) {
+	c.fenced = c.fenced || fence == c.fence(w)
 }
--- a/scheduler/fence_test.go
+++ b/scheduler/fence_test.go
@@ -179,3 +179,41 @@
 	h.core.SetWorkers(h.now, []WorkerInfo{older})
 	is.Equal(h.core.sortedWorkers[0].ref(), WorkerRef{HostID: newer.HostID, Address: newer.Address, BootedAt: newer.BootedAt})
 }
+
+// TestOrderAfterALostResponse guards against an order that received no response
+// and is executed after newer ones: a poll that the worker has answered since
+// makes it reject the late one.
+func TestOrderAfterALostResponse(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.add("j", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 8000))
+	h.commit()
+	h.now = h.now.Add(time.Second)
+	orders := h.core.Tick(h.now)
+	is.Equal(len(orders.Starts), 1)
+	start, before := orders.Starts[0], pollOf(t, orders)
+	h.core.StartDone(h.now, start, OrderUnknown)
+	h.core.PollDone(h.now, before, nil, OrderUnknown)
+	h.now = h.now.Add(time.Second)
+	poll := pollOf(t, h.core.Tick(h.now))
+	is.True(poll.Fence > start.Fence && poll.Fence > before.Fence)
+	h.core.PollDone(h.now, poll, &Report{Clock: 2000, BootedAt: start.Worker.BootedAt}, OrderAccepted)
+	is.Equal(h.core.Stats().Stops, int64(0))
+	is.Equal(len(h.core.sortedWorkers[0].runs), 0) // the start is rejected from now on
+}
+
+// TestOvertakenOrder guards against an owner that takes the rejection of an
+// order, overtaken by a newer one of its own, for that of another owner.
+func TestOvertakenOrder(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.add("j", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 8000))
+	h.commit()
+	h.now = h.now.Add(time.Second)
+	orders := h.core.Tick(h.now)
+	is.Equal(len(orders.Starts), 1)
+	h.core.PollDone(h.now, pollOf(t, orders), nil, OrderUnknown)
+	h.core.StartDone(h.now, orders.Starts[0], OrderFenced)
+	is.True(!h.core.Fenced())
+	is.Equal(len(h.core.sortedWorkers[0].runs), 0) // the worker did not execute it
+}
--- a/scheduler/mutation_test.go
+++ b/scheduler/mutation_test.go
@@ -77,9 +77,9 @@
 		}},
 		{"orders to an earlier incarnation carry the same fence", simulationOptions{crashes: 6, delayedOrders: 0.1, ownerFaults: ownerFaults{latePolls: 0.1, quickRebirths: true}}, func(c *Core) {
 			for _, w := range c.sortedWorkers {
-				w.life = 0
+				w.generation, w.bornFence = 0, 0
 			}
-			clear(c.lives)
+			clear(c.generations)
 		}},
 		{"accepted starts count as runs of the earlier incarnation", simulationOptions{crashes: 8, ownerFaults: ownerFaults{quickRebirths: true}}, func(c *Core) {
 			forRuns(c, func(w *worker, r *run) {
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -63,7 +63,7 @@
 	case OrderAccepted:
 		c.applyReport(w, order, report)
 	case OrderFenced:
-		c.fenced = true
+		c.rejectedByFence(w, order.Fence)
 	case OrderOtherIncarnation:
 		c.endIncarnation(w, order.Worker)
 	default:
@@ -72,6 +72,9 @@
 		}
 		w.unanswered++
 		w.nextPollAt = now.Add(pollRetryInterval)
+		if result == OrderUnknown {
+			c.raiseGeneration(w)
+		}
 	}
 }
 
@@ -166,8 +169,8 @@
 		switch {
 		case r.phase == runUnacknowledged || r.phase == runStopping && r.acknowledgedAt.IsZero():
 			// The response to a poll that was sent before the stop was
-			// acknowledged may miss a run that started in between. A start that
-			// was meant for an earlier incarnation is rejected from the poll on.
+			// acknowledged may miss a run that started in between. A start with a
+			// lower fence than the poll's is rejected from the poll on.
 			if r.startFence < order.Fence {
 				c.releaseLost(r, "its start was never executed")
 			} else if !r.barredAt.IsZero() && !order.SentAt.Before(r.barredAt) {
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -118,9 +118,11 @@
 		// A poll sent from now on shows whether the run is still active.
 		w.nextPollAt = now
 	case OrderFenced:
-		c.fenced = true
+		c.rejectedByFence(w, order.Fence)
 	case OrderOtherIncarnation:
 		c.endIncarnation(w, order.Worker)
+	case OrderUnknown:
+		c.raiseGeneration(w)
 	}
 }
 
@@ -151,9 +153,10 @@
 		}
 		w.unanswered++
 		w.nextPollAt = now
+		c.raiseGeneration(w)
 		return
 	case OrderFenced:
-		c.fenced = true
+		c.rejectedByFence(w, order.Fence)
 	case OrderRefused:
 		w.suspendedUntil = now.Add(refusalCoolDown)
 	case OrderNoTicket:
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -23,8 +23,9 @@
 // A worker runs tasks only while its lease lasts. The starts and polls sent to
 // a responsive worker renew its lease up to a deadline on the worker's own
 // clock. Every order carries a fence, which increases with the owner's epoch and
-// with each incarnation of the worker that the owner has seen, and a worker
-// rejects an order whose fence is lower than the highest that it has seen.
+// with each order to the worker that has received no response and each of its
+// incarnations that the owner has seen. A worker rejects an order whose fence is
+// lower than the highest that it has seen.
 //
 // A run occupies its resources from the moment its start order is issued until
 // the worker rejects the start or reports the end of the run, a later
@@ -82,8 +83,8 @@
 // WorkerTime is a time on a worker's own monotonic clock, in milliseconds.
 type WorkerTime int64
 
-// Fence is a fencing token: an owner's epoch and, in the low bits, the number of
-// the worker's incarnation. A worker rejects an order whose fence is lower than
+// Fence is a fencing token: an owner's epoch and, in the low bits, the generation
+// of its orders to the worker. A worker rejects an order whose fence is lower than
 // the highest that it has seen.
 type Fence int64
 
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -21,11 +21,12 @@
 	// poll of this owner.
 	reported bool
 	bootedAt time.Time
-	// life numbers the worker's incarnations as far as this owner has seen
-	// them.
-	life      int64
-	runs      map[runKey]*run
-	allocated requester.Resources
+	// generation is part of the fence of new orders. bornFence is the fence
+	// from which orders were meant for the worker's current incarnation.
+	generation int64
+	bornFence  Fence
+	runs       map[runKey]*run
+	allocated  requester.Resources
 	// clock is a reading of the worker's clock, taken no later than clockAt.
 	clock   WorkerTime
 	clockAt time.Time
@@ -162,7 +163,7 @@
 		return w
 	}
 	w := &worker{info: info, runs: make(map[runKey]*run), unreportedSince: c.tookOverAt}
-	c.nextLife(w)
+	c.observeBirth(w)
 	c.workers[info.HostID] = w
 	c.sortedWorkers = append(c.sortedWorkers, w)
 	slices.SortFunc(c.sortedWorkers, func(a, b *worker) int { return compareHosts(a.info.HostID, b.info.HostID) })
@@ -257,7 +258,7 @@
 	}
 	w.bootedAt = bootedAt
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker reborn"})
-	c.nextLife(w)
+	c.observeBirth(w)
 	w.appliedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds = 0, 0, 0, nil
 	w.unverifiedEnds, w.violatedEnd, w.confirmedEnd = nil, 0, 0
 	w.clock, w.leaseDeadline = 0, 0
