Scheduler: acknowledge nothing to a worker that hasn't answered

A poll that acknowledged an end and got no response was sent again with the acknowledgement. If the worker had crashed and started again meanwhile, and its new incarnation had executed a start that was on its way and ended it, that poll made it forget this end unread, before the owner knew of the birth: no late order is needed for it.

Change: a poll to a worker that hasn't answered acknowledges nothing. Its response shows the incarnation; the next poll acknowledges.

--- a/scheduler/acknowledge.go
+++ b/scheduler/acknowledge.go
@@ -127,11 +127,12 @@
 }
 
 // acknowledgement returns the number up to which a poll acknowledges a worker's
-// ends, or 0 if it acknowledges none for which a response is outstanding: a later
-// incarnation that executes the poll late would forget its own ends up to it.
+// ends. It is 0 if a response has confirmed them already, or if the worker has not
+// answered lately: its next incarnation, which may be there already or execute
+// the poll late, would forget its own ends up to that number.
 func (c *Core) acknowledgement(w *worker) int64 {
 	number := c.verifyAcknowledgement(w)
-	if number <= w.confirmedEnd {
+	if number <= w.confirmedEnd || w.unanswered > 0 {
 		return 0
 	}
 	return number
--- a/scheduler/acknowledge_test.go
+++ b/scheduler/acknowledge_test.go
@@ -192,3 +192,21 @@
 	is.Equal(h.exchange(time.Second, ends)["w000"], int64(1))
 	is.Equal(h.exchange(time.Second, ends)["w000"], int64(0))
 }
+
+// TestNoAcknowledgementToASilentWorker guards against an acknowledgement that
+// goes to a worker's next incarnation: one that hasn't answered may have been
+// reborn, and would forget its own ends up to that number.
+func TestNoAcknowledgementToASilentWorker(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.add("j", Policy{Service: "service", MaxAttempts: 3, Stretch: 2}, stepOf(1, 1000))
+	ends := endsOf(h.settle(), EndDone)
+	h.exchange(time.Second, ends)
+	h.commit()
+	h.now = h.now.Add(time.Second)
+	first := pollOf(t, h.core.Tick(h.now))
+	is.Equal(first.AcknowledgedEnd, int64(1))
+	h.core.PollDone(h.now, first, nil, OrderUnknown)
+	h.now = h.now.Add(time.Second)
+	is.Equal(pollOf(t, h.core.Tick(h.now)).AcknowledgedEnd, int64(0))
+}
