--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -32,22 +32,27 @@
 // incarnation of the worker is observed, or every lease that the worker can
 // hold has expired. A start without a response is unacknowledged: the worker
 // may have executed it, or may still do so. If the worker's next report
-// contains the run, the run continues. Otherwise it is stopped, which also
-// makes the worker reject the start if it arrives late. The task starts again
-// once the worker has acknowledged the stop and the response to a later poll
-// does not contain the run, or once the lease has expired.
+// contains the run, the run continues. If it does not, and the poll was sent
+// with a higher fence than the start, the worker rejects the start from then on,
+// and the task starts again. Otherwise the run is stopped, and the task starts
+// again once the worker has acknowledged the stop and the response to a later
+// poll does not contain the run, or once the lease has expired.
 //
 // # Durability and takeover
 //
 // The end of a task is first committed to the store (TakeBatch, Committed) and
 // then acknowledged to the worker; the steps that depend on it start after the
-// commit. Before the first task of a step starts, a start record for the step
+// commit. Whatever has become of the task, its occurrence or its job in memory,
+// an end is acknowledged only when the stored rows imply it, and the core checks
+// this against the bytes of these rows. Before the first task of a step starts, a start record for the step
 // is committed, unless eager starts are in force (SetEager). A new owner
 // rebuilds everything else from the workers' reports. While some worker that
 // has not reported may still run tasks that the new owner does not know of, the
 // unreported tasks of steps with a start record wait, and the tasks of all
 // other steps start at once. If the previous owner had eager starts in force,
-// the unreported tasks of all steps wait.
+// the unreported tasks of all steps wait, also those of jobs that it may have
+// learned of before the new owner does; the row of the new owner stays eager
+// until the store says so.
 //
 // # Order and placement
 //
