Give a task up after five early crashes, and try it alone from the second on

Cause: crashes that say little. Its first life ended in the cut, with the workers around it (a wide failure); starts without an answer count 0.2, and a task with such a life wasn't on trial at its next start, so it started beside other suspects, whose presence explained the next crash as well. And after a takeover all workers that were dead before fell silent for the new owner at once, which looked like a wide failure.

Change: a task with two crashes starts on trial whatever these say, on a worker without another trial where there is one; after five crashes within 2 s of a start the verdict no longer asks for the probability; a worker that never answered this owner is no evidence for a wide failure.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -65,6 +65,9 @@
 	minCrashes = 2
 	// maxCrashes is the number of lives from which unproven ones count as well.
 	maxCrashes = 4
+	// manyCrashes is the number of crashes soon after a start after which a task
+	// is given up whatever the probability.
+	manyCrashes = 5
 	// suspectPPM is the chance of a crash below which its runs are under
 	// suspicion if they had existed for at most suspectAge.
 	suspectPPM = 50_000
@@ -119,22 +122,44 @@
 // guilty reports whether the task is to be given up. Of the lives recorded with
 // it, minCrashes must say something about the task. From maxCrashes on these
 // need not be proven: a task may crash its workers before they acknowledge the
-// start.
+// start. Once manyCrashes workers have crashed soon after a start of it, the
+// probability doesn't matter.
 func (h *crashHistory) guilty() bool {
-	telling := 0
+	if h == nil {
+		return false
+	}
+	telling, early := 0, 0
 	for _, crash := range h.crashes {
 		if crash.ChancePPM < certainPPM && (!crash.Unproven || len(h.crashes) >= maxCrashes) {
 			telling++
 		}
+		if crash.Worker != "" && crash.age() <= suspectAge {
+			early++
+		}
 	}
-	return telling >= minCrashes && h.chance() < guiltyChances[min(len(h.crashes), len(guiltyChances)-1)]
+	return telling >= minCrashes && (early >= manyCrashes || h.chance() < guiltyChances[min(len(h.crashes), len(guiltyChances)-1)])
 }
 
-// suspect reports whether the task has to start on trial.
+// suspect reports whether the task has to start on trial: a worker crashed soon
+// after a start of it, and that was unlikely by chance or not the first one.
 func (h *crashHistory) suspect() bool {
-	return h != nil && slices.ContainsFunc(h.crashes, func(crash crash) bool {
-		return crash.ChancePPM < suspectPPM && crash.age() <= suspectAge
-	})
+	if h == nil {
+		return false
+	}
+	crashes, early := 0, false
+	for _, crash := range h.crashes {
+		if crash.Worker == "" {
+			continue
+		}
+		crashes++
+		if crash.age() <= suspectAge {
+			early = true
+			if crash.ChancePPM < suspectPPM {
+				return true
+			}
+		}
+	}
+	return early && crashes >= minCrashes
 }
 
 func (crash *crash) age() time.Duration { return time.Duration(crash.AgeMillis) * time.Millisecond }
@@ -247,7 +272,8 @@
 		}
 	}
 	for _, other := range c.sortedWorkers {
-		if other.unanswered > 0 && other.silentAt.Sub(silentAt).Abs() <= wideWindow {
+		// A worker that never answered this owner may have fallen silent earlier.
+		if other.reported && other.unanswered > 0 && other.silentAt.Sub(silentAt).Abs() <= wideWindow {
 			others[other.info.HostID] = true
 		}
 	}
@@ -286,6 +312,12 @@
 		Job: j.name(), Task: t.name(), Run: found.Run, Worker: found.Worker, Event: "worker crashed under a run",
 		Why: fmt.Sprintf("crash %d under the task, within %v of the start; by chance: %.2g", len(h.crashes), found.age(), h.chance()),
 	})
+	c.judge(t)
+}
+
+// judge gives a task up if it is guilty; a long-running one is held back.
+func (c *Core) judge(t *task) {
+	h, j := t.crashes, t.step.job()
 	if !h.guilty() {
 		return
 	}
@@ -297,7 +329,7 @@
 	}
 	c.stats.GivenUp++
 	c.stats.JobsFailed++
-	c.log(LogRecord{Job: j.name(), Task: t.name(), Run: found.Run, Worker: found.Worker, Event: "task given up", Why: "it crashes its workers: " + h.describe()})
+	c.log(LogRecord{Job: j.name(), Task: t.name(), Event: "task given up", Why: "it crashes its workers: " + h.describe()})
 	c.endJob(j, StateFailed, "a task crashes its workers")
 }
 
@@ -309,14 +341,16 @@
 		return
 	}
 	c.unknownLivesRecorded = true
-	for _, s := range c.open {
+	for _, s := range slices.Clone(c.open) {
 		if !s.mayHaveUnknownRuns || s.waiting == 0 {
 			continue
 		}
 		for _, t := range s.tasks {
-			if !t.done && t.run == nil {
-				t.appendCrash(crash{Run: c.firstRun() - 1, ChancePPM: certainPPM})
+			if t.done || t.run != nil || s.job().state.Ended() {
+				continue
 			}
+			t.appendCrash(crash{Run: c.firstRun() - 1, ChancePPM: certainPPM})
+			c.judge(t)
 		}
 		c.markDirty(s.job())
 	}
@@ -329,7 +363,8 @@
 	if h == nil {
 		return true
 	}
-	if h.committed(t.step.job()) && !c.now.Before(h.heldUntil) && !(h.suspect() && c.trials(true) >= c.maxTrials(suspectShare)) {
+	j := t.step.job()
+	if h.committed(j) && !c.now.Before(h.heldUntil) && !(t.suspect() && c.trials(true) >= c.maxTrials(suspectShare)) {
 		return true
 	}
 	// Neither time nor a commit frees a worker, so a scan of freed workers only
@@ -347,9 +382,7 @@
 	if r.task == nil || r.task.run != r {
 		return
 	}
-	if r.task.crashes != nil {
-		r.task.crashes.clearOutlasted(r.lasted())
-	}
+	r.task.crashes.clearOutlasted(r.lasted())
 }
 
 // lasted returns how long a run has surely existed by its worker's last report.
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -176,7 +176,11 @@
 		if w.trial != nil && !t.suspect() {
 			return i
 		}
-		if stake := c.stake(w); i == 0 || stake < bestStake {
+		stake := c.stake(w)
+		if w.trial != nil {
+			stake += dearStake
+		}
+		if i == 0 || stake < bestStake {
 			best, bestStake = i, stake
 		}
 	}
