Test that a task with a crash waits until the crash is in the store

TestCrashesOutliveTheOwner read the stored row only after the second start, and its store commits at once, so it held even with the rule taken out. Now nothing is committed from the proof on, and the task must not start; with the rule taken out it fails: 2 != 1.

--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -173,6 +173,8 @@
 	infos   []WorkerInfo
 	// stored holds the rows that were committed.
 	stored map[string][]byte
+	// storeDown is true while nothing is committed.
+	storeDown bool
 }
 
 // outage is how long a crashed worker is away.
@@ -205,11 +207,8 @@
 		}
 	}
 	h.core.SetWorkers(h.now, h.infos)
-	if batch := h.core.TakeBatch(1000); !batch.Empty() {
-		for _, write := range batch.Writes {
-			h.stored[write.Key] = write.Value
-		}
-		h.core.Committed(h.now, batch)
+	if !h.storeDown {
+		h.store()
 	}
 	orders := h.core.Tick(h.now)
 	for _, order := range orders.Polls {
@@ -246,6 +245,18 @@
 	}
 }
 
+// store commits the changed rows.
+func (h *deadlyHarness) store() {
+	batch := h.core.TakeBatch(1000)
+	if batch.Empty() {
+		return
+	}
+	for _, write := range batch.Writes {
+		h.stored[write.Key] = write.Value
+	}
+	h.core.Committed(h.now, batch)
+}
+
 // crash crashes a worker.
 func (h *deadlyHarness) crash(host requester.HostID) {
 	if _, dead := h.backAt[host]; dead {
@@ -336,6 +347,12 @@
 	for h.crashes[guilty] < 1 {
 		h.step(20 * time.Millisecond)
 	}
+	h.storeDown = true
+	for range 500 {
+		h.step(20 * time.Millisecond)
+	}
+	is.Equal(h.starts[guilty], 1) // the proof came, and nothing is in the store
+	h.storeDown = false
 	for h.starts[guilty] < 2 {
 		h.step(20 * time.Millisecond)
 	}
