Scheduler: count the runs that did not crash, and a gang's members

Cause: the verdict multiplied the probabilities of the crashes as if they were all that had been looked at. Runs that went without a crash counted for nothing, and a gang, which starts again whichever of its members is hit, was judged by the one member that was hit most.

Change: the probability is that of so many crashes among the runs that workers are known to have started (this owner's, and those that crashed before), and for a gang it is that of any of its members. After five early crashes the verdict asks besides that fewer runs went without one. A task that crashes each worker that starts it has no such run, so nothing changes for it.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -105,13 +105,21 @@
 	maxHoldDoublings = 5
 )
 
-// chance returns the probability that all crashes happened by chance.
-func (h *crashHistory) chance() float64 {
+// chance returns the probability that so many of the task's runs crashed by
+// chance. A gang starts again whichever member's worker crashes, so the crashes
+// may have come together under any of its members.
+func (t *task) chance() float64 {
+	h := t.crashes
 	chance := 1.0
-	for _, crash := range h.crashes {
+	for i, crash := range h.crashes {
 		chance *= float64(crash.ChancePPM) / certainPPM
+		// Which of the runs crashed doesn't matter.
+		chance *= float64(max(t.startedRuns, len(h.crashes))-i) / float64(i+1)
 	}
-	return chance
+	if t.step.def.Gang {
+		chance *= float64(len(t.step.tasks))
+	}
+	return min(1, chance)
 }
 
 // guiltyChances are, by the number of lives recorded with a task, the
@@ -122,9 +130,10 @@
 // guilty reports whether the task is to be given up. Of the lives recorded with
 // it, minCrashes must say something about the task. From maxCrashes on these
 // need not be proven: a task may crash its workers before they acknowledge the
-// start. Once manyCrashes workers have crashed soon after a start of it, the
-// probability doesn't matter.
-func (h *crashHistory) guilty() bool {
+// start. Once manyCrashes workers have crashed soon after a start of it, and fewer
+// have not, the probability doesn't matter.
+func (t *task) guilty() bool {
+	h := t.crashes
 	if h == nil {
 		return false
 	}
@@ -137,7 +146,10 @@
 			early++
 		}
 	}
-	return telling >= minCrashes && (early >= manyCrashes || h.chance() < guiltyChances[min(len(h.crashes), len(guiltyChances)-1)])
+	if telling < minCrashes {
+		return false
+	}
+	return early >= manyCrashes && 2*early > t.startedRuns || t.chance() < guiltyChances[min(len(h.crashes), len(guiltyChances)-1)]
 }
 
 // suspect reports whether the task has to start on trial: a worker crashed soon
@@ -310,7 +322,7 @@
 	h.version = j.version
 	c.log(LogRecord{
 		Job: j.name(), Task: t.name(), Run: found.Run, Worker: found.Worker, Event: "worker crashed under a run",
-		Why: fmt.Sprintf("crash %d under the task, within %v of the start; by chance: %.2g", len(h.crashes), found.age(), h.chance()),
+		Why: fmt.Sprintf("crash %d under the task, within %v of the start; by chance: %.2g", len(h.crashes), found.age(), t.chance()),
 	})
 	c.judge(t)
 }
@@ -318,7 +330,7 @@
 // judge gives a task up if it is guilty; a long-running one is held back.
 func (c *Core) judge(t *task) {
 	h, j := t.crashes, t.step.job()
-	if !h.guilty() {
+	if !t.guilty() {
 		return
 	}
 	if t.step.def.LongRunning {
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -253,6 +253,7 @@
 	}
 	if r.acknowledgedAt.IsZero() {
 		r.acknowledgedAt = c.now
+		r.countStarted()
 	}
 	r.reported = true
 	r.checkpoint = running.Checkpoint
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -108,8 +108,11 @@
 	failedRuns []RunNumber
 	checkpoint string
 	lastRun    RunNumber
-	// crashes are the crashes under the task; nil if there are none.
-	crashes *crashHistory
+	// crashes are the crashes under the task; nil if there are none. startedRuns
+	// counts the runs that workers are known to have started: those of this owner,
+	// and those that crashed before.
+	crashes     *crashHistory
+	startedRuns int
 	// run is the run that is active, or may be; nil for none.
 	run *run
 }
@@ -289,6 +292,7 @@
 				t.failedRuns = progress.FailedRuns[index]
 			}
 			t.crashes = restoredCrashes(progress.Crashes[index])
+			t.startedRuns = len(progress.Crashes[index])
 			t.checkpoint = progress.Checkpoints[index]
 			if progress.AllDone || bitSet(progress.Done, index) {
 				t.done = true
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -146,6 +146,7 @@
 	switch result {
 	case OrderAccepted:
 		r.acknowledgedAt = now
+		r.countStarted()
 		if r.phase == runStarting {
 			r.phase = runAcknowledged
 			c.markRunning(r.task.step.job())
@@ -176,6 +177,13 @@
 	c.releaseLost(r, "start was rejected")
 }
 
+// countStarted counts a run that its worker is known to have started.
+func (r *run) countStarted() {
+	if r.task != nil && r.task.run == r {
+		r.task.startedRuns++
+	}
+}
+
 // refusalCoolDown is how long a worker that refused a start gets no new tasks.
 const refusalCoolDown = 500 * time.Millisecond
 
