Scheduler: give no tasks to a worker that keeps many ends

What callers would see: LOST. A worker returns at most 500 ends. One that keeps ends which aren't acknowledged, since an excluded job or an odd row is at their head and an acknowledgement covers all before it, has no room for later ones in its reports after a while. It still got tasks; their ends were never seen, and as its lease is renewed, these tasks stay running for ever.

Change: a worker with 250 ends that wait for their acknowledgement gets no new tasks (maxKeptEnds), so that the ends of its present runs are still returned. The others get the tasks.

--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -91,14 +91,20 @@
 }
 
 // eligible reports whether the worker may get new tasks now: it is usable, has
-// reported within the freshness window, is responsive and not suspended, and
-// its tasks make progress. On probation it gets one task at a time.
+// reported within the freshness window, is responsive and not suspended, its
+// reports have room for further ends, and its tasks make progress. On probation it
+// gets one task at a time.
 func (w *worker) eligible(now time.Time) bool {
 	return w.usable() && w.unanswered == 0 && now.Sub(w.clockAt) < freshnessWindow && !now.Before(w.suspendedUntil) &&
-		w.currentSpeed(now) > 0 &&
+		len(w.pendingEnds) < maxKeptEnds && w.currentSpeed(now) > 0 &&
 		(!w.health.probation || len(w.runs) == 0)
 }
 
+// maxKeptEnds is the number of ends that wait for their acknowledgement from which
+// on a worker gets no new tasks. A worker returns a limited number of ends, and
+// those of its present runs are to be among them.
+const maxKeptEnds = 250
+
 // available returns the resources that no run occupies.
 func (w *worker) available() requester.Resources { return w.info.Total.Sub(w.allocated) }
 
