Scheduler: test what holds back an excluded job's end

TestEndOfAnExcludedJob passed also without the condition in committed that it is about (a trial with one mutation): the check of acknowledgements against the stored rows withholds the end then, as a violation. So a second net hid that the first one had a hole, and the worker would be polled and logged in vain.

Change: the test also expects that no violation was counted.

Evidence: without !c.excluded[id] in committed it fails now with "1 != 0 // not merely withheld by the check of acknowledgements"; with it, it passes. No code is changed.

--- a/scheduler/acknowledge_test.go
+++ b/scheduler/acknowledge_test.go
@@ -159,6 +159,7 @@
 	h.core.StoreReached(h.now, 10)
 	h.core.JobsKnown(10)
 	is.Equal(h.exchange(time.Second, ends)["w000"], int64(0))
+	is.Equal(h.core.Stats().Violations, int64(0)) // not merely withheld by the check of acknowledgements
 	h.core.Add(h.now, job)
 	is.Equal(len(h.settle()), 0)
 }
