Scheduler: test a start that the next incarnation rejects

It keeps a start to an earlier incarnation of a worker, which the next one rejects by its fence, from ending the ownership and from releasing a run that is being stopped.

Evidence: without the comparison TestStartRejectedByTheNextLife fails with "not true: !h.core.Fenced()"; with it, it passes. No code is changed.

--- a/scheduler/nextlife_test.go
+++ b/scheduler/nextlife_test.go
@@ -48,3 +48,20 @@
 	}
 	is.Equal(h.core.Stats().JobsCompleted, int64(2))
 }
+
+// TestStartRejectedByTheNextLife guards against an owner that takes the rejection
+// of a start to an earlier incarnation of a worker for the sign of another owner.
+func TestStartRejectedByTheNextLife(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.add("j", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 8000))
+	h.commit()
+	h.now = h.now.Add(time.Second)
+	orders := h.core.Tick(h.now)
+	is.Equal(len(orders.Starts), 1)
+	h.core.Cancel(h.now, "j") // so that the run is to be stopped
+	h.reborn()
+	h.core.StartDone(h.now, orders.Starts[0], OrderFenced)
+	is.True(!h.core.Fenced())
+	is.Equal(len(h.core.sortedWorkers[0].runs), 1) // what the next incarnation has executed is not known yet
+}
