scheduler: a gang for one rack doesn't wait for a rack that never empties

An accepted gang that should run on one rack was never started, though the workers of several racks had room for it: it was spread only if no rack could hold it when empty, and racks on which tasks that last run, or on which one task follows another, never are. Accelerators and the limit for tasks kept apart were not counted either, so it could wait for a rack that could never hold it.

A rack now counts with what becomes free there once all has ended but the tasks that last, in all resources and within the limit for tasks kept apart. And once the gang would fit on several racks it waits for one at most for its expected duration, which is what spreading costs, and never longer than 2 s.

TestLastingIsCounted checks the sums that this rests on.

--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -22,6 +22,7 @@
 	}
 	number := max(s.lastRun+1, c.firstRun())
 	s.lastRun = number
+	s.rackUntil = time.Time{}
 	if s.reservation != nil {
 		c.releaseReservation(s.reservation)
 	}
@@ -30,16 +31,32 @@
 	}
 }
 
+// maxRackWait is the longest time for which a gang that fits on several racks
+// waits for one.
+const maxRackWait = 2 * time.Second
+
 // chooseGang returns a candidate for each member of a gang, or nil if they do
 // not fit now. A gang that should run on one rack is spread over several only
-// if no rack could hold it even when empty.
+// if no rack will hold it, or none has for the time that spreading it costs:
+// its tasks then take about twice as long.
 func (c *Core) chooseGang(s *step, found []candidate) []candidate {
-	if s.def.SameRack {
-		if chosen := c.chooseRack(s, found); chosen != nil || c.anyRackFits(s) {
-			return chosen
-		}
+	if !s.def.SameRack {
+		return packGang(s, found)
+	}
+	if chosen := c.chooseRack(s, found); chosen != nil {
+		return chosen
+	}
+	chosen := packGang(s, found)
+	if chosen == nil || !c.anyRackFits(s) {
+		return chosen
 	}
-	return packGang(s, found)
+	if s.rackUntil.IsZero() {
+		s.rackUntil = c.now.Add(min(maxRackWait, s.expectedDuration()))
+	}
+	if c.now.Before(s.rackUntil) {
+		return nil
+	}
+	return chosen
 }
 
 // packGang assigns the members of a gang to the candidates that have the least
@@ -87,8 +104,9 @@
 }
 
 // anyRackFits reports whether the workers of some rack could hold the whole
-// step if they were empty. It counts usable, compatible workers that advice
-// does not exclude; a worker not decided yet is not excluded.
+// step once all has ended there but the tasks that last. It counts usable,
+// compatible workers that advice does not exclude; a worker not decided yet is
+// not excluded.
 func (c *Core) anyRackFits(s *step) bool {
 	slots := make(map[string]int)
 	for _, w := range c.sortedWorkers {
@@ -98,9 +116,7 @@
 		if allowed, known := s.advice.allows(w); s.job().spec.Advice != nil && known && !allowed {
 			continue
 		}
-		need, total := s.def.allocation(), w.info.Total
-		fit := min(quotient(total.MilliCores, need.MilliCores, len(s.tasks)), quotient(total.MemoryMB, need.MemoryMB, len(s.tasks)))
-		slots[w.info.Rack] += fit
+		slots[w.info.Rack] += s.placesInTime(w)
 		if slots[w.info.Rack] >= len(s.tasks) {
 			return true
 		}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -191,6 +191,7 @@
 	}
 	r.task = t
 	r.resumed = true
+	w.lasting = w.lasting.Add(r.lastingNeed())
 	t.run = r
 	t.step.waiting--
 	t.step.job().activeRuns++
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -69,6 +69,9 @@
 	reservation *reservation
 	// reserveAfter is the earliest time of the next reservation for the step.
 	reserveAfter time.Time
+	// rackUntil is until when a gang that fits on several racks waits for one;
+	// zero before it fits.
+	rackUntil time.Time
 	// rank is the position of the step in the placement order, as last
 	// calculated.
 	rank rank
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -190,6 +190,7 @@
 	w := r.worker
 	delete(w.runs, runKey{r.name, r.number})
 	w.allocated = w.allocated.Sub(r.need)
+	w.lasting = w.lasting.Sub(r.lastingNeed())
 	if r.unsized {
 		w.unsized--
 	}
--- a/scheduler/start.go
+++ b/scheduler/start.go
@@ -37,6 +37,7 @@
 	s.job().activeRuns++
 	w.runs[runKey{r.name, number}] = r
 	w.allocated = w.allocated.Add(need)
+	w.lasting = w.lasting.Add(r.lastingNeed())
 	c.consumeUnreserved(s, w)
 	c.stats.Starts++
 	c.orders.Starts = append(c.orders.Starts, StartOrder{
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -23,6 +23,8 @@
 	bootedAt  time.Time
 	runs      map[runKey]*run
 	allocated requester.Resources
+	// lasting is the part of allocated that tasks that last occupy.
+	lasting requester.Resources
 	// clock is a reading of the worker's clock, taken no later than clockAt.
 	clock   WorkerTime
 	clockAt time.Time
