scheduler: a step that is kept apart asks for advice on enough workers

A gang of tasks that are kept apart never started again after some of its workers were lost, though empty workers were there that may run it: the step asks for advice until the workers known to be allowed could hold several times its tasks, but counted room for as many tasks as fit on each by cores and memory, where the limit for tasks kept apart lets one run. Steps that are no gangs stopped asking in the same way, and so did steps whose allowed workers are full of tasks that last, which will not end.

A gang that is kept apart now needs places for three gangs like it besides the room for ten; other steps count places, too. Both count what becomes free on a worker once all has ended there but the tasks that last. Steps that are not kept apart, on workers without tasks that last, ask as before.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -54,19 +54,24 @@
 	// to be allowed.
 	requestFactor = 2
 	// sufficientFactor is the multiple of the capacity needed by a step that
-	// its allowed workers must have, counted as if they were empty. Beyond
-	// that, waiting for capacity is cheaper than requesting advice on more
+	// its allowed workers must have once all has ended there but the tasks that
+	// last. Beyond that, waiting for capacity is cheaper than requesting advice on more
 	// workers.
 	sufficientFactor = 4
 	// expandInterval is the interval at which a step that needs no advice on
 	// further workers checks this again.
 	expandInterval = 500 * time.Millisecond
 	// gangRequestFactor is how many gangs of the same size the allowed workers
-	// of a gang must be able to hold if they were empty.
+	// of a gang must be able to hold once all has ended there but the tasks
+	// that last.
 	// busyGangRequestFactor replaces it when all capacity for long requests is
 	// in use; in between, the factor is interpolated.
 	gangRequestFactor     = 10
 	busyGangRequestFactor = 3
+	// apartRequestFactor is how many gangs of the same size, each task on a
+	// place of its own, the allowed workers of a gang must be able to hold if it
+	// is kept apart.
+	apartRequestFactor = 3
 	// maxGangRequests is the maximum number of requests in flight for one gang.
 	maxGangRequests = 4
 	// longRequestTime is the expected duration above which a request is long.
@@ -216,7 +221,7 @@
 	if s.def.Gang {
 		return c.gangAdviceWorkers(s)
 	}
-	if c.allowedSlots(s) >= sufficientFactor*s.waiting {
+	if c.allowedSlots(s, (*step).placesInTime) >= sufficientFactor*s.waiting {
 		s.advice.expandAfter = c.now.Add(expandInterval)
 		return nil
 	}
@@ -224,26 +229,40 @@
 }
 
 // gangAdviceWorkers returns the workers for the next advice request of a gang.
-// It counts the tasks that workers could hold if they were empty, because a
-// gang waits for running tasks to end.
+// It counts the tasks that workers could hold in time, because a gang waits for
+// running tasks to end. A gang that is kept apart needs as many workers besides.
 func (c *Core) gangAdviceWorkers(s *step) []requester.HostID {
-	share := c.allowedShare(s.job().spec.Queue)
 	factor := gangRequestFactor + c.adviceLoad*(busyGangRequestFactor-gangRequestFactor)
+	if workers := c.workersForGang(s, factor, (*step).slotsInTime); len(workers) > 0 {
+		return workers
+	}
+	if s.def.AntiAffinity > 0 {
+		if workers := c.workersForGang(s, apartRequestFactor, (*step).placesInTime); len(workers) > 0 {
+			return workers
+		}
+	}
+	s.advice.expandAfter = c.now.Add(expandInterval)
+	return nil
+}
+
+// workersForGang returns the workers to request advice on for the allowed ones
+// to hold as many gangs of the same size as factor says, as counted by slotsOn.
+// It returns none if they do.
+func (c *Core) workersForGang(s *step, factor float64, slotsOn func(*step, *worker) int) []requester.HostID {
+	share := c.allowedShare(s.job().spec.Queue)
 	wanted := factor * float64(len(s.tasks))
-	missing := wanted - float64(c.allowedSlots(s))
-	need := s.def.allocation()
+	missing := wanted - float64(c.allowedSlots(s, slotsOn))
 	expected := 0
 	for id := range s.advice.requested {
 		if w, ok := c.workers[id]; ok && !s.advice.decided[id] {
-			expected += slotsIn(w.info.Total, need, len(s.tasks))
+			expected += slotsOn(s, w)
 		}
 	}
 	missing -= share * float64(expected)
 	if missing < gangTolerance*wanted {
-		s.advice.expandAfter = c.now.Add(expandInterval)
 		return nil
 	}
-	return c.undecidedWorkers(s, missing/share, func(s *step, w *worker) int { return slotsIn(w.info.Total, need, len(s.tasks)) })
+	return c.undecidedWorkers(s, missing/share, slotsOn)
 }
 
 // undecidedWorkers returns workers that are neither decided nor in a request,
@@ -279,13 +298,13 @@
 	return ids
 }
 
-// allowedSlots returns how many tasks of a step its allowed workers could hold
-// if they were empty.
-func (c *Core) allowedSlots(s *step) int {
-	need, slots := s.def.allocation(), 0
+// allowedSlots returns how many tasks of a step its allowed workers could hold,
+// as counted by slotsOn.
+func (c *Core) allowedSlots(s *step, slotsOn func(*step, *worker) int) int {
+	slots := 0
 	for _, id := range s.advice.allowed {
 		if w, ok := c.workers[id]; ok && w.usable() {
-			slots += slotsIn(w.info.Total, need, len(s.tasks))
+			slots += slotsOn(s, w)
 		}
 	}
 	return slots
