--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -77,6 +77,9 @@
 	// displaceAfter is the earliest time of the next search for workers on which
 	// to stop best-effort runs for the step.
 	displaceAfter time.Time
+	// rackUntil is until when a gang that fits on several racks waits for one;
+	// zero before it fits.
+	rackUntil time.Time
 	// rank is the position of the step in the placement order, as last
 	// calculated.
 	rank rank
