Don't use a reborn worker by its last life's entry

Cause: a report with a new birth ended the last incarnation, and the worker was used again at once, with the labels, capacity and service of the entry that the list had shown before.

Evidence: TestRebornAsAnotherKindGetsOldTasks failed before with "the task starts again on w1 while it runs on w1": the task for the old label was started there.

Change: a worker gets new tasks only while the birth in its entry is the one that it reports; entries and reports without births count as equal. A poll sent at the very moment at which a birth was observed now counts as sent before.

--- a/scheduler/birth.go
+++ b/scheduler/birth.go
@@ -34,7 +34,7 @@
 	if bootedAt.IsZero() || bootedAt.Equal(w.bootedAt) {
 		return true
 	}
-	if order.SentAt.Before(w.birthSeenAt) {
+	if !order.SentAt.After(w.birthSeenAt) {
 		return false
 	}
 	if bootedAt.Before(w.bootedAt) {
@@ -44,3 +44,10 @@
 	c.updateIncarnation(w, bootedAt)
 	return true
 }
+
+// infoIsCurrent reports whether the worker's entry in the list is of its current
+// incarnation, as far as births are known. Another one may have been of another
+// kind.
+func (w *worker) infoIsCurrent() bool {
+	return w.info.BootedAt.IsZero() || w.bootedAt.IsZero() || w.info.BootedAt.Equal(w.bootedAt)
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -78,7 +78,7 @@
 // usable reports whether the worker may get new tasks, leaving aside transient
 // conditions.
 func (w *worker) usable() bool {
-	return w.listed && w.leaseRecorded && w.reported && !w.info.Leaving && w.unsized == 0
+	return w.listed && w.leaseRecorded && w.reported && !w.info.Leaving && w.unsized == 0 && w.infoIsCurrent()
 }
 
 // eligible reports whether the worker may get new tasks now: it is usable, has
