Don't show a job as queued that can't be scheduled

Cause: an entry that doesn't know a job's state reads its row; it looked only at whether the row can be decoded, not at whether it is a job.

Evidence: TestOddJobRowShownAsQueued failed before in seven of ten cases with "Done != Unavailable".

Change: the row is checked as the owner checks it. One that fails is logged and counted, and the state is unavailable, as for a row that can't be decoded.

Result: the test passes.

--- a/dispatcher/accept.go
+++ b/dispatcher/accept.go
@@ -154,9 +154,9 @@
 			d.applyChange(Change{Row: found})
 			continue
 		}
-		var job scheduler.Job
-		if err := scheduler.DecodeRow(found.Value, &job); err != nil {
-			d.log.Error().Str("Event", "row").Str("Key", found.Key).Err(err).Msg("decoding the row of a job failed; its state is reported as unavailable")
+		job, err := decodeJob(found.Key, found.Value)
+		if err != nil {
+			d.logOddRow(found.Key, err, "decoding the row of a job failed; its state is reported as unavailable")
 			return row, OutcomeUnavailable
 		}
 		d.cacheQueued(id, job.Queue, job.Occurrences > 0, found.Revision)
--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -107,11 +107,7 @@
 
 // decodeJob decodes the row of a job. It logs and returns false if that fails.
 func (s *session) decodeJob(key string, value []byte) (scheduler.Job, bool) {
-	var job scheduler.Job
-	err := scheduler.DecodeRow(value, &job)
-	if err == nil {
-		err = checkJob(key, &job)
-	}
+	job, err := decodeJob(key, value)
 	if err != nil {
 		s.dispatcher.logOddRow(key, err, "decoding the row of a job failed; the job is not scheduled")
 		return job, false
--- a/dispatcher/odd.go
+++ b/dispatcher/odd.go
@@ -19,6 +19,15 @@
 	d.log.Error().Str("Event", "row").Str("Key", key).Err(err).Msg(consequence)
 }
 
+// decodeJob decodes and checks the row of a job.
+func decodeJob(key string, value []byte) (scheduler.Job, error) {
+	var job scheduler.Job
+	if err := scheduler.DecodeRow(value, &job); err != nil {
+		return scheduler.Job{}, err
+	}
+	return job, checkJob(key, &job)
+}
+
 // checkJob checks that a job read from the row with the given key is one that
 // an entry accepts: the core relies on its limits.
 func checkJob(key string, job *scheduler.Job) error {
--- a/dispatcher/odd_rows_test.go
+++ b/dispatcher/odd_rows_test.go
@@ -134,3 +134,21 @@
 		})
 	}
 }
+
+// TestOddJobRowShownAsQueued checks that a job whose row cannot be scheduled is not
+// shown as queued.
+func TestOddJobRowShownAsQueued(t *testing.T) {
+	for name, value := range oddJobs() {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(t, 1)
+				defer s.close()
+				s.write(map[string][]byte{scheduler.JobKey(oddJobID): value})
+				_, outcome := s.entries[0].State(context.Background(), oddJobID)
+				is.New(t).Equal(outcome, dispatcher.OutcomeUnavailable)
+				is.New(t).Equal(s.entries[0].Pending(""), 0)
+				is.New(t).Equal(s.entries[0].Pending("queue"), 0)
+			})
+		})
+	}
+}
