Take no odd number of cores from a link

Cause: the number of cores in a message of another entry goes into the owner's row as it is. One that is no number, or beyond what a host has, made each entry wait for a successor with more cores, and since the owner's row is checked it would be odd for all of them.

Evidence: TestOddCapacityInOwnerRow failed before with "NaN != 2".

Change: such a message is logged and counted, and the earlier number stays.

Result: the test passes.

--- a/dispatcher/acquire.go
+++ b/dispatcher/acquire.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"kumquatstall/encoder"
 	"kumquatstall/keeper"
 	"kumquatstall/requester"
@@ -304,6 +306,10 @@
 	case *encoder.JobStored:
 		d.postToSession(func(s *session) { s.handleJobStored(message) })
 	case *encoder.EntryCapacity:
+		if !(message.Cores >= 0 && message.Cores <= maxCores) {
+			d.logOddRow("link to "+string(from), errors.Newf("got Cores %g, expected 0 to %d", message.Cores, maxCores), "an entry sent an odd number of cores; its earlier one counts")
+			return
+		}
 		d.mu.Lock()
 		if linked, ok := d.linked[from]; ok {
 			linked.cores = message.Cores
