Demand that a link message survives its encoding

Cause: enums of link messages have texts, but the decoder also takes a number for them, whatever it is. A message with ProblemCode -17 is decoded, and what is encoded from it can't be decoded by the next entry, which closes the link.

Evidence: FuzzDecode, which so far only encoded what it had decoded, now decodes it again and compares; it failed after 23 s with "encoded message can't be decoded: decode *encoder.JobReply: cbor: cannot unmarshal text for *encoder.ProblemCode". Links are authenticated, so only an entry of another version would send this.

--- a/encoder/encoder_test.go
+++ b/encoder/encoder_test.go
@@ -1,10 +1,12 @@
 package encoder
 
 import (
+	"bytes"
 	"reflect"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"kumquatstall/leaser"
@@ -36,7 +38,7 @@
 }
 
 // FuzzDecode checks that malformed data from a link results in an error, never
-// in a panic, and that every decoded message can be encoded again.
+// in a panic, and that every decoded message is encoded and decoded as the same.
 func FuzzDecode(f *testing.F) {
 	for _, message := range EmptyMessages() {
 		data, err := Encode(message)
@@ -50,12 +52,35 @@
 		if err != nil {
 			return
 		}
-		if _, err := Encode(message); err != nil {
+		encoded, err := Encode(message)
+		if err != nil {
 			t.Fatalf("decoded message can't be encoded: %v", err)
 		}
+		again, err := Decode(encoded)
+		if err != nil {
+			t.Fatalf("encoded message can't be decoded: %v", err)
+		}
+		if got, want := canonical(t, again), canonical(t, message); !bytes.Equal(got, want) {
+			t.Fatalf("got %x after encoding, expected %x", got, want)
+		}
 	})
 }
 
+// canonical returns an encoding of a message that doesn't depend on the order of
+// maps, so that messages with numbers that are none can be compared.
+func canonical(t *testing.T, message Message) []byte {
+	t.Helper()
+	mode, err := cbor.EncOptions{Sort: cbor.SortCanonical, Time: cbor.TimeRFC3339NanoUTC, TextMarshaler: cbor.TextMarshalerTextString}.EncMode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := mode.Marshal(message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
 // BenchmarkEncode encodes and decodes a forwarded call.
 func BenchmarkEncode(b *testing.B) {
 	message := &CallForward{ID: 4, Call: requester.Call{
