--- /dev/null
+++ b/scheduler/fuzz_test.go
@@ -0,0 +1,97 @@
+package scheduler
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"kumquatstall/requester"
+)
+
+// FuzzJobRow checks that the row of a job is either refused or can be scheduled,
+// and that it is decoded again as it was encoded.
+func FuzzJobRow(f *testing.F) {
+	now := time.Date(2026, 12, 5, 4, 0, 0, 0, time.UTC)
+	f.Add(EncodeRow(Job{JobID: "j1", Queue: "q", Policy: Policy{Service: "s", Advice: &Advice{DecideMillis: 4}}, Steps: []Step{{Count: 3, Gang: true}, {Count: 1, After: []int{0}}}, AcceptedAt: now}))
+	f.Add(EncodeRow(Job{JobID: "j1", Steps: []Step{{Count: 1}}, Occurrences: 3, FirstDue: now, PeriodMillis: 500}))
+	f.Add([]byte{0xa0})
+	f.Fuzz(func(t *testing.T, value []byte) {
+		var job Job
+		if DecodeRow(value, &job) != nil || job.Validate() != nil {
+			return
+		}
+		var again Job
+		if err := DecodeRow(EncodeRow(job), &again); err != nil {
+			t.Fatalf("the row of a valid job can't be decoded: %v", err)
+		}
+		if !reflect.DeepEqual(EncodeRow(again), EncodeRow(job)) {
+			t.Errorf("got %+v after encoding, expected %+v", again, job)
+		}
+		core := New(Options{Epoch: 2}, now)
+		core.SetWorkers(now, []WorkerInfo{{HostID: "w", Service: job.Service, Total: requester.Resources{MilliCores: MaxNeed}}})
+		core.Add(now, job)
+		for range 3 {
+			now := now.Add(10 * time.Millisecond)
+			core.Tick(now)
+			core.Committed(now, core.TakeBatch(40))
+		}
+	})
+}
+
+// FuzzProgressRow checks that no progress row ends the process at a takeover, that
+// the counters of tasks agree, and that what is written next can be decoded.
+func FuzzProgressRow(f *testing.F) {
+	now := time.Date(2026, 12, 5, 4, 0, 0, 0, time.UTC)
+	steps := []stepProgress{{Started: true, Done: []byte{5}, Checkpoints: map[int]string{1: "c"}, FailedRuns: map[int][]RunNumber{0: {1, 2}}}, {AllDone: true}}
+	f.Add(EncodeRow(progressRow{State: StateRunning, NextOccurrence: 1, Occurrences: []occurrenceProgress{{Steps: steps}}}), false)
+	f.Add(EncodeRow(progressRow{State: StateRunning, NextOccurrence: 9, Occurrences: []occurrenceProgress{{Number: 7, Steps: steps}, {Number: 8, Steps: steps[:1]}}}), true)
+	f.Add(EncodeRow(progressRow{State: 99, EndedAt: -1 << 62}), false)
+	f.Fuzz(func(t *testing.T, value []byte, timed bool) {
+		job := Job{JobID: "j1", Queue: "q", Policy: Policy{Service: "s"}, Steps: []Step{{Count: 3}, {Count: 2, Gang: true, After: []int{0}}}, AcceptedAt: now}
+		if timed {
+			job.Occurrences, job.FirstDue, job.PeriodMillis = 20, now, 10
+		}
+		core := New(Options{Epoch: 2}, now)
+		if core.Recover(JobRows{Job: job, Progress: value}) != nil {
+			return
+		}
+		for range 3 {
+			now := now.Add(10 * time.Millisecond)
+			core.Tick(now)
+			batch := core.TakeBatch(40)
+			for _, write := range batch.Writes {
+				var row progressRow
+				var state StateRow
+				if err := DecodeRow(write.Value, &row); write.Key == ProgressKey("j1") && err != nil {
+					t.Fatalf("a written progress row can't be decoded: %v", err)
+				}
+				if err := DecodeRow(write.Value, &state); write.Key == StateKey("j1") && err != nil {
+					t.Fatalf("a written state can't be decoded: %v", err)
+				}
+			}
+			core.Committed(now, batch)
+		}
+		cell := &extremeCell{t: t, core: core}
+		cell.check()
+	})
+}
+
+// FuzzLeasedWorkersRow checks that no row of leased workers ends the process.
+func FuzzLeasedWorkersRow(f *testing.F) {
+	now := time.Date(2026, 12, 5, 4, 0, 0, 0, time.UTC)
+	f.Add(EncodeRow(LeasedWorkersRow{Workers: []LeasedWorker{{HostID: "w1"}, {HostID: "w1"}}}))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		var row LeasedWorkersRow
+		if DecodeRow(value, &row) != nil {
+			return
+		}
+		core := New(Options{Epoch: 2}, now)
+		core.RestoreLeasedWorkers(row)
+		core.SetWorkers(now, nil)
+		core.Tick(now)
+		core.Tick(now.Add(time.Minute))
+		if len(core.workers) != len(core.sortedWorkers) {
+			t.Errorf("got %d workers, sorted %d", len(core.workers), len(core.sortedWorkers))
+		}
+	})
+}
