--- a/scheduler/shrink.go
+++ b/scheduler/shrink.go
@@ -10,12 +10,6 @@
 // incarnation may have another room than the one before. The list of workers
 // shows it, at most one heartbeat late.
 
-// roomKnown reports whether the list shows the room and the labels of the
-// worker's current incarnation, and not those of an earlier one.
-func (w *worker) roomKnown() bool {
-	return w.info.BootedAt.IsZero() || !w.info.BootedAt.Before(w.bootedAt)
-}
-
 // updateRoom prepares a worker for the info that replaces its present one.
 // Waiting tasks look at the worker again if it may have more room than was
 // known. What runs there runs on, also if it exceeds the room.
