--- a/scheduler/acknowledge.go
+++ b/scheduler/acknowledge.go
@@ -31,7 +31,7 @@
 	} else {
 		c.unknownEnds[ended.Task.Job] = true
 	}
-	w.pendingEnds = append(w.pendingEnds, pending)
+	w.pendingEnds = insertEnd(w.pendingEnds, pending, func(p pendingEnd) int64 { return p.ended.Number })
 }
 
 // applyUnknownEnds applies the ends that workers reported before the core was
@@ -120,19 +120,19 @@
 // advanceCommittedEnd advances committedEnd to the last end up to which all
 // ends are committed.
 func (c *Core) advanceCommittedEnd(w *worker) {
-	for len(w.pendingEnds) > 0 && c.committed(&w.pendingEnds[0]) {
-		w.committedEnd = w.pendingEnds[0].ended.Number
+	for len(w.pendingEnds) > 0 && w.mayAcknowledge(w.pendingEnds[0].ended.Number) && c.committed(&w.pendingEnds[0]) {
+		w.acknowledge(w.pendingEnds[0].ended.Number)
 		w.pendingEnds = w.pendingEnds[1:]
 	}
 }
 
 // logAcknowledged logs and counts the ends that a poll acknowledges for the
 // first time.
-func (c *Core) logAcknowledged(w *worker) {
-	if w.committedEnd <= w.acknowledgedEnd {
+func (c *Core) logAcknowledged(w *worker, number int64) {
+	if number <= w.acknowledgedEnd {
 		return
 	}
-	c.stats.Acknowledged += w.committedEnd - w.acknowledgedEnd
-	w.acknowledgedEnd = w.committedEnd
-	c.log(LogRecord{Worker: w.info.HostID, Event: "ends acknowledged", Why: "up to end " + strconv.FormatInt(w.committedEnd, 10)})
+	c.stats.Acknowledged += number - w.acknowledgedEnd
+	w.acknowledgedEnd = number
+	c.log(LogRecord{Worker: w.info.HostID, Event: "ends acknowledged", Why: "up to end " + strconv.FormatInt(number, 10)})
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -99,6 +99,8 @@
 	unknownLeases bool
 	// timed are the unfinished jobs with occurrences at set times.
 	timed map[requester.JobID]*job
+	// strays counts, by task, the orphaned runs that may still be active.
+	strays map[TaskName]int
 	// excluded are the jobs whose rows cannot be decoded.
 	excluded map[requester.JobID]bool
 	// unknownEnds are the jobs of pending ends whose job or occurrence the core
@@ -156,12 +158,16 @@
 	JobsCompleted int64
 	JobsFailed    int64
 	JobsCancelled int64
-	// Violations counts starts withheld because they would have violated an
-	// invariant.
+	// Violations counts starts and acknowledgements withheld because they would
+	// have violated an invariant.
 	Violations int64
 	// WorkersRested counts suspensions of workers on which several jobs failed
 	// in a row.
 	WorkersRested int64
+	// RoomsShrunk and RoomsGrown count the changes of the capacity of workers to
+	// less, or more, of a resource; a change may be both.
+	RoomsShrunk int64
+	RoomsGrown  int64
 	// Holds counts the reservations of workers for gangs.
 	Holds int64
 	// Stalled counts runs that were stopped because they made no progress; the
@@ -213,6 +219,7 @@
 		workers:        make(map[requester.HostID]*worker),
 		lives:          make(map[requester.HostID]int64),
 		timed:          make(map[requester.JobID]*job),
+		strays:         make(map[TaskName]int),
 		excluded:       make(map[requester.JobID]bool),
 		unknownEnds:    make(map[requester.JobID]bool),
 		awaitingAdvice: make(map[StepName]*step),
@@ -320,11 +327,12 @@
 	leasedWorkers []*worker
 }
 
-// jobWrite is the version and state of a job that a batch writes.
+// jobWrite is the version, state and progress of a job that a batch writes.
 type jobWrite struct {
-	job     *job
-	version int64
-	state   State
+	job      *job
+	version  int64
+	state    State
+	progress []byte
 }
 
 // Empty reports whether there is nothing to write.
@@ -363,8 +371,9 @@
 // add adds the rows of a job to the batch.
 func (b *Batch) add(j *job) {
 	j.dirty, j.marksUnstored = false, false
-	b.jobs = append(b.jobs, jobWrite{job: j, version: j.version, state: j.state})
-	b.Writes = append(b.Writes, j.rowWrites()...)
+	writes := j.rowWrites()
+	b.jobs = append(b.jobs, jobWrite{job: j, version: j.version, state: j.state, progress: writes[len(writes)-1].Value})
+	b.Writes = append(b.Writes, writes...)
 }
 
 // Committed records that a batch was committed: ended runs may be acknowledged
@@ -380,6 +389,7 @@
 	for _, write := range batch.jobs {
 		write.job.committedVersion = write.version
 		write.job.storedState = write.state
+		write.job.storedProgress = write.progress
 		c.openReadySteps(write.job)
 	}
 	for _, w := range c.sortedWorkers {
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -31,11 +32,12 @@
 		}
 		w.pollInFlight = true
 		c.stats.Looks++
-		c.logAcknowledged(w)
+		acknowledged := c.verifyAcknowledgement(w)
+		c.logAcknowledged(w, acknowledged)
 		c.orders.Polls = append(c.orders.Polls, PollOrder{
 			Worker:          w.ref(),
 			Fence:           c.fence(w),
-			AcknowledgedEnd: w.committedEnd,
+			AcknowledgedEnd: acknowledged,
 			Deadline:        c.grantLease(w),
 			LongPoll:        w.reported && !uncommitted && w.unanswered == 0,
 			SentAt:          c.now,
@@ -52,7 +54,7 @@
 	}
 	if !c.addressesCurrent(w, order.Fence) {
 		if result == OrderAccepted {
-			c.updateIncarnation(w, report.BootedAt)
+			c.observeReportedBirth(w, order, report.BootedAt)
 		}
 		return
 	}
@@ -94,8 +96,7 @@
 // ignored, and so is that of a new one that responds to a poll which was meant
 // for an earlier one: only a poll of its own makes it reject such orders.
 func (c *Core) applyReport(w *worker, order PollOrder, report *Report) {
-	c.updateIncarnation(w, report.BootedAt)
-	if !c.addressesCurrent(w, order.Fence) || !report.BootedAt.IsZero() && report.BootedAt.Before(w.bootedAt) {
+	if !c.observeReportedBirth(w, order, report.BootedAt) || !c.addressesCurrent(w, order.Fence) {
 		return
 	}
 	if w.unanswered > 0 || !w.reported {
@@ -109,9 +110,10 @@
 		w.reported = true
 		w.leaseDeadline = w.clock + WorkerTime(c.options.MaxLease/time.Millisecond)
 	}
-	for _, ended := range report.Ended {
-		if ended.Number > w.appliedEnd {
-			w.appliedEnd = ended.Number
+	w.withheld = report.Withheld
+	for _, ended := range sortedEnds(report) {
+		if w.isNewEnd(ended.Number) {
+			w.addUnverifiedEnd(ended)
 			c.applyEnd(w, ended)
 		}
 	}
@@ -122,6 +124,16 @@
 	c.placementPending = true
 }
 
+// sortedEnds returns the ends of a report in the order of their numbers, as an
+// acknowledgement covers all lower numbers.
+func sortedEnds(report *Report) []EndedRun {
+	byNumber := func(a, b EndedRun) int { return cmp.Compare(a.Number, b.Number) }
+	if slices.IsSortedFunc(report.Ended, byNumber) {
+		return report.Ended
+	}
+	return slices.SortedFunc(slices.Values(report.Ended), byNumber)
+}
+
 // reconcileRuns updates the runs on a worker from a report. A reported run that
 // is unknown is tracked; an unreported one is released if the report proves
 // that it has ended or can no longer start.
@@ -181,7 +193,7 @@
 		r.need = t.step.def.allocation()
 		t.lastRun = max(t.lastRun, running.Run)
 		t.step.lastRun = max(t.step.lastRun, running.Run)
-	} else if j := c.jobs[running.Task.Job]; j != nil && running.Task.Step < len(j.spec.Steps) {
+	} else if j := c.jobs[running.Task.Job]; j != nil && running.Task.Step >= 0 && running.Task.Step < len(j.spec.Steps) {
 		r.need = j.spec.Steps[running.Task.Step].allocation()
 	} else {
 		r.unsized = true
@@ -191,6 +203,7 @@
 	w.allocated = w.allocated.Add(r.need)
 	needed := t != nil && !t.done && t.run == nil && !t.step.job().state.Ended() && !c.conflictsWithGang(t, running.Run)
 	if !needed {
+		c.strays[r.name]++
 		c.stats.StraysStopped++
 		c.log(LogRecord{Job: running.Task.Job, Task: running.Task, Run: running.Run, Worker: w.info.HostID, Event: "orphaned run stopped"})
 		c.stop(r, "orphaned, no unfinished task needs it")
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -15,7 +15,10 @@
 	state State
 	// storedState is the state in the last committed row, or notStored.
 	storedState State
-	occurrences []*occurrence
+	// storedProgress is the value of the last committed row with the job's
+	// progress; nil for none.
+	storedProgress []byte
+	occurrences    []*occurrence
 	// nextOccurrence is the first occurrence that has not been activated.
 	nextOccurrence int64
 	// durations are the predicted durations of the tasks of each step;
@@ -154,7 +157,7 @@
 			return err
 		}
 	}
-	j := &job{spec: rows.Job, state: progress.State, storedState: progress.State}
+	j := &job{spec: rows.Job, state: progress.State, storedState: progress.State, storedProgress: rows.Progress}
 	c.predictDurations(j)
 	if rows.Progress == nil {
 		j.storedState = notStored
@@ -209,6 +212,9 @@
 	}
 	j.nextOccurrence = 1
 	c.newOccurrence(j, 0)
+	if c.mayLearnOfStarts() {
+		c.markUnknownRuns(j)
+	}
 	c.applyUnknownEnds(j)
 	c.openReadySteps(j)
 }
@@ -288,6 +294,18 @@
 	}
 }
 
+// mayLearnOfStarts reports whether a job that the core is told of may have been
+// started by a previous owner without a start record: that owner had eager starts
+// in force, and not every job stored before the end of its term is known yet.
+func (c *Core) mayLearnOfStarts() bool {
+	return c.options.PreviousOwnerEager && c.jobsKnownAt.Before(c.tookOverAt.Add(c.options.PreviousOwnerTerm))
+}
+
+// StartsMayBeUnknown reports whether steps may have been started of which the
+// stored rows, with all batches taken, do not say so. As long as that is the
+// case, the row of the owner must say that it is eager.
+func (c *Core) StartsMayBeUnknown() bool { return c.Dirty() || c.mayLearnOfStarts() }
+
 // markUnknownRuns records that a previous owner may have started any step of a
 // job. Only the row of that owner says so, and only until the next commit, so
 // the marks are stored with the job.
@@ -424,6 +442,22 @@
 	}
 }
 
+// maxOverlapping is the greatest number of active occurrences of a job. Its
+// progress row contains them all.
+const maxOverlapping = 1000
+
+// mayOverlap reports whether the job may have one more active occurrence, besides
+// those that it has. The state of all of them together is bounded like that of
+// one, so that a job whose occurrences are all due does not fill the memory.
+func (j *job) mayOverlap() bool {
+	tasks := 0
+	for i := range j.spec.Steps {
+		tasks += j.spec.Steps[i].Count
+	}
+	active := len(j.occurrences)
+	return active == 0 || active < maxOverlapping && (active+1)*tasks <= MaxStepTasks
+}
+
 // activateOccurrences creates the next occurrence of each job for which it is
 // due.
 func (c *Core) activateOccurrences() {
@@ -432,7 +466,7 @@
 	}
 	var due []*job
 	for _, j := range c.timed {
-		if j.nextOccurrence < j.spec.Occurrences && !c.now.Before(j.spec.dueAt(j.nextOccurrence)) {
+		if j.nextOccurrence < j.spec.Occurrences && !c.now.Before(j.spec.dueAt(j.nextOccurrence)) && j.mayOverlap() {
 			due = append(due, j)
 		}
 	}
@@ -449,7 +483,8 @@
 	}
 }
 
-// rowWrites returns the writes that bring the stored rows of a job up to date.
+// rowWrites returns the writes that bring the stored rows of a job up to date,
+// last that of its progress.
 func (j *job) rowWrites() []RowWrite {
 	row := StateRow{Queue: j.spec.Queue, State: j.state, Timed: j.spec.Occurrences > 0}
 	if j.state.Ended() {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -21,6 +21,10 @@
 	// poll of this owner.
 	reported bool
 	bootedAt time.Time
+	// birthSeenAt is when bootedAt was first observed, listedBirth the latest
+	// birth that the list has shown.
+	birthSeenAt time.Time
+	listedBirth time.Time
 	// life numbers the worker's incarnations as far as this owner has seen
 	// them.
 	life      int64
@@ -43,7 +47,16 @@
 	pendingEnds  []pendingEnd
 	// acknowledgedEnd is the highest number that a poll has acknowledged.
 	acknowledgedEnd int64
-	pollInFlight    bool
+	// unverifiedEnds are the reported ends that have not been compared with the
+	// stored rows. violatedEnd is the number of the last one that was to be
+	// acknowledged although these did not imply it.
+	unverifiedEnds []EndedRun
+	violatedEnd    int64
+	// withheld is the Withheld of the last report. appliedBeyond are the numbers
+	// of the applied ends after it.
+	withheld      int64
+	appliedBeyond map[int64]bool
+	pollInFlight  bool
 	// nextPollAt is the earliest time of the next poll.
 	nextPollAt time.Time
 	// unanswered counts consecutive polls and starts without a usable response;
@@ -78,7 +91,7 @@
 // usable reports whether the worker may get new tasks, leaving aside transient
 // conditions.
 func (w *worker) usable() bool {
-	return w.listed && w.leaseRecorded && w.reported && !w.info.Leaving && w.unsized == 0
+	return w.listed && w.leaseRecorded && w.reported && !w.info.Leaving && w.unsized == 0 && w.roomKnown()
 }
 
 // eligible reports whether the worker may get new tasks now: it is usable, has
@@ -193,10 +206,11 @@
 			w.nextPollAt = now
 		}
 		if !info.BootedAt.Before(w.bootedAt) || info.BootedAt.IsZero() {
+			c.updateRoom(w, info)
 			w.setInfo(info)
 		}
 		w.listed = true
-		c.updateIncarnation(w, info.BootedAt)
+		c.observeListedBirth(w, info.BootedAt)
 	}
 	for _, w := range c.sortedWorkers {
 		if w.listed && !listed[w.info.HostID] {
@@ -247,13 +261,20 @@
 		return
 	}
 	if w.bootedAt.IsZero() {
-		w.bootedAt = bootedAt
+		w.bootedAt, w.birthSeenAt = bootedAt, c.now
 		return
 	}
-	w.bootedAt = bootedAt
+	c.reborn(w, bootedAt)
+}
+
+// reborn records that a worker is in another incarnation than before.
+func (c *Core) reborn(w *worker, bootedAt time.Time) {
+	w.bootedAt, w.birthSeenAt = bootedAt, c.now
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker reborn"})
 	c.nextLife(w)
 	w.appliedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds = 0, 0, 0, nil
+	w.unverifiedEnds, w.violatedEnd = nil, 0
+	w.withheld, w.appliedBeyond = 0, nil
 	w.clock, w.leaseDeadline = 0, 0
 	w.clockAt = time.Time{}
 	w.reported = false
