--- a/scheduler/acknowledge.go
+++ b/scheduler/acknowledge.go
@@ -26,7 +26,7 @@
 // version of the job's rows is the first that is certain to imply the end.
 func (c *Core) addPendingEnd(w *worker, ended EndedRun) {
 	pending := pendingEnd{ended: ended, reportedAt: c.now}
-	if j := c.jobs[ended.Task.Job]; j != nil && (j.state.Ended() || ended.Task.Occurrence < j.nextOccurrence) {
+	if j := c.jobs[ended.Task.Job]; j != nil && (j.state.Ended() || ended.Task.Occurrence < j.nextOccurrence || !j.spec.hasOccurrence(ended.Task.Occurrence)) {
 		pending.job, pending.version = j, j.version
 	} else {
 		c.unknownEnds[ended.Task.Job] = true
@@ -126,6 +126,21 @@
 	}
 }
 
+// acknowledgement returns the number up to which a poll acknowledges a worker's
+// ends, or 0 if it acknowledges none for which a response is outstanding: a later
+// incarnation that executes the poll late would forget its own ends up to it. A
+// worker that doesn't answer may have started again and numbered other ends.
+func (c *Core) acknowledgement(w *worker) int64 {
+	if w.unanswered > 0 {
+		return 0
+	}
+	number := c.verifyAcknowledgement(w)
+	if number <= w.confirmedEnd {
+		return 0
+	}
+	return number
+}
+
 // logAcknowledged logs and counts the ends that a poll acknowledges for the
 // first time.
 func (c *Core) logAcknowledged(w *worker, number int64) {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -65,10 +65,6 @@
 	// dirty are the jobs with changes that no batch contains yet, oldest change
 	// first.
 	dirty []*job
-	// marked are the jobs whose marks of steps that may have unknown runs were
-	// not stored at the takeover. No decision waits for these, so they are
-	// written after the dirty jobs.
-	marked []*job
 	// open are the incomplete steps whose predecessors are committed as done.
 	// Each placement pass sorts them by rank.
 	open    []*step
@@ -119,7 +115,10 @@
 	longInFlight int
 	adviceLoad   float64
 	// eager lets steps start before their start records are committed.
-	eager bool
+	// startsKnown is true once this owner knows which steps its predecessor has
+	// started.
+	eager       bool
+	startsKnown bool
 	// allowedShares is, by queue, the observed share of workers that the advice
 	// service allows to run a step.
 	allowedShares map[string]float64
@@ -131,7 +130,16 @@
 	// let tasks start.
 	placementPending bool
 	// fenced is true if a worker has seen a higher fence.
-	fenced     bool
+	fenced bool
+	// lostLives are the incarnations of workers that ended lately.
+	lostLives []lostLife
+	// unknownLivesRecorded is true once the tasks that a previous owner may have
+	// started and no worker has reported are recorded as such.
+	unknownLivesRecorded bool
+	// silences are the recent events in which a worker fell silent right after a
+	// start; risky counts them by queue.
+	silences   []silence
+	risky      map[string]int
 	logRecords []LogRecord
 	stats      Stats
 }
@@ -188,6 +196,12 @@
 	// StraysStopped counts orphaned runs: a worker reported them, and no
 	// unfinished task needed them.
 	StraysStopped int64
+	// Crashes counts incarnations of workers that ended while they ran tasks.
+	// Trials counts the starts of tasks under suspicion. GivenUp counts the
+	// jobs that failed because a task crashes its workers.
+	Crashes int64
+	Trials  int64
+	GivenUp int64
 }
 
 // LogRecord is an event for the log.
@@ -224,17 +238,12 @@
 		unknownEnds:    make(map[requester.JobID]bool),
 		awaitingAdvice: make(map[StepName]*step),
 		allowedShares:  make(map[string]float64),
+		risky:          make(map[string]int),
 
 		corrections: make(map[string]*estimator.Correction),
 	}
 }
 
-// SetEager sets whether steps may start before their start records are
-// committed. The stored row of the owner must say so before eager starts are
-// enabled, and continue to say so after they are disabled until every start
-// record is committed.
-func (c *Core) SetEager(eager bool) { c.eager = eager }
-
 // Fenced reports whether a worker has rejected an order because of its fence,
 // which proves that another owner has taken over.
 func (c *Core) Fenced() bool { return c.fenced }
@@ -256,6 +265,9 @@
 func (c *Core) Tick(now time.Time) Orders {
 	c.now = now
 	c.expireLeases()
+	c.learnStarts()
+	c.updateTrials()
+	c.recordUnknownLives()
 	c.evacuate()
 	c.activateOccurrences()
 	c.place()
@@ -358,19 +370,12 @@
 		batch.add(c.dirty[0])
 		c.dirty = c.dirty[1:]
 	}
-	for len(c.marked) > 0 && len(batch.Writes)+writesPerJob <= limit {
-		// A job that was dirty meanwhile is in a batch already.
-		if c.marked[0].marksUnstored {
-			batch.add(c.marked[0])
-		}
-		c.marked = c.marked[1:]
-	}
 	return batch
 }
 
 // add adds the rows of a job to the batch.
 func (b *Batch) add(j *job) {
-	j.dirty, j.marksUnstored = false, false
+	j.dirty = false
 	writes := j.rowWrites()
 	b.jobs = append(b.jobs, jobWrite{job: j, version: j.version, state: j.state, progress: writes[len(writes)-1].Value})
 	b.Writes = append(b.Writes, writes...)
@@ -475,4 +480,4 @@
 }
 
 // Dirty reports whether there are changes that no batch contains yet.
-func (c *Core) Dirty() bool { return len(c.dirty) > 0 || len(c.marked) > 0 || c.leasedWorkersDirty }
+func (c *Core) Dirty() bool { return len(c.dirty) > 0 || c.leasedWorkersDirty }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -58,13 +58,21 @@
 		if len(found) == 0 {
 			return
 		}
-		if t.done || c.mayRun(t) {
+		if t.done || c.mayRun(t) || !c.mayStart(t) {
 			continue
 		}
 		best := c.bestFit(s, found)
+		proving := c.needsTrial(t)
+		if proving {
+			best = c.leastStake(t, found)
+		}
 		chosen := &found[best]
 		c.startRun(t, chosen.worker, t.nextRun(c), chosen.ticket)
 		chosen.slots--
+		if proving {
+			c.putOnTrial(t)
+			chosen.slots = min(chosen.slots, s.taskLimit(chosen.worker))
+		}
 		if chosen.slots == 0 || !s.def.allocation().Fits(c.availableFor(s, chosen.worker)) {
 			found = slices.Delete(found, best, best+1)
 		}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -12,8 +12,8 @@
 	// again.
 	pollRetryInterval = 300 * time.Millisecond
 	// commitWait is how long after a report with ended runs the poll of a
-	// worker is delayed unless these are committed earlier: a poll before that
-	// would only return them again.
+	// worker is delayed unless these are to be acknowledged earlier: a poll
+	// before that would only return them again.
 	commitWait = 150 * time.Millisecond
 	// freshnessWindow is how long after its last report a worker may get new
 	// tasks.
@@ -26,25 +26,31 @@
 		if w.pollInFlight || c.now.Before(w.nextPollAt) || !w.info.Address.IsValid() {
 			continue
 		}
-		uncommitted := w.appliedEnd > w.committedEnd
-		if uncommitted && c.now.Sub(w.clockAt) < commitWait {
+		keepsEnds := w.keepsEnds()
+		if keepsEnds && c.now.Sub(w.clockAt) < commitWait {
 			continue
 		}
 		w.pollInFlight = true
 		c.stats.Looks++
-		acknowledged := c.verifyAcknowledgement(w)
+		acknowledged := c.acknowledgement(w)
 		c.logAcknowledged(w, acknowledged)
 		c.orders.Polls = append(c.orders.Polls, PollOrder{
 			Worker:          w.ref(),
 			Fence:           c.fence(w),
 			AcknowledgedEnd: acknowledged,
 			Deadline:        c.grantLease(w),
-			LongPoll:        w.reported && !uncommitted && w.unanswered == 0,
+			LongPoll:        w.reported && !keepsEnds && w.unanswered == 0,
 			SentAt:          c.now,
 		})
 	}
 }
 
+// keepsEnds reports whether the worker has ends that a poll now would not
+// acknowledge, so that it would respond at once.
+func (w *worker) keepsEnds() bool {
+	return w.appliedEnd > w.committedEnd || w.withheld > 0 || w.violatedEnd > w.acknowledgedEnd
+}
+
 // PollDone handles the result of a poll order.
 func (c *Core) PollDone(now time.Time, order PollOrder, report *Report, result OrderResult) {
 	c.now = now
@@ -70,6 +76,7 @@
 		if w.unanswered == 0 {
 			c.log(LogRecord{Worker: w.info.HostID, Event: "worker doesn't answer"})
 		}
+		c.noteSilent(w)
 		w.unanswered++
 		w.nextPollAt = now.Add(pollRetryInterval)
 	}
@@ -83,6 +90,7 @@
 		return
 	}
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker's incarnation ended", Why: "another incarnation responded at its address"})
+	c.recordCrash(w)
 	w.unanswered++
 	w.nextPollAt = c.now.Add(pollRetryInterval)
 	for _, r := range w.sortedRuns() {
@@ -99,6 +107,7 @@
 	if !c.observeReportedBirth(w, order, report.BootedAt) || !c.addressesCurrent(w, order.Fence) {
 		return
 	}
+	w.confirmedEnd = max(w.confirmedEnd, order.AcknowledgedEnd)
 	if w.unanswered > 0 || !w.reported {
 		c.markFreed(w)
 		c.log(LogRecord{Worker: w.info.HostID, Event: "worker answers"})
@@ -210,7 +219,7 @@
 		return r
 	}
 	r.task = t
-	r.resumed = true
+	r.resumed, r.tracked = true, true
 	t.run = r
 	t.step.waiting--
 	t.step.job().activeRuns++
@@ -244,6 +253,8 @@
 	r.reported = true
 	r.checkpoint = running.Checkpoint
 	r.recordPercent(c.now, running.Percent)
+	c.clearRun(r)
+	c.recordAtWork(r)
 	if r.phase == runStopping && !r.stopInFlight {
 		c.sendStop(r)
 	}
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -31,10 +31,8 @@
 	// version increases with each change of the job's rows; committedVersion is
 	// the last one committed.
 	version, committedVersion int64
-	// dirty is true if the job is in Core.dirty. marksUnstored is true if no
-	// batch contains the marks of its steps yet that Core.marked is about.
-	dirty         bool
-	marksUnstored bool
+	// dirty is true if the job is in Core.dirty.
+	dirty bool
 	// activeRuns counts the tasks with a run.
 	activeRuns int
 	endedAt    time.Time
@@ -66,7 +64,9 @@
 	lastRun RunNumber
 	// failedRuns are the numbers of the failed runs of a gang.
 	failedRuns []RunNumber
-	advice     stepAdvice
+	// hosts are the workers on which a gang last started.
+	hosts  []requester.HostID
+	advice stepAdvice
 	// stalls counts how often a run of the step, or a whole gang, was stopped
 	// because it made no progress.
 	stalls int
@@ -91,8 +91,10 @@
 	// start record; 0 if there is none yet.
 	startRecordVersion int64
 	// mayHaveUnknownRuns is true if a previous owner may have started tasks of
-	// the step that no worker has reported.
+	// the step that no worker has reported. eagerMark is true if only the row of
+	// an eager owner says so, and not the step's own start record.
 	mayHaveUnknownRuns bool
+	eagerMark          bool
 	// doneVersion is the first version of the job's rows in which the step is
 	// complete; 0 if a previous owner committed that, or it is not complete.
 	doneVersion int64
@@ -106,6 +108,8 @@
 	failedRuns []RunNumber
 	checkpoint string
 	lastRun    RunNumber
+	// crashes are the crashes under the task; nil if there are none.
+	crashes *crashHistory
 	// run is the run that is active, or may be; nil for none.
 	run *run
 }
@@ -184,7 +188,7 @@
 		c.timed[j.name()] = j
 	}
 	if c.options.PreviousOwnerEager {
-		c.markUnknownRuns(j)
+		c.markStartable(j)
 	}
 	if rows.Cancelled {
 		c.Cancel(c.now, j.name())
@@ -213,7 +217,7 @@
 	j.nextOccurrence = 1
 	c.newOccurrence(j, 0)
 	if c.mayLearnOfStarts() {
-		c.markUnknownRuns(j)
+		c.markStartable(j)
 	}
 	c.applyUnknownEnds(j)
 	c.openReadySteps(j)
@@ -284,6 +288,7 @@
 			if !s.def.Gang {
 				t.failedRuns = progress.FailedRuns[index]
 			}
+			t.crashes = restoredCrashes(progress.Crashes[index])
 			t.checkpoint = progress.Checkpoints[index]
 			if progress.AllDone || bitSet(progress.Done, index) {
 				t.done = true
@@ -294,36 +299,6 @@
 	}
 }
 
-// mayLearnOfStarts reports whether a job that the core is told of may have been
-// started by a previous owner without a start record: that owner had eager starts
-// in force, and not every job stored before the end of its term is known yet.
-func (c *Core) mayLearnOfStarts() bool {
-	return c.options.PreviousOwnerEager && c.jobsKnownAt.Before(c.tookOverAt.Add(c.options.PreviousOwnerTerm))
-}
-
-// StartsMayBeUnknown reports whether steps may have been started of which the
-// stored rows, with all batches taken, do not say so. As long as that is the
-// case, the row of the owner must say that it is eager.
-func (c *Core) StartsMayBeUnknown() bool { return c.Dirty() || c.mayLearnOfStarts() }
-
-// markUnknownRuns records that a previous owner may have started any step of a
-// job. Only the row of that owner says so, and only until the next commit, so
-// the marks are stored with the job.
-func (c *Core) markUnknownRuns(j *job) {
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			if s.mayHaveUnknownRuns || s.complete() {
-				continue
-			}
-			s.mayHaveUnknownRuns = true
-			if !j.marksUnstored {
-				j.marksUnstored = true
-				c.marked = append(c.marked, j)
-			}
-		}
-	}
-}
-
 func bitSet(bits []byte, index int) bool {
 	return index/8 < len(bits) && bits[index/8]&(1<<(index%8)) != 0
 }
@@ -402,22 +377,6 @@
 	}
 }
 
-// recordStart adds the step's start record to the job's rows. Unless eager
-// starts are in force, its tasks start only once it is committed, so that a
-// later owner knows which steps may have runs that no worker has reported.
-func (c *Core) recordStart(s *step) {
-	if s.startRecordVersion == 0 {
-		c.markDirty(s.job())
-		s.startRecordVersion = s.job().version
-	}
-}
-
-// startRecorded reports whether the start record of the step allows its tasks
-// to start: it is committed, or it is pending and eager starts are in force.
-func (c *Core) startRecorded(s *step) bool {
-	return s.startRecordVersion > 0 && (c.eager || s.startRecordVersion <= s.job().committedVersion)
-}
-
 // predecessorsDone reports whether all predecessors of a step are committed as
 // complete.
 func (o *occurrence) predecessorsDone(s *step) bool {
@@ -514,7 +473,7 @@
 }
 
 func (s *step) progress() stepProgress {
-	row := stepProgress{Started: s.startRecordVersion > 0 || s.mayHaveUnknownRuns}
+	row := stepProgress{calmProgress: calmProgress{Started: s.startRecordVersion > 0 || s.mayHaveUnknownRuns}}
 	if s.complete() {
 		row.AllDone = true
 		return row
@@ -536,6 +495,7 @@
 			}
 			row.FailedRuns[index] = t.failedRuns
 		}
+		row.addCrashes(index, t.crashes)
 		if t.checkpoint != "" {
 			if row.Checkpoints == nil {
 				row.Checkpoints = make(map[int]string)
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -50,6 +50,9 @@
 	// resumed is true if the run started from a checkpoint or was started by a
 	// previous owner, so that its duration says nothing about the whole task.
 	resumed bool
+	// tracked is true if the run was first known from a worker's report, so
+	// that it is older than startedAt says.
+	tracked bool
 	// checkpoint is the last one that the worker reported.
 	checkpoint string
 	// progress is the reported progress over time.
@@ -59,6 +62,9 @@
 	// barredAt is when the worker acknowledged a stop or reported the end. From
 	// then on the worker rejects a start that is still in flight.
 	barredAt time.Time
+	// sound is true once the run has shown that its worker is sound, as a task
+	// that lasts and is not done otherwise.
+	sound bool
 	// unsized is true if the resources that the run occupies are unknown.
 	unsized bool
 }
@@ -149,6 +155,7 @@
 		if r.phase == runStarting {
 			r.phase = runUnacknowledged
 		}
+		c.noteSilent(w)
 		w.unanswered++
 		w.nextPollAt = now
 		return
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -47,6 +47,9 @@
 	pendingEnds  []pendingEnd
 	// acknowledgedEnd is the highest number that a poll has acknowledged.
 	acknowledgedEnd int64
+	// confirmedEnd is the highest number in a poll to which the worker has
+	// responded.
+	confirmedEnd int64
 	// unverifiedEnds are the reported ends that have not been compared with the
 	// stored rows. violatedEnd is the number of the last one that was to be
 	// acknowledged although these did not imply it.
@@ -66,6 +69,10 @@
 	// because jobs failed on it in a row or it refused a start.
 	suspendedUntil time.Time
 	health         health
+	// silentAt is when the worker last stopped answering.
+	silentAt time.Time
+	// trial is the trial of a task that may crash the worker; nil for none.
+	trial *trial
 	// reservation is the reservation that includes the worker; nil for none.
 	// unreserved is the part of the worker's resources for runs of other steps
 	// that last beyond the time at which the reservation is ready.
@@ -100,7 +107,7 @@
 func (w *worker) eligible(now time.Time) bool {
 	return w.usable() && w.unanswered == 0 && now.Sub(w.clockAt) < freshnessWindow && !now.Before(w.suspendedUntil) &&
 		w.currentSpeed(now) > 0 &&
-		(!w.health.probation || len(w.runs) == 0)
+		(!w.health.probation || !w.proving())
 }
 
 // available returns the resources that no run occupies.
@@ -271,9 +278,10 @@
 func (c *Core) reborn(w *worker, bootedAt time.Time) {
 	w.bootedAt, w.birthSeenAt = bootedAt, c.now
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker reborn"})
+	c.recordCrash(w)
 	c.nextLife(w)
 	w.appliedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds = 0, 0, 0, nil
-	w.unverifiedEnds, w.violatedEnd = nil, 0
+	w.unverifiedEnds, w.violatedEnd, w.confirmedEnd = nil, 0, 0
 	w.withheld, w.appliedBeyond = 0, nil
 	w.clock, w.leaseDeadline = 0, 0
 	w.clockAt = time.Time{}
