Dispatcher: keep to the shorter term of a commit from when it is sent

A slow store makes the owner's term long (up to 4 s), a quick one short again. The owner went on until the end of the term of its last confirmed row. If the commit with the short term was applied and its response lost, a successor acquired the cell 1 s later, and took it that the previous owner stops issuing orders 1 s after that; it went on for up to 2 s more. Runs that it started on a worker which the successor did not reach, and leases that it granted there, could outlast what the successor waited for.

Change: the lease is limited to the term of a row from the moment at which that is sent. In steady state this changes nothing, as the last confirmed row has the same term and was sent earlier.

Evidence: before, TestLeaseUnderAShorterTerm failed with "not true: !s.leaseValidUntil.After(now.Add(d.options.OwnerTerm))". It passes, and so do the tests of dispatcher.

--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -39,6 +39,7 @@
 	}
 	next.TermMillis = d.ownerTerm().Milliseconds()
 	next.Eager = s.nextEager()
+	s.limitLease(now.Add(next.term()))
 	transaction := keeper.Transaction{
 		Conditions: []keeper.Condition{{Key: ownerKey, Revision: s.revision}},
 		Writes:     []keeper.Write{{Key: ownerKey, Value: scheduler.EncodeRow(next)}},
@@ -52,6 +53,17 @@
 	s.spawn(func() { s.sendCommit(next, batch, transaction) })
 }
 
+// limitLease shortens the lease to a time. From the moment at which a row with a
+// shorter term is sent, a successor may rely on that term, also if this entry
+// never learns that the row was committed.
+func (s *session) limitLease(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if until.Before(s.leaseValidUntil) {
+		s.leaseValidUntil = until
+	}
+}
+
 // transferOwnership makes the commit in preparation release the cell if this
 // entry has less than lowCapacityShare of the cores of the largest entry and has
 // owned the cell for minOwnership. maxCores is the number of cores of the
