Dispatcher: test what a commit tells of the store

StoreReached relates the time at which a commit was sent to its revision; from it follow when ends of unknown jobs are acknowledged and when the owner's row stops saying Eager.

No code is changed.

--- a/dispatcher/eager_test.go
+++ b/dispatcher/eager_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"kumquatstall/keeper"
+	"kumquatstall/scheduler"
 )
 
 // manualClock is a Clock that a test sets.
@@ -34,3 +35,25 @@
 	s.core.JobsKnown(9)
 	is.True(!s.nextEager())
 }
+
+// TestCommitTellsWhatWasStoredBefore guards against a commit that counts as
+// proof of what was stored while it was under way: its revision is higher only
+// than that of what was stored before it was sent.
+func TestCommitTellsWhatWasStoredBefore(t *testing.T) {
+	is := is.New(t)
+	clock := &manualClock{now: time.Date(2026, 12, 5, 4, 0, 0, 0, time.UTC)}
+	d := &Dispatcher{clock: clock, ctx: context.Background(), store: keeper.NewHedged(nil)}
+	previous := ownerRow{Epoch: 1, Eager: true, TermMillis: 3000}
+	s := newSession(d, ownerRow{Epoch: 2, Eager: true, TermMillis: 3000}, 5, clock.now, previous)
+	s.loaded = true
+	commit := func(revision int64) {
+		sentAt := clock.now
+		clock.now = clock.now.Add(previous.term() + ownerSafetyMargin)
+		s.commitDone(s.row, &scheduler.Batch{}, revision, true, sentAt)
+		s.core.JobsKnown(revision)
+	}
+	commit(9)
+	is.True(s.nextEager()) // the predecessor's term was not over when it was sent
+	commit(10)
+	is.True(!s.nextEager())
+}
