Scheduler: decode a committed row once for all ends that it implies

Cause, from the review: verifyAcknowledgement decoded the whole progress row of a job for each end of its tasks, 3 to 4 us for ordinary rows and 0.98 ms for 1,000 tasks with checkpoints (the reviewer's benchmark on the busy machine); over all ends of a wide job that grows with the square of its tasks.

Change: the last committed row is decoded when an end needs it first, and that is kept with its bytes until the next commit. What is compared stays the committed bytes, and nothing of the core's own state of the job.

Measured: the tests of scheduler pass (48 s), TestImpliedBy and TestAcknowledgementIsVerified among them; no benchmark was run after the change.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -401,7 +401,7 @@
 	for _, write := range batch.jobs {
 		write.job.committedVersion = write.version
 		write.job.storedState = write.state
-		write.job.storedProgress = write.progress
+		write.job.storedProgress = committedProgress{value: write.progress}
 		c.openReadySteps(write.job)
 	}
 	for _, w := range c.sortedWorkers {
--- a/scheduler/implied.go
+++ b/scheduler/implied.go
@@ -8,10 +8,29 @@
 // The core checks its acknowledgements against the bytes of the rows that were
 // committed, and not against pendingEnds, versions or its own state of the job.
 
+// committedProgress is the value of a job's last committed progress row.
+type committedProgress struct {
+	value []byte
+	// row is what value contains, once it was needed.
+	row *progressRow
+}
+
+// decoded returns what the row contains, or nil if there is none or it cannot be
+// decoded.
+func (p *committedProgress) decoded() *progressRow {
+	if p.row == nil && p.value != nil {
+		var row progressRow
+		if DecodeRow(p.value, &row) == nil {
+			p.row = &row
+		}
+	}
+	return p.row
+}
+
 // impliedBy reports whether a job's stored progress implies an end: a later
 // owner that knows only the progress neither starts the task again, if it is
 // done, nor grants it the attempt that has failed once more.
-func (e *EndedRun) impliedBy(stored []byte, spec *Job) bool {
+func (e *EndedRun) impliedBy(stored *committedProgress, spec *Job) bool {
 	if e.Kind != EndDone && e.Kind != EndFailed || e.Task.Step < 0 || e.Task.Step >= len(spec.Steps) {
 		return true
 	}
@@ -19,8 +38,8 @@
 	if def.LongRunning || e.Task.Index < 0 || e.Task.Index >= def.Count || !spec.hasOccurrence(e.Task.Occurrence) {
 		return true
 	}
-	var row progressRow
-	if stored == nil || DecodeRow(stored, &row) != nil {
+	row := stored.decoded()
+	if row == nil {
 		return false
 	}
 	if row.State.Ended() {
@@ -48,7 +67,7 @@
 // not have has no row to compare with; JobsKnown decides about its ends.
 func (c *Core) implied(ended *EndedRun) bool {
 	j := c.jobs[ended.Task.Job]
-	return j == nil && !c.excluded[ended.Task.Job] || j != nil && ended.impliedBy(j.storedProgress, &j.spec)
+	return j == nil && !c.excluded[ended.Task.Job] || j != nil && ended.impliedBy(&j.storedProgress, &j.spec)
 }
 
 // addUnverifiedEnd queues a reported end for verifyAcknowledgement.
--- a/scheduler/implied_test.go
+++ b/scheduler/implied_test.go
@@ -57,7 +57,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			if got := test.end.impliedBy(test.stored, &job); got != test.want {
+			if got := test.end.impliedBy(&committedProgress{value: test.stored}, &job); got != test.want {
 				t.Errorf("impliedBy is %v, want %v", got, test.want)
 			}
 		})
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -15,9 +15,9 @@
 	state State
 	// storedState is the state in the last committed row, or notStored.
 	storedState State
-	// storedProgress is the value of the last committed row with the job's
-	// progress; nil for none.
-	storedProgress []byte
+	// storedProgress is the last committed row with the job's progress; empty
+	// for none.
+	storedProgress committedProgress
 	occurrences    []*occurrence
 	// nextOccurrence is the first occurrence that has not been activated.
 	nextOccurrence int64
@@ -167,7 +167,7 @@
 			return err
 		}
 	}
-	j := &job{spec: rows.Job, state: progress.State, storedState: progress.State, storedProgress: rows.Progress}
+	j := &job{spec: rows.Job, state: progress.State, storedState: progress.State, storedProgress: committedProgress{value: rows.Progress}}
 	c.predictDurations(j)
 	if rows.Progress == nil {
 		j.storedState = notStored
--- a/scheduler/withheld_test.go
+++ b/scheduler/withheld_test.go
@@ -133,7 +133,7 @@
 		for range 100 {
 			c.step()
 			if violation {
-				c.core.jobs["j1"].storedProgress = nil // which does not imply the end
+				c.core.jobs["j1"].storedProgress = committedProgress{} // which does not imply the end
 			}
 			for _, order := range c.core.Tick(c.now).Polls {
 				polls++
