Name the body where a refusal has no field

What callers saw: a change whose body was of another type, or had a field with an empty name, was refused with 400 and without a field.

Cause: the decoder's error has no field for the body as a whole, and the empty name was taken out of its quotes.

Change: the field is "body" or the quoted empty name.

--- a/server/fuzz_test.go
+++ b/server/fuzz_test.go
@@ -39,7 +39,7 @@
 		case http.StatusOK, http.StatusCreated:
 		case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
 			var problem struct{ Field, Expected string }
-			if err := json.Unmarshal(response.Body.Bytes(), &problem); err != nil || problem.Field == "" || problem.Expected == "" {
+			if err := json.Unmarshal(response.Body.Bytes(), &problem); err != nil || problem.Expected == "" || problem.Field == "" {
 				t.Errorf("got %q with status %d, expected a field and what was expected", response.Body, response.Code)
 			}
 		default:
--- a/server/problem.go
+++ b/server/problem.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
@@ -59,13 +60,13 @@
 	case errors.As(err, &tooLarge):
 		return encoder.Problem{Code: encoder.ProblemTooLarge, Field: "body", Expected: "a smaller body"}
 	case errors.As(err, &wrongType):
-		return encoder.Problem{Code: encoder.ProblemInvalid, Field: wrongType.Field, Expected: "a value of type " + wrongType.Type.String()}
+		return encoder.Problem{Code: encoder.ProblemInvalid, Field: cmp.Or(wrongType.Field, "body"), Expected: "a value of type " + wrongType.Type.String()}
 	}
 	if field := requester.AsFieldError(err); field != nil {
 		return encoder.Problem{Code: encoder.ProblemInvalid, Field: field.Field, Expected: field.Expected}
 	}
 	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
-		return encoder.Problem{Code: encoder.ProblemInvalid, Field: strings.Trim(name, `"`), Expected: "no such field"}
+		return encoder.Problem{Code: encoder.ProblemInvalid, Field: cmp.Or(strings.Trim(name, `"`), `""`), Expected: "no such field"}
 	}
 	return encoder.Problem{Code: encoder.ProblemInvalid, Field: "body", Expected: "a JSON object: " + err.Error()}
 }
