Links: take no number without a name for an enum

Cause: enums are texts on the wire, but the CBOR library takes a number for one as well, and any. An entry would have passed an outcome, reason or state on that nothing defines.

Change: after a message is decoded, each enum in it must have a name; the error names the field.

--- a/encoder/encoder.go
+++ b/encoder/encoder.go
@@ -137,5 +137,8 @@
 	if err := decodeMode.Unmarshal(f.Body, message); err != nil {
 		return nil, errors.Wrapf(err, "decode %T", message)
 	}
+	if err := checkEnums(reflect.ValueOf(message).Elem(), ""); err != nil {
+		return nil, errors.Wrapf(err, "decode %T", message)
+	}
 	return message, nil
 }
--- a/encoder/encoder_test.go
+++ b/encoder/encoder_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -37,6 +38,27 @@
 	}
 }
 
+// TestNumberWithoutNameIsNoEnum guards against a number that stands for an enum
+// without being one of its values, wherever it lies in a message.
+func TestNumberWithoutNameIsNoEnum(t *testing.T) {
+	is := is.New(t)
+	numbers, err := cbor.EncOptions{Time: cbor.TimeRFC3339NanoUTC}.EncMode() // enums as numbers
+	is.NoErr(err)
+	decode := func(message Message) error {
+		body, err := numbers.Marshal(message)
+		is.NoErr(err)
+		data, err := numbers.Marshal(frame{Kind: message.kind(), Body: body})
+		is.NoErr(err)
+		_, err = Decode(data)
+		return err
+	}
+	is.NoErr(decode(&JobReply{Problem: Problem{Code: ProblemConflict}}))
+	err = decode(&JobReply{Problem: Problem{Code: 77}})
+	is.True(err != nil && strings.Contains(err.Error(), "Code: got 77")) // names the field
+	err = decode(&JobReply{Jobs: []requester.JobStatus{{}, {State: -1}}})
+	is.True(err != nil && strings.Contains(err.Error(), "State: got -1"))
+}
+
 // FuzzDecode checks that malformed data from a link results in an error, never
 // in a panic, and that every decoded message is encoded and decoded as the same.
 func FuzzDecode(f *testing.F) {
