Dispatcher: let the core tick in the test of what a commit tells

The core ticks after each commit of the test now, as a session does; the test still fails if the time at which a commit is answered counts in place of that at which it was sent.

--- a/dispatcher/eager_test.go
+++ b/dispatcher/eager_test.go
@@ -53,6 +53,7 @@
 		clock.now = clock.now.Add(previous.term() + ownerSafetyMargin)
 		s.commitDone(s.row, &scheduler.Batch{}, revision, true, sentAt)
 		s.core.JobsKnown(revision)
+		s.core.Tick(clock.now)
 	}
 	commit(9)
 	is.True(s.nextEager()) // the predecessor's term was not over when it was sent
