--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -65,6 +65,9 @@
 	minCrashes = 2
 	// maxCrashes is the number of lives from which unproven ones count as well.
 	maxCrashes = 4
+	// manyCrashes is the number of crashes soon after a start after which a task
+	// is given up whatever the probability.
+	manyCrashes = 5
 	// suspectPPM is the chance of a crash below which its runs are under
 	// suspicion if they had existed for at most suspectAge.
 	suspectPPM = 50_000
@@ -102,13 +105,21 @@
 	maxHoldDoublings = 5
 )
 
-// chance returns the probability that all crashes happened by chance.
-func (h *crashHistory) chance() float64 {
+// chance returns the probability that so many of the task's runs crashed by
+// chance. A gang starts again whichever member's worker crashes, so the crashes
+// may have come together under any of its members.
+func (t *task) chance() float64 {
+	h := t.crashes
 	chance := 1.0
-	for _, crash := range h.crashes {
+	for i, crash := range h.crashes {
 		chance *= float64(crash.ChancePPM) / certainPPM
+		// Which of the runs crashed doesn't matter.
+		chance *= float64(max(t.startedRuns, len(h.crashes))-i) / float64(i+1)
 	}
-	return chance
+	if t.step.def.Gang {
+		chance *= float64(len(t.step.tasks))
+	}
+	return min(1, chance)
 }
 
 // guiltyChances are, by the number of lives recorded with a task, the
@@ -119,22 +130,48 @@
 // guilty reports whether the task is to be given up. Of the lives recorded with
 // it, minCrashes must say something about the task. From maxCrashes on these
 // need not be proven: a task may crash its workers before they acknowledge the
-// start.
-func (h *crashHistory) guilty() bool {
-	telling := 0
+// start. Once manyCrashes workers have crashed soon after a start of it, and fewer
+// have not, the probability doesn't matter.
+func (t *task) guilty() bool {
+	h := t.crashes
+	if h == nil {
+		return false
+	}
+	telling, early := 0, 0
 	for _, crash := range h.crashes {
 		if crash.ChancePPM < certainPPM && (!crash.Unproven || len(h.crashes) >= maxCrashes) {
 			telling++
 		}
+		if crash.Worker != "" && crash.age() <= suspectAge {
+			early++
+		}
+	}
+	if telling < minCrashes {
+		return false
 	}
-	return telling >= minCrashes && h.chance() < guiltyChances[min(len(h.crashes), len(guiltyChances)-1)]
+	return early >= manyCrashes && 2*early > t.startedRuns || t.chance() < guiltyChances[min(len(h.crashes), len(guiltyChances)-1)]
 }
 
-// suspect reports whether the task has to start on trial.
+// suspect reports whether the task has to start on trial: a worker crashed soon
+// after a start of it, and that was unlikely by chance or not the first one.
 func (h *crashHistory) suspect() bool {
-	return h != nil && slices.ContainsFunc(h.crashes, func(crash crash) bool {
-		return crash.ChancePPM < suspectPPM && crash.age() <= suspectAge
-	})
+	if h == nil {
+		return false
+	}
+	crashes, early := 0, false
+	for _, crash := range h.crashes {
+		if crash.Worker == "" {
+			continue
+		}
+		crashes++
+		if crash.age() <= suspectAge {
+			early = true
+			if crash.ChancePPM < suspectPPM {
+				return true
+			}
+		}
+	}
+	return early && crashes >= minCrashes
 }
 
 func (crash *crash) age() time.Duration { return time.Duration(crash.AgeMillis) * time.Millisecond }
@@ -247,7 +284,8 @@
 		}
 	}
 	for _, other := range c.sortedWorkers {
-		if other.unanswered > 0 && other.silentAt.Sub(silentAt).Abs() <= wideWindow {
+		// A worker that never answered this owner may have fallen silent earlier.
+		if other.reported && other.unanswered > 0 && other.silentAt.Sub(silentAt).Abs() <= wideWindow {
 			others[other.info.HostID] = true
 		}
 	}
@@ -284,9 +322,15 @@
 	h.version = j.version
 	c.log(LogRecord{
 		Job: j.name(), Task: t.name(), Run: found.Run, Worker: found.Worker, Event: "worker crashed under a run",
-		Why: fmt.Sprintf("crash %d under the task, within %v of the start; by chance: %.2g", len(h.crashes), found.age(), h.chance()),
+		Why: fmt.Sprintf("crash %d under the task, within %v of the start; by chance: %.2g", len(h.crashes), found.age(), t.chance()),
 	})
-	if !h.guilty() {
+	c.judge(t)
+}
+
+// judge gives a task up if it is guilty; a long-running one is held back.
+func (c *Core) judge(t *task) {
+	h, j := t.crashes, t.step.job()
+	if !t.guilty() {
 		return
 	}
 	if t.step.def.LongRunning {
@@ -297,7 +341,7 @@
 	}
 	c.stats.GivenUp++
 	c.stats.JobsFailed++
-	c.log(LogRecord{Job: j.name(), Task: t.name(), Run: found.Run, Worker: found.Worker, Event: "task given up", Why: "it crashes its workers: " + h.describe()})
+	c.log(LogRecord{Job: j.name(), Task: t.name(), Event: "task given up", Why: "it crashes its workers: " + h.describe()})
 	c.endJob(j, StateFailed, "a task crashes its workers")
 }
 
@@ -309,14 +353,16 @@
 		return
 	}
 	c.unknownLivesRecorded = true
-	for _, s := range c.open {
+	for _, s := range slices.Clone(c.open) {
 		if !s.mayHaveUnknownRuns || s.eagerMark || s.waiting == 0 {
 			continue
 		}
 		for _, t := range s.tasks {
-			if !t.done && t.run == nil {
-				t.appendCrash(crash{Run: c.firstRun() - 1, ChancePPM: certainPPM})
+			if t.done || t.run != nil || s.job().state.Ended() {
+				continue
 			}
+			t.appendCrash(crash{Run: c.firstRun() - 1, ChancePPM: certainPPM})
+			c.judge(t)
 		}
 		c.markDirty(s.job())
 	}
@@ -329,7 +375,8 @@
 	if h == nil {
 		return true
 	}
-	if h.committed(t.step.job()) && !c.now.Before(h.heldUntil) && !(h.suspect() && c.trials(true) >= c.maxTrials(suspectShare)) {
+	j := t.step.job()
+	if h.committed(j) && !c.now.Before(h.heldUntil) && !(t.suspect() && c.trials(true) >= c.maxTrials(suspectShare)) {
 		return true
 	}
 	// Neither time nor a commit frees a worker, so a scan of freed workers only
@@ -347,9 +394,7 @@
 	if r.task == nil || r.task.run != r {
 		return
 	}
-	if r.task.crashes != nil {
-		r.task.crashes.clearOutlasted(r.lasted())
-	}
+	r.task.crashes.clearOutlasted(r.lasted())
 }
 
 // lasted returns how long a run has surely existed by its worker's last report.
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -69,7 +69,7 @@
 	case OrderAccepted:
 		c.applyReport(w, order, report)
 	case OrderFenced:
-		c.fenced = true
+		c.rejectedByFence(w, order.Fence)
 	case OrderOtherIncarnation:
 		c.endIncarnation(w, order.Worker)
 	default:
@@ -79,12 +79,16 @@
 		c.noteSilent(w)
 		w.unanswered++
 		w.nextPollAt = now.Add(pollRetryInterval)
+		if result == OrderUnknown {
+			c.raiseGeneration(w)
+		}
 	}
 }
 
 // endIncarnation releases the runs of an incarnation that has provably ended,
-// because another one responded to an order at its address. It does nothing if
-// the worker is at another address by now.
+// because another one responded to an order at its address, and with it the
+// leases that any owner has granted it. It does nothing if the worker is at
+// another address by now.
 func (c *Core) endIncarnation(w *worker, addressed WorkerRef) {
 	if addressed.Address != w.info.Address {
 		return
@@ -97,7 +101,7 @@
 		c.stats.Lapsed++
 		c.releaseLost(r, "its worker's incarnation ended")
 	}
-	w.leaseDeadline = w.clock
+	w.ended = true
 }
 
 // applyReport applies a worker's report. A report of an earlier incarnation is
@@ -112,7 +116,7 @@
 		c.markFreed(w)
 		c.log(LogRecord{Worker: w.info.HostID, Event: "worker answers"})
 	}
-	w.unanswered = 0
+	w.unanswered, w.ended = 0, false
 	w.clock, w.clockAt = report.Clock, c.now
 	if !w.reported {
 		// A previous owner may have granted a lease of this length just now.
@@ -173,8 +177,8 @@
 		switch {
 		case r.phase == runUnacknowledged || r.phase == runStopping && r.acknowledgedAt.IsZero():
 			// The response to a poll that was sent before the stop was
-			// acknowledged may miss a run that started in between. A start that
-			// was meant for an earlier incarnation is rejected from the poll on.
+			// acknowledged may miss a run that started in between. A start with a
+			// lower fence than the poll's is rejected from the poll on.
 			if r.startFence < order.Fence {
 				c.releaseLost(r, "its start was never executed")
 			} else if !r.barredAt.IsZero() && !order.SentAt.Before(r.barredAt) {
@@ -220,6 +224,7 @@
 	}
 	r.task = t
 	r.resumed, r.tracked = true, true
+	w.lasting = w.lasting.Add(r.lastingNeed())
 	t.run = r
 	t.step.waiting--
 	t.step.job().activeRuns++
@@ -249,6 +254,7 @@
 	}
 	if r.acknowledgedAt.IsZero() {
 		r.acknowledgedAt = c.now
+		r.countStarted()
 	}
 	r.reported = true
 	r.checkpoint = running.Checkpoint
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -15,9 +15,9 @@
 	state State
 	// storedState is the state in the last committed row, or notStored.
 	storedState State
-	// storedProgress is the value of the last committed row with the job's
-	// progress; nil for none.
-	storedProgress []byte
+	// storedProgress is the last committed row with the job's progress; empty
+	// for none.
+	storedProgress committedProgress
 	occurrences    []*occurrence
 	// nextOccurrence is the first occurrence that has not been activated.
 	nextOccurrence int64
@@ -77,6 +77,9 @@
 	// displaceAfter is the earliest time of the next search for workers on which
 	// to stop best-effort runs for the step.
 	displaceAfter time.Time
+	// rackUntil is until when a gang that fits on several racks waits for one;
+	// zero before it fits.
+	rackUntil time.Time
 	// rank is the position of the step in the placement order, as last
 	// calculated.
 	rank rank
@@ -108,8 +111,11 @@
 	failedRuns []RunNumber
 	checkpoint string
 	lastRun    RunNumber
-	// crashes are the crashes under the task; nil if there are none.
-	crashes *crashHistory
+	// crashes are the crashes under the task; nil if there are none. startedRuns
+	// counts the runs that workers are known to have started: those of this owner,
+	// and those that crashed before.
+	crashes     *crashHistory
+	startedRuns int
 	// run is the run that is active, or may be; nil for none.
 	run *run
 }
@@ -161,7 +167,7 @@
 			return err
 		}
 	}
-	j := &job{spec: rows.Job, state: progress.State, storedState: progress.State, storedProgress: rows.Progress}
+	j := &job{spec: rows.Job, state: progress.State, storedState: progress.State, storedProgress: committedProgress{value: rows.Progress}}
 	c.predictDurations(j)
 	if rows.Progress == nil {
 		j.storedState = notStored
@@ -289,6 +295,7 @@
 				t.failedRuns = progress.FailedRuns[index]
 			}
 			t.crashes = restoredCrashes(progress.Crashes[index])
+			t.startedRuns = len(progress.Crashes[index])
 			t.checkpoint = progress.Checkpoints[index]
 			if progress.AllDone || bitSet(progress.Done, index) {
 				t.done = true
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -124,9 +124,11 @@
 		// A poll sent from now on shows whether the run is still active.
 		w.nextPollAt = now
 	case OrderFenced:
-		c.fenced = true
+		c.rejectedByFence(w, order.Fence)
 	case OrderOtherIncarnation:
 		c.endIncarnation(w, order.Worker)
+	case OrderUnknown:
+		c.raiseGeneration(w)
 	}
 }
 
@@ -144,6 +146,7 @@
 	switch result {
 	case OrderAccepted:
 		r.acknowledgedAt = now
+		r.countStarted()
 		if r.phase == runStarting {
 			r.phase = runAcknowledged
 			c.markRunning(r.task.step.job())
@@ -158,9 +161,10 @@
 		c.noteSilent(w)
 		w.unanswered++
 		w.nextPollAt = now
+		c.raiseGeneration(w)
 		return
 	case OrderFenced:
-		c.fenced = true
+		c.rejectedByFence(w, order.Fence)
 	case OrderRefused:
 		w.suspendedUntil = now.Add(refusalCoolDown)
 	case OrderNoTicket:
@@ -173,6 +177,13 @@
 	c.releaseLost(r, "start was rejected")
 }
 
+// countStarted counts a run that its worker is known to have started.
+func (r *run) countStarted() {
+	if r.task != nil && r.task.run == r {
+		r.task.startedRuns++
+	}
+}
+
 // refusalCoolDown is how long a worker that refused a start gets no new tasks.
 const refusalCoolDown = 500 * time.Millisecond
 
@@ -190,6 +201,7 @@
 	w := r.worker
 	delete(w.runs, runKey{r.name, r.number})
 	w.allocated = w.allocated.Sub(r.need)
+	w.lasting = w.lasting.Sub(r.lastingNeed())
 	if r.unsized {
 		w.unsized--
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -13,8 +13,11 @@
 	// listed is true if the current list of workers contains the worker.
 	listed bool
 	// leaseRecorded is true if the committed row of leased workers contains the
-	// worker.
+	// worker with its present address.
 	leaseRecorded bool
+	// ended is true if the incarnation at the worker's present address has
+	// provably ended. Nothing runs there, and no lease is held.
+	ended bool
 	// inherited is true if a previous owner may have sent the worker orders.
 	inherited bool
 	// reported is true if the worker's current incarnation has responded to a
@@ -25,11 +28,14 @@
 	// birth that the list has shown.
 	birthSeenAt time.Time
 	listedBirth time.Time
-	// life numbers the worker's incarnations as far as this owner has seen
-	// them.
-	life      int64
-	runs      map[runKey]*run
-	allocated requester.Resources
+	// generation is part of the fence of new orders. bornFence is the fence
+	// from which orders were meant for the worker's current incarnation.
+	generation int64
+	bornFence  Fence
+	runs       map[runKey]*run
+	allocated  requester.Resources
+	// lasting is the part of allocated that tasks that last occupy.
+	lasting requester.Resources
 	// clock is a reading of the worker's clock, taken no later than clockAt.
 	clock   WorkerTime
 	clockAt time.Time
@@ -98,18 +104,24 @@
 // usable reports whether the worker may get new tasks, leaving aside transient
 // conditions.
 func (w *worker) usable() bool {
-	return w.listed && w.leaseRecorded && w.reported && !w.info.Leaving && w.unsized == 0 && w.roomKnown()
+	return w.listed && w.leaseRecorded && w.reported && !w.info.Leaving && w.unsized == 0 && w.infoIsCurrent()
 }
 
 // eligible reports whether the worker may get new tasks now: it is usable, has
-// reported within the freshness window, is responsive and not suspended, and
-// its tasks make progress. On probation it gets one task at a time.
+// reported within the freshness window, is responsive and not suspended, its
+// reports have room for further ends, and its tasks make progress. On probation it
+// gets one task at a time.
 func (w *worker) eligible(now time.Time) bool {
 	return w.usable() && w.unanswered == 0 && now.Sub(w.clockAt) < freshnessWindow && !now.Before(w.suspendedUntil) &&
-		w.currentSpeed(now) > 0 &&
+		len(w.pendingEnds) < maxKeptEnds && w.currentSpeed(now) > 0 &&
 		(!w.health.probation || !w.proving())
 }
 
+// maxKeptEnds is the number of ends that wait for their acknowledgement from which
+// on a worker gets no new tasks. A worker returns a limited number of ends, and
+// those of its present runs are to be among them.
+const maxKeptEnds = 250
+
 // available returns the resources that no run occupies.
 func (w *worker) available() requester.Resources { return w.info.Total.Sub(w.allocated) }
 
@@ -120,10 +132,13 @@
 }
 
 // leaseExpiry returns the time by which every lease that the worker can hold
-// has expired. As long as the worker has not reported, leases may have been
-// granted up to PreviousOwnerTerm after unreportedSince, each for at most
-// MaxLease.
+// has expired; zero if it has ended. As long as the worker has not reported,
+// leases may have been granted up to PreviousOwnerTerm after unreportedSince, each
+// for at most MaxLease.
 func (w *worker) leaseExpiry(c *Core) time.Time {
+	if w.ended {
+		return time.Time{}
+	}
 	if !w.reported {
 		return w.unreportedSince.Add(c.longestUnreported())
 	}
@@ -177,7 +192,7 @@
 		return w
 	}
 	w := &worker{info: info, runs: make(map[runKey]*run), unreportedSince: c.tookOverAt}
-	c.nextLife(w)
+	c.observeBirth(w)
 	c.workers[info.HostID] = w
 	c.sortedWorkers = append(c.sortedWorkers, w)
 	slices.SortFunc(c.sortedWorkers, func(a, b *worker) int { return compareHosts(a.info.HostID, b.info.HostID) })
@@ -214,6 +229,7 @@
 		}
 		if !info.BootedAt.Before(w.bootedAt) || info.BootedAt.IsZero() {
 			c.updateRoom(w, info)
+			c.updateAddress(w, info)
 			w.setInfo(info)
 		}
 		w.listed = true
@@ -228,6 +244,17 @@
 	c.removeUnlistedWorkers()
 }
 
+// updateAddress prepares a worker for the info that replaces its present one. No
+// task starts at another address before the row of leased workers has it: from
+// the row, a later owner knows where the worker's last incarnation with tasks
+// was, and that it has ended once another one responds there.
+func (c *Core) updateAddress(w *worker, info WorkerInfo) {
+	if info.Address != w.info.Address {
+		w.leaseRecorded, w.ended = false, false
+		c.leasedWorkersDirty = true
+	}
+}
+
 // setInfo replaces the worker's info. The list repeats the remaining time of a
 // leaving worker unchanged, so LeavesAt stays as it was computed when the
 // notice was first observed.
@@ -279,13 +306,13 @@
 	w.bootedAt, w.birthSeenAt = bootedAt, c.now
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker reborn"})
 	c.recordCrash(w)
-	c.nextLife(w)
+	c.observeBirth(w)
 	w.appliedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds = 0, 0, 0, nil
 	w.unverifiedEnds, w.violatedEnd, w.confirmedEnd = nil, 0, 0
 	w.withheld, w.appliedBeyond = 0, nil
 	w.clock, w.leaseDeadline = 0, 0
 	w.clockAt = time.Time{}
-	w.reported = false
+	w.reported, w.ended = false, false
 	w.unreportedSince = c.now
 	// A poll in flight was meant for the previous incarnation.
 	w.pollInFlight, w.nextPollAt = false, c.now
