Scheduler: suspects that are tried together don't acquit each other

Cause: up to four suspects are tried at a time. Started in one pass, the deadly ones crash their workers within the same few milliseconds; four workers silent within 0.3 s count as a wide failure, which says nothing about the tasks, so that each was tried again and again. And only a tenth of the workers took suspects, also when most were idle.

Change: a worker that falls silent right after a start is explained by it. A wide failure is three that are not explained, or 0.4 of the workers in any way. While more than a quarter of the workers are idle, suspects may be on trial on 0.35 of all.

TestSuspectsTriedAtTheSameTime failed before; the tests of scheduler pass.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -78,6 +78,8 @@
 	// eligible are the workers that may get new tasks in the current placement
 	// pass.
 	eligible []*worker
+	// idle counts the eligible workers without a run.
+	idle int
 	// scratch is the buffer that allowedWorkers reuses.
 	scratch []*worker
 	// freed is a log of workers that may have more free resources than before.
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -51,10 +51,12 @@
 	heldUntil time.Time
 }
 
-// lostLife is an incarnation of a worker that has ended.
+// lostLife is an incarnation of a worker that has ended. explained is true if it
+// fell silent right after a start.
 type lostLife struct {
-	worker   requester.HostID
-	silentAt time.Time
+	worker    requester.HostID
+	silentAt  time.Time
+	explained bool
 }
 
 const (
@@ -93,11 +95,12 @@
 	// suspect, crashes its workers, as far as is known before a crash.
 	taskPriorPPM    = 1_000
 	suspectPriorPPM = 300_000
-	// wideWindow and wideCrashes define a wide failure: so many other workers
-	// fall silent within that time before or after. It says nothing about the
-	// tasks.
+	// wideWindow, wideCrashes and wideShare define a wide failure: so many other
+	// workers fall silent within that time before or after, and not right after a
+	// start, or that share of all workers do. It says nothing about the tasks.
 	wideWindow  = 300 * time.Millisecond
 	wideCrashes = 3
+	wideShare   = 0.4
 	// firstHold is how long a long-running task that crashes its workers is
 	// held back after the second crash. The time doubles with each further one,
 	// at most maxHoldDoublings times.
@@ -203,7 +206,7 @@
 	}
 	silentAt := w.silentAt
 	c.stats.Crashes++
-	c.lostLives = append(c.lostLives, lostLife{w.info.HostID, silentAt})
+	c.lostLives = append(c.lostLives, lostLife{w.info.HostID, silentAt, w.silenceExplained})
 	aliveAt, youngest := w.lastSign(silentAt)
 	found := make(map[*run]crash)
 	runs := slices.DeleteFunc(w.sortedRuns(), func(r *run) bool {
@@ -245,11 +248,7 @@
 	if r.tracked || c.wideFailure(w, r, silentAt) {
 		return certainPPM
 	}
-	c.lostLives = slices.DeleteFunc(c.lostLives, func(life lostLife) bool { return c.now.Sub(life.silentAt) > crashMemory })
-	workers := float64(max(1, len(c.sortedWorkers)))
-	observed := min(crashMemory, c.now.Sub(c.tookOverAt)) + crashPrior
-	rate := float64(len(c.lostLives)+1) / (workers * observed.Seconds())
-	chance := int64(certainPPM * rate * age.Seconds())
+	chance := int64(certainPPM * c.crashRate() * age.Seconds())
 	if age >= explainedFactor*youngest && age >= minTrial || r.acknowledgedAt.IsZero() && youngest <= silenceAge {
 		chance = max(chance, explainedPPM)
 	}
@@ -257,6 +256,16 @@
 	return min(certainPPM, max(1, chance))
 }
 
+// crashRate returns how many times a second a worker crashes, whatever the cause:
+// where tasks crash workers too, that is more than by chance alone, and errs in
+// favour of the innocent.
+func (c *Core) crashRate() float64 {
+	c.lostLives = slices.DeleteFunc(c.lostLives, func(life lostLife) bool { return c.now.Sub(life.silentAt) > crashMemory })
+	workers := float64(max(1, len(c.sortedWorkers)))
+	observed := min(crashMemory, c.now.Sub(c.tookOverAt)) + crashPrior
+	return float64(len(c.lostLives)+1) / (workers * observed.Seconds())
+}
+
 // othersChance returns the probability, in millionths, that another task on the
 // worker that started at about the same time, or later, is the cause.
 func (c *Core) othersChance(w *worker, r *run, silentAt time.Time, age time.Duration) int64 {
@@ -277,25 +286,50 @@
 // wideFailure reports whether a worker fell silent together with others that
 // did not run the same gang.
 func (c *Core) wideFailure(w *worker, r *run, silentAt time.Time) bool {
-	others := make(map[requester.HostID]bool)
-	for _, life := range c.lostLives {
-		if life.silentAt.Sub(silentAt).Abs() <= wideWindow {
-			others[life.worker] = true
-		}
-	}
-	for _, other := range c.sortedWorkers {
-		// A worker that never answered this owner may have fallen silent earlier.
-		if other.reported && other.unanswered > 0 && other.silentAt.Sub(silentAt).Abs() <= wideWindow {
-			others[other.info.HostID] = true
-		}
-	}
+	others := c.silentNear(silentAt)
 	delete(others, w.info.HostID)
 	if s := r.task.step; s.def.Gang {
 		for _, id := range s.hosts {
 			delete(others, id)
 		}
 	}
-	return len(others) >= wideCrashes
+	return c.wide(others, silentAt)
+}
+
+// wide reports whether workers that fell silent at about a time, each explained
+// by a start or not, are a wide failure: several are not explained, or they are
+// many of the workers that there were.
+func (c *Core) wide(silent map[requester.HostID]bool, at time.Time) bool {
+	unexplained, sound := 0, 0
+	for _, explained := range silent {
+		if !explained {
+			unexplained++
+		}
+	}
+	for _, w := range c.sortedWorkers {
+		if _, fell := silent[w.info.HostID]; !fell && !w.ended && !w.bootedAt.After(at) {
+			sound++
+		}
+	}
+	return unexplained >= wideCrashes || len(silent) >= wideCrashes && float64(len(silent)) > wideShare*float64(len(silent)+sound)
+}
+
+// silentNear returns the workers that fell silent at about a time, and whether
+// that is explained: a task may have crashed the worker right after its start.
+func (c *Core) silentNear(at time.Time) map[requester.HostID]bool {
+	found := make(map[requester.HostID]bool)
+	for _, life := range c.lostLives {
+		if life.silentAt.Sub(at).Abs() <= wideWindow {
+			found[life.worker] = life.explained
+		}
+	}
+	for _, w := range c.sortedWorkers {
+		// A worker that never answered this owner may have fallen silent earlier.
+		if w.reported && w.unanswered > 0 && w.silentAt.Sub(at).Abs() <= wideWindow {
+			found[w.info.HostID] = w.silenceExplained
+		}
+	}
+	return found
 }
 
 // appendCrash adds a life to the history of a task. The lives of one run count
@@ -376,7 +410,7 @@
 		return true
 	}
 	j := t.step.job()
-	if h.committed(j) && !c.now.Before(h.heldUntil) && !(t.suspect() && c.trials(true) >= c.maxTrials(suspectShare)) {
+	if h.committed(j) && !c.now.Before(h.heldUntil) && (!t.suspect() || c.mayTrySuspect()) {
 		return true
 	}
 	// Neither time nor a commit frees a worker, so a scan of freed workers only
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -40,12 +40,18 @@
 	c.trimFreed()
 }
 
-// updateEligible collects the eligible workers for a placement pass.
+// updateEligible collects the eligible workers for a placement pass, and counts
+// the idle ones.
 func (c *Core) updateEligible() {
 	c.eligible = c.eligible[:0]
+	c.idle = 0
 	for _, w := range c.sortedWorkers {
-		if w.eligible(c.now) {
-			c.eligible = append(c.eligible, w)
+		if !w.eligible(c.now) {
+			continue
+		}
+		c.eligible = append(c.eligible, w)
+		if len(w.runs) == 0 {
+			c.idle++
 		}
 	}
 }
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -26,10 +26,14 @@
 const (
 	// suspectShare is the share of the workers on which suspects may be on trial
 	// at the same time, queueShare that on which any tasks may. Of either there
-	// may be minTrials at least.
-	suspectShare = 0.1
-	queueShare   = 0.15
-	minTrials    = 2
+	// may be minTrials at least. While more than idleShare of the workers are
+	// idle, suspects may be tried on idleTrialShare of all: their crashes together
+	// must not look like a wide failure.
+	suspectShare   = 0.1
+	queueShare     = 0.15
+	idleShare      = 0.25
+	idleTrialShare = 0.35
+	minTrials      = 2
 	// queueTrial is how long a task of a risky queue is on trial.
 	queueTrial = 150 * time.Millisecond
 	// A queue is risky once riskySilences workers have fallen silent within
@@ -54,9 +58,10 @@
 	if w.unanswered > 0 {
 		return
 	}
-	w.silentAt = c.now
+	w.silentAt, w.silenceExplained = c.now, false
 	var last *run
 	for _, r := range w.sortedRuns() {
+		w.silenceExplained = w.silenceExplained || !r.tracked && c.now.Sub(r.startedAt) <= silenceAge
 		// A start that isn't acknowledged probably came after the crash.
 		if r.task != nil && !r.tracked && !r.acknowledgedAt.IsZero() && (last == nil || r.startedAt.After(last.startedAt)) {
 			last = r
@@ -90,23 +95,12 @@
 	c.silences = slices.DeleteFunc(c.silences, func(known silence) bool { return c.now.Sub(known.at) > riskyMemory })
 	clear(c.risky)
 	for _, known := range c.silences {
-		if !c.wideSilence(known.at) {
+		if !c.wide(c.silentNear(known.at), known.at) {
 			c.risky[known.queue]++
 		}
 	}
 }
 
-// wideSilence reports whether several workers fell silent at about that time.
-func (c *Core) wideSilence(at time.Time) bool {
-	count := 0
-	for _, known := range c.silences {
-		if known.at.Sub(at).Abs() <= wideWindow {
-			count++
-		}
-	}
-	return count > wideCrashes
-}
-
 // trials counts the workers with trials, of suspects only or of any task. Those
 // on which a suspect was tried and that don't answer count as well, which
 // bounds how many workers suspects take at the same time.
@@ -125,6 +119,16 @@
 	return max(minTrials, int(share*float64(len(c.sortedWorkers))))
 }
 
+// mayTrySuspect reports whether one more suspect may start. It takes a worker that
+// others need unless many are idle.
+func (c *Core) mayTrySuspect() bool {
+	share := suspectShare
+	if float64(c.idle) > idleShare*float64(len(c.sortedWorkers)) {
+		share = idleTrialShare
+	}
+	return c.trials(true) < c.maxTrials(share)
+}
+
 // suspect reports whether a worker has crashed soon after a start of the task,
 // or of a member of its gang.
 func (t *task) suspect() bool {
--- a/scheduler/trial_test.go
+++ b/scheduler/trial_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -88,3 +89,21 @@
 	is.Equal(h.hostOf(taskOf("second", 0)), h.hostOf(taskOf("second", 1))) // one job is tried together
 	is.True(h.hostOf(taskOf("second", 0)) != h.hostOf(taskOf("other", 0)))
 }
+
+// TestSuspectsTriedAtTheSameTime guards against tasks that crash their workers and
+// are acquitted by each other: workers that fall silent together right after the
+// starts of suspects are no wide failure.
+func TestSuspectsTriedAtTheSameTime(t *testing.T) {
+	is := is.New(t)
+	h := newDeadlyHarness(24)
+	for i := range 6 {
+		id := fmt.Sprintf("deadly%d", i)
+		h.add(id, Policy{Stretch: 3, ObjectiveMillis: 500}, stepOf(1, 8000))
+		h.deadly[TaskName{StepName: StepName{Job: requester.JobID(id)}}] = true
+	}
+	for range 2000 {
+		h.step(20 * time.Millisecond)
+	}
+	is.Equal(h.core.Stats().GivenUp, int64(6))
+	is.True(h.core.Stats().Starts <= 18) // three each at the most
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -75,8 +75,10 @@
 	// because jobs failed on it in a row or it refused a start.
 	suspendedUntil time.Time
 	health         health
-	// silentAt is when the worker last stopped answering.
-	silentAt time.Time
+	// silentAt is when the worker last stopped answering. silenceExplained is true
+	// if a start had been sent to it right before.
+	silentAt         time.Time
+	silenceExplained bool
 	// trial is the trial of a task that may crash the worker; nil for none.
 	trial *trial
 	// reservation is the reservation that includes the worker; nil for none.
