Give the recovery of jobs and the stand-in's orders files of their own

How a new owner adds the jobs that it finds is in recover.go now, and how the stand-in's platform delivers orders to workers, in time or late, in cellorders.go. Only lines were moved, but for the imports.

--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -143,92 +143,6 @@
 	return true
 }
 
-// JobRows are the stored rows of a job.
-type JobRows struct {
-	Job Job
-	// Progress is the value of the row with the job's progress; nil if no owner
-	// has written one.
-	Progress  []byte
-	Cancelled bool
-}
-
-// Exclude excludes a job whose rows cannot be decoded: an owner that can decode
-// them continues it. Until then it is not scheduled, and the ends of its runs
-// are not acknowledged.
-func (c *Core) Exclude(id requester.JobID) { c.excluded[id] = true }
-
-// Recover adds a job that was in the store at the takeover. It excludes the job
-// if its progress cannot be decoded.
-func (c *Core) Recover(rows JobRows) error {
-	var progress progressRow
-	if rows.Progress != nil {
-		if err := DecodeRow(rows.Progress, &progress); err != nil {
-			c.Exclude(rows.Job.JobID)
-			return err
-		}
-	}
-	j := &job{spec: rows.Job, state: progress.State, storedState: progress.State, storedProgress: committedProgress{value: rows.Progress}}
-	c.predictDurations(j)
-	if rows.Progress == nil {
-		j.storedState = notStored
-	}
-	c.jobs[j.name()] = j
-	if progress.State.Ended() {
-		j.endedAt = time.Unix(progress.EndedAt, 0)
-		return nil
-	}
-	if rows.Progress == nil {
-		c.markDirty(j)
-	}
-	j.nextOccurrence = progress.NextOccurrence
-	if j.spec.Occurrences == 0 {
-		j.nextOccurrence = 1
-		o := c.newOccurrence(j, 0)
-		if len(progress.Occurrences) > 0 {
-			o.restore(progress.Occurrences[0].Steps)
-		}
-	} else {
-		for _, stored := range progress.Occurrences {
-			c.newOccurrence(j, stored.Number).restore(stored.Steps)
-		}
-		c.timed[j.name()] = j
-	}
-	if c.options.PreviousOwnerEager {
-		c.markStartable(j)
-	}
-	if rows.Cancelled {
-		c.Cancel(c.now, j.name())
-		return nil
-	}
-	c.openReadySteps(j)
-	c.completeJob(j)
-	return nil
-}
-
-// Add adds a job that was accepted after the takeover.
-func (c *Core) Add(now time.Time, spec Job) {
-	c.now = now
-	if _, ok := c.jobs[spec.JobID]; ok || c.excluded[spec.JobID] {
-		return
-	}
-	j := &job{spec: spec, storedState: notStored}
-	c.predictDurations(j)
-	c.jobs[j.name()] = j
-	c.markDirty(j)
-	c.placementPending = true
-	if spec.Occurrences > 0 {
-		c.timed[j.name()] = j
-		return
-	}
-	j.nextOccurrence = 1
-	c.newOccurrence(j, 0)
-	if c.mayLearnOfStarts() {
-		c.markStartable(j)
-	}
-	c.applyUnknownEnds(j)
-	c.openReadySteps(j)
-}
-
 // predictDurations calculates the durations of a job's steps, its critical
 // paths and its objective from its estimates and the observed corrections of
 // its queue.
@@ -279,37 +193,6 @@
 	return o
 }
 
-// restore applies the progress that a previous owner committed.
-func (o *occurrence) restore(stored []stepProgress) {
-	for number, progress := range stored {
-		if number >= len(o.steps) {
-			return
-		}
-		s := o.steps[number]
-		s.mayHaveUnknownRuns = progress.Started
-		if s.def.Gang {
-			s.failedRuns = progress.FailedRuns[0]
-		}
-		for index, t := range s.tasks {
-			if !s.def.Gang {
-				t.failedRuns = progress.FailedRuns[index]
-			}
-			t.crashes = restoredCrashes(progress.Crashes[index])
-			t.startedRuns = len(progress.Crashes[index])
-			t.checkpoint = progress.Checkpoints[index]
-			if progress.AllDone || bitSet(progress.Done, index) {
-				t.done = true
-				s.done++
-				s.waiting--
-			}
-		}
-	}
-}
-
-func bitSet(bits []byte, index int) bool {
-	return index/8 < len(bits) && bits[index/8]&(1<<(index%8)) != 0
-}
-
 // Cancel cancels a job unless it has ended.
 func (c *Core) Cancel(now time.Time, id requester.JobID) {
 	c.now = now
--- /dev/null
+++ b/standin/cellorders.go
@@ -0,0 +1,136 @@
+package standin
+
+import (
+	"context"
+	"time"
+
+	"kumquatstall/scheduler"
+)
+
+// deliver waits until an order reaches its worker and returns the worker. If the
+// worker is unreachable, it blocks until ctx ends and returns nil.
+func (c *entryPlatform) deliver(ctx context.Context, ref scheduler.WorkerRef) *TaskWorker {
+	timer := time.NewTimer(c.Latency / 2)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-timer.C:
+	}
+	w := c.Worker(ref.HostID)
+	if w == nil || !w.Reachable() {
+		<-ctx.Done()
+		return nil
+	}
+	return w
+}
+
+// How much later a late order is executed.
+const (
+	minOrderDelay = 2 * time.Second
+	maxOrderDelay = 12 * time.Second
+)
+
+// randomOrderDelay returns a random delay for the share of orders that are late,
+// and 0 for the others.
+func (c *Cell) randomOrderDelay() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.faults.OrdersLate == 0 || c.random.Float64() >= c.faults.OrdersLate {
+		return 0
+	}
+	return minOrderDelay + time.Duration(c.random.Int64N(int64(maxOrderDelay-minOrderDelay)))
+}
+
+// delayOrder decides whether an order is executed late. If it is, the order is
+// executed after a random delay, unless the worker is unreachable then;
+// delayOrder blocks until ctx ends and returns true. An order to an earlier
+// incarnation is lost if the present one has executed none: the owner could not
+// prevent what the order would start.
+func (c *entryPlatform) delayOrder(ctx context.Context, ref scheduler.WorkerRef, execute func(*TaskWorker, time.Time)) bool {
+	delay := c.randomOrderDelay()
+	if delay == 0 {
+		return false
+	}
+	var sentTo time.Time
+	if w := c.Worker(ref.HostID); w != nil {
+		info, _ := w.Info()
+		sentTo = info.BootedAt
+	}
+	time.AfterFunc(delay, func() {
+		if w := c.Worker(ref.HostID); w != nil && w.Reachable() && w.knows(sentTo) {
+			execute(w, time.Now())
+		}
+	})
+	<-ctx.Done()
+	return true
+}
+
+// respond returns result, or OrderUnknown for the share of orders whose response
+// is lost.
+func (c *entryPlatform) respond(result scheduler.OrderResult) scheduler.OrderResult {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.random.Float64() < c.faults.OrderResponseLoss {
+		return scheduler.OrderUnknown
+	}
+	return result
+}
+
+// Start implements dispatcher.Workers.
+func (c *entryPlatform) Start(ctx context.Context, order scheduler.StartOrder) scheduler.OrderResult {
+	if c.delayOrder(ctx, order.Worker, func(w *TaskWorker, now time.Time) { w.Start(order, now) }) {
+		return scheduler.OrderUnknown
+	}
+	if w := c.deliver(ctx, order.Worker); w != nil {
+		return c.respond(w.Start(order, time.Now()))
+	}
+	return scheduler.OrderUnknown
+}
+
+// Stop implements dispatcher.Workers.
+func (c *entryPlatform) Stop(ctx context.Context, order scheduler.StopOrder) scheduler.OrderResult {
+	if c.delayOrder(ctx, order.Worker, func(w *TaskWorker, now time.Time) { w.Stop(order, now) }) {
+		return scheduler.OrderUnknown
+	}
+	if w := c.deliver(ctx, order.Worker); w != nil {
+		return c.respond(w.Stop(order, time.Now()))
+	}
+	return scheduler.OrderUnknown
+}
+
+// Poll implements dispatcher.Workers.
+func (c *entryPlatform) Poll(ctx context.Context, order scheduler.PollOrder, wait time.Duration) (*scheduler.Report, scheduler.OrderResult) {
+	if c.delayOrder(ctx, order.Worker, func(w *TaskWorker, now time.Time) { w.Poll(order, now) }) {
+		return nil, scheduler.OrderUnknown
+	}
+	w := c.deliver(ctx, order.Worker)
+	if w == nil {
+		return nil, scheduler.OrderUnknown
+	}
+	until := time.Now().Add(wait)
+	initial, _ := w.Info()
+	for {
+		if info, up := w.Info(); !up || !info.BootedAt.Equal(initial.BootedAt) {
+			// A connection ends with the incarnation that accepted it.
+			return nil, scheduler.OrderUnknown
+		}
+		report, result := w.Poll(order, time.Now())
+		if result != scheduler.OrderAccepted || len(report.Ended) > 0 || !time.Now().Before(until) {
+			return report, c.respond(result)
+		}
+		// The order acknowledges and renews when it arrives, not while the
+		// response waits for an end.
+		order.AcknowledgedEnd, order.Deadline = 0, 0
+		timer := time.NewTimer(pollCheckInterval)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, scheduler.OrderUnknown
+		case <-timer.C:
+		}
+	}
+}
+
+// pollCheckInterval is how often a long poll checks for ended runs.
+const pollCheckInterval = 5 * time.Millisecond
