Scheduler: say which condition holds a task back

Neither the log nor the load said why: a gang left no line for 28 s.

Nothing else changes when a task starts.

TestReasonsToWait has each reason, TestUnrecordedStepsWait the two of a takeover, TestLongWaitsAreLogged the line.

--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -140,3 +140,15 @@
 	}
 	return string(data)
 }
+
+// waits returns how many tasks wait for each reason, without those for which none
+// do.
+func waits(load *scheduler.Load) *zerolog.Event {
+	counts := zerolog.Dict()
+	for reason, count := range load.Waits {
+		if count > 0 {
+			counts.Int(scheduler.WaitReason(reason).String(), count)
+		}
+	}
+	return counts
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -78,8 +78,10 @@
 	// eligible are the workers that may get new tasks in the current placement
 	// pass.
 	eligible []*worker
-	// idle counts the eligible workers without a run.
-	idle int
+	// idle counts the eligible workers without a run. usedShare is the share of
+	// the processors of all listed workers that runs occupy on those that answer.
+	idle      int
+	usedShare float64
 	// scratch is the buffer that allowedWorkers reuses.
 	scratch []*worker
 	// freed is a log of workers that may have more free resources than before.
@@ -196,6 +198,9 @@
 	// Vanished counts acknowledged runs that their worker no longer reported,
 	// neither as running nor as ended.
 	Vanished int64
+	// LongWaits counts how often tasks of a step waited for one reason for
+	// longWait, leaving out waits for room while half of it is in use.
+	LongWaits int64
 	// StraysStopped counts orphaned runs: a worker reported them, and no
 	// unfinished task needed them.
 	StraysStopped int64
@@ -450,6 +455,8 @@
 	OpenTasks   int
 	Unasked     int
 	RunningRuns int
+	// Waits counts the tasks that wait, by reason.
+	Waits [waitReasons]int
 	// Workers counts the usable workers, Silent the unresponsive ones among
 	// them. Used is the sum of the resources that runs occupy on all workers,
 	// Total that of the resources of the usable workers.
@@ -469,6 +476,7 @@
 	}
 	for _, s := range c.open {
 		load.OpenTasks += s.waiting
+		load.Waits[s.wait.reason] += s.waiting
 		if s.job().spec.Advice != nil && s.advice.decided == nil {
 			load.Unasked += s.waiting
 		}
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -402,21 +402,35 @@
 	}
 }
 
-// mayStart reports whether a task may start now as far as its crashes are
+// holds returns what keeps a task from starting on a worker that has room for
+// it: an earlier run that may be active, or its crashes.
+func (c *Core) holds(t *task) WaitReason {
+	if c.mayRun(t) {
+		return WaitEarlierRun
+	}
+	reason := c.crashHold(t)
+	if reason != WaitNothing {
+		// Neither time nor a commit frees a worker, so a scan of freed workers only
+		// would not find one for the task.
+		t.step.scannedAt = time.Time{}
+	}
+	return reason
+}
+
+// crashHold returns what keeps a task from starting as far as its crashes are
 // concerned.
-func (c *Core) mayStart(t *task) bool {
-	h := t.crashes
-	if h == nil {
-		return true
-	}
-	j := t.step.job()
-	if h.committed(j) && !c.now.Before(h.heldUntil) && (!t.suspect() || c.mayTrySuspect()) {
-		return true
-	}
-	// Neither time nor a commit frees a worker, so a scan of freed workers only
-	// would not find one for the task.
-	t.step.scannedAt = time.Time{}
-	return false
+func (c *Core) crashHold(t *task) WaitReason {
+	switch h := t.crashes; {
+	case h == nil:
+		return WaitNothing
+	case !h.committed(t.step.job()):
+		return WaitCrashRecord
+	case c.now.Before(h.heldUntil):
+		return WaitPause
+	case t.suspect() && !c.mayTrySuspect():
+		return WaitTrial
+	}
+	return WaitNothing
 }
 
 // committed reports whether the record is in the store.
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -6,19 +6,25 @@
 	"time"
 )
 
-// placeGang starts all tasks of a gang if they fit, else none.
-func (c *Core) placeGang(s *step) {
+// placeGang starts all tasks of a gang if they fit, else none. It returns what
+// the gang waits for.
+func (c *Core) placeGang(s *step) WaitReason {
 	if s.waiting < len(s.tasks) || c.anyMayRun(s) {
 		// Some members of an earlier run have not ended yet.
-		return
+		return WaitEarlierRun
 	}
 	if c.now.Sub(s.scannedAt) < gangRescanInterval {
-		return
+		return s.wait.reason
 	}
 	s.scannedAt = time.Time{}
-	chosen := c.chooseGang(s, c.candidates(s))
-	if chosen == nil || slices.ContainsFunc(s.tasks, func(t *task) bool { return !c.mayStart(t) }) {
-		return
+	chosen, reason := c.chooseGang(s, c.candidates(s))
+	if chosen == nil {
+		return reason
+	}
+	for _, t := range s.tasks {
+		if reason := c.holds(t); reason != WaitNothing {
+			return reason
+		}
 	}
 	number := max(s.lastRun+1, c.firstRun())
 	s.lastRun = number
@@ -36,34 +42,35 @@
 			c.putOnTrial(t)
 		}
 	}
+	return WaitNothing
 }
 
 // maxRackWait is the longest time for which a gang that fits on several racks
 // waits for one.
 const maxRackWait = 2 * time.Second
 
-// chooseGang returns a candidate for each member of a gang, or nil if they do
-// not fit now. A gang that should run on one rack is spread over several only
+// chooseGang returns a candidate for each member of a gang, or nil and what the
+// gang waits for if they do not fit now. A gang that should run on one rack is spread over several only
 // if no rack will hold it, or none has for the time that spreading it costs:
 // its tasks then take about twice as long.
-func (c *Core) chooseGang(s *step, found []candidate) []candidate {
+func (c *Core) chooseGang(s *step, found []candidate) ([]candidate, WaitReason) {
 	if !s.def.SameRack {
-		return packGang(s, found)
+		return packGang(s, found), s.lacks()
 	}
 	if chosen := c.chooseRack(s, found); chosen != nil {
-		return chosen
+		return chosen, WaitNothing
 	}
 	chosen := packGang(s, found)
 	if chosen == nil || !c.anyRackFits(s) {
-		return chosen
+		return chosen, s.lacks()
 	}
 	if s.rackUntil.IsZero() {
 		s.rackUntil = c.now.Add(min(maxRackWait, s.expectedDuration()))
 	}
 	if c.now.Before(s.rackUntil) {
-		return nil
+		return nil, WaitRack
 	}
-	return chosen
+	return chosen, WaitNothing
 }
 
 // packGang assigns the members of a gang to the candidates that have the least
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -25,13 +25,21 @@
 	// Starting the last waiting task does not close a step, so c.open does not
 	// change during the loop.
 	for _, s := range c.open {
-		if s.waiting == 0 || !c.startRecorded(s) || !reconciled && s.mayHaveUnknownRuns {
+		if s.waiting == 0 {
+			continue
+		}
+		if !reconciled && s.mayHaveUnknownRuns {
+			c.noteWait(s, WaitUnknownRuns)
+			continue
+		}
+		if !c.startRecorded(s) {
+			c.noteWait(s, s.unrecorded())
 			continue
 		}
 		if s.def.Gang {
-			c.placeGang(s)
+			c.noteWait(s, c.placeGang(s))
 		} else {
-			c.placeTasks(s)
+			c.noteWait(s, c.placeTasks(s))
 		}
 		if s.waiting > 0 {
 			c.displaceBestEffort(s)
@@ -41,11 +49,18 @@
 }
 
 // updateEligible collects the eligible workers for a placement pass, and counts
-// the idle ones.
+// the idle ones and what is in use.
 func (c *Core) updateEligible() {
 	c.eligible = c.eligible[:0]
 	c.idle = 0
+	var used, total int64
 	for _, w := range c.sortedWorkers {
+		if w.listed {
+			total += w.info.Total.MilliCores
+		}
+		if w.unanswered == 0 {
+			used += w.allocated.MilliCores
+		}
 		if !w.eligible(c.now) {
 			continue
 		}
@@ -54,17 +69,27 @@
 			c.idle++
 		}
 	}
+	c.usedShare = share(used, total)
 }
 
 // placeTasks starts as many waiting tasks of the step as fit, each on the
-// candidate that fits best at that time.
-func (c *Core) placeTasks(s *step) {
+// candidate that fits best at that time. It returns what the others wait for.
+func (c *Core) placeTasks(s *step) WaitReason {
 	found := c.candidates(s)
+	if len(found) == 0 && s.wait.reason != WaitNothing && !s.scannedAt.Equal(c.now) {
+		// Only freed workers were scanned, which says nothing new.
+		return s.wait.reason
+	}
+	held := WaitNothing
 	for _, t := range s.tasks {
 		if len(found) == 0 {
-			return
+			return s.lacks()
+		}
+		if t.done || t.run != nil {
+			continue
 		}
-		if t.done || c.mayRun(t) || !c.mayStart(t) {
+		if reason := c.holds(t); reason != WaitNothing {
+			held = reason
 			continue
 		}
 		best := c.bestFit(s, found)
@@ -83,6 +108,7 @@
 			found = slices.Delete(found, best, best+1)
 		}
 	}
+	return held
 }
 
 // bestFit returns the index of the candidate that has the least residual
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -70,6 +70,8 @@
 	// stalls counts how often a run of the step, or a whole gang, was stopped
 	// because it made no progress.
 	stalls int
+	// wait is why the waiting tasks have not started.
+	wait wait
 	// reservation is the reservation for the step; nil for none.
 	reservation *reservation
 	// reserveAfter is the earliest time of the next reservation for the step.
