Scheduler: let suspects have the room that nobody misses

Cause: suspects may be on trial on a tenth of the workers, and on more only while a quarter of the workers have no run at all. Runs spread out, so with most of the room free there are few such workers, and a task that crashes its worker holds its place until the crash is proven, 3.5 s later.

Change: what others use decides. Beyond a tenth, suspects may be tried while a fifth of all processors is free beyond what other tasks wait for, or 0.35 whatever waits while less than half is in use. Workers that fall silent with a suspect that has just started on them count neither for a wide failure nor against it: else so many at a time would acquit each other.

Evidence: checkWaits holds the randomised runs to the rule (a job with nothing running starts within 3 s where there is room twice over and less than half is in use, or a rule forbids it). The mutation 'suspects stay on trial' is caught.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -78,10 +78,14 @@
 	// eligible are the workers that may get new tasks in the current placement
 	// pass.
 	eligible []*worker
-	// idle counts the eligible workers without a run. usedShare is the share of
-	// the processors of all listed workers that runs occupy on those that answer.
-	idle      int
-	usedShare float64
+	// totalMilliCores is the processor capacity of the listed workers,
+	// usedMilliCores what runs occupied of it on those that answer, both as of the
+	// start of the last placement pass, and wantedMilliCores what waiting tasks
+	// needed. freeMilliCores is what is free on eligible workers without a trial.
+	totalMilliCores  int64
+	usedMilliCores   int64
+	wantedMilliCores int64
+	freeMilliCores   int64
 	// scratch is the buffer that allowedWorkers reuses.
 	scratch []*worker
 	// freed is a log of workers that may have more free resources than before.
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -51,12 +51,11 @@
 	heldUntil time.Time
 }
 
-// lostLife is an incarnation of a worker that has ended. explained is true if it
-// fell silent right after a start.
+// lostLife is an incarnation of a worker that has ended.
 type lostLife struct {
-	worker    requester.HostID
-	silentAt  time.Time
-	explained bool
+	worker   requester.HostID
+	silentAt time.Time
+	silence  silenceCause
 }
 
 const (
@@ -97,7 +96,8 @@
 	suspectPriorPPM = 300_000
 	// wideWindow, wideCrashes and wideShare define a wide failure: so many other
 	// workers fall silent within that time before or after, and not right after a
-	// start, or that share of all workers do. It says nothing about the tasks.
+	// start, or that share of all workers do, but for those with a suspect on trial.
+	// It says nothing about the tasks.
 	wideWindow  = 300 * time.Millisecond
 	wideCrashes = 3
 	wideShare   = 0.4
@@ -206,7 +206,7 @@
 	}
 	silentAt := w.silentAt
 	c.stats.Crashes++
-	c.lostLives = append(c.lostLives, lostLife{w.info.HostID, silentAt, w.silenceExplained})
+	c.lostLives = append(c.lostLives, lostLife{w.info.HostID, silentAt, w.silence})
 	aliveAt, youngest := w.lastSign(silentAt)
 	found := make(map[*run]crash)
 	runs := slices.DeleteFunc(w.sortedRuns(), func(r *run) bool {
@@ -296,37 +296,41 @@
 	return c.wide(others, silentAt)
 }
 
-// wide reports whether workers that fell silent at about a time, each explained
-// by a start or not, are a wide failure: several are not explained, or they are
-// many of the workers that there were.
-func (c *Core) wide(silent map[requester.HostID]bool, at time.Time) bool {
-	unexplained, sound := 0, 0
-	for _, explained := range silent {
-		if !explained {
+// wide reports whether workers that fell silent at about a time are a wide failure:
+// several are not explained by a start, or they are many of the workers that there
+// were. Workers that fell silent right after the start of a suspect on trial count
+// for neither: many suspects may be tried at the same time.
+func (c *Core) wide(silent map[requester.HostID]silenceCause, at time.Time) bool {
+	unexplained, fallen, sound := 0, 0, 0
+	for _, cause := range silent {
+		if cause == silenceUnexplained {
 			unexplained++
 		}
+		if cause != silenceOnTrial {
+			fallen++
+		}
 	}
 	for _, w := range c.sortedWorkers {
 		if _, fell := silent[w.info.HostID]; !fell && !w.ended && !w.bootedAt.After(at) {
 			sound++
 		}
 	}
-	return unexplained >= wideCrashes || len(silent) >= wideCrashes && float64(len(silent)) > wideShare*float64(len(silent)+sound)
+	return unexplained >= wideCrashes || fallen >= wideCrashes && float64(fallen) > wideShare*float64(fallen+sound)
 }
 
-// silentNear returns the workers that fell silent at about a time, and whether
-// that is explained: a task may have crashed the worker right after its start.
-func (c *Core) silentNear(at time.Time) map[requester.HostID]bool {
-	found := make(map[requester.HostID]bool)
+// silentNear returns the workers that fell silent at about a time, and what
+// explains it.
+func (c *Core) silentNear(at time.Time) map[requester.HostID]silenceCause {
+	found := make(map[requester.HostID]silenceCause)
 	for _, life := range c.lostLives {
 		if life.silentAt.Sub(at).Abs() <= wideWindow {
-			found[life.worker] = life.explained
+			found[life.worker] = life.silence
 		}
 	}
 	for _, w := range c.sortedWorkers {
 		// A worker that never answered this owner may have fallen silent earlier.
 		if w.reported && w.unanswered > 0 && w.silentAt.Sub(at).Abs() <= wideWindow {
-			found[w.info.HostID] = w.silenceExplained
+			found[w.info.HostID] = w.silence
 		}
 	}
 	return found
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -141,12 +141,13 @@
 		{"takeovers, racks", simulationOptions{deadly: 0.1, takeovers: 0.6, racks: 0.3}},
 		{"lost responses", simulationOptions{deadly: 0.1, lostResponses: 0.05}},
 		{"cancels, failures", simulationOptions{deadly: 0.1, cancels: 0.2, failures: 0.05}},
+		{"many", simulationOptions{deadly: 0.6, workers: 30}},
 	}
 	for _, kind := range kinds {
 		for _, seed := range seedsFrom(t, 1, 4) {
 			t.Run(kind.name+"/"+strconv.FormatUint(seed, 10), func(t *testing.T) {
 				options := kind.options
-				options.workers, options.jobs = 15, 70
+				options.workers, options.jobs = max(15, options.workers), 70
 				sim := newSimulation(seed, options)
 				sim.run(9000)
 				if len(sim.problems) == 0 {
--- /dev/null
+++ b/scheduler/lost_test.go
@@ -0,0 +1,155 @@
+package scheduler
+
+import (
+	"time"
+
+	"kumquatstall/requester"
+)
+
+// startBound is the time within which a job without a run has to start where there
+// is room for it, and roomFactor how many times over there has to be.
+const (
+	startBound = 3 * time.Second
+	roomFactor = 2
+)
+
+// checkWaits checks that no job waits beside room: one with nothing running and a
+// task whose turn has come starts within startBound while there is room for it
+// roomFactor times over and less than half of all room is in use, unless a rule
+// forbids it. What is free is counted by what the workers run and the list shows. A
+// start of which it isn't known whether it is executed counts as in use too: the
+// owner has to keep its room.
+func (sim *simulation) checkWaits() {
+	if sim.waitingSince == nil {
+		sim.waitingSince = make(map[StepName]time.Time)
+	}
+	calm := !sim.storeAway() && !sim.slow() && sim.underHalfUsed()
+	waiting := make(map[StepName]time.Time)
+	for _, s := range sim.core.open {
+		if !calm || s.waiting == 0 || sim.hasRun(s) || !sim.hasRoom(s) || sim.forbids(s.wait.reason) {
+			continue
+		}
+		since, known := sim.waitingSince[s.name()]
+		if !known {
+			since = sim.now
+		}
+		waiting[s.name()] = since
+		if sim.now.Sub(since) > startBound {
+			sim.problem("step %v waits since %s beside room: %v; %s", s.name(), since.Format("05.000"), s.wait.reason, sim.describe(s.name().Job))
+		}
+	}
+	sim.waitingSince = waiting
+}
+
+// forbids reports whether a rule keeps a step from starting for that reason: that
+// no task runs twice, that what a start relies on is stored, that it has a ticket, or
+// that suspects leave idleShare of the room to others. Each of these has a bound of
+// its own.
+func (sim *simulation) forbids(reason WaitReason) bool {
+	switch reason {
+	case WaitUnknownRuns, WaitEarlierRun, WaitStartRecord, WaitCrashRecord, WaitAdvice:
+		return true
+	case WaitTrial:
+		return float64(sim.freeWithoutTrials()) <= idleShare*float64(sim.total())
+	}
+	return false
+}
+
+// total returns the processors of the workers that are up.
+func (sim *simulation) total() int64 {
+	var total int64
+	for _, f := range sim.workers {
+		if !f.crashed {
+			total += f.row().Total.MilliCores
+		}
+	}
+	return total
+}
+
+// freeWithoutTrials returns the processors that are free on the workers that are up,
+// answer, and have no task on trial.
+func (sim *simulation) freeWithoutTrials() int64 {
+	var free int64
+	for _, f := range sim.workers {
+		if w := f.ownersView(); !f.crashed && w.trial == nil && w.unanswered == 0 {
+			free += f.free().MilliCores
+		}
+	}
+	return free
+}
+
+// underHalfUsed reports whether less than half of the processors are in use.
+func (sim *simulation) underHalfUsed() bool {
+	var free int64
+	for _, f := range sim.workers {
+		if !f.crashed {
+			free += f.free().MilliCores
+		}
+	}
+	return 2*free > sim.total()
+}
+
+// free returns what is free on a worker, by what runs there and by what the owner
+// has to assume.
+func (f *fakeWorker) free() requester.Resources {
+	return f.row().Total.Sub(f.used().Max(f.ownersView().allocated))
+}
+
+// used returns what runs occupy on a worker.
+func (f *fakeWorker) used() requester.Resources {
+	var used requester.Resources
+	for _, r := range f.runs {
+		used = used.Add(r.need)
+	}
+	return used
+}
+
+// ownersView returns the owner's view of a worker, without runs if it has none.
+func (f *fakeWorker) ownersView() *worker {
+	if w, ok := f.sim.core.workers[f.info.HostID]; ok {
+		return w
+	}
+	return &worker{}
+}
+
+// hasRun reports whether a task of the step's job runs on some worker.
+func (sim *simulation) hasRun(s *step) bool {
+	for _, f := range sim.workers {
+		for key := range f.runs {
+			if key.name.Job == s.name().Job && !f.crashed {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// hasRoom reports whether workers that the owner reaches, and on which runs make
+// progress, could start the step's tasks roomFactor times over: all of a gang, else
+// one.
+func (sim *simulation) hasRoom(s *step) bool {
+	wanted := roomFactor
+	if s.def.Gang {
+		wanted *= len(s.tasks)
+	}
+	for _, f := range sim.workers {
+		if f.crashed || f.hides(sim.core) || sim.now.Before(f.stalledUntil) || sim.now.Sub(f.bootedAt) < startBound {
+			continue
+		}
+		free := f.free()
+		limit := wanted
+		if s.def.AntiAffinity > 0 {
+			limit = s.def.AntiAffinity
+		}
+		for key := range f.runs {
+			if key.name.StepName == s.name() {
+				limit--
+			}
+		}
+		wanted -= slotsIn(free, s.def.allocation(), limit)
+		if wanted <= 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/scheduler/mutation_test.go
+++ b/scheduler/mutation_test.go
@@ -37,6 +37,13 @@
 				}
 			})
 		}},
+		{"suspects stay on trial", simulationOptions{deadly: 0.2}, func(c *Core) {
+			for _, w := range c.sortedWorkers {
+				if w.trial != nil && w.trial.job == nil {
+					w.trial.until = c.now.Add(time.Minute)
+				}
+			}
+		}},
 		{"unacknowledged starts are dropped", simulationOptions{lostResponses: 0.1, delayedOrders: 0.1}, func(c *Core) {
 			forRuns(c, func(w *worker, r *run) {
 				if r.phase == runUnacknowledged {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -21,6 +21,7 @@
 	reconciled := c.Reconciled()
 	c.sortByRank(c.open)
 	c.updateEligible()
+	c.addWanted()
 	c.updateReservations()
 	// Starting the last waiting task does not close a step, so c.open does not
 	// change during the loop.
@@ -48,28 +49,37 @@
 	c.trimFreed()
 }
 
-// updateEligible collects the eligible workers for a placement pass, and counts
-// the idle ones and what is in use.
+// updateEligible collects the eligible workers for a placement pass, and adds up
+// what is in use.
 func (c *Core) updateEligible() {
 	c.eligible = c.eligible[:0]
-	c.idle = 0
-	var used, total int64
+	c.totalMilliCores, c.usedMilliCores, c.freeMilliCores = 0, 0, 0
 	for _, w := range c.sortedWorkers {
 		if w.listed {
-			total += w.info.Total.MilliCores
+			c.totalMilliCores += w.info.Total.MilliCores
 		}
 		if w.unanswered == 0 {
-			used += w.allocated.MilliCores
+			c.usedMilliCores += w.allocated.MilliCores
 		}
 		if !w.eligible(c.now) {
 			continue
 		}
 		c.eligible = append(c.eligible, w)
-		if len(w.runs) == 0 {
-			c.idle++
+		if w.trial == nil {
+			c.freeMilliCores += w.available().MilliCores
+		}
+	}
+}
+
+// addWanted adds up what the waiting tasks need, but for those that the last pass
+// left waiting for a trial.
+func (c *Core) addWanted() {
+	c.wantedMilliCores = 0
+	for _, s := range c.open {
+		if s.wait.reason != WaitTrial {
+			c.wantedMilliCores += int64(s.waiting) * s.def.allocation().MilliCores
 		}
 	}
-	c.usedShare = share(used, total)
 }
 
 // placeTasks starts as many waiting tasks of the step as fit, each on the
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -40,6 +40,8 @@
 	permanentCrashes int
 	rooms            simulatedRooms
 	owners
+	// waitingSince is since when steps wait beside room.
+	waitingSince map[StepName]time.Time
 }
 
 // simulationOptions sets the load and the rates of faults.
@@ -314,6 +316,9 @@
 		sim.answerAdvice()
 		sim.commit()
 		sim.check()
+		if step%10 == 0 {
+			sim.checkWaits()
+		}
 		if len(sim.problems) > 0 {
 			return
 		}
--- a/scheduler/start.go
+++ b/scheduler/start.go
@@ -36,9 +36,6 @@
 	t.run = r
 	s.waiting--
 	s.job().activeRuns++
-	if len(w.runs) == 0 {
-		c.idle--
-	}
 	w.runs[runKey{r.name, number}] = r
 	w.allocated = w.allocated.Add(need)
 	w.lasting = w.lasting.Add(r.lastingNeed())
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -26,14 +26,16 @@
 const (
 	// suspectShare is the share of the workers on which suspects may be on trial
 	// at the same time, queueShare that on which any tasks may. Of either there
-	// may be minTrials at least. While more than idleShare of the workers are
-	// idle, suspects may be tried on idleTrialShare of all: their crashes together
-	// must not look like a wide failure.
-	suspectShare   = 0.1
-	queueShare     = 0.15
-	idleShare      = 0.25
-	idleTrialShare = 0.35
-	minTrials      = 2
+	// may be minTrials at least.
+	suspectShare = 0.1
+	queueShare   = 0.15
+	minTrials    = 2
+	// Further suspects may be tried while spareShare of all processors is free
+	// beyond what other tasks wait for. While the service isn't busy, idleShare is
+	// enough whatever waits: what does then waits for advice, or for more room on
+	// one worker than is free there.
+	spareShare = 0.2
+	idleShare  = 0.35
 	// queueTrial is how long a task of a risky queue is on trial.
 	queueTrial = 150 * time.Millisecond
 	// A queue is risky once riskySilences workers have fallen silent within
@@ -58,10 +60,15 @@
 	if w.unanswered > 0 {
 		return
 	}
-	w.silentAt, w.silenceExplained = c.now, false
+	w.silentAt, w.silence = c.now, silenceUnexplained
 	var last *run
 	for _, r := range w.sortedRuns() {
-		w.silenceExplained = w.silenceExplained || !r.tracked && c.now.Sub(r.startedAt) <= silenceAge
+		if !r.tracked && c.now.Sub(r.startedAt) <= silenceAge {
+			w.silence = max(w.silence, silenceAfterStart)
+		}
+		if w.silence == silenceAfterStart && w.trial != nil && w.trial.job == nil {
+			w.silence = silenceOnTrial
+		}
 		// A start that isn't acknowledged probably came after the crash.
 		if r.task != nil && !r.tracked && !r.acknowledgedAt.IsZero() && (last == nil || r.startedAt.After(last.startedAt)) {
 			last = r
@@ -73,6 +80,17 @@
 	c.silences = append(c.silences, silence{last.task.step.job().spec.Queue, c.now})
 }
 
+// silenceCause is what explains that a worker fell silent.
+type silenceCause int
+
+const (
+	silenceUnexplained silenceCause = iota
+	// silenceAfterStart means that a task was started there right before.
+	silenceAfterStart
+	// silenceOnTrial means that this was a suspect on trial.
+	silenceOnTrial
+)
+
 // silence is an event in which a worker fell silent right after the start of a
 // task of a queue.
 type silence struct {
@@ -119,16 +137,25 @@
 	return max(minTrials, int(share*float64(len(c.sortedWorkers))))
 }
 
-// mayTrySuspect reports whether one more suspect may start. It takes a worker that
-// others need unless many are idle.
+// mayTrySuspect reports whether one more suspect may start. A suspect that crashes
+// its worker takes it from others for seconds. So what others use bounds how many
+// may: not the number of workers without a run, as runs spread over all workers
+// when there is room.
 func (c *Core) mayTrySuspect() bool {
-	share := suspectShare
-	if float64(c.idle) > idleShare*float64(len(c.sortedWorkers)) {
-		share = idleTrialShare
+	total := float64(c.totalMilliCores)
+	switch {
+	case float64(c.freeMilliCores-c.wantedMilliCores) > spareShare*total:
+		return true
+	case !c.busy() && float64(c.freeMilliCores) > idleShare*total:
+		return true
 	}
-	return c.trials(true) < c.maxTrials(share)
+	return c.trials(true) < c.maxTrials(suspectShare)
 }
 
+// busy reports whether so much of the room is in use that a task may have to wait
+// for some.
+func (c *Core) busy() bool { return float64(c.usedMilliCores) >= busyShare*float64(c.totalMilliCores) }
+
 // suspect reports whether a worker has crashed soon after a start of the task,
 // or of a member of its gang.
 func (t *task) suspect() bool {
@@ -149,6 +176,9 @@
 		return
 	}
 	c.stats.Trials++
+	if t.run.worker.trial == nil {
+		c.freeMilliCores -= t.run.worker.available().MilliCores
+	}
 	if t.suspect() {
 		t.run.worker.trial = &trial{until: c.now.Add(t.crashes.trialTime())}
 		return
--- a/scheduler/trial_test.go
+++ b/scheduler/trial_test.go
@@ -107,3 +107,26 @@
 	is.Equal(h.core.Stats().GivenUp, int64(6))
 	is.True(h.core.Stats().Starts <= 18) // three each at the most
 }
+
+// TestSuspectsWaitBesideRoom guards against suspects that wait for each other's
+// trials while most of the room is free, as every worker runs something.
+func TestSuspectsWaitBesideRoom(t *testing.T) {
+	is := is.New(t)
+	h := newDeadlyHarness(40)
+	lasting := lastingStep(40, 1000)
+	lasting.AntiAffinity = 1
+	h.add("lasting", Policy{Stretch: 3, ObjectiveMillis: 500}, lasting)
+	for range 10 {
+		h.step(20 * time.Millisecond)
+	}
+	for i := range 16 {
+		id := fmt.Sprintf("deadly%d", i)
+		h.add(id, Policy{Stretch: 3, ObjectiveMillis: 500}, stepOf(1, 1000))
+		h.deadly[taskOf(id, 0)] = true
+	}
+	for range 1000 {
+		h.step(20 * time.Millisecond)
+	}
+	is.Equal(h.core.Stats().GivenUp, int64(16))
+	is.Equal(h.core.Stats().LongWaits, int64(0)) // none has waited for longWait
+}
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -75,7 +75,7 @@
 	if reason != s.wait.reason {
 		s.wait = wait{reason: reason, since: c.now}
 	}
-	if reason == WaitNothing || s.wait.logged || c.now.Sub(s.wait.since) < longWait || reason == WaitRoom && c.usedShare >= busyShare {
+	if reason == WaitNothing || s.wait.logged || c.now.Sub(s.wait.since) < longWait || reason == WaitRoom && c.busy() {
 		return
 	}
 	s.wait.logged = true
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -75,10 +75,9 @@
 	// because jobs failed on it in a row or it refused a start.
 	suspendedUntil time.Time
 	health         health
-	// silentAt is when the worker last stopped answering. silenceExplained is true
-	// if a start had been sent to it right before.
-	silentAt         time.Time
-	silenceExplained bool
+	// silentAt is when the worker last stopped answering, silence what explains it.
+	silentAt time.Time
+	silence  silenceCause
 	// trial is the trial of a task that may crash the worker; nil for none.
 	trial *trial
 	// reservation is the reservation that includes the worker; nil for none.
