--- a/scheduler/wait_test.go
+++ b/scheduler/wait_test.go
@@ -43,6 +43,8 @@
 				w.trial = &trial{until: h.now.Add(time.Minute)}
 			}
 			h.core.sortedWorkers[0].trial = nil
+			h.add("beside", policy, stepOf(1, 6000)) // leaves little that is free
+			h.settle()
 			h.add("job", policy, stepOf(1, 1000))
 			suspect(h, "job")
 		}},
