Scheduler: ask again about a worker that was away when it was allowed

A worker that left the list while a request about it was under way got no ticket, but counted as decided. If it came back under its id, it was 'not allowed' for that step for good, and a step that only it may run waited for ever (LOST).

Cause: AdviceDone marks every worker of a request as decided, and gives tickets to those only that the core knows at that moment.

Change: a worker that is allowed and not known stays undecided, so it is asked about again once it is listed. One that isn't allowed stays decided: that doesn't change.

TestAdviceForAWorkerThatWasAway failed before with '0 != 1' requests.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -377,12 +377,16 @@
 		until = decidedAt.Add(time.Duration(s.job().spec.Advice.ValidMillis) * time.Millisecond)
 	}
 	for _, a := range allowed {
-		if w, ok := c.workers[a.Worker]; ok {
-			if _, known := s.advice.tickets[a.Worker]; !known {
-				s.advice.allowed = append(s.advice.allowed, a.Worker)
-			}
-			s.advice.tickets[a.Worker] = ticket{text: a.Text, bootedAt: w.bootedAt, expiresAt: until}
+		w, ok := c.workers[a.Worker]
+		if !ok {
+			// It has left the list meanwhile. If it comes back, it is asked about again.
+			delete(s.advice.decided, a.Worker)
+			continue
+		}
+		if _, known := s.advice.tickets[a.Worker]; !known {
+			s.advice.allowed = append(s.advice.allowed, a.Worker)
 		}
+		s.advice.tickets[a.Worker] = ticket{text: a.Text, bootedAt: w.bootedAt, expiresAt: until}
 	}
 	slices.Sort(s.advice.allowed)
 	s.advice.stale = nil
