Scheduler: end the trial on a worker that is lost without a proof

A trial ended only while its worker answered, or once its incarnation had provably ended. A worker that is gone for good and stays listed, or is removed late, counted against the number of trials all the while, so that two of them kept every other suspect waiting in a full service (LOST).

TestTrialsOfLostWorkers failed before: the third suspect had not started after 20 s.

--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -98,11 +98,10 @@
 	at    time.Time
 }
 
-// updateTrials ends the trials whose time is over, and determines the risky
-// queues.
+// updateTrials ends the trials that are over, and determines the risky queues.
 func (c *Core) updateTrials() {
 	for _, w := range c.sortedWorkers {
-		if w.trial != nil && w.unanswered == 0 && !c.now.Before(w.trial.until) {
+		if w.trial != nil && w.trialOver(c.now) {
 			w.trial = nil
 			c.markFreed(w)
 		}
@@ -119,6 +118,16 @@
 	}
 }
 
+// trialOver reports whether the trial on a worker shows nothing any more: its time is
+// over, or the worker has not answered until all leases there had lapsed. A worker that
+// is lost without a proof would else count against the number of trials for good.
+func (w *worker) trialOver(now time.Time) bool {
+	if w.unanswered > 0 {
+		return len(w.runs) == 0
+	}
+	return !now.Before(w.trial.until)
+}
+
 // trials counts the workers with trials, of suspects only or of any task. Those
 // on which a suspect was tried and that don't answer count as well, which
 // bounds how many workers suspects take at the same time.
--- a/scheduler/trial_test.go
+++ b/scheduler/trial_test.go
@@ -130,3 +130,34 @@
 	is.Equal(h.core.Stats().GivenUp, int64(16))
 	is.Equal(h.core.Stats().LongWaits, int64(0)) // none has waited for longWait
 }
+
+// TestTrialsOfLostWorkers guards against suspects that wait for good, because workers
+// on which others were tried are gone without a proof that they have ended.
+func TestTrialsOfLostWorkers(t *testing.T) {
+	is := is.New(t)
+	h := newDeadlyHarness(4)
+	lasting := lastingStep(4, 7000)
+	lasting.AntiAffinity = 1
+	h.add("lasting", Policy{Stretch: 3, ObjectiveMillis: 500}, lasting)
+	for range 10 {
+		h.step(20 * time.Millisecond)
+	}
+	for i := range 3 {
+		id := fmt.Sprintf("suspect%d", i)
+		h.add(id, Policy{Stretch: 3, ObjectiveMillis: 500}, stepOf(1, 300))
+		h.core.jobs[requester.JobID(id)].occurrences[0].steps[0].tasks[0].crashes = &crashHistory{crashes: []crash{{Run: 1, Worker: "gone", AgeMillis: 10, ChancePPM: 100}}}
+	}
+	lost := make(map[requester.HostID]bool)
+	for range 1000 {
+		h.step(20 * time.Millisecond)
+		for i := range 2 {
+			if host := h.hostOf(taskOf(fmt.Sprintf("suspect%d", i), 0)); host != "" && len(lost) < 2 && !lost[host] {
+				lost[host] = true
+				h.crash(host)
+				h.backAt[host] = h.now.Add(time.Hour) // listed, and never heard of again
+			}
+		}
+	}
+	is.Equal(len(lost), 2)
+	is.True(h.hostOf(taskOf("suspect2", 0)) != "")
+}
