--- a/scheduler/reservation_test.go
+++ b/scheduler/reservation_test.go
@@ -254,3 +254,24 @@
 	is.True(reserved)
 	is.True(released)
 }
+
+// TestNoWorkersReservedForAHeldGang guards against workers that are kept for a gang
+// that may not start before others' trials end, while work that could run waits.
+func TestNoWorkersReservedForAHeldGang(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(10)
+	busy := stepOf(10, 7000)
+	busy.AntiAffinity, busy.EstimateMillis = 1, 60_000
+	h.add("busy", Policy{Stretch: 9}, busy)
+	is.Equal(len(h.settle()), 10)
+	for _, w := range h.core.sortedWorkers[:2] {
+		w.trial = &trial{until: h.now.Add(time.Minute)}
+	}
+	h.add("gang", Policy{Stretch: 9}, gangOf(2, 1000))
+	h.core.jobs["gang"].occurrences[0].steps[0].tasks[1].crashes = &crashHistory{crashes: []crash{{Run: 1, Worker: "gone", AgeMillis: 10, ChancePPM: 100}}}
+	for range 5 {
+		h.advance(100 * time.Millisecond)
+	}
+	is.Equal(h.waitOf("gang"), WaitTrial)
+	is.Equal(len(h.core.reservations), 0)
+}
