--- a/scheduler/reservation_test.go
+++ b/scheduler/reservation_test.go
@@ -268,7 +268,7 @@
 		w.trial = &trial{until: h.now.Add(time.Minute)}
 	}
 	h.add("gang", Policy{Stretch: 9}, gangOf(2, 1000))
-	h.core.jobs["gang"].occurrences[0].steps[0].tasks[1].crashes = &crashHistory{crashes: []crash{{Run: 1, Worker: "gone", AgeMillis: 10, ChancePPM: 100}}}
+	h.accuse("gang")
 	for range 5 {
 		h.advance(100 * time.Millisecond)
 	}
--- /dev/null
+++ b/scheduler/stats.go
@@ -0,0 +1,153 @@
+package scheduler
+
+import (
+	"time"
+
+	"kumquatstall/requester"
+)
+
+// The core tells what it does by counters, by records for the log, and by a summary of
+// its load.
+
+// Stats are counters of the core's orders and of ended runs and jobs.
+type Stats struct {
+	Starts int64
+	Stops  int64
+	// Looks counts polls of workers.
+	Looks int64
+	// Done and Failed count the runs whose end was reported as such. Lapsed
+	// counts the runs that ended unreported, because the worker's lease expired
+	// or its incarnation ended.
+	Done   int64
+	Failed int64
+	Lapsed int64
+	// Rejected counts starts that were not executed, Doubtful those whose
+	// outcome is unknown.
+	Rejected int64
+	Doubtful int64
+	// AdviceAsked counts advice requests.
+	AdviceAsked int64
+	// JobsCompleted, JobsFailed and JobsCancelled count ended jobs.
+	JobsCompleted int64
+	JobsFailed    int64
+	JobsCancelled int64
+	// Violations counts starts and acknowledgements withheld because they would
+	// have violated an invariant.
+	Violations int64
+	// WorkersRested counts suspensions of workers on which several jobs failed
+	// in a row.
+	WorkersRested int64
+	// RoomsShrunk and RoomsGrown count the changes of the capacity of workers to
+	// less, or more, of a resource; a change may be both.
+	RoomsShrunk int64
+	RoomsGrown  int64
+	// Holds counts the reservations of workers for gangs.
+	Holds int64
+	// Stalled counts runs that were stopped because they made no progress; the
+	// run of a whole gang counts once.
+	Stalled int64
+	// Evacuated counts runs that were stopped because they were not expected to
+	// end before their worker leaves; the run of a whole gang counts once.
+	Evacuated int64
+	// Displaced counts best-effort runs that were stopped for tasks with a
+	// target for their response times.
+	Displaced int64
+	// Acknowledged counts the ends that polls have acknowledged to workers. A
+	// worker forgets them.
+	Acknowledged int64
+	// Vanished counts acknowledged runs that their worker no longer reported,
+	// neither as running nor as ended.
+	Vanished int64
+	// LongWaits counts how often tasks of a step waited for one reason for
+	// longWait, leaving out waits for room while half of it is in use.
+	LongWaits int64
+	// StraysStopped counts orphaned runs: a worker reported them, and no
+	// unfinished task needed them.
+	StraysStopped int64
+	// Crashes counts incarnations of workers that ended while they ran tasks.
+	// Trials counts the starts of tasks under suspicion. GivenUp counts the
+	// jobs that failed because a task crashes its workers.
+	Crashes int64
+	Trials  int64
+	GivenUp int64
+}
+
+// LogRecord is an event for the log.
+type LogRecord struct {
+	// Job, Task and Worker are the subjects of the event; each may be empty.
+	Job    requester.JobID
+	Task   TaskName
+	Run    RunNumber
+	Worker requester.HostID
+	// Waited is the time between the due time of a task's occurrence and its
+	// start; Tier is the tier of its step's rank. Both are set for starts only.
+	Waited time.Duration
+	Tier   int
+	// Event is what happened, Why the reason.
+	Event string
+	Why   string
+	// Violation is true if an order was withheld because it would have violated
+	// an invariant.
+	Violation bool
+}
+
+// Stats returns the core's counters.
+func (c *Core) Stats() Stats { return c.stats }
+
+// TakeLogRecords returns the log records since the last call.
+func (c *Core) TakeLogRecords() []LogRecord {
+	records := c.logRecords
+	c.logRecords = nil
+	return records
+}
+
+func (c *Core) log(record LogRecord) { c.logRecords = append(c.logRecords, record) }
+
+// Load is a summary of the cell's waiting tasks, runs and workers.
+type Load struct {
+	Jobs int
+	// OpenTasks counts the tasks of open steps that wait for a worker. Unasked
+	// counts those among them whose steps need advice and have received none.
+	OpenTasks   int
+	Unasked     int
+	RunningRuns int
+	// Waits counts the tasks that wait, by reason.
+	Waits [waitReasons]int
+	// Workers counts the usable workers, Silent the unresponsive ones among
+	// them. Used is the sum of the resources that runs occupy on all workers,
+	// Total that of the resources of the usable workers.
+	Workers int
+	Silent  int
+	Used    requester.Resources
+	Total   requester.Resources
+}
+
+// Load returns the current load of the cell.
+func (c *Core) Load() Load {
+	var load Load
+	for _, j := range c.jobs {
+		if !j.state.Ended() {
+			load.Jobs++
+		}
+	}
+	for _, s := range c.open {
+		load.OpenTasks += s.waiting
+		load.Waits[s.wait.reason] += s.waiting
+		if s.job().spec.Advice != nil && s.advice.decided == nil {
+			load.Unasked += s.waiting
+		}
+	}
+	for _, w := range c.sortedWorkers {
+		load.RunningRuns += len(w.runs)
+		load.Used = load.Used.Add(w.allocated)
+		if !w.usable() {
+			continue
+		}
+		load.Workers++
+		load.Total = load.Total.Add(w.info.Total)
+		if w.unanswered > 0 {
+			load.Silent++
+		}
+	}
+	return load
+}
--- a/scheduler/trial_test.go
+++ b/scheduler/trial_test.go
@@ -31,6 +31,23 @@
 	return ""
 }
 
+// occupy starts a task that lasts on each of as many workers.
+func (h *deadlyHarness) occupy(workers int, milli int64) {
+	lasting := lastingStep(workers, milli)
+	lasting.AntiAffinity = 1
+	h.add("lasting", Policy{Stretch: 3, ObjectiveMillis: 500}, lasting)
+	for range 10 {
+		h.step(20 * time.Millisecond)
+	}
+}
+
+// accuse puts the first task of a job under suspicion.
+func (h *harness) accuse(id string) *crashHistory {
+	t := h.core.jobs[requester.JobID(id)].occurrences[0].steps[0].tasks[0]
+	t.crashes = &crashHistory{crashes: []crash{{Run: 1, Worker: "gone", AgeMillis: 10, ChancePPM: 100}}}
+	return t.crashes
+}
+
 // TestSuspectStartsBesideOthers guards against a suspect that starts where other
 // work would be lost with it, or beside which others start before it is cleared.
 func TestSuspectStartsBesideOthers(t *testing.T) {
@@ -113,12 +130,7 @@
 func TestSuspectsWaitBesideRoom(t *testing.T) {
 	is := is.New(t)
 	h := newDeadlyHarness(40)
-	lasting := lastingStep(40, 1000)
-	lasting.AntiAffinity = 1
-	h.add("lasting", Policy{Stretch: 3, ObjectiveMillis: 500}, lasting)
-	for range 10 {
-		h.step(20 * time.Millisecond)
-	}
+	h.occupy(40, 1000)
 	for i := range 16 {
 		id := fmt.Sprintf("deadly%d", i)
 		h.add(id, Policy{Stretch: 3, ObjectiveMillis: 500}, stepOf(1, 1000))
@@ -136,16 +148,11 @@
 func TestTrialsOfLostWorkers(t *testing.T) {
 	is := is.New(t)
 	h := newDeadlyHarness(4)
-	lasting := lastingStep(4, 7000)
-	lasting.AntiAffinity = 1
-	h.add("lasting", Policy{Stretch: 3, ObjectiveMillis: 500}, lasting)
-	for range 10 {
-		h.step(20 * time.Millisecond)
-	}
+	h.occupy(4, 7000)
 	for i := range 3 {
 		id := fmt.Sprintf("suspect%d", i)
 		h.add(id, Policy{Stretch: 3, ObjectiveMillis: 500}, stepOf(1, 300))
-		h.core.jobs[requester.JobID(id)].occurrences[0].steps[0].tasks[0].crashes = &crashHistory{crashes: []crash{{Run: 1, Worker: "gone", AgeMillis: 10, ChancePPM: 100}}}
+		h.accuse(id)
 	}
 	lost := make(map[requester.HostID]bool)
 	for range 1000 {
--- a/scheduler/wait_test.go
+++ b/scheduler/wait_test.go
@@ -18,11 +18,6 @@
 func TestReasonsToWait(t *testing.T) {
 	policy := Policy{Stretch: 9}
 	advised := Policy{Stretch: 9, Advice: &Advice{DecideMillis: 10, WorkerMillis: 1, ValidMillis: 60_000}}
-	suspect := func(h *harness, id string) *crashHistory {
-		task := h.core.jobs[taskOf(id, 0).Job].occurrences[0].steps[0].tasks[0]
-		task.crashes = &crashHistory{crashes: []crash{{Run: 1, Worker: "gone", AgeMillis: 10, ChancePPM: 100}}}
-		return task.crashes
-	}
 	tests := []struct {
 		want WaitReason
 		set  func(*harness)
@@ -32,11 +27,11 @@
 		{WaitAdvice, func(h *harness) { h.add("job", advised, stepOf(1, 1000)) }},
 		{WaitCrashRecord, func(h *harness) {
 			h.add("job", policy, stepOf(1, 1000))
-			suspect(h, "job").version = 1000
+			h.accuse("job").version = 1000
 		}},
 		{WaitPause, func(h *harness) {
 			h.add("job", policy, lastingStep(1, 1000))
-			suspect(h, "job").heldUntil = h.now.Add(time.Minute)
+			h.accuse("job").heldUntil = h.now.Add(time.Minute)
 		}},
 		{WaitTrial, func(h *harness) {
 			for _, w := range h.core.sortedWorkers {
@@ -46,7 +41,7 @@
 			h.add("beside", policy, stepOf(1, 6000)) // leaves little that is free
 			h.settle()
 			h.add("job", policy, stepOf(1, 1000))
-			suspect(h, "job")
+			h.accuse("job")
 		}},
 		{WaitEarlierRun, func(h *harness) {
 			h.add("job", policy, stepOf(1, 1000))
