Scheduler: starts don't prolong the lease of a worker that may be lost

Cause: each order granted 9 s. A long poll takes 1 s and its time-out more until the owner knows that the worker doesn't answer; the starts sent meanwhile prolonged the lease, and what ran there waits until the last one has expired by the slowest clock.

Change: a start carries the deadline of the lease that the polls have granted, if 4 s of it are left. The term is 8.3 s, so that a lease which was granted right before the loss has expired within 9 s of it by a clock that is 2% slow.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -12,8 +12,9 @@
 	// Epoch is the epoch of the ownership. It is part of the fence of all
 	// orders.
 	Epoch int64
-	// LeaseTerm is the duration of the lease that an order grants to a worker;
-	// default 9 s, longer than most partitions last.
+	// LeaseTerm is the duration of the lease that a poll grants to a worker;
+	// default 8.3 s: longer than most partitions last, and short enough for what a
+	// worker ran to start again within 9 s of the worker's loss.
 	LeaseTerm time.Duration
 	// MaxLease is the longest lease that any owner may have granted; default
 	// 10 s.
@@ -28,7 +29,7 @@
 
 func (o Options) withDefaults() Options {
 	if o.LeaseTerm <= 0 {
-		o.LeaseTerm = 9 * time.Second
+		o.LeaseTerm = 8300 * time.Millisecond
 	}
 	if o.MaxLease <= 0 {
 		o.MaxLease = 10 * time.Second
--- a/scheduler/start.go
+++ b/scheduler/start.go
@@ -46,7 +46,7 @@
 		Task:       r.name,
 		Run:        number,
 		Payload:    s.job().spec.Payload,
-		Deadline:   c.grantLease(w),
+		Deadline:   c.startDeadline(w),
 		Fence:      r.startFence,
 		Checkpoint: t.checkpoint,
 		Ticket:     ticket,
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -177,6 +177,22 @@
 	return deadline
 }
 
+// minStartLease is the least remaining time of a lease with which a start is sent.
+const minStartLease = 4 * time.Second
+
+// startDeadline returns the lease deadline for a start issued now: that of the lease
+// which the polls have granted, if enough of it is left. Starts go on while a poll of a
+// lost worker waits for its response, and what ran there waits until every lease that
+// was granted has expired.
+func (c *Core) startDeadline(w *worker) WorkerTime {
+	now := w.clockEstimate(c.now)
+	deadline := min(w.leaseDeadline, now+WorkerTime(c.options.LeaseTerm/time.Millisecond))
+	if deadline < now+WorkerTime(minStartLease/time.Millisecond) {
+		return c.grantLease(w)
+	}
+	return deadline
+}
+
 // RestoreLeasedWorkers adds the workers to which a previous owner may have sent
 // orders.
 func (c *Core) RestoreLeasedWorkers(row LeasedWorkersRow) {
