--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -50,9 +50,9 @@
 const maxRackWait = 2 * time.Second
 
 // chooseGang returns a candidate for each member of a gang, or nil and what the
-// gang waits for if they do not fit now. A gang that should run on one rack is spread over several only
-// if no rack will hold it, or none has for the time that spreading it costs:
-// its tasks then take about twice as long.
+// gang waits for if they do not fit now. A gang that should run on one rack is
+// spread over several only if no rack will hold it, or none has for the time that
+// spreading it costs: its tasks then take about twice as long.
 func (c *Core) chooseGang(s *step, found []candidate) ([]candidate, WaitReason) {
 	if !s.def.SameRack {
 		return packGang(s, found), s.lacks()
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -66,14 +66,14 @@
 		if !r.tracked && c.now.Sub(r.startedAt) <= silenceAge {
 			w.silence = max(w.silence, silenceAfterStart)
 		}
-		if w.silence == silenceAfterStart && w.trial != nil && w.trial.job == nil {
-			w.silence = silenceOnTrial
-		}
 		// A start that isn't acknowledged probably came after the crash.
 		if r.task != nil && !r.tracked && !r.acknowledgedAt.IsZero() && (last == nil || r.startedAt.After(last.startedAt)) {
 			last = r
 		}
 	}
+	if w.silence == silenceAfterStart && w.trial != nil && w.trial.job == nil {
+		w.silence = silenceOnTrial
+	}
 	if last == nil || c.now.Sub(last.startedAt) > silenceAge {
 		return
 	}
