Stand-in: give a port to one test process at a time

Two of 28 soaks that ran side by side (TestSoak/7200, 7223) failed: 'listen for readiness checks: bind: address already in use' when an entry started again. Each soak is a process of its own and takes ports by its process id, modulo 250; another soak was given the port while the entry there was down.

Change: a process keeps the UDP port of each number that it was given, until it ends.

TestFreeAddressIsGivenOnce failed before ('not true: again != address').

--- a/standin/port.go
+++ b/standin/port.go
@@ -23,23 +23,32 @@
 var (
 	portMu   sync.Mutex
 	nextPort = os.Getpid() * portsPerProcess
+	// claims hold the UDP ports of the addresses that this process was given.
+	claims []net.PacketConn
 )
 
-// FreeAddress returns a loopback address with a port that is not in use, and that
-// this process has not been given before.
+// FreeAddress returns a loopback address with a port that is not in use. No process
+// that asks for one is given the same until this one ends, also while nothing listens
+// there: this process keeps the UDP port of that number.
 func FreeAddress() (netip.AddrPort, error) {
 	portMu.Lock()
 	defer portMu.Unlock()
 	for range portCount {
 		nextPort++
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+nextPort%portCount))
+		claim, err := net.ListenPacket("udp", address.String())
+		if err != nil {
+			continue // given to another process
+		}
 		listener, err := net.Listen("tcp", address.String())
 		if err != nil {
-			continue // in use by another process
+			_ = claim.Close() // in use by another process, and nothing was sent
+			continue
 		}
 		if err := listener.Close(); err != nil {
 			return netip.AddrPort{}, errors.Wrapf(err, "close listener at %s", address)
 		}
+		claims = append(claims, claim)
 		return address, nil
 	}
 	return netip.AddrPort{}, errors.Newf("none of the %d ports from %d on is free", portCount, firstPort)
--- a/standin/port_test.go
+++ b/standin/port_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"testing"
 
@@ -27,3 +28,20 @@
 		}
 	}
 }
+
+// TestFreeAddressIsGivenOnce guards against two test processes that are given the same
+// port while the entry there is down, so that it can't start again.
+func TestFreeAddressIsGivenOnce(t *testing.T) {
+	is := is.New(t)
+	address, err := FreeAddress()
+	is.NoErr(err)
+	listener, err := net.Listen("tcp", address.String())
+	is.NoErr(err) // an entry can listen there
+	is.NoErr(listener.Close())
+	portMu.Lock()
+	nextPort-- // as another process would, which tries the same port
+	portMu.Unlock()
+	again, err := FreeAddress()
+	is.NoErr(err)
+	is.True(again != address)
+}
