--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -83,11 +83,6 @@
 	c.log(LogRecord{Job: s.job().name(), Event: "step waits", Why: fmt.Sprintf("%v: %d tasks of step %d of occurrence %d", reason, s.waiting, s.number, s.occurrence.number)})
 }
 
-// crashHold reports whether the reason is that the crashes under a task hold it back.
-func (r WaitReason) crashHold() bool {
-	return r == WaitCrashRecord || r == WaitPause || r == WaitTrial
-}
-
 // unrecorded returns what a step waits for that has no committed start record:
 // a step that needs advice gets one with its first request.
 func (s *step) unrecorded() WaitReason {
