Scheduler: hold suspects to the plain rule in the randomised runs

checkWaits let a suspect wait while no more room was free than the product keeps for others, so its bound came from the product. The rule has no such exception, and no trace showed that the case is allowed.

--- a/scheduler/lost_test.go
+++ b/scheduler/lost_test.go
@@ -26,7 +26,7 @@
 	calm := !sim.storeAway() && !sim.slow() && sim.underHalfUsed()
 	waiting := make(map[StepName]time.Time)
 	for _, s := range sim.core.open {
-		if !calm || s.waiting == 0 || sim.hasRun(s) || !sim.hasRoom(s) || sim.forbids(s.wait.reason) {
+		if !calm || s.waiting == 0 || sim.hasRun(s) || !sim.hasRoom(s) || forbidden(s.wait.reason) {
 			continue
 		}
 		since, known := sim.waitingSince[s.name()]
@@ -41,16 +41,13 @@
 	sim.waitingSince = waiting
 }
 
-// forbids reports whether a rule keeps a step from starting for that reason: that
-// no task runs twice, that what a start relies on is stored, that it has a ticket, or
-// that suspects leave idleShare of the room to others. Each of these has a bound of
-// its own.
-func (sim *simulation) forbids(reason WaitReason) bool {
+// forbidden reports whether a rule keeps a step from starting for that reason: that no
+// task runs twice, that what a start relies on is stored, or that it has a ticket. Each
+// of these has a bound of its own.
+func forbidden(reason WaitReason) bool {
 	switch reason {
 	case WaitUnknownRuns, WaitEarlierRun, WaitStartRecord, WaitCrashRecord, WaitAdvice:
 		return true
-	case WaitTrial:
-		return float64(sim.freeWithoutTrials()) <= idleShare*float64(sim.total())
 	}
 	return false
 }
@@ -66,18 +63,6 @@
 	return total
 }
 
-// freeWithoutTrials returns the processors that are free on the workers that are up,
-// answer, and have no task on trial.
-func (sim *simulation) freeWithoutTrials() int64 {
-	var free int64
-	for _, f := range sim.workers {
-		if w := f.ownersView(); !f.crashed && w.trial == nil && w.unanswered == 0 {
-			free += f.free().MilliCores
-		}
-	}
-	return free
-}
-
 // underHalfUsed reports whether less than half of the processors are in use.
 func (sim *simulation) underHalfUsed() bool {
 	var free int64
