Dispatcher: log what tells the reasons for late advice apart

Of an advice request without a reply the log named the peer and the job: a silent link, a relay whose own request fails and a reply after the bound looked alike.

Change: 'advice late' says for how long nothing was received on the link, how many were late in a row and how many other relays were open; replies after the deadline and requests that the service does not answer at a relay have lines; 'load' counts the relays that were late; the counter AdviceAfterDeadline. Only lines and counters: no decision changes.

--- a/dispatcher/acquire.go
+++ b/dispatcher/acquire.go
@@ -326,9 +326,12 @@
 func (d *Dispatcher) relayAdvice(owner requester.EntryID, request *encoder.AdviceRequest) {
 	ctx, cancel := context.WithTimeout(d.ctx, adviceTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	allowed, err := d.platform.RequestAdvice(ctx, request.Step, request.Workers)
 	if err != nil {
 		d.counters.adviceFailed.Add(1)
+		d.log.Warn().Str("Event", "advice failed").Str("Owner", string(owner)).Str("Job", string(request.Step.Job)).
+			Dur("TookMillis", time.Since(sentAt)).Err(err).Msg("the advice service did not respond to a relayed request; the owner is told")
 	}
 	d.linker.Send(owner, &encoder.AdviceReply{ID: request.ID, Allowed: allowed, Failed: err != nil})
 }
--- a/dispatcher/advise.go
+++ b/dispatcher/advise.go
@@ -41,6 +41,9 @@
 	busyUntil time.Time
 	// suspendedUntil is the end of its cool-down.
 	suspendedUntil time.Time
+	// lateInARow counts the requests without a reply in time since the last
+	// reply.
+	lateInARow int
 }
 
 // relays are the entries through which the owner requests advice, including the
@@ -89,6 +92,17 @@
 	return count
 }
 
+// late returns how many relays have not replied to their last request in time.
+func (r relays) late() int {
+	count := 0
+	for _, candidate := range r {
+		if candidate.lateInARow > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // available reports whether a request can be sent through the relay now.
 func (r *relay) available(now time.Time) bool {
 	return r.inFlight < adviceDepth && !now.Before(r.suspendedUntil)
@@ -137,7 +151,9 @@
 	for id, pending := range s.pendingAdvice {
 		if now.After(pending.deadline) {
 			pending.relay.suspendedUntil = now.Add(relayCoolDown)
-			s.dispatcher.log.Warn().Str("Event", "advice late").Str("Peer", string(pending.relay.id)).Str("Job", string(pending.request.Step.Job)).Send()
+			pending.relay.lateInARow++
+			s.logLateAdvice(now, &pending)
+			s.late.add(lateAdvice{id: id, peer: pending.relay.id, failedAt: now})
 			s.handleAdvice(id, nil, true)
 		}
 	}
@@ -163,19 +179,76 @@
 	}
 }
 
+// logLateAdvice logs that a relay has not replied in time: for how long nothing was
+// received on the link to it, and how many other relays could be asked now.
+func (s *session) logLateAdvice(now time.Time, pending *pendingAdvice) {
+	id := pending.relay.id
+	open := 0
+	for _, other := range s.relays {
+		if other != pending.relay && other.available(now) {
+			open++
+		}
+	}
+	event := s.dispatcher.log.Warn().Str("Event", "advice late").Str("Peer", string(id)).Str("Job", string(pending.request.Step.Job)).
+		Dur("WaitedMillis", now.Sub(pending.request.RequestedAt)).Dur("ExpectedMillis", pending.request.ExpectedAt.Sub(pending.request.RequestedAt)).
+		Int("LateInARow", pending.relay.lateInARow).Int("OtherRelays", open)
+	if id != s.dispatcher.options.Self {
+		age := s.dispatcher.linker.Age(id)
+		event = event.Dur("LinkOpenMillis", age.Open).Dur("LinkSilentMillis", age.Silent)
+	}
+	event.Send()
+}
+
+// lateAdvice is a request that counts as failed because its deadline has passed.
+type lateAdvice struct {
+	id       uint64
+	peer     requester.EntryID
+	failedAt time.Time
+}
+
+// maxLateAdvice bounds the late requests that are remembered.
+const maxLateAdvice = 256
+
+// lateRequests are the last requests that were late, the oldest first.
+type lateRequests []lateAdvice
+
+func (l *lateRequests) add(late lateAdvice) {
+	if len(*l) == maxLateAdvice {
+		*l = (*l)[1:]
+	}
+	*l = append(*l, late)
+}
+
+// take removes and returns a late request.
+func (l *lateRequests) take(id uint64) (lateAdvice, bool) {
+	for i, late := range *l {
+		if late.id == id {
+			*l = append((*l)[:i], (*l)[i+1:]...)
+			return late, true
+		}
+	}
+	return lateAdvice{}, false
+}
+
 // handleAdvice handles the outcome of a request: a reply, or a failure. It
 // ignores all but the first outcome, as a reply may arrive after the deadline.
 func (s *session) handleAdvice(id uint64, allowed []scheduler.Ticket, failed bool) {
+	now := s.dispatcher.clock.Now()
 	pending, ok := s.pendingAdvice[id]
 	if !ok {
+		if late, known := s.late.take(id); known {
+			s.dispatcher.counters.adviceAfterDeadline.Add(1)
+			s.dispatcher.log.Info().Str("Event", "advice after its deadline").Str("Peer", string(late.peer)).
+				Dur("LateMillis", now.Sub(late.failedAt)).Bool("Failed", failed).Send()
+		}
 		return
 	}
 	delete(s.pendingAdvice, id)
 	pending.relay.inFlight--
-	now := s.dispatcher.clock.Now()
 	if failed {
 		s.dispatcher.counters.adviceFailed.Add(1)
 	} else {
+		pending.relay.lateInARow = 0
 		s.dispatcher.counters.adviceTime.Observe(now.Sub(pending.request.RequestedAt))
 	}
 	s.core.AdviceDone(now, pending.request, allowed, failed)
--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -62,6 +62,9 @@
 	commits       atomic.Int64
 	commitsFailed atomic.Int64
 	adviceFailed  atomic.Int64
+	// adviceAfterDeadline counts the replies to advice requests that had failed
+	// by their deadline.
+	adviceAfterDeadline atomic.Int64
 	// oddRows counts the rows and messages that could not be decoded or had
 	// values out of range; see logOddRow.
 	oddRows    atomic.Int64
@@ -108,24 +111,27 @@
 		Commits       int64
 		CommitsFailed int64
 		AdviceFailed  int64
-		OddRows       int64
-		SubmitMillis  quantiles
-		CommitMillis  quantiles
-		AdviceMillis  quantiles
-		Cell          *scheduler.Stats `json:",omitempty"`
+		// AdviceAfterDeadline counts replies that came too late.
+		AdviceAfterDeadline int64
+		OddRows             int64
+		SubmitMillis        quantiles
+		CommitMillis        quantiles
+		AdviceMillis        quantiles
+		Cell                *scheduler.Stats `json:",omitempty"`
 	}{
-		Ready:         d.Ready(),
-		Owner:         string(owner.row.Holder),
-		Epoch:         owner.row.Epoch,
-		Submitted:     make(map[string]int64),
-		Commits:       d.counters.commits.Load(),
-		CommitsFailed: d.counters.commitsFailed.Load(),
-		AdviceFailed:  d.counters.adviceFailed.Load(),
-		OddRows:       d.counters.oddRows.Load(),
-		SubmitMillis:  d.counters.submitTime.quantiles(),
-		CommitMillis:  d.counters.commitTime.quantiles(),
-		AdviceMillis:  d.counters.adviceTime.quantiles(),
-		Cell:          d.cellStats.Load(),
+		Ready:               d.Ready(),
+		Owner:               string(owner.row.Holder),
+		Epoch:               owner.row.Epoch,
+		Submitted:           make(map[string]int64),
+		Commits:             d.counters.commits.Load(),
+		CommitsFailed:       d.counters.commitsFailed.Load(),
+		AdviceFailed:        d.counters.adviceFailed.Load(),
+		AdviceAfterDeadline: d.counters.adviceAfterDeadline.Load(),
+		OddRows:             d.counters.oddRows.Load(),
+		SubmitMillis:        d.counters.submitTime.quantiles(),
+		CommitMillis:        d.counters.commitTime.quantiles(),
+		AdviceMillis:        d.counters.adviceTime.quantiles(),
+		Cell:                d.cellStats.Load(),
 	}
 	if config := d.Config(); config != nil {
 		published.ConfigVersion = config.Version
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -108,6 +108,8 @@
 	// pendingAdvice has the advice requests in flight, by request ID.
 	pendingAdvice map[uint64]pendingAdvice
 	lastAdviceID  uint64
+	// late has the advice requests that have failed by their deadline.
+	late lateRequests
 }
 
 // newSession returns a session of the cell that was acquired by committing row.
@@ -316,7 +318,7 @@
 	s.dispatcher.cellStats.Store(&stats)
 	s.dispatcher.log.Info().Str("Event", "load").Int64("Epoch", s.row.Epoch).
 		Int("Jobs", load.Jobs).Int("OpenTasks", load.OpenTasks).Int("Unasked", load.Unasked).Int("Runs", load.RunningRuns).
-		Int("Workers", load.Workers).Int("Silent", load.Silent).Int("Asking", len(s.pendingAdvice)).Int("Advisers", len(s.relays)).
+		Int("Workers", load.Workers).Int("Silent", load.Silent).Int("Asking", len(s.pendingAdvice)).Int("Advisers", len(s.relays)).Int("AdvisersLate", s.relays.late()).
 		Dict("Waits", waits(&load)).Int64("UsedMilliCores", load.Used.MilliCores).Int64("MilliCores", load.Total.MilliCores).
 		Int64("Starts", stats.Starts).Int64("Done", stats.Done).Int64("Failed", stats.Failed).Int64("Lapsed", stats.Lapsed).Int64("Acknowledged", stats.Acknowledged).Int64("Vanished", stats.Vanished).Int64("AdviceAsked", stats.AdviceAsked).Int64("AdviceFailed", s.dispatcher.counters.adviceFailed.Load()).Dur("StoreMillis", s.dispatcher.store.Latency()).
 		Send()
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -118,6 +118,31 @@
 	conn     *websocket.Conn
 	queue    chan encoder.Message
 	cancel   context.CancelFunc
+	// heardAt is when bytes of a message from the peer were last received, as the
+	// time since openedAt.
+	heardAt atomic.Int64
+}
+
+// heard records that bytes from the peer have just been received.
+func (c *link) heard() { c.heardAt.Store(int64(time.Since(c.openedAt))) }
+
+// LinkAge says how old a link is and for how long nothing was received on it. Both
+// are 0 if there is no link.
+type LinkAge struct {
+	Open   time.Duration
+	Silent time.Duration
+}
+
+// Age returns the age of the current link to a peer.
+func (l *Linker) Age(id requester.EntryID) LinkAge {
+	l.mu.Lock()
+	current, ok := l.links[id]
+	l.mu.Unlock()
+	if !ok {
+		return LinkAge{}
+	}
+	open := time.Since(current.openedAt)
+	return LinkAge{Open: open, Silent: open - time.Duration(current.heardAt.Load())}
 }
 
 // dialTarget is a peer to which dialLoop keeps a link open. refused is true if
@@ -301,6 +326,7 @@
 		if err != nil {
 			return
 		}
+		current.heard()
 		l.BytesReceived.Add(int64(len(data)))
 		message, err := encoder.Decode(data)
 		if err != nil {
