--- /dev/null
+++ b/linker/silence_test.go
@@ -0,0 +1,129 @@
+package linker_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"kumquatstall/encoder"
+	"kumquatstall/linker"
+	"kumquatstall/requester"
+	"kumquatstall/standin"
+)
+
+// contact is the time after which machines count as in touch again.
+const contact = 3 * time.Second
+
+// end is one end of a link, which counts what its handler is told.
+type end struct {
+	*linker.Linker
+	mu       sync.Mutex
+	ups      int
+	downs    int
+	received int
+}
+
+func (e *end) PeerUp(encoder.PeerInfo, int64)                 { e.count(&e.ups) }
+func (e *end) PeerDown(requester.EntryID)                     { e.count(&e.downs) }
+func (e *end) PeerRefused(requester.EntryID, bool)            {}
+func (e *end) PeerMessage(requester.EntryID, encoder.Message) { e.count(&e.received) }
+
+func (e *end) count(counter *int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	*counter++
+}
+
+func (e *end) read(counter *int) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return *counter
+}
+
+func newEnd(id requester.EntryID) *end {
+	e := new(end)
+	e.Linker = linker.New(linker.Options{Self: encoder.PeerInfo{EntryID: id}, DialImmediately: true}, e)
+	return e
+}
+
+// pair is two linked ends; the dialler reaches the other one through a proxy.
+type pair struct {
+	dialler, acceptor *end
+	proxy             *standin.Proxy
+}
+
+func newPair(t *testing.T) *pair {
+	is := is.New(t)
+	p := &pair{dialler: newEnd("dialler"), acceptor: newEnd("acceptor")}
+	mux := http.NewServeMux()
+	mux.Handle(linker.Path, p.acceptor)
+	server := httptest.NewServer(mux)
+	var err error
+	p.proxy, err = standin.NewProxy(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	is.NoErr(err)
+	t.Cleanup(func() {
+		for _, e := range []*end{p.dialler, p.acceptor} {
+			e.Close()
+			<-e.Done()
+		}
+		p.proxy.Close()
+		server.Close()
+	})
+	p.dialler.Dial([]encoder.PeerInfo{{EntryID: "acceptor", Address: p.proxy.Address()}})
+	await(t, "link up", contact, func() bool { return p.dialler.read(&p.dialler.ups) == 1 && p.acceptor.read(&p.acceptor.ups) == 1 })
+	return p
+}
+
+func await(t *testing.T, what string, bound time.Duration, done func() bool) {
+	t.Helper()
+	for until := time.Now().Add(bound); !done(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("not within %v: %s", bound, what)
+		}
+	}
+}
+
+// TestSilentLinkIsReplaced guards against links that count as up although nothing
+// comes through them any more.
+func TestSilentLinkIsReplaced(t *testing.T) {
+	p := newPair(t)
+	p.proxy.BlackholeConnections()
+	await(t, "a new link at both ends", contact, func() bool {
+		return p.dialler.read(&p.dialler.ups) == 2 && p.acceptor.read(&p.acceptor.ups) == 2
+	})
+	p.dialler.Send("acceptor", &encoder.EntryCapacity{Cores: 1})
+	p.acceptor.Send("dialler", &encoder.EntryCapacity{Cores: 1})
+	await(t, "messages both ways", contact, func() bool {
+		return p.dialler.read(&p.dialler.received) == 1 && p.acceptor.read(&p.acceptor.received) == 1
+	})
+}
+
+// TestSilentLinkIsReported guards against a link that stays up at the end that
+// does not dial, while the other one cannot be reached.
+func TestSilentLinkIsReported(t *testing.T) {
+	p := newPair(t)
+	p.proxy.SetBlackhole(true)
+	await(t, "the link reported down at both ends", contact, func() bool {
+		return p.dialler.read(&p.dialler.downs) == 1 && p.acceptor.read(&p.acceptor.downs) == 1
+	})
+	p.proxy.SetBlackhole(false)
+	await(t, "a new link at both ends", contact, func() bool {
+		return p.dialler.read(&p.dialler.ups) == 2 && p.acceptor.read(&p.acceptor.ups) == 2
+	})
+}
+
+// TestIdleLinkStaysUp guards against closing links that are only unused.
+func TestIdleLinkStaysUp(t *testing.T) {
+	p := newPair(t)
+	time.Sleep(contact)
+	is := is.New(t)
+	is.Equal(p.dialler.read(&p.dialler.downs), 0)
+	is.Equal(p.acceptor.read(&p.acceptor.downs), 0)
+	is.Equal(p.acceptor.read(&p.acceptor.ups), 1)
+}
--- a/standin/cell.go
+++ b/standin/cell.go
@@ -66,6 +66,12 @@
 	workers        map[requester.HostID]*TaskWorker
 	// adviceRequests counts the advice requests of each entry.
 	adviceRequests map[requester.EntryID]int
+	// adviceTurns has a mutex for each entry, which its advice requests hold one
+	// after the other.
+	adviceTurns map[requester.EntryID]*sync.Mutex
+	// AdviceTime is how long the advice service works on a request, after Latency.
+	// It works on one request of each entry at a time. Set it before the first one.
+	AdviceTime time.Duration
 	// Latency delays each call to the store, the configuration, the list of
 	// workers and the advice service. An order reaches its worker after half of
 	// it, and the response to an order is not delayed.
@@ -81,6 +87,7 @@
 		changed:        make(chan struct{}),
 		workers:        make(map[requester.HostID]*TaskWorker),
 		adviceRequests: make(map[requester.EntryID]int),
+		adviceTurns:    make(map[requester.EntryID]*sync.Mutex),
 		Latency:        4 * time.Millisecond,
 	}
 	for _, info := range workers {
@@ -367,7 +374,18 @@
 // RequestAdvice implements dispatcher.AdviceService: it returns a ticket for each
 // worker that AdviceAllows.
 func (c *entryPlatform) RequestAdvice(ctx context.Context, step scheduler.StepName, workers []requester.HostID) ([]scheduler.Ticket, error) {
-	timer := time.NewTimer(c.Latency)
+	c.mu.Lock()
+	turn := c.adviceTurns[c.entry]
+	if turn == nil {
+		turn = new(sync.Mutex)
+		c.adviceTurns[c.entry] = turn
+	}
+	c.mu.Unlock()
+	if c.AdviceTime > 0 {
+		turn.Lock()
+		defer turn.Unlock()
+	}
+	timer := time.NewTimer(c.Latency + c.AdviceTime)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
