Linker: close links on which nothing is heard

Callers saw accepted jobs that did not start while workers were idle (LOST). Connections between entries may go silent without a reset. On the product's own path the heartbeats of package decider close such links; the jobs' path has no heartbeats.

Change: each side of a link requires signs of life. After 0.4 s without any it sends a ping, after 0.8 s more without an answer it closes the link; parts of a large message count. It counts rounds of its own, so that a pause of this process closes nothing. PeerDown says why, and is called for a replaced link too: requests sent over that one went without an answer until their bound.

--- a/dispatcher/acquire.go
+++ b/dispatcher/acquire.go
@@ -224,8 +224,8 @@
 }
 
 // PeerDown implements linker.Handler.
-func (d *Dispatcher) PeerDown(id requester.EntryID) {
-	d.log.Info().Str("Event", "link down").Str("Peer", string(id)).Send()
+func (d *Dispatcher) PeerDown(id requester.EntryID, why error) {
+	d.log.Info().Str("Event", "link down").Str("Peer", string(id)).AnErr("Why", why).Send()
 	d.mu.Lock()
 	delete(d.linked, id)
 	d.mu.Unlock()
--- a/linker/handshake.go
+++ b/linker/handshake.go
@@ -26,7 +26,10 @@
 	if l.options.TLS != nil {
 		scheme = "wss"
 	}
-	conn, _, err := websocket.Dial(ctx, scheme+"://"+info.Address.String()+Path, &websocket.DialOptions{HTTPClient: l.client})
+	signs := new(lifeSigns)
+	conn, _, err := websocket.Dial(ctx, scheme+"://"+info.Address.String()+Path, &websocket.DialOptions{
+		HTTPClient: l.client, OnPingReceived: signs.onPing, OnPongReceived: signs.onPong,
+	})
 	if err != nil {
 		return errors.Wrapf(err, "dial %s at %s", info.EntryID, info.Address)
 	}
@@ -35,13 +38,14 @@
 		_ = conn.CloseNow()
 		return errors.Wrapf(err, "handshake with %s at %s", info.EntryID, info.Address)
 	}
-	l.register(conn, hello, l.options.Self.EntryID)
+	l.register(conn, signs, hello, l.options.Self.EntryID)
 	return nil
 }
 
 // ServeHTTP accepts a link from another entry.
 func (l *Linker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	conn, err := websocket.Accept(w, r, nil)
+	signs := new(lifeSigns)
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{OnPingReceived: signs.onPing, OnPongReceived: signs.onPong})
 	if err != nil {
 		return
 	}
@@ -52,7 +56,7 @@
 		_ = conn.CloseNow()
 		return
 	}
-	l.register(conn, hello, hello.EntryID)
+	l.register(conn, signs, hello, hello.EntryID)
 }
 
 // handshake exchanges Hello and Proof messages and returns the peer's Hello once
@@ -110,8 +114,9 @@
 // and closes the previous link. But if the previous link is younger than
 // yieldPeriod and was dialled by the entry with the lower ID, both sides have
 // dialled at the same time, and register closes the new connection instead.
-func (l *Linker) register(conn *websocket.Conn, hello *encoder.Hello, dialer requester.EntryID) {
-	ctx, cancel := context.WithCancel(l.ctx)
+func (l *Linker) register(conn *websocket.Conn, signs *lifeSigns, hello *encoder.Hello, dialer requester.EntryID) {
+	signs.received() // the handshake
+	ctx, cancel := context.WithCancelCause(l.ctx)
 	current := &link{
 		peer:     hello.EntryID,
 		dialer:   dialer,
@@ -119,25 +124,27 @@
 		conn:     conn,
 		queue:    make(chan encoder.Message, queueLength),
 		cancel:   cancel,
+		signs:    signs,
 	}
 	l.mu.Lock()
 	previous := l.links[hello.EntryID]
 	simultaneous := previous != nil && previous.dialer < dialer && time.Since(previous.openedAt) < yieldPeriod
 	if l.closed || simultaneous {
 		l.mu.Unlock()
-		cancel()
+		cancel(errReplaced)
 		_ = conn.CloseNow()
 		return
 	}
 	l.links[hello.EntryID] = current
 	l.group.Add(2)
+	if previous != nil {
+		previous.end(errReplaced)
+		l.handler.PeerDown(hello.EntryID, errReplaced)
+	}
 	// PeerUp is called under the lock, so that the handler is notified before
 	// another connection can replace the link.
 	l.handler.PeerUp(encoder.PeerInfo{EntryID: hello.EntryID, DataCentre: hello.DataCentre, Address: hello.Address}, hello.Incarnation)
 	l.mu.Unlock()
-	if previous != nil {
-		previous.cancel()
-	}
 	go func() {
 		defer l.group.Done()
 		l.writeLoop(ctx, current)
@@ -145,6 +152,6 @@
 	go func() {
 		defer l.group.Done()
 		l.readLoop(ctx, current)
-		l.close(current)
+		l.close(ctx, current)
 	}()
 }
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -11,6 +11,12 @@
 // A link has one goroutine that reads and one that writes. Its send queue is
 // bounded; an overflow closes the link, so that the handler is notified by
 // PeerDown that no reply to a pending request will arrive.
+//
+// A connection may go silent without being closed, in both directions or in one.
+// So each side requires signs of life: a peer from which nothing has come for a
+// while is sent a ping, and if nothing comes after that either, the link is closed
+// (file silence.go). With silence in one direction, the side that hears nothing
+// closes the link.
 package linker
 
 import (
@@ -42,10 +48,11 @@
 // Linker.
 type Handler interface {
 	// PeerUp reports that a new link to the peer has become the current one. If
-	// it replaces another link, PeerDown is not called for that one.
+	// it replaces another link, PeerDown was called for that one before.
 	PeerUp(peer encoder.PeerInfo, incarnation int64)
-	// PeerDown reports that the current link to the peer has closed.
-	PeerDown(id requester.EntryID)
+	// PeerDown reports that the current link to the peer has closed, and why.
+	// What was sent over it may not have arrived.
+	PeerDown(id requester.EntryID, why error)
 	// PeerRefused reports a change in whether the address of a dialled peer
 	// refuses connections.
 	PeerRefused(id requester.EntryID, refused bool)
@@ -108,43 +115,6 @@
 	MessagesSent atomic.Int64
 }
 
-// link is an open connection whose handshake is complete. Cancelling it ends
-// both goroutines and closes the connection.
-type link struct {
-	peer requester.EntryID
-	// dialer is the entry that opened the connection.
-	dialer   requester.EntryID
-	openedAt time.Time
-	conn     *websocket.Conn
-	queue    chan encoder.Message
-	cancel   context.CancelFunc
-	// heardAt is when bytes of a message from the peer were last received, as the
-	// time since openedAt.
-	heardAt atomic.Int64
-}
-
-// heard records that bytes from the peer have just been received.
-func (c *link) heard() { c.heardAt.Store(int64(time.Since(c.openedAt))) }
-
-// LinkAge says how old a link is and for how long nothing was received on it. Both
-// are 0 if there is no link.
-type LinkAge struct {
-	Open   time.Duration
-	Silent time.Duration
-}
-
-// Age returns the age of the current link to a peer.
-func (l *Linker) Age(id requester.EntryID) LinkAge {
-	l.mu.Lock()
-	current, ok := l.links[id]
-	l.mu.Unlock()
-	if !ok {
-		return LinkAge{}
-	}
-	open := time.Since(current.openedAt)
-	return LinkAge{Open: open, Silent: open - time.Duration(current.heardAt.Load())}
-}
-
 // dialTarget is a peer to which dialLoop keeps a link open. refused is true if
 // its address refused the last attempt to connect.
 type dialTarget struct {
@@ -158,7 +128,7 @@
 		options.WriteTimeout = defaultWriteTimeout
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Linker{
+	l := &Linker{
 		options: options,
 		handler: handler,
 		client:  &http.Client{Transport: &http.Transport{TLSClientConfig: options.TLS, DisableKeepAlives: true}},
@@ -168,6 +138,8 @@
 		links:   make(map[requester.EntryID]*link),
 		targets: make(map[requester.EntryID]*dialTarget),
 	}
+	l.group.Go(l.watchSilence)
+	return l
 }
 
 // Close closes all links and stops dialling. It does not wait; see Done.
@@ -233,7 +205,7 @@
 	select {
 	case current.queue <- message:
 	default:
-		current.cancel()
+		current.end(errQueueFull)
 	}
 }
 
@@ -243,7 +215,7 @@
 	current, ok := l.links[id]
 	l.mu.Unlock()
 	if ok {
-		current.cancel()
+		current.end(errDisconnected)
 	}
 }
 
@@ -307,58 +279,6 @@
 	}
 }
 
-// close closes a link and, if it is still the current one, reports that the
-// peer is disconnected.
-func (l *Linker) close(current *link) {
-	current.cancel()
-	_ = current.conn.CloseNow()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.links[current.peer] == current {
-		delete(l.links, current.peer)
-		l.handler.PeerDown(current.peer)
-	}
-}
-
-func (l *Linker) readLoop(ctx context.Context, current *link) {
-	for {
-		_, data, err := current.conn.Read(ctx)
-		if err != nil {
-			return
-		}
-		current.heard()
-		l.BytesReceived.Add(int64(len(data)))
-		message, err := encoder.Decode(data)
-		if err != nil {
-			return
-		}
-		l.handler.PeerMessage(current.peer, message)
-	}
-}
-
-func (l *Linker) writeLoop(ctx context.Context, current *link) {
-	defer current.cancel()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case message := <-current.queue:
-			data, err := encoder.Encode(message)
-			if err != nil {
-				return
-			}
-			writeCtx, cancel := context.WithTimeout(ctx, l.options.WriteTimeout)
-			err = current.conn.Write(writeCtx, websocket.MessageBinary, data)
-			cancel()
-			if err != nil {
-				return
-			}
-			l.BytesSent.Add(int64(len(data)))
-			l.MessagesSent.Add(1)
-		}
-	}
-}
-
 func writeMessage(ctx context.Context, conn *websocket.Conn, message encoder.Message) error {
 	data, err := encoder.Encode(message)
 	if err != nil {
--- a/linker/silence_test.go
+++ b/linker/silence_test.go
@@ -30,7 +30,7 @@
 }
 
 func (e *end) PeerUp(encoder.PeerInfo, int64)                 { e.count(&e.ups) }
-func (e *end) PeerDown(requester.EntryID)                     { e.count(&e.downs) }
+func (e *end) PeerDown(requester.EntryID, error)              { e.count(&e.downs) }
 func (e *end) PeerRefused(requester.EntryID, bool)            {}
 func (e *end) PeerMessage(requester.EntryID, encoder.Message) { e.count(&e.received) }
 
@@ -127,3 +127,17 @@
 	is.Equal(p.acceptor.read(&p.acceptor.downs), 0)
 	is.Equal(p.acceptor.read(&p.acceptor.ups), 1)
 }
+
+// TestReplacedLinkIsReported guards against requests that wait for replies on a link
+// that a newer one has replaced.
+func TestReplacedLinkIsReported(t *testing.T) {
+	p := newPair(t)
+	p.dialler.StopDialing("acceptor")
+	second := newEnd("dialler")
+	second.Dial([]encoder.PeerInfo{{EntryID: "acceptor", Address: p.proxy.Address()}})
+	await(t, "the second link up", contact, func() bool { return p.acceptor.read(&p.acceptor.ups) == 2 })
+	is := is.New(t)
+	is.Equal(p.acceptor.read(&p.acceptor.downs), 1)
+	second.Close()
+	<-second.Done()
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -356,8 +356,8 @@
 }
 
 // PeerDown implements linker.Handler.
-func (e *Entry) PeerDown(id requester.EntryID) {
-	e.log.Info().Str("Peer", string(id)).Msg("link down")
+func (e *Entry) PeerDown(id requester.EntryID, why error) {
+	e.log.Info().Str("Peer", string(id)).AnErr("Why", why).Msg("link down")
 	e.mailbox.post(decider.PeerDown{EntryID: id})
 }
 
