Stand-in: delay connections and silence them in one direction

Change: SilenceConnections and SetSilent take the directions, SetDelay holds bytes. A silent connection no longer shows a reset either, which it passed on before, and a proxy that is closed while it opens a connection closes that one too.

Each kind has a test. With one of these lines broken on a scratch copy they fail: the direction ignored ('false != true'), no sleep ('not true: time.Since(sent) >= delay'), the end passed on ('write: broken pipe'). TestLinksGoSilent of the stager passes as before.

--- a/standin/proxy.go
+++ b/standin/proxy.go
@@ -1,11 +1,11 @@
 package standin
 
 import (
-	"io"
 	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -15,22 +15,41 @@
 	listener net.Listener
 	target   netip.AddrPort
 	group    sync.WaitGroup
+	// delay is the time in nanoseconds for which bytes are held before they are
+	// forwarded.
+	delay atomic.Int64
 
 	mu          sync.Mutex
 	connections map[*connection]bool
-	// blackhole is true while new connections are accepted and blackholed.
-	blackhole bool
+	// silent has the directions in which new connections are silent.
+	silent [directionCount]bool
 	// refuse is true while new connections are closed as soon as they are
 	// accepted.
 	refuse bool
 }
 
+// Direction is one of the two directions of a proxied connection.
+type Direction int
+
+//go:generate go tool -modfile=../tools/go.mod stringer -type=Direction -linecomment
+
+// The directions of a connection.
+const (
+	ToTarget       Direction = iota // to the target
+	FromTarget                      // from the target
+	directionCount                  // (count)
+)
+
+// bothDirections silences a connection altogether.
+var bothDirections = []Direction{ToTarget, FromTarget}
+
 // connection is one proxied connection: downstream to the client, upstream to the
 // target.
 type connection struct {
 	downstream, upstream net.Conn
-	// blackholed makes the proxy discard all bytes; both ends stay open.
-	blackholed atomic.Bool
+	// silent has the directions in which the proxy discards all bytes and does not
+	// show that an end has closed.
+	silent [directionCount]atomic.Bool
 }
 
 // NewProxy starts a proxy on loopback in front of target.
@@ -50,31 +69,45 @@
 // Close stops the proxy and closes its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
-	p.CloseConnections()
+	p.SetRefuse(true)
 	p.group.Wait()
 }
 
-// BlackholeConnections discards all further bytes of the open connections, until
-// they are closed. New connections are not affected.
-func (p *Proxy) BlackholeConnections() {
+// BlackholeConnections silences the open connections in both directions.
+func (p *Proxy) BlackholeConnections() { p.SilenceConnections(bothDirections...) }
+
+// SetBlackhole is SetSilent for both directions.
+func (p *Proxy) SetBlackhole(on bool) { p.SetSilent(on, bothDirections...) }
+
+// SilenceConnections discards all further bytes of the open connections in some
+// directions, until they are closed. New connections are not affected.
+func (p *Proxy) SilenceConnections(directions ...Direction) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.connections {
-		c.blackholed.Store(true)
+		for _, d := range directions {
+			c.silent[d].Store(true)
+		}
 	}
 }
 
-// SetBlackhole starts or ends the blackholing of all connections, open and new.
-// Connections that were opened before it ends stay blackholed.
-func (p *Proxy) SetBlackhole(on bool) {
+// SetSilent starts or ends the silence of all connections, open and new, in some
+// directions. Connections that were opened before it ends stay silent.
+func (p *Proxy) SetSilent(on bool, directions ...Direction) {
 	p.mu.Lock()
-	p.blackhole = on
+	for _, d := range directions {
+		p.silent[d] = on
+	}
 	p.mu.Unlock()
 	if on {
-		p.BlackholeConnections()
+		p.SilenceConnections(directions...)
 	}
 }
 
+// SetDelay holds bytes for a time before they are forwarded, in their order. Bytes
+// that arrive while others are held wait for these, so they may take twice as long.
+func (p *Proxy) SetDelay(delay time.Duration) { p.delay.Store(int64(delay)) }
+
 // SetRefuse starts or ends the refusal of connections: the open ones are closed
 // when it starts, new ones as soon as they are accepted.
 func (p *Proxy) SetRefuse(on bool) {
@@ -108,10 +141,7 @@
 
 func (p *Proxy) serve(downstream net.Conn) {
 	defer downstream.Close()
-	p.mu.Lock()
-	refuse := p.refuse
-	p.mu.Unlock()
-	if refuse {
+	if p.refuses() {
 		return
 	}
 	upstream, err := net.Dial("tcp", p.target.String())
@@ -120,36 +150,60 @@
 	}
 	defer upstream.Close()
 	c := &connection{downstream: downstream, upstream: upstream}
-	p.mu.Lock()
-	c.blackholed.Store(p.blackhole)
-	p.connections[c] = true
-	p.mu.Unlock()
+	if !p.add(c) {
+		return
+	}
 	var group sync.WaitGroup
-	group.Go(func() { c.forward(upstream, downstream) })
-	group.Go(func() { c.forward(downstream, upstream) })
+	group.Go(func() { p.forward(c, ToTarget, upstream, downstream) })
+	group.Go(func() { p.forward(c, FromTarget, downstream, upstream) })
 	group.Wait()
 	p.mu.Lock()
 	delete(p.connections, c)
 	p.mu.Unlock()
 }
 
-// forward copies bytes in one direction until an end closes. On a blackholed
-// connection it discards the bytes, and does not propagate the end of the stream;
-// any other error still closes the destination.
-func (c *connection) forward(destination, source net.Conn) {
+func (p *Proxy) refuses() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refuse
+}
+
+// add records an open connection, and returns false if connections are refused by
+// now.
+func (p *Proxy) add(c *connection) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for d, silent := range p.silent {
+		c.silent[d].Store(silent)
+	}
+	if !p.refuse {
+		p.connections[c] = true
+	}
+	return !p.refuse
+}
+
+// forward copies bytes in one direction until an end closes. While the direction is
+// silent, it discards the bytes, and the destination does not learn that the source
+// has closed. Nor does the source learn that the destination has closed while the
+// other direction is silent.
+func (p *Proxy) forward(c *connection, d Direction, destination, source net.Conn) {
 	const bufferSize = 32 << 10
 	buffer := make([]byte, bufferSize)
+	back := &c.silent[1-d]
 	for {
 		n, err := source.Read(buffer)
-		if n > 0 && !c.blackholed.Load() {
-			if _, writeErr := destination.Write(buffer[:n]); writeErr != nil {
+		if delay := time.Duration(p.delay.Load()); delay > 0 {
+			time.Sleep(delay)
+		}
+		if n > 0 && !c.silent[d].Load() {
+			if _, writeErr := destination.Write(buffer[:n]); writeErr != nil && !back.Load() {
 				err = writeErr
 			}
 		}
 		if err == nil {
 			continue
 		}
-		if !c.blackholed.Load() || !errors.Is(err, io.EOF) {
+		if !c.silent[d].Load() {
 			_ = destination.Close()
 		}
 		return
