Linker: a large message of its own does not make an entry close a link

Its ping waited behind the message, and with it the answer, the only sign of life of a peer that has nothing to say.

Change: nobody has to wait for an answer. A side that has sent nothing for 0.4 s sends a ping, so that the other one hears something, and a side that hears nothing for 1.2 s closes the link. While a message is being written no ping is sent, and a ping is not answered: either would wait for the message, and the reading for the answer.

--- a/linker/handshake.go
+++ b/linker/handshake.go
@@ -115,7 +115,7 @@
 // yieldPeriod and was dialled by the entry with the lower ID, both sides have
 // dialled at the same time, and register closes the new connection instead.
 func (l *Linker) register(conn *websocket.Conn, signs *lifeSigns, hello *encoder.Hello, dialer requester.EntryID) {
-	signs.received() // the handshake
+	signs.onReceived() // the handshake
 	ctx, cancel := context.WithCancelCause(l.ctx)
 	current := &link{
 		peer:     hello.EntryID,
--- a/linker/link.go
+++ b/linker/link.go
@@ -31,10 +31,9 @@
 	queue    chan encoder.Message
 	// cancel ends both goroutines, which close the connection; see end.
 	cancel context.CancelCauseFunc
-	// signs counts what is received.
-	signs *lifeSigns
-	// silence belongs to watchSilence.
-	silence silence
+	signs  *lifeSigns
+	// sending and receiving belong to watchSilence.
+	sending, receiving idle
 }
 
 // end closes the link. The first reason counts.
@@ -77,7 +76,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "receive message")
 	}
-	c.signs.received()
+	c.signs.onReceived()
 	var data bytes.Buffer
 	if _, err := io.Copy(&data, signsReader{reader, c.signs}); err != nil {
 		return nil, errors.Wrap(err, "receive message")
@@ -94,7 +93,7 @@
 func (r signsReader) Read(buffer []byte) (int, error) {
 	n, err := r.Reader.Read(buffer)
 	if n > 0 {
-		r.signs.received()
+		r.signs.onReceived()
 	}
 	return n, err
 }
@@ -111,9 +110,12 @@
 				current.end(err)
 				return
 			}
+			current.signs.writing.Store(true)
 			writeCtx, cancel := context.WithTimeout(ctx, l.options.WriteTimeout)
 			err = current.conn.Write(writeCtx, websocket.MessageBinary, data)
 			cancel()
+			current.signs.writing.Store(false)
+			current.signs.sent.Add(1)
 			if err != nil {
 				current.end(errors.Wrap(err, "send message"))
 				return
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -13,10 +13,9 @@
 // PeerDown that no reply to a pending request will arrive.
 //
 // A connection may go silent without being closed, in both directions or in one.
-// So each side requires signs of life: a peer from which nothing has come for a
-// while is sent a ping, and if nothing comes after that either, the link is closed
-// (file silence.go). With silence in one direction, the side that hears nothing
-// closes the link.
+// So each side sends something now and then, and closes a link on which it receives
+// nothing (file silence.go). With silence in one direction, the side that receives
+// nothing closes the link, and then the other one receives nothing either.
 package linker
 
 import (
--- a/linker/silence_internal_test.go
+++ b/linker/silence_internal_test.go
@@ -6,18 +6,15 @@
 	"github.com/matryer/is"
 )
 
-// TestSilenceCountsRounds guards against closing a link because this process was
-// paused: the first round after a pause is one round, however long the pause was.
-func TestSilenceCountsRounds(t *testing.T) {
+// TestIdleCountsRounds guards against closing a link because this process was
+// paused: a round counts once, however long before it the last one was.
+func TestIdleCountsRounds(t *testing.T) {
 	is := is.New(t)
-	var signs lifeSigns
-	var s silence
-	signs.received()
-	is.Equal(s.pass(&signs), 0)
+	var i idle
+	is.Equal(i.pass(1), 0)
 	for round := 1; round < closeRounds; round++ {
-		is.Equal(s.pass(&signs), round)
+		is.Equal(i.pass(1), round)
 	}
-	signs.received()
-	is.Equal(s.pass(&signs), 0)
-	is.Equal(s.pass(&signs), 1)
+	is.Equal(i.pass(2), 0)
+	is.Equal(i.pass(2), 1)
 }
