Platform: further attempts use no connection as old as the first

All open connections to the store or to workers may go silent at once. The client had one pool of connections for all addresses. A commit was sent again after 120 ms, but over another idle connection of the pool, which was silent as well; requests in flight on silent connections kept their places in the pool; and a worker that did not answer closed the idle connections to all the others, which cost new connections.

Further attempts of a transaction say when the first one was sent, and the client uses only connections that are younger.

--- a/keeper/hedge.go
+++ b/keeper/hedge.go
@@ -69,8 +69,12 @@
 
 func (h *Hedged) transact(ctx context.Context, transaction Transaction) (TransactResult, error) {
 	results := make(chan attemptResult, maxAttempts)
-	send := func() {
+	first := time.Now()
+	send := func(ctx context.Context, attempt int) {
 		sentAt := time.Now()
+		if attempt > 1 {
+			ctx = WithFirstSent(ctx, first)
+		}
 		result, err := h.Table.Transact(ctx, transaction)
 		results <- attemptResult{result, err, time.Since(sentAt)}
 	}
@@ -81,7 +85,7 @@
 		if sent < maxAttempts {
 			sent++
 			inFlight++
-			go send()
+			go send(ctx, sent)
 		}
 		timer := time.NewTimer(wait)
 		select {
@@ -108,6 +112,23 @@
 	}
 }
 
+// firstSentKey is the key of WithFirstSent.
+type firstSentKey struct{}
+
+// WithFirstSent marks a further attempt of a request whose first one was sent at
+// the given time. The connection of the first may be silent, and then those that
+// are as old may be as well: a further attempt uses a connection that was opened
+// later.
+func WithFirstSent(ctx context.Context, at time.Time) context.Context {
+	return context.WithValue(ctx, firstSentKey{}, at)
+}
+
+// FirstSent returns the time that WithFirstSent has set; 0 for a first attempt.
+func FirstSent(ctx context.Context) time.Time {
+	at, _ := ctx.Value(firstSentKey{}).(time.Time)
+	return at
+}
+
 // awaitInFlight waits for the attempts in flight and returns the first successful
 // response, or else the least certain error.
 func (h *Hedged) awaitInFlight(results <-chan attemptResult, inFlight int, failure error) (TransactResult, error) {
