Caller: a silent connection to a host does not hold up further requests

After a status or sync request had timed out on a silent connection, the next one took another idle connection to the same host, which was silent as well, until all were used up or had been idle for 10 s. Meanwhile workers were not told to start anything and endpoints counted as unresponsive.

Change: package caller uses a pooler. A status or sync request that times out retires all older connections to that host. A call that reaches its deadline does not, as it may just take long; the status requests to its endpoint show the silence.

TestRequestsSucceedAfterConnectionsGoSilent failed before: a status succeeded 10.3 s, a call 10.6 s and a sync 11.1 s after the silence ("took < contactBound", 3 s); now 1.0, 1.1 and 2.1 s. The table (1.1 s) and the host list (2.1 s) were in bounds before, as each has at most one request of a kind in flight: a test keeps that.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -26,6 +26,7 @@
 
 	"kumquatstall/decider"
 	"kumquatstall/placer"
+	"kumquatstall/pooler"
 	"kumquatstall/requester"
 	"kumquatstall/router"
 )
@@ -54,7 +55,7 @@
 // Caller sends requests to endpoints and workers. It is safe for concurrent use.
 type Caller struct {
 	options Options
-	client  *http.Client
+	pools   *pooler.Pooler
 
 	mu sync.Mutex
 	// clockOffsets holds how far each worker's clock is ahead of this process's.
@@ -72,21 +73,15 @@
 	if options.Connections <= 0 {
 		options.Connections = defaultConnections
 	}
-	transport := &http.Transport{
-		MaxIdleConnsPerHost: options.Connections,
-		MaxConnsPerHost:     options.Connections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}
 	return &Caller{
 		options:      options,
-		client:       &http.Client{Transport: transport},
+		pools:        pooler.New(pooler.Options{Connections: options.Connections, IdleTimeout: idleTimeout}),
 		clockOffsets: make(map[requester.HostID]time.Duration),
 	}
 }
 
 // Close closes the idle connections.
-func (c *Caller) Close() { c.client.CloseIdleConnections() }
+func (c *Caller) Close() { c.pools.Close() }
 
 // Run sends a call to an endpoint and returns the result. If command.SendBy has
 // passed before Run requests a connection, nothing is sent. If it passes before the
@@ -112,7 +107,9 @@
 		done.Kind, done.Detail = decider.ResultNotSent, "request not sent: lease or call deadline has expired"
 		return done
 	}
-	response, err := c.client.Do(request)
+	// A call that reaches its deadline says nothing about its connection; the status
+	// requests do.
+	response, err := c.pools.Client(command.Address, time.Time{}).Do(request)
 	if err != nil {
 		done.Kind, done.Detail = decider.ResultLost, err.Error()
 		if !connected.Load() {
@@ -227,13 +224,16 @@
 	if err != nil {
 		return errors.Wrapf(err, "create request %s to %s", path, address)
 	}
-	response, err := c.client.Do(request)
+	sentAt := time.Now()
+	response, err := c.pools.Client(address, time.Time{}).Do(request)
 	if err != nil {
+		c.pools.RetireAfter(err, address, sentAt)
 		return errors.Wrapf(err, "send request %s to %s", path, address)
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, c.options.MaxResponseBytes))
 	if err != nil {
+		c.pools.RetireAfter(err, address, sentAt)
 		return errors.Wrapf(err, "read response to %s from %s", path, address)
 	}
 	if response.StatusCode != http.StatusOK {
