Server: bound the time in which the body of a request has to arrive

A caller's connection may go silent in the middle of a body. The headers of a request had a bound, idle connections had one, but the handler waited for the rest of a body until the keep-alive of the system noticed, 150 s by default, and for ever if that was answered. Such connections count towards the limits of connections and descriptors.

Once it has arrived there is no bound, so that a call may take as long as its caller waits; a plain ReadTimeout of the server would end it.

--- a/cmd/kumquatstall/serve.go
+++ b/cmd/kumquatstall/serve.go
@@ -20,6 +20,7 @@
 	"kumquatstall/linker"
 	"kumquatstall/logger"
 	"kumquatstall/platform"
+	"kumquatstall/server"
 )
 
 // serveCommand runs an entry that schedules jobs on the users' platform (package
@@ -126,12 +127,12 @@
 		if !l.address.IsValid() {
 			continue
 		}
-		server, err := s.listen(l.name, l.address, l.handler)
+		listening, err := s.listen(l.name, l.address, l.handler)
 		if err != nil {
 			return err
 		}
 		if l.address == site.Listen.Callers {
-			s.callerServer = server
+			s.callerServer = listening
 		}
 	}
 	s.log.Info().Str("Event", "start").Str("Entry", string(site.EntryID)).Str("DataCentre", string(site.DataCentre)).Msg("entry started")
@@ -144,19 +145,19 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s", name)
 	}
-	server := &http.Server{
-		Handler:           handler,
+	listening := &http.Server{
+		Handler:           server.BoundBodies(handler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	s.servers = append(s.servers, server)
+	s.servers = append(s.servers, listening)
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := listening.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			s.serveErrors <- errors.Wrapf(err, "serve %s", name)
 		}
 	}()
-	return server, nil
+	return listening, nil
 }
 
 // jsonVar is an expvar variable; the function returns its value as JSON.
@@ -223,10 +224,10 @@
 	case <-ctx.Done():
 	}
 	err := s.callerServer.Shutdown(ctx)
-	for _, server := range s.servers {
+	for _, listening := range s.servers {
 		// An error is ignored: the process is about to end, and it closes
 		// what is still open.
-		_ = server.Close()
+		_ = listening.Close()
 	}
 	s.dispatcher.Close()
 	s.client.Close()
