Server: bound each write of a response

A response that does not fit into the buffers of its connection, such as the history or the list of jobs, was written until the system gave up, about 15 minutes, if the caller's connection was silent or the caller took nothing. Meanwhile it held a connection and the whole response in memory.

The deadline is cleared at the start of each request, as a response without a body is written without it.

--- a/cmd/kumquatstall/serve.go
+++ b/cmd/kumquatstall/serve.go
@@ -146,7 +146,7 @@
 		return nil, errors.Wrapf(err, "listen for %s", name)
 	}
 	listening := &http.Server{
-		Handler:           server.BoundBodies(handler),
+		Handler:           server.BoundTransfers(handler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/server/body_test.go
+++ b/server/bounds_test.go
@@ -43,7 +43,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			server := httptest.NewServer(boundBodies(test.handler, timeout))
+			server := httptest.NewServer(boundTransfers(test.handler, timeout))
 			defer server.Close()
 			defer server.CloseClientConnections()
 			conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
@@ -65,3 +65,44 @@
 		})
 	}
 }
+
+// TestCallerSilentWithinResponse checks that the writing of a response to a caller that
+// takes nothing ends, and that a connection may still be used long after a response.
+func TestCallerSilentWithinResponse(t *testing.T) {
+	const timeout = 200 * time.Millisecond
+	is := is.New(t)
+	failed := make(chan error, 1)
+	server := httptest.NewServer(boundTransfers(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/small" {
+			_, _ = w.Write([]byte("ok"))
+			return
+		}
+		if r.URL.Path == "/large" {
+			_, err := w.Write(make([]byte, 64<<20))
+			failed <- err
+		}
+	}), timeout))
+	defer server.Close()
+	defer server.CloseClientConnections()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+	is.NoErr(err)
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for _, path := range []string{"/small", "/empty", "/small"} {
+		_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path)
+		is.NoErr(err)
+		response, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, response.Body)
+		is.NoErr(err)
+		time.Sleep(2 * timeout)
+	}
+	_, err = fmt.Fprint(conn, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	select {
+	case err := <-failed:
+		is.True(err != nil)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the handler still writes")
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -80,7 +80,7 @@
 func (s *Server) Serve(links http.Handler) {
 	limits := &s.settings.Limits
 	s.http = &http.Server{
-		Handler:           BoundBodies(s.routes(links)),
+		Handler:           BoundTransfers(s.routes(links)),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       configurer.Millis(limits.IdleMillis),
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
