Dispatcher: give the choice of relays a type of its own

Which relay is asked, when a request is late and what a reply says about its relay were parts of the session, so that no test could play them without links and a store. They are now the type adviser, which owns no clock, and reports outcomes to the core through a small interface.

--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -104,12 +104,7 @@
 	tickedAt     time.Time
 	tickDuration time.Duration
 	loadLoggedAt time.Time
-	relays       relays
-	// pendingAdvice has the advice requests in flight, by request ID.
-	pendingAdvice map[uint64]pendingAdvice
-	lastAdviceID  uint64
-	// late has the advice requests that have failed by their deadline.
-	late lateRequests
+	adviser      *adviser
 }
 
 // newSession returns a session of the cell that was acquired by committing row.
@@ -137,9 +132,8 @@
 		leaseValidUntil:  acquiredAt.Add(row.term()),
 		renewedAt:        acquiredAt,
 		prunedAt:         now,
-		pendingAdvice:    make(map[uint64]pendingAdvice),
 	}
-	s.relays.add(d.options.Self)
+	s.adviser = newAdviser(s.core, d.options.Self)
 	return s
 }
 
@@ -318,7 +312,7 @@
 	s.dispatcher.cellStats.Store(&stats)
 	s.dispatcher.log.Info().Str("Event", "load").Int64("Epoch", s.row.Epoch).
 		Int("Jobs", load.Jobs).Int("OpenTasks", load.OpenTasks).Int("Unasked", load.Unasked).Int("Runs", load.RunningRuns).
-		Int("Workers", load.Workers).Int("Silent", load.Silent).Int("Asking", len(s.pendingAdvice)).Int("Advisers", len(s.relays)).Int("AdvisersLate", s.relays.late()).
+		Int("Workers", load.Workers).Int("Silent", load.Silent).Int("Asking", len(s.adviser.pending)).Int("Advisers", len(s.adviser.relays)).Int("AdvisersLate", s.adviser.relays.late()).
 		Dict("Waits", waits(&load)).Int64("UsedMilliCores", load.Used.MilliCores).Int64("MilliCores", load.Total.MilliCores).
 		Int64("Starts", stats.Starts).Int64("Done", stats.Done).Int64("Failed", stats.Failed).Int64("Lapsed", stats.Lapsed).Int64("Acknowledged", stats.Acknowledged).Int64("Vanished", stats.Vanished).Int64("AdviceAsked", stats.AdviceAsked).Int64("AdviceFailed", s.dispatcher.counters.adviceFailed.Load()).Dur("StoreMillis", s.dispatcher.store.Latency()).
 		Send()
