Dispatcher: trust a relay that was late only after its next reply

Cause: a relay that was late got requests again 1 s later, with full depth, for as long as its link was up, and of equal relays the least recently used came first, which are the silent ones. A step asked one silent relay after the other, each for the whole bound; a relay that replied at once that its request had failed counted as idle and got most requests.

Change: each relay has a circuit breaker. A failure makes it a suspect until it replies; it gets copies of requests as probes, one at a time, after 1 s and up to 8 s, or at once over a new link. Steps wait for trusted relays only, or for all if none is trusted. After a failed request a step asks up to three idle relays at once, the owner first. The bound's slack is at most 0.5 s, for the sum of the bounds of one step: 1.75 s for a silent relay and the longest request (1 s), 0.1 s until the next request, 1 s for its reply, two ticks.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -45,8 +45,9 @@
 	return b.machine.In("Closed") || b.machine.In("Open") && !now.Before(b.openUntil)
 }
 
-// RecordStart records that a request is sent. Allows must have returned true. If
-// the breaker is open, the request becomes the probe.
+// RecordStart records that a request is sent. Allows must have returned true, unless
+// there is no other host to send it to. If the breaker is open, the request becomes
+// the probe.
 func (b *Breaker) RecordStart() {
 	if b.machine.In("Open") {
 		_ = b.machine.Fire("Probe")
--- a/dispatcher/acquire.go
+++ b/dispatcher/acquire.go
@@ -69,7 +69,7 @@
 		// PeerUp was called before the session existed for the links that are
 		// up already.
 		for _, id := range d.linkedPeers() {
-			s.post(func() { s.adviser.relays.add(id) })
+			s.post(func() { s.addRelay(id) })
 		}
 		s.run()
 		d.session.Store(nil)
@@ -220,7 +220,7 @@
 		// that lock.
 		d.group.Go(func() { d.linker.Send(peer.EntryID, &encoder.EntryCapacity{Cores: d.options.Cores}) })
 	}
-	d.postToSession(func(s *session) { s.adviser.relays.add(peer.EntryID) })
+	d.postToSession(func(s *session) { s.addRelay(peer.EntryID) })
 }
 
 // PeerDown implements linker.Handler.
--- a/dispatcher/advise.go
+++ b/dispatcher/advise.go
@@ -18,7 +18,7 @@
 		s.dispatcher.counters.adviceFailed.Add(1)
 		s.logLateAdvice(now, &late)
 	}
-	for _, sending := range s.adviser.ask(now, s.core.RequestAdvice(now, s.adviser.relays.capacity(now))) {
+	for _, sending := range s.adviser.ask(now, s.core.RequestAdvice(now, s.adviser.capacity())) {
 		s.sendAdvice(sending)
 	}
 }
@@ -44,13 +44,13 @@
 	id := pending.relay.id
 	open := 0
 	for _, other := range s.adviser.relays {
-		if other != pending.relay && other.available(now) {
+		if other != pending.relay && other.trusted() && other.free() > 0 {
 			open++
 		}
 	}
 	event := s.dispatcher.log.Warn().Str("Event", "advice late").Str("Peer", string(id)).Str("Job", string(pending.request.Step.Job)).
-		Dur("WaitedMillis", now.Sub(pending.request.RequestedAt)).Dur("ExpectedMillis", pending.request.ExpectedAt.Sub(pending.request.RequestedAt)).
-		Int("LateInARow", pending.relay.lateInARow).Int("OtherRelays", open)
+		Dur("WaitedMillis", now.Sub(pending.sentAt)).Dur("ExpectedMillis", pending.expectedAt.Sub(pending.sentAt)).
+		Int("Trips", pending.relay.trips).Int("OtherRelays", open)
 	if id != s.dispatcher.options.Self {
 		age := s.dispatcher.linker.Age(id)
 		event = event.Dur("LinkOpenMillis", age.Open).Dur("LinkSilentMillis", age.Silent)
@@ -77,6 +77,12 @@
 	}
 }
 
+// addRelay adds a relay to which a new link is up.
+func (s *session) addRelay(id requester.EntryID) {
+	failed := s.adviser.linked(s.dispatcher.clock.Now(), id)
+	s.dispatcher.counters.adviceFailed.Add(int64(failed))
+}
+
 // removeRelay removes a relay that has disconnected.
 func (s *session) removeRelay(id requester.EntryID) {
 	failed := s.adviser.remove(s.dispatcher.clock.Now(), id)
--- a/dispatcher/adviser.go
+++ b/dispatcher/adviser.go
@@ -1,10 +1,12 @@
 package dispatcher
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
 
+	"kumquatstall/breaker"
 	"kumquatstall/requester"
 	"kumquatstall/scheduler"
 )
@@ -18,30 +20,85 @@
 	// relay. The service handles the requests of an entry host one at a time;
 	// with a second one queued there, it is not idle between requests.
 	adviceDepth = 2
+	// suspectDepth replaces adviceDepth for a suspect.
+	suspectDepth = 1
 	// One in shortFraction relays, rounded down, sends short requests only.
 	shortFraction = 5
-	// relayTimeoutFactor times the expected duration of a request, including
-	// the requests in flight before it, plus relayTimeoutMargin, is how long
-	// the owner waits for the reply of a relay.
-	relayTimeoutFactor = 2
+	// The owner waits for the reply of a relay for the expected duration of the
+	// request, including the requests in flight before it, as long again but no
+	// longer than maxRelaySlack, and relayTimeoutMargin. A step that has waited
+	// in vain for the longest request, which takes 1 s, has then time for another
+	// within the 3 s in which its tasks must start.
+	maxRelaySlack      = 500 * time.Millisecond
 	relayTimeoutMargin = 250 * time.Millisecond
-	// relayCoolDown is how long a relay that has not replied in time is
-	// suspended: it gets no requests.
-	relayCoolDown = time.Second
+	// A suspect gets a probe no sooner than relayCoolDown after the request that
+	// made it one. Each probe without a reply doubles that time, up to
+	// maxRelayCoolDown.
+	relayCoolDown    = time.Second
+	maxRelayCoolDown = 8 * time.Second
+	// adviceCopies is how many more relays are asked at once for a step whose
+	// last request has failed.
+	adviceCopies = 2
 )
 
-// relay is an entry that requests advice for the owner.
+// relayWait returns how long the owner waits for a reply that is expected after a
+// time.
+func relayWait(expected time.Duration) time.Duration {
+	return expected + min(expected, maxRelaySlack) + relayTimeoutMargin
+}
+
+// relay is an entry that requests advice for the owner. It is trusted while its
+// breaker is closed, and a suspect otherwise: from a request that failed until the
+// next reply.
 type relay struct {
 	id       requester.EntryID
 	inFlight int
 	// busyUntil is when all of its requests in flight are expected to be
 	// answered.
 	busyUntil time.Time
-	// suspendedUntil is the end of its cool-down.
-	suspendedUntil time.Time
-	// lateInARow counts the requests without a reply in time since the last
-	// reply.
-	lateInARow int
+	breaker   breaker.Breaker
+	// trips counts how often the breaker has opened since the last reply.
+	trips int
+	// repliedAt is when its last reply arrived.
+	repliedAt time.Time
+}
+
+func (r *relay) trusted() bool { return r.breaker.State() == "Closed" }
+
+// failed records a request without a reply in time, or that the advice service did
+// not answer.
+func (r *relay) failed(now time.Time) {
+	limits := breaker.Limits{FailureThreshold: 1, CoolDown: min(relayCoolDown<<r.trips, maxRelayCoolDown)}
+	before := r.breaker.State()
+	r.breaker.RecordFailure(now, limits)
+	if before != r.breaker.State() && relayCoolDown<<r.trips < maxRelayCoolDown {
+		r.trips++
+	}
+}
+
+// suspect makes the relay a suspect that may be probed at once.
+func (r *relay) suspect(now time.Time) {
+	r.trips = 0
+	r.breaker = breaker.New()
+	r.breaker.RecordFailure(now, breaker.Limits{FailureThreshold: 1})
+}
+
+// replied records a reply. A late one counts as much as that to a probe, since it
+// shows that the relay is well.
+func (r *relay) replied(now time.Time) {
+	r.repliedAt = now
+	r.trips = 0
+	r.breaker.RecordStart()
+	r.breaker.RecordSuccess()
+}
+
+// free returns how many more requests can be sent through the relay now, if there
+// is no better one.
+func (r *relay) free() int {
+	if !r.trusted() {
+		return max(0, suspectDepth-r.inFlight)
+	}
+	return max(0, adviceDepth-r.inFlight)
 }
 
 // relays are the entries through which the owner requests advice, including the
@@ -55,7 +112,7 @@
 			return
 		}
 	}
-	*r = append(*r, &relay{id: id})
+	*r = append(*r, &relay{id: id, breaker: breaker.New()})
 }
 
 func (r *relays) remove(id requester.EntryID) {
@@ -67,48 +124,57 @@
 	}
 }
 
-// split returns the relays that send short requests only, and the others.
-func (r relays) split() (short, any relays) {
-	count := len(r) / shortFraction
-	return r[len(r)-count:], r[:len(r)-count]
-}
-
-// capacity returns how many more requests can be sent now.
-func (r relays) capacity(now time.Time) scheduler.AdviceCapacity {
-	short, any := r.split()
-	return scheduler.AdviceCapacity{Any: any.freeSlots(now), Short: short.freeSlots(now)}
-}
-
-// freeSlots returns how many more requests can be sent through these relays.
-func (r relays) freeSlots(now time.Time) int {
-	count := 0
+// serving returns the relays through which steps get advice: the trusted ones, or
+// all if none is trusted.
+func (r relays) serving() relays {
+	var trusted relays
 	for _, candidate := range r {
-		if candidate.available(now) {
-			count += adviceDepth - candidate.inFlight
+		if candidate.trusted() {
+			trusted = append(trusted, candidate)
 		}
 	}
-	return count
+	if len(trusted) == 0 {
+		return r
+	}
+	return trusted
 }
 
-// late returns how many relays have not replied to their last request in time.
-func (r relays) late() int {
+// suspects returns how many relays are not trusted.
+func (r relays) suspects() int {
 	count := 0
 	for _, candidate := range r {
-		if candidate.lateInARow > 0 {
+		if !candidate.trusted() {
 			count++
 		}
 	}
 	return count
 }
 
-// available reports whether a request can be sent through the relay now.
-func (r *relay) available(now time.Time) bool {
-	return r.inFlight < adviceDepth && !now.Before(r.suspendedUntil)
+// split returns the serving relays that send short requests only, and the others.
+func (r relays) split() (short, any relays) {
+	serving := r.serving()
+	count := len(serving) / shortFraction
+	return serving[len(serving)-count:], serving[:len(serving)-count]
+}
+
+// capacity returns how many more requests can be sent now.
+func (r relays) capacity() scheduler.AdviceCapacity {
+	short, any := r.split()
+	return scheduler.AdviceCapacity{Any: any.freeSlots(), Short: short.freeSlots()}
+}
+
+// freeSlots returns how many more requests can be sent through these relays.
+func (r relays) freeSlots() int {
+	count := 0
+	for _, candidate := range r {
+		count += candidate.free()
+	}
+	return count
 }
 
-// choose returns the relay for a request, or nil if none is available. A short
-// request uses the relays for short requests first, in the same order as the
-// core uses up scheduler.AdviceCapacity.
+// choose returns the relay for a request, or nil if none is free. A short request
+// uses the relays for short requests first, in the same order as the core uses up
+// scheduler.AdviceCapacity.
 func (r relays) choose(now time.Time, long bool) *relay {
 	short, any := r.split()
 	if !long {
@@ -119,32 +185,50 @@
 	return any.leastBusy(now)
 }
 
-// leastBusy returns the available relay with the fewest requests in flight, and
-// of equal ones the one that is expected to be free first. It returns nil if
-// none is available.
+// leastBusy returns the best of the relays that are free, or nil if none is.
 func (r relays) leastBusy(now time.Time) *relay {
 	var best *relay
 	for _, candidate := range r {
-		if !candidate.available(now) {
-			continue
-		}
-		if best == nil || candidate.inFlight < best.inFlight || candidate.inFlight == best.inFlight && candidate.busyUntil.Before(best.busyUntil) {
+		if candidate.free() > 0 && (best == nil || candidate.preferredTo(best, now)) {
 			best = candidate
 		}
 	}
 	return best
 }
 
+// preferredTo reports whether a relay is better for a request than another one: it
+// has fewer requests in flight, or as many and is expected to be free first. Of two
+// that are expected to be free now, it is the one that has replied last, for of the
+// other nothing newer is known.
+func (r *relay) preferredTo(other *relay, now time.Time) bool {
+	if r.inFlight != other.inFlight {
+		return r.inFlight < other.inFlight
+	}
+	if r.busyUntil.After(now) || other.busyUntil.After(now) {
+		return r.busyUntil.Before(other.busyUntil)
+	}
+	return r.repliedAt.After(other.repliedAt)
+}
+
 // adviser distributes the core's advice requests over the relays. It owns no
 // goroutine, lock or clock.
+//
+// A step waits for trusted relays only, as long as there are any. If its request
+// fails, the next one goes to several relays at once, also to the owner itself, to
+// which no link is needed, so that it waits for one silent relay and not for one
+// after the other. A suspect gets copies of requests as probes, one at a time, for
+// which no step waits.
 type adviser struct {
 	core   advised
+	self   requester.EntryID
 	relays relays
 	// pending has the requests in flight, by ID.
 	pending map[uint64]pendingAdvice
 	lastID  uint64
 	// late has the requests that have failed by their deadline.
 	late lateRequests
+	// suspected has the entries without a link that were suspects when it closed.
+	suspected map[requester.EntryID]bool
 }
 
 // advised is the part of the core that receives advice.
@@ -152,12 +236,25 @@
 	AdviceDone(now time.Time, request scheduler.AdviceRequest, allowed []scheduler.Ticket, failed bool)
 }
 
-// pendingAdvice is an advice request in flight.
-type pendingAdvice struct {
+// question is a request of the core, which is sent to one relay or to several.
+type question struct {
 	request scheduler.AdviceRequest
-	relay   *relay
-	// deadline is when the request counts as failed.
-	deadline time.Time
+	// awaited counts the relays for whose reply the step waits.
+	awaited int
+	// done is true once the core has its outcome.
+	done bool
+}
+
+// pendingAdvice is a question in flight through one relay.
+type pendingAdvice struct {
+	*question
+	relay  *relay
+	sentAt time.Time
+	// expectedAt is when the reply should arrive, after those to the requests
+	// that are in flight before it. deadline is when the request counts as failed.
+	expectedAt, deadline time.Time
+	// probe is true if the step does not wait for the reply.
+	probe bool
 }
 
 // sending is a request that is to be sent to a relay.
@@ -168,33 +265,99 @@
 }
 
 func newAdviser(core advised, self requester.EntryID) *adviser {
-	a := &adviser{core: core, pending: make(map[uint64]pendingAdvice)}
+	a := &adviser{core: core, self: self, pending: make(map[uint64]pendingAdvice), suspected: make(map[requester.EntryID]bool)}
 	a.relays.add(self)
 	return a
 }
 
-// ask chooses a relay for each of the requests that the core has issued within
-// the capacity of the relays.
+// capacity returns how many more requests of the core can be sent now.
+func (a *adviser) capacity() scheduler.AdviceCapacity { return a.relays.capacity() }
+
+// ask chooses the relays for requests that the core has issued within the
+// capacity. Every request has one before any gets further ones.
 func (a *adviser) ask(now time.Time, requests []scheduler.AdviceRequest) []sending {
 	var sendings []sending
+	var questions []*question
 	for _, request := range requests {
-		sendings = append(sendings, a.send(now, request, a.relays.choose(now, request.Long())))
+		q := &question{request: request}
+		questions = append(questions, q)
+		sendings = append(sendings, a.send(now, q, a.relays.choose(now, request.Long()), false))
+	}
+	for _, q := range questions {
+		if q.request.FailedInARow == 0 {
+			continue
+		}
+		for _, other := range a.spare(now) {
+			sendings = append(sendings, a.send(now, q, other, false))
+		}
+	}
+	return append(sendings, a.probe(now, questions)...)
+}
+
+// spare returns up to adviceCopies serving relays that have nothing to do: the owner
+// itself first, and then those that have replied last.
+func (a *adviser) spare(now time.Time) relays {
+	var idle relays
+	for _, candidate := range a.relays.serving() {
+		if candidate.inFlight == 0 {
+			idle = append(idle, candidate)
+		}
+	}
+	slices.SortStableFunc(idle, func(x, y *relay) int {
+		if own := cmp.Compare(a.ownRank(y), a.ownRank(x)); own != 0 {
+			return own
+		}
+		return y.repliedAt.Compare(x.repliedAt)
+	})
+	return idle[:min(len(idle), adviceCopies)]
+}
+
+// ownRank is 1 for the owner itself and 0 for other relays.
+func (a *adviser) ownRank(r *relay) int {
+	if r.id == a.self {
+		return 1
+	}
+	return 0
+}
+
+// probe sends a copy of the shortest of some questions to each suspect that has no
+// request in flight and whose cool-down has passed. If no relay is trusted, it does
+// not wait for the cool-down.
+func (a *adviser) probe(now time.Time, questions []*question) []sending {
+	if len(questions) == 0 {
+		return nil
+	}
+	shortest := slices.MinFunc(questions, func(x, y *question) int { return x.request.ExpectedAt.Compare(y.request.ExpectedAt) })
+	none := a.relays.suspects() == len(a.relays)
+	var sendings []sending
+	for _, candidate := range a.relays {
+		if !candidate.trusted() && candidate.inFlight == 0 && (none || candidate.breaker.Allows(now)) {
+			sendings = append(sendings, a.send(now, shortest, candidate, true))
+		}
 	}
 	return sendings
 }
 
-func (a *adviser) send(now time.Time, request scheduler.AdviceRequest, chosen *relay) sending {
+// send records that a question is sent to a relay.
+func (a *adviser) send(now time.Time, q *question, chosen *relay, probe bool) sending {
 	chosen.inFlight++
+	chosen.breaker.RecordStart()
 	// The service handles this request after those in flight through the same
 	// relay.
-	chosen.busyUntil = request.ExpectedAt.Add(max(0, chosen.busyUntil.Sub(now)))
+	chosen.busyUntil = q.request.ExpectedAt.Add(max(0, chosen.busyUntil.Sub(now)))
+	if !probe {
+		q.awaited++
+	}
 	a.lastID++
-	a.pending[a.lastID] = pendingAdvice{request: request, relay: chosen, deadline: now.Add(relayTimeoutFactor*chosen.busyUntil.Sub(now) + relayTimeoutMargin)}
-	return sending{id: a.lastID, to: chosen.id, request: request}
+	a.pending[a.lastID] = pendingAdvice{
+		question: q, relay: chosen, sentAt: now, expectedAt: chosen.busyUntil,
+		deadline: now.Add(relayWait(chosen.busyUntil.Sub(now))), probe: probe,
+	}
+	return sending{id: a.lastID, to: chosen.id, request: q.request}
 }
 
-// expire fails the requests whose deadline has passed, suspends their relays and
-// returns them.
+// expire fails the requests whose deadline has passed, which makes their relays
+// suspects, and returns them.
 func (a *adviser) expire(now time.Time) []pendingAdvice {
 	var expired []pendingAdvice
 	for _, id := range slices.Sorted(maps.Keys(a.pending)) {
@@ -202,8 +365,7 @@
 		if !now.After(pending.deadline) {
 			continue
 		}
-		pending.relay.suspendedUntil = now.Add(relayCoolDown)
-		pending.relay.lateInARow++
+		pending.relay.failed(now)
 		a.late.add(lateAdvice{id: id, peer: pending.relay.id, failedAt: now})
 		a.done(now, id, nil, true)
 		expired = append(expired, pending)
@@ -218,24 +380,68 @@
 	if !ok {
 		return pending, false
 	}
-	if !failed {
-		pending.relay.lateInARow = 0
+	switch {
+	case !failed:
+		pending.relay.replied(now)
+	case pending.request.FailedInARow == 0 || pending.probe:
+		pending.relay.failed(now)
+	default:
+		// It has failed at another relay as well, so it may be the request that
+		// is at fault.
 	}
 	a.done(now, id, allowed, failed)
 	return pending, true
 }
 
+// done ends a request and reports the outcome of its question to the core: the first
+// reply, or a failure once none is awaited any more.
 func (a *adviser) done(now time.Time, id uint64, allowed []scheduler.Ticket, failed bool) {
 	pending := a.pending[id]
 	delete(a.pending, id)
 	pending.relay.inFlight--
-	a.core.AdviceDone(now, pending.request, allowed, failed)
+	if pending.relay.inFlight == 0 && !failed {
+		pending.relay.busyUntil = now
+	}
+	q := pending.question
+	if !pending.probe {
+		q.awaited--
+	}
+	if q.done || failed && q.awaited > 0 || failed && pending.probe {
+		return
+	}
+	q.done = true
+	a.core.AdviceDone(now, q.request, allowed, failed)
+}
+
+// linked records a new link to an entry. If it replaces another one, the requests in
+// flight are lost; it returns how many there were. A suspect stays one until it
+// replies, but it may be probed at once.
+func (a *adviser) linked(now time.Time, id requester.EntryID) int {
+	failed := a.failPending(now, id)
+	a.relays.add(id)
+	for _, r := range a.relays {
+		if r.id == id && (!r.trusted() || a.suspected[id]) {
+			r.suspect(now)
+		}
+	}
+	delete(a.suspected, id)
+	return failed
 }
 
 // remove removes a relay that has disconnected, fails its requests in flight and
 // returns how many there were.
 func (a *adviser) remove(now time.Time, id requester.EntryID) int {
+	for _, r := range a.relays {
+		if r.id == id && !r.trusted() {
+			a.suspected[id] = true
+		}
+	}
 	a.relays.remove(id)
+	return a.failPending(now, id)
+}
+
+// failPending fails the requests in flight through a relay.
+func (a *adviser) failPending(now time.Time, id requester.EntryID) int {
 	failed := 0
 	for _, requestID := range slices.Sorted(maps.Keys(a.pending)) {
 		if a.pending[requestID].relay.id == id {
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -23,6 +23,8 @@
 	requested map[requester.HostID]bool
 	// retryAt is the earliest time of the next request after a failed one.
 	retryAt time.Time
+	// failedInARow counts the failed requests since the last response.
+	failedInARow int
 	// expandAfter is the time before which no advice on further workers is
 	// requested, because the allowed ones suffice or there are no others.
 	expandAfter time.Time
@@ -199,7 +201,7 @@
 	}
 	c.awaitingAdvice[s.name()] = s
 	c.stats.AdviceAsked++
-	request := AdviceRequest{Step: s.name(), Workers: workers, RequestedAt: c.now, ExpectedAt: c.now.Add(s.job().spec.Advice.duration(len(workers)))}
+	request := AdviceRequest{Step: s.name(), Workers: workers, RequestedAt: c.now, ExpectedAt: c.now.Add(s.job().spec.Advice.duration(len(workers))), FailedInARow: s.advice.failedInARow}
 	if request.Long() {
 		c.longInFlight++
 	}
@@ -370,9 +372,11 @@
 		delete(s.advice.requested, id)
 	}
 	if failed {
+		s.advice.failedInARow++
 		s.advice.retryAt = now.Add(adviceRetryDelay)
 		return
 	}
+	s.advice.failedInARow = 0
 	if s.advice.tickets == nil {
 		s.advice.decided = make(map[requester.HostID]bool)
 		s.advice.tickets = make(map[requester.HostID]ticket)
--- a/scheduler/advice_test.go
+++ b/scheduler/advice_test.go
@@ -81,3 +81,24 @@
 		})
 	}
 }
+
+// TestFailedAdviceIsCounted checks that a request says how many before it have
+// failed since the last response, so that it is not sent to one relay alone again.
+func TestFailedAdviceIsCounted(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	info := h.core.sortedWorkers[0].info
+	h.add("job", longAdvised, stepOf(1, 1000))
+	for failures := range 3 {
+		h.advance(adviceRetryDelay)
+		requests := h.core.RequestAdvice(h.now, AdviceCapacity{Any: 1})
+		is.Equal(len(requests), 1)
+		is.Equal(requests[0].FailedInARow, failures)
+		h.core.AdviceDone(h.now, requests[0], nil, true)
+	}
+	h.advance(adviceRetryDelay)
+	answered := h.core.RequestAdvice(h.now, AdviceCapacity{Any: 1})
+	is.Equal(answered[0].FailedInARow, 3)
+	h.core.AdviceDone(h.now, answered[0], []Ticket{{Worker: info.HostID, Text: "t"}}, false)
+	is.Equal(h.core.jobs["job"].occurrences[0].steps[0].advice.failedInARow, 0)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -178,6 +178,9 @@
 	// ExpectedAt is when the response should arrive if the advice service
 	// handles no other request.
 	ExpectedAt time.Time
+	// FailedInARow counts the requests for the step that have failed since the
+	// last response.
+	FailedInARow int
 }
 
 // Orders are the orders that a Core issues to workers.
