Dispatcher: use advice that arrives after its deadline

Cause: the first outcome of an advice request was the only one. A reply after the bound was dropped and its relay stayed suspected, though what is allowed for a step never changes and tickets are valid for seconds. Where every reply takes longer than the bound, no step ever had advice, and each asked again and again.

Change: Core.AddAdvice applies such a response to a step that still waits, without a second end of its request (inFlight, longInFlight and requested belong to the requests in flight); it keeps a valid ticket, which may be newer. The reply shows that its relay is well. The same holds for a reply over a new link to a request that was sent over the old one.

Measured: TestLateReplyIsUsed and TestLateReplyOverANewLink failed before, both with "not true: !step.answeredAt.IsZero()": no advice at all with replies 0.8 s late. They pass now, the step has it with the first reply. TestLateAdviceIsUsed checks the counts of the core.

--- a/dispatcher/advise.go
+++ b/dispatcher/advise.go
@@ -58,22 +58,21 @@
 	event.Send()
 }
 
-// handleAdvice handles the outcome of a request: a reply, or a failure. It
-// ignores all but the first outcome, as a reply may arrive after the deadline.
+// handleAdvice handles the outcome of a request: a reply, also after the deadline,
+// or a failure.
 func (s *session) handleAdvice(id uint64, allowed []scheduler.Ticket, failed bool) {
 	now := s.dispatcher.clock.Now()
-	pending, ok := s.adviser.handle(now, id, allowed, failed)
+	request, known := s.adviser.handle(now, id, allowed, failed)
 	switch {
-	case !ok:
-		if late, known := s.adviser.late.take(id); known {
-			s.dispatcher.counters.adviceAfterDeadline.Add(1)
-			s.dispatcher.log.Info().Str("Event", "advice after its deadline").Str("Peer", string(late.peer)).
-				Dur("LateMillis", now.Sub(late.failedAt)).Bool("Failed", failed).Send()
-		}
+	case !known:
+	case request.late > 0:
+		s.dispatcher.counters.adviceAfterDeadline.Add(1)
+		s.dispatcher.log.Info().Str("Event", "advice after its deadline").Str("Peer", string(request.relay.id)).
+			Dur("LateMillis", request.late).Bool("Failed", failed).Send()
 	case failed:
 		s.dispatcher.counters.adviceFailed.Add(1)
 	default:
-		s.dispatcher.counters.adviceTime.Observe(now.Sub(pending.request.RequestedAt))
+		s.dispatcher.counters.adviceTime.Observe(now.Sub(request.sentAt))
 	}
 }
 
--- a/dispatcher/adviser.go
+++ b/dispatcher/adviser.go
@@ -225,7 +225,7 @@
 	// pending has the requests in flight, by ID.
 	pending map[uint64]pendingAdvice
 	lastID  uint64
-	// late has the requests that have failed by their deadline.
+	// late has the requests that have failed without a reply.
 	late lateRequests
 	// suspected has the entries without a link that were suspects when it closed.
 	suspected map[requester.EntryID]bool
@@ -234,6 +234,7 @@
 // advised is the part of the core that receives advice.
 type advised interface {
 	AdviceDone(now time.Time, request scheduler.AdviceRequest, allowed []scheduler.Ticket, failed bool)
+	AddAdvice(now time.Time, request scheduler.AdviceRequest, allowed []scheduler.Ticket)
 }
 
 // question is a request of the core, which is sent to one relay or to several.
@@ -241,8 +242,8 @@
 	request scheduler.AdviceRequest
 	// awaited counts the relays for whose reply the step waits.
 	awaited int
-	// done is true once the core has its outcome.
-	done bool
+	// done is true once the core has its outcome, answered once it has a reply.
+	done, answered bool
 }
 
 // pendingAdvice is a question in flight through one relay.
@@ -362,55 +363,100 @@
 	var expired []pendingAdvice
 	for _, id := range slices.Sorted(maps.Keys(a.pending)) {
 		pending := a.pending[id]
-		if !now.After(pending.deadline) {
-			continue
+		if now.After(pending.deadline) {
+			pending.relay.failed(now)
+			a.fail(now, id)
+			expired = append(expired, pending)
 		}
-		pending.relay.failed(now)
-		a.late.add(lateAdvice{id: id, peer: pending.relay.id, failedAt: now})
-		a.done(now, id, nil, true)
-		expired = append(expired, pending)
 	}
 	return expired
 }
 
-// handle handles the outcome of a request: a reply, or a failure. It returns false
-// for one that is not in flight.
-func (a *adviser) handle(now time.Time, id uint64, allowed []scheduler.Ticket, failed bool) (pendingAdvice, bool) {
+// handled says to what request a reply belongs. late is by how much it came after
+// the request had failed.
+type handled struct {
+	pendingAdvice
+	late time.Duration
+}
+
+// handle handles a reply, or the report of a relay that the service did not answer.
+// It returns false if it does not know the request.
+func (a *adviser) handle(now time.Time, id uint64, allowed []scheduler.Ticket, failed bool) (handled, bool) {
 	pending, ok := a.pending[id]
 	if !ok {
-		return pending, false
+		return a.handleLate(now, id, allowed, failed)
 	}
-	switch {
-	case !failed:
+	if !failed {
 		pending.relay.replied(now)
-	case pending.request.FailedInARow == 0 || pending.probe:
+		a.take(id)
+		if pending.relay.inFlight == 0 {
+			pending.relay.busyUntil = now
+		}
+		a.answer(now, pending.question, allowed)
+		return handled{pendingAdvice: pending}, true
+	}
+	if pending.request.FailedInARow == 0 || pending.probe {
 		pending.relay.failed(now)
-	default:
-		// It has failed at another relay as well, so it may be the request that
-		// is at fault.
+	} // else it may be the request that is at fault, as it has failed before
+	a.take(id)
+	a.giveUp(now, pending.question)
+	return handled{pendingAdvice: pending}, true
+}
+
+// handleLate handles the outcome of a request that has failed before. A reply is
+// used all the same, as what is allowed for a step does not change, and shows that
+// its relay is well.
+func (a *adviser) handleLate(now time.Time, id uint64, allowed []scheduler.Ticket, failed bool) (handled, bool) {
+	late, ok := a.late.take(id)
+	if ok && !failed {
+		for _, r := range a.relays {
+			if r.id == late.relay.id {
+				r.replied(now)
+			}
+		}
+		a.answer(now, late.question, allowed)
 	}
-	a.done(now, id, allowed, failed)
-	return pending, true
+	return handled{pendingAdvice: late.pendingAdvice, late: now.Sub(late.failedAt)}, ok
 }
 
-// done ends a request and reports the outcome of its question to the core: the first
-// reply, or a failure once none is awaited any more.
-func (a *adviser) done(now time.Time, id uint64, allowed []scheduler.Ticket, failed bool) {
+// take ends a request.
+func (a *adviser) take(id uint64) pendingAdvice {
 	pending := a.pending[id]
 	delete(a.pending, id)
 	pending.relay.inFlight--
-	if pending.relay.inFlight == 0 && !failed {
-		pending.relay.busyUntil = now
-	}
-	q := pending.question
 	if !pending.probe {
-		q.awaited--
+		pending.awaited--
 	}
-	if q.done || failed && q.awaited > 0 || failed && pending.probe {
+	return pending
+}
+
+// fail ends a request without a reply. One may still come.
+func (a *adviser) fail(now time.Time, id uint64) {
+	pending := a.take(id)
+	a.late.add(lateAdvice{pendingAdvice: pending, id: id, failedAt: now})
+	a.giveUp(now, pending.question)
+}
+
+// answer gives the core the first reply to a question.
+func (a *adviser) answer(now time.Time, q *question, allowed []scheduler.Ticket) {
+	switch {
+	case q.answered:
+	case q.done:
+		a.core.AddAdvice(now, q.request, allowed)
+	default:
+		a.core.AdviceDone(now, q.request, allowed, false)
+	}
+	q.done, q.answered = true, true
+}
+
+// giveUp reports to the core that a question has failed, once no reply to it is
+// awaited.
+func (a *adviser) giveUp(now time.Time, q *question) {
+	if q.done || q.awaited > 0 {
 		return
 	}
 	q.done = true
-	a.core.AdviceDone(now, q.request, allowed, failed)
+	a.core.AdviceDone(now, q.request, nil, true)
 }
 
 // linked records a new link to an entry. If it replaces another one, the requests in
@@ -445,24 +491,26 @@
 	failed := 0
 	for _, requestID := range slices.Sorted(maps.Keys(a.pending)) {
 		if a.pending[requestID].relay.id == id {
-			a.done(now, requestID, nil, true)
+			a.fail(now, requestID)
 			failed++
 		}
 	}
 	return failed
 }
 
-// lateAdvice is a request that counts as failed because its deadline has passed.
+// lateAdvice is a request that has failed because its deadline has passed or the
+// link to its relay has closed.
 type lateAdvice struct {
+	pendingAdvice
 	id       uint64
-	peer     requester.EntryID
 	failedAt time.Time
 }
 
 // maxLateAdvice bounds the late requests that are remembered.
 const maxLateAdvice = 256
 
-// lateRequests are the last requests that were late, the oldest first.
+// lateRequests are the last requests that have failed without a reply, the oldest
+// first.
 type lateRequests []lateAdvice
 
 func (l *lateRequests) add(late lateAdvice) {
--- a/dispatcher/adviser_test.go
+++ b/dispatcher/adviser_test.go
@@ -135,6 +135,14 @@
 	s.failedInARow, s.answeredAt = 0, now
 }
 
+// AddAdvice implements advised.
+func (w *adviceWorld) AddAdvice(now time.Time, request scheduler.AdviceRequest, _ []scheduler.Ticket) {
+	s := w.steps[request.Step.Step]
+	if s.answeredAt.IsZero() {
+		s.failedInARow, s.answeredAt = 0, now
+	}
+}
+
 // add adds a step whose requests are expected to take the given time.
 func (w *adviceWorld) add(duration time.Duration) *adviceStep {
 	s := &adviceStep{duration: duration, requestedAt: w.now}
@@ -429,3 +437,41 @@
 		})
 	}
 }
+
+// TestLateReplyIsUsed guards against replies that are dropped because they arrive
+// after the deadline: while every reply is late, no step would ever have advice.
+func TestLateReplyIsUsed(t *testing.T) {
+	is := is.New(t)
+	const lag = 800 * time.Millisecond
+	w := newAdviceWorld(t, 4)
+	w.warmUp()
+	for _, s := range w.services {
+		s.lag = lag
+	}
+	for range 10 {
+		step := w.add(20 * time.Millisecond)
+		w.run(4 * time.Second)
+		is.True(!step.answeredAt.IsZero())
+		is.True(step.answeredAt.Sub(step.requestedAt) <= lag+100*time.Millisecond) // by the first reply
+	}
+	w.checkWaits()
+}
+
+// TestLateReplyOverANewLink checks that a reply counts for the relay that has sent
+// it if the link was replaced meanwhile.
+func TestLateReplyOverANewLink(t *testing.T) {
+	is := is.New(t)
+	w := newAdviceWorld(t, 2)
+	w.warmUp()
+	for _, s := range w.services {
+		s.lag = time.Second
+	}
+	step := w.add(20 * time.Millisecond)
+	w.add(20 * time.Millisecond)
+	w.run(200 * time.Millisecond)
+	w.adviser.remove(w.now, "entry-01")
+	w.adviser.linked(w.now, "entry-01")
+	w.run(900 * time.Millisecond)
+	is.True(!step.answeredAt.IsZero())
+	is.Equal(w.adviser.relays.suspects(), 0)
+}
--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -63,7 +63,7 @@
 	commitsFailed atomic.Int64
 	adviceFailed  atomic.Int64
 	// adviceAfterDeadline counts the replies to advice requests that had failed
-	// by their deadline.
+	// before.
 	adviceAfterDeadline atomic.Int64
 	// oddRows counts the rows and messages that could not be decoded or had
 	// values out of range; see logOddRow.
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -376,6 +376,35 @@
 		s.advice.retryAt = now.Add(adviceRetryDelay)
 		return
 	}
+	c.applyAdvice(s, request, allowed, false)
+}
+
+// AddAdvice applies a response that has arrived after AdviceDone was called for its
+// request without one, if the step still waits. Requests in flight go on.
+func (c *Core) AddAdvice(now time.Time, request AdviceRequest, allowed []Ticket) {
+	c.now = now
+	if s := c.stepNamed(request.Step); s != nil && s.waiting > 0 && s.job().spec.Advice != nil {
+		c.applyAdvice(s, request, allowed, true)
+	}
+}
+
+// stepNamed returns a step, or nil if there is no such step any more.
+func (c *Core) stepNamed(name StepName) *step {
+	j, ok := c.jobs[name.Job]
+	if !ok {
+		return nil
+	}
+	for _, o := range j.occurrences {
+		if o.number == name.Occurrence && name.Step >= 0 && name.Step < len(o.steps) {
+			return o.steps[name.Step]
+		}
+	}
+	return nil
+}
+
+// applyAdvice applies a response. A late one does not replace valid tickets, as its
+// own may be older.
+func (c *Core) applyAdvice(s *step, request AdviceRequest, allowed []Ticket, late bool) {
 	s.advice.failedInARow = 0
 	if s.advice.tickets == nil {
 		s.advice.decided = make(map[requester.HostID]bool)
@@ -397,7 +426,7 @@
 	// earlier than maxAdviceReturn ago; validity is counted from the later one.
 	issued := request.RequestedAt
 	until := issued.Add(time.Duration(s.job().spec.Advice.ValidMillis) * time.Millisecond)
-	if decidedAt := now.Add(-maxAdviceReturn); decidedAt.After(issued) {
+	if decidedAt := c.now.Add(-maxAdviceReturn); decidedAt.After(issued) {
 		until = decidedAt.Add(time.Duration(s.job().spec.Advice.ValidMillis) * time.Millisecond)
 	}
 	for _, a := range allowed {
@@ -407,6 +436,9 @@
 			delete(s.advice.decided, a.Worker)
 			continue
 		}
+		if _, valid := s.advice.validTicket(w, c.now); late && valid {
+			continue
+		}
 		if _, known := s.advice.tickets[a.Worker]; !known {
 			s.advice.allowed = append(s.advice.allowed, a.Worker)
 		}
--- a/scheduler/advice_test.go
+++ b/scheduler/advice_test.go
@@ -102,3 +102,42 @@
 	h.core.AdviceDone(h.now, answered[0], []Ticket{{Worker: info.HostID, Text: "t"}}, false)
 	is.Equal(h.core.jobs["job"].occurrences[0].steps[0].advice.failedInARow, 0)
 }
+
+// TestLateAdviceIsUsed guards against a response that is dropped because its request
+// counts as failed, and against counting that request as ended twice: the step has
+// asked again meanwhile.
+func TestLateAdviceIsUsed(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	info := h.core.sortedWorkers[0].info
+	long := Policy{Stretch: 9, Advice: &Advice{DecideMillis: 2 * float64(longRequestTime.Milliseconds()), ValidMillis: 60_000}}
+	h.add("job", long, stepOf(1, 1000))
+	h.advance(10 * time.Millisecond)
+	first := h.core.RequestAdvice(h.now, AdviceCapacity{Any: 1})
+	is.Equal(len(first), 1)
+	h.core.AdviceDone(h.now, first[0], nil, true)
+	h.advance(adviceRetryDelay)
+	second := h.core.RequestAdvice(h.now, AdviceCapacity{Any: 1})
+	is.Equal(len(second), 1)
+
+	h.core.AddAdvice(h.now, first[0], []Ticket{{Worker: info.HostID, Text: "first"}})
+	advice := &h.core.jobs["job"].occurrences[0].steps[0].advice
+	is.Equal(advice.inFlight, 1)
+	is.Equal(h.core.longInFlight, 1)
+	is.Equal(len(advice.requested), 1)
+	is.Equal(advice.failedInARow, 0)
+	is.Equal(len(h.settle()), 1)
+
+	h.core.AdviceDone(h.now, second[0], []Ticket{{Worker: info.HostID, Text: "second"}}, false)
+	is.Equal(advice.inFlight, 0)
+	is.Equal(h.core.longInFlight, 0)
+	is.Equal(len(advice.requested), 0)
+	is.Equal(advice.tickets[info.HostID].text, "second")
+	h.core.AddAdvice(h.now, first[0], []Ticket{{Worker: info.HostID, Text: "first"}})
+	is.Equal(advice.tickets[info.HostID].text, "second") // it is newer
+
+	for _, gone := range []StepName{{Job: "none"}, {Job: "job", Step: 1}, {Job: "job", Step: -1}, {Job: "job", Occurrence: 1}} {
+		h.core.AddAdvice(h.now, AdviceRequest{Step: gone, Workers: []requester.HostID{info.HostID}, RequestedAt: h.now}, nil)
+	}
+	is.Equal(h.core.longInFlight, 0)
+}
