Dispatcher: learn how late the replies of a relay are

Cause: the owner waited for a reply for a time that followed from the advice policy alone. Where the service, the links or the relays are slower than that for long, each request was cut off and sent again to up to three relays, so that the load grew with the slowness; late replies, now used, taught nothing.

Change: the lag of each relay's replies after they were expected, late ones included, has a mean and a mean deviation (estimator.Durations); the owner waits for the mean and four deviations, if that is longer than the fixed slack, but for no more than 1 s, so that a relay that has become silent is still found out in time.

Now, after 60 requests, none is late and each is sent once. TestBoundForgets: the wait is the fixed one again 200 requests after the replies are.

--- a/dispatcher/adviser.go
+++ b/dispatcher/adviser.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"kumquatstall/breaker"
+	"kumquatstall/estimator"
 	"kumquatstall/requester"
 	"kumquatstall/scheduler"
 )
@@ -31,6 +32,10 @@
 	// within the 3 s in which its tasks must start.
 	maxRelaySlack      = 500 * time.Millisecond
 	relayTimeoutMargin = 250 * time.Millisecond
+	// Where the replies of a relay arrive later than expected, the owner waits for
+	// longer: for the lag that few of them exceed, but no more than maxRelayLag. Of
+	// the 3 s for a step, that leaves as much for the reply of another relay.
+	maxRelayLag = time.Second
 	// A suspect gets a probe no sooner than relayCoolDown after the request that
 	// made it one. Each probe without a reply doubles that time, up to
 	// maxRelayCoolDown.
@@ -42,9 +47,9 @@
 )
 
 // relayWait returns how long the owner waits for a reply that is expected after a
-// time.
-func relayWait(expected time.Duration) time.Duration {
-	return expected + min(expected, maxRelaySlack) + relayTimeoutMargin
+// time, from a relay whose replies may be late by lag.
+func relayWait(expected, lag time.Duration) time.Duration {
+	return expected + max(min(expected, maxRelaySlack)+relayTimeoutMargin, min(lag, maxRelayLag))
 }
 
 // relay is an entry that requests advice for the owner. It is trusted while its
@@ -225,6 +230,9 @@
 	// pending has the requests in flight, by ID.
 	pending map[uint64]pendingAdvice
 	lastID  uint64
+	// lags are how much later than expected the replies of each relay arrive, also
+	// those that come after the deadline.
+	lags *estimator.Durations
 	// late has the requests that have failed without a reply.
 	late lateRequests
 	// suspected has the entries without a link that were suspects when it closed.
@@ -266,7 +274,7 @@
 }
 
 func newAdviser(core advised, self requester.EntryID) *adviser {
-	a := &adviser{core: core, self: self, pending: make(map[uint64]pendingAdvice), suspected: make(map[requester.EntryID]bool)}
+	a := &adviser{core: core, self: self, pending: make(map[uint64]pendingAdvice), suspected: make(map[requester.EntryID]bool), lags: estimator.NewDurations(0)}
 	a.relays.add(self)
 	return a
 }
@@ -352,7 +360,7 @@
 	a.lastID++
 	a.pending[a.lastID] = pendingAdvice{
 		question: q, relay: chosen, sentAt: now, expectedAt: chosen.busyUntil,
-		deadline: now.Add(relayWait(chosen.busyUntil.Sub(now))), probe: probe,
+		deadline: now.Add(relayWait(chosen.busyUntil.Sub(now), a.lags.Bound(lagKey(chosen.id)))), probe: probe,
 	}
 	return sending{id: a.lastID, to: chosen.id, request: q.request}
 }
@@ -388,6 +396,7 @@
 	}
 	if !failed {
 		pending.relay.replied(now)
+		a.observe(now, &pending)
 		a.take(id)
 		if pending.relay.inFlight == 0 {
 			pending.relay.busyUntil = now
@@ -414,11 +423,19 @@
 				r.replied(now)
 			}
 		}
+		a.observe(now, &late.pendingAdvice)
 		a.answer(now, late.question, allowed)
 	}
 	return handled{pendingAdvice: late.pendingAdvice, late: now.Sub(late.failedAt)}, ok
 }
 
+// observe records by how much a reply is later than expected.
+func (a *adviser) observe(now time.Time, pending *pendingAdvice) {
+	a.lags.Observe(lagKey(pending.relay.id), max(0, now.Sub(pending.expectedAt)))
+}
+
+func lagKey(id requester.EntryID) estimator.Key { return estimator.Key{Scope: string(id)} }
+
 // take ends a request.
 func (a *adviser) take(id uint64) pendingAdvice {
 	pending := a.pending[id]
--- a/dispatcher/adviser_test.go
+++ b/dispatcher/adviser_test.go
@@ -106,6 +106,8 @@
 	services map[requester.EntryID]*service
 	steps    []*adviceStep
 	replies  []adviceReply
+	// expired counts the requests that were late.
+	expired int
 }
 
 const ownerName = requester.EntryID("entry-00")
@@ -154,7 +156,7 @@
 func (w *adviceWorld) run(length time.Duration) {
 	for until := w.now.Add(length); w.now.Before(until); w.now = w.now.Add(tickInterval) {
 		w.deliver()
-		w.adviser.expire(w.now)
+		w.expired += len(w.adviser.expire(w.now))
 		for _, sent := range w.adviser.ask(w.now, w.requests(w.adviser.capacity())) {
 			w.serve(sent)
 		}
@@ -475,3 +477,72 @@
 	is.True(!step.answeredAt.IsZero())
 	is.Equal(w.adviser.relays.suspects(), 0)
 }
+
+// TestBoundLearns guards against a bound that cuts every request off for ever because
+// the service, the links or the relays have become slower than the policy says: each
+// is asked again, which makes them slower still.
+func TestBoundLearns(t *testing.T) {
+	tests := []struct {
+		name     string
+		duration time.Duration
+		slow     service
+	}{
+		{"links", 20 * time.Millisecond, service{lag: 800 * time.Millisecond}},
+		{"service", 200 * time.Millisecond, service{slowdown: 4}},
+		{"long requests", 600 * time.Millisecond, service{slowdown: 2.2}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newAdviceWorld(t, 4)
+			w.warmUp()
+			for _, s := range w.services {
+				s.lag, s.slowdown = test.slow.lag, test.slow.slowdown
+			}
+			play := func(steps int) {
+				for range steps {
+					w.add(test.duration)
+					w.run(500 * time.Millisecond)
+				}
+			}
+			play(60)
+			sent, expired := w.adviser.lastID, w.expired
+			play(100)
+			is.Equal(w.expired-expired, 0)
+			is.Equal(w.adviser.lastID-sent, uint64(100)) // each request is sent once
+			w.run(5 * time.Second)
+			w.checkWaits()
+
+			// A relay that does not reply is found out all the same, within the limit.
+			w.silence(ownerName)
+			for range 20 {
+				w.add(test.duration)
+				w.run(5 * time.Second)
+			}
+			for _, s := range w.steps {
+				is.True(!s.answeredAt.IsZero())
+				is.True(s.answeredAt.Sub(s.requestedAt) <= test.duration+maxRelayLag+100*time.Millisecond+time.Duration(cmp.Or(test.slow.slowdown, 1)*float64(test.duration))+test.slow.lag+5*tickInterval)
+			}
+		})
+	}
+}
+
+// TestBoundForgets checks that the bound is short again once replies are.
+func TestBoundForgets(t *testing.T) {
+	is := is.New(t)
+	w := newAdviceWorld(t, 1)
+	w.warmUp()
+	only := w.services[ownerName]
+	only.lag = 800 * time.Millisecond
+	for range 40 {
+		w.add(20 * time.Millisecond)
+		w.run(time.Second)
+	}
+	only.lag = 0
+	for range 200 {
+		w.add(20 * time.Millisecond)
+		w.run(50 * time.Millisecond)
+	}
+	sent := w.adviser.ask(w.now, []scheduler.AdviceRequest{{RequestedAt: w.now, ExpectedAt: w.now.Add(20 * time.Millisecond)}})
+	is.Equal(w.adviser.pending[sent[0].id].deadline, w.now.Add(relayWait(20*time.Millisecond, 0)))
+}
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -4,8 +4,8 @@
 // Declared resources and run times are often far from the actual ones, so
 // observations correct or replace them:
 //
-//   - Durations estimates the duration of calls by an exponentially weighted mean
-//     for each service and kind.
+//   - Durations estimates the duration of calls, and a bound of it, by an
+//     exponentially weighted mean and deviation for each service and kind.
 //   - Correction predicts the duration of a task from its declared estimate.
 //   - PeakUsage keeps the peak resource usage of tasks for each trade and kind.
 //
@@ -88,6 +88,19 @@
 	return d.initial
 }
 
+// boundDeviations is the number of mean absolute deviations above the mean that few
+// executions exceed.
+const boundDeviations = 4
+
+// Bound returns a duration that few executions exceed, as far as the observations
+// tell. Without observations it is the initial mean.
+func (d *Durations) Bound(key Key) time.Duration {
+	if e, ok := d.byKey[key]; ok {
+		return time.Duration(e.mean + boundDeviations*e.deviation)
+	}
+	return d.initial
+}
+
 // PeakUsage keeps the peak resource usage of tasks, by key.
 type PeakUsage struct {
 	byKey map[Key]*usage
