Dispatcher: wait longer for an advice service that is slow for long

Cause: every request to the advice service, of the owner and of a relay, was given up after 3 s, queueing included. A service that takes longer than that never answered one, and all its work was thrown away; nothing could learn how long it takes.

Change: each timeout in a row doubles the timeout of this entry, up to 12 s; requests that time out together count once; an answer within 3 s restores it. The first request over a silent connection still ends after 3 s, and the idle connections to the service are closed then, as before.

Measured in virtual time: TestRelayOfASlowService, a service that takes 4 s, failed before with "err: request advice: context deadline exceeded" for the second request; it now has an answer, and a silence that follows a fast answer is noticed after 3 s, as before.

--- a/dispatcher/acquire.go
+++ b/dispatcher/acquire.go
@@ -324,10 +324,8 @@
 // relayAdvice requests advice on behalf of the owner and sends the result to
 // the owner.
 func (d *Dispatcher) relayAdvice(owner requester.EntryID, request *encoder.AdviceRequest) {
-	ctx, cancel := context.WithTimeout(d.ctx, adviceTimeout)
-	defer cancel()
 	sentAt := time.Now()
-	allowed, err := d.platform.RequestAdvice(ctx, request.Step, request.Workers)
+	allowed, err := d.requestAdvice(d.ctx, request.Step, request.Workers)
 	if err != nil {
 		d.counters.adviceFailed.Add(1)
 		d.log.Warn().Str("Event", "advice failed").Str("Owner", string(owner)).Str("Job", string(request.Step.Job)).
--- a/dispatcher/advise.go
+++ b/dispatcher/advise.go
@@ -31,13 +31,29 @@
 		return
 	}
 	s.spawn(func() {
-		ctx, cancel := context.WithTimeout(s.ctx, adviceTimeout)
-		defer cancel()
-		allowed, err := s.dispatcher.platform.RequestAdvice(ctx, request.Step, request.Workers)
+		allowed, err := s.dispatcher.requestAdvice(s.ctx, request.Step, request.Workers)
 		s.post(func() { s.handleAdvice(sending.id, allowed, err != nil) })
 	})
 }
 
+// requestAdvice requests advice from the service, for this entry or for the owner.
+func (d *Dispatcher) requestAdvice(ctx context.Context, step scheduler.StepName, workers []requester.HostID) ([]scheduler.Ticket, error) {
+	doublings := d.adviceTimeouts.Load()
+	timeout := min(adviceTimeout<<doublings, maxAdviceTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	sentAt := time.Now()
+	allowed, err := d.platform.RequestAdvice(ctx, step, workers)
+	switch {
+	case err == nil && time.Since(sentAt) < adviceTimeout:
+		d.adviceTimeouts.Store(0)
+	case errors.Is(err, context.DeadlineExceeded) && timeout < maxAdviceTimeout:
+		// Requests that time out together double the timeout once.
+		d.adviceTimeouts.CompareAndSwap(doublings, doublings+1)
+	}
+	return allowed, err
+}
+
 // logLateAdvice logs that a relay has not replied in time: for how long nothing was
 // received on the link to it, and how many other relays could be asked now.
 func (s *session) logLateAdvice(now time.Time, pending *pendingAdvice) {
--- a/dispatcher/adviser.go
+++ b/dispatcher/adviser.go
@@ -14,9 +14,12 @@
 
 // Bounds of advice requests.
 const (
-	// adviceTimeout bounds an advice request, including the time that it is
-	// queued at the service.
-	adviceTimeout = 3 * time.Second
+	// adviceTimeout bounds a request to the advice service, including the time
+	// that it is queued there. Each one in a row that exceeds it doubles it, up to
+	// maxAdviceTimeout, until one takes less than adviceTimeout: a service that is
+	// slower than that for long still answers.
+	adviceTimeout    = 3 * time.Second
+	maxAdviceTimeout = 12 * time.Second
 	// adviceDepth is the maximum number of requests in flight through each
 	// relay. The service handles the requests of an entry host one at a time;
 	// with a second one queued there, it is not idle between requests.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -183,6 +183,8 @@
 	// connection, which proves that no entry runs there; 0 for none.
 	refusedEpoch atomic.Int64
 	counters     counters
+	// adviceTimeouts is how often adviceTimeout is doubled; see requestAdvice.
+	adviceTimeouts atomic.Int32
 	// cellStats holds the counters of the core as of the last run of logLoad;
 	// nil if this entry has not owned the cell.
 	cellStats atomic.Pointer[scheduler.Stats]
