Dispatcher: choose the successor by messages that go on arriving

Cause: an entry told the owner its cores once, when a link came up. If that message was lost, the owner knew no successor for as long as the link stayed; if the link was replaced, an entry that was draining, which had sent 0 once, offered itself again; and the number counted for as long as the link was up, whether or not the entry could still acquire the cell. A named successor that does not acquire it leaves the cell without an owner for 0.6 s more.

Change: the goroutine that would acquire the cell sends the number each 0.5 s: 0 while the entry drains or does not reach the store. The owner forgets a number after 2 s.

TestStrongest's and TestOddCapacityInOwnerRow's dispatchers have a clock now; what they check is the same.

--- a/dispatcher/acquire.go
+++ b/dispatcher/acquire.go
@@ -33,6 +33,11 @@
 	// successorDelay is how long the other entries leave a released cell to
 	// the successor that the owner named.
 	successorDelay = 600 * time.Millisecond
+	// announceInterval is the interval between messages in which an entry tells
+	// the owner that it could be the successor. The owner forgets an entry from
+	// which none has come for capacityValidity, which leaves out three of them.
+	announceInterval = 500 * time.Millisecond
+	capacityValidity = 2 * time.Second
 	// ownerSafetyMargin separates the expiry of the owner's lease from the time
 	// at which other entries may acquire the cell.
 	ownerSafetyMargin = 200 * time.Millisecond
@@ -45,6 +50,7 @@
 	for d.pause(acquireInterval + rand.N(acquireJitter)) {
 		owner := d.cache.ownerView()
 		d.dialOwner(owner)
+		d.announceCapacity(owner.row.Holder)
 		if d.draining.Load() || !d.storeReachable() || !d.mayAcquire(owner) {
 			vacantSince = time.Time{}
 			continue
@@ -209,6 +215,27 @@
 	}
 }
 
+// announceCapacity sends this entry's number of cores to the owner once per
+// announceInterval. The goroutine that sends it is the one that would acquire the
+// cell.
+func (d *Dispatcher) announceCapacity(owner requester.EntryID) {
+	now := d.clock.Now()
+	if owner == "" || owner == d.options.Self || now.Sub(d.announcedAt) < announceInterval {
+		return
+	}
+	d.announcedAt = now
+	d.linker.Send(owner, &encoder.EntryCapacity{Cores: d.capacity()})
+}
+
+// capacity returns the number of cores by which the owner may choose this entry as
+// its successor; 0 if it could not acquire the cell.
+func (d *Dispatcher) capacity() float64 {
+	if d.draining.Load() || !d.storeReachable() {
+		return 0
+	}
+	return d.options.Cores
+}
+
 // PeerUp implements linker.Handler.
 func (d *Dispatcher) PeerUp(peer encoder.PeerInfo, _ int64) {
 	d.log.Info().Str("Event", "link up").Str("Peer", string(peer.EntryID)).Send()
@@ -218,7 +245,7 @@
 	if d.cache.ownerView().row.Holder == peer.EntryID {
 		// The linker holds its lock while it calls PeerUp, and Send acquires
 		// that lock.
-		d.group.Go(func() { d.linker.Send(peer.EntryID, &encoder.EntryCapacity{Cores: d.options.Cores}) })
+		d.group.Go(func() { d.linker.Send(peer.EntryID, &encoder.EntryCapacity{Cores: d.capacity()}) })
 	}
 	d.postToSession(func(s *session) { s.addRelay(peer.EntryID) })
 }
@@ -247,8 +274,9 @@
 // linkedEntry is an entry to which a link is up, whichever side dialled it.
 type linkedEntry struct {
 	// cores is the number of cores of its host; 0 if it is unknown or the entry
-	// is draining.
-	cores float64
+	// can't acquire the cell. It was received at capacityAt.
+	cores      float64
+	capacityAt time.Time
 	// sameDataCentre is true if the entry is in this entry's data centre. A
 	// network partition between data centres isolates both or neither.
 	sameDataCentre bool
@@ -266,13 +294,14 @@
 // peerWithMostCores returns the linked entry with the most cores, and its
 // number of cores. Of equal entries, it returns one in this data centre if there
 // is one, and of these the first by ID. Without a linked entry whose number of
-// cores is known, it returns an empty ID and 0.
+// cores was received within capacityValidity, it returns an empty ID and 0.
 func (d *Dispatcher) peerWithMostCores() (requester.EntryID, float64) {
+	now := d.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var best requester.EntryID
 	for id, linked := range d.linked {
-		if linked.cores == 0 {
+		if linked.cores == 0 || now.Sub(linked.capacityAt) > capacityValidity {
 			continue
 		}
 		if best == "" || linked.preferredTo(d.linked[best]) || !d.linked[best].preferredTo(linked) && id < best {
@@ -312,7 +341,7 @@
 		}
 		d.mu.Lock()
 		if linked, ok := d.linked[from]; ok {
-			linked.cores = message.Cores
+			linked.cores, linked.capacityAt = message.Cores, d.clock.Now()
 			d.linked[from] = linked
 		}
 		d.mu.Unlock()
--- a/dispatcher/acquire_test.go
+++ b/dispatcher/acquire_test.go
@@ -53,7 +53,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			d := &Dispatcher{linked: test.linked}
+			d := &Dispatcher{clock: &manualClock{}, linked: test.linked}
 			for range 10 { // the iteration order of a map differs each time
 				got, cores := d.peerWithMostCores()
 				is.Equal(got, test.want)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -196,6 +196,9 @@
 	// dialedOwner is the owner to which this entry keeps a link. Only
 	// acquireLoop uses it.
 	dialedOwner requester.EntryID
+	// announcedAt is when this entry last sent its number of cores to the owner.
+	// Only acquireLoop uses it.
+	announcedAt time.Time
 
 	mu sync.Mutex
 	// linked has the entries to which a link is up.
