Dispatcher: dial an owner at the address in its present row

Cause: an entry dialled the owner again only if another entry became the owner. An owner that had started again at another address kept its name, so the entries went on dialling the address of its earlier row: no link, no relay of its advice requests, no notifications; and the refusal at the old address counted as a proof that the owner's host runs no entry, by which its cell may be acquired at once.

Change: the address counts as well as the name. Where an entry keeps its address nothing changes.

Measured: TestOwnerAtANewAddress failed before after its 5 s without a link to the new address; it passes in 0.02 s, three times in a row.

--- a/dispatcher/acquire.go
+++ b/dispatcher/acquire.go
@@ -199,19 +199,20 @@
 	return keeper.Row{Key: key}, false
 }
 
-// dialOwner keeps a link to the current owner, over which the owner sends
-// advice requests.
+// dialOwner keeps a link to the current owner at the address in its row, over which
+// the owner sends advice requests.
 func (d *Dispatcher) dialOwner(owner ownerView) {
-	if !owner.known || owner.row.Holder == d.dialedOwner {
+	info := encoder.PeerInfo{EntryID: owner.row.Holder, Address: owner.row.Address}
+	if !owner.known || info == d.dialedOwner {
 		return
 	}
-	if d.dialedOwner != "" {
-		d.linker.StopDialing(d.dialedOwner)
-		d.linker.Disconnect(d.dialedOwner)
+	if d.dialedOwner.EntryID != "" {
+		d.linker.StopDialing(d.dialedOwner.EntryID)
+		d.linker.Disconnect(d.dialedOwner.EntryID)
 	}
-	d.dialedOwner = owner.row.Holder
-	if d.dialedOwner != d.options.Self {
-		d.linker.Dial([]encoder.PeerInfo{{EntryID: owner.row.Holder, Address: owner.row.Address}})
+	d.dialedOwner = info
+	if info.EntryID != d.options.Self {
+		d.linker.Dial([]encoder.PeerInfo{info})
 	}
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -195,7 +195,7 @@
 
 	// dialedOwner is the owner to which this entry keeps a link. Only
 	// acquireLoop uses it.
-	dialedOwner requester.EntryID
+	dialedOwner encoder.PeerInfo
 	// announcedAt is when this entry last sent its number of cores to the owner.
 	// Only acquireLoop uses it.
 	announcedAt time.Time
