Dispatcher: probe suspects also while the trusted relays are busy

Cause: a probe was a copy of a request that was just being sent. While the trusted relays had as many requests as they may have, none was, so that relays with new links stayed suspects for as long as the owner alone worked off long requests: when they were needed most.

Change: a probe is a copy of any request without a reply, new or in flight, the shortest.

Measured in virtual time: TestProbeWhileOthersAreBusy failed before with "0 != 1" probes two ticks after the new link; it passes now.

--- a/dispatcher/adviser.go
+++ b/dispatcher/adviser.go
@@ -303,7 +303,7 @@
 			sendings = append(sendings, a.send(now, q, other, false))
 		}
 	}
-	return append(sendings, a.probe(now, questions)...)
+	return append(sendings, a.probe(now)...)
 }
 
 // spare returns up to adviceCopies serving relays that have nothing to do: the owner
@@ -332,31 +332,50 @@
 	return 0
 }
 
-// probe sends a copy of the shortest of some questions to each suspect that has no
-// request in flight and whose cool-down has passed. If no relay is trusted, it does
-// not wait for the cool-down.
-func (a *adviser) probe(now time.Time, questions []*question) []sending {
-	if len(questions) == 0 {
+// probe sends a copy of a request to each suspect that has none in flight and whose
+// cool-down has passed. If no relay is trusted, it does not wait for the cool-down.
+func (a *adviser) probe(now time.Time) []sending {
+	suspects := a.relays.suspects()
+	if suspects == 0 {
 		return nil
 	}
-	shortest := slices.MinFunc(questions, func(x, y *question) int { return x.request.ExpectedAt.Compare(y.request.ExpectedAt) })
-	none := a.relays.suspects() == len(a.relays)
+	q := a.shortestAwaited()
+	if q == nil {
+		return nil
+	}
+	none := suspects == len(a.relays)
 	var sendings []sending
 	for _, candidate := range a.relays {
 		if !candidate.trusted() && candidate.inFlight == 0 && (none || candidate.breaker.Allows(now)) {
-			sendings = append(sendings, a.send(now, shortest, candidate, true))
+			sendings = append(sendings, a.send(now, q, candidate, true))
 		}
 	}
 	return sendings
 }
 
+// shortestAwaited returns the question without a reply that takes the least time, or
+// nil if there is none. It may have been sent long ago: while the trusted relays are
+// busy, no new ones are.
+func (a *adviser) shortestAwaited() *question {
+	var shortest *question
+	for _, id := range slices.Sorted(maps.Keys(a.pending)) {
+		if q := a.pending[id].question; !q.done && (shortest == nil || q.takes() < shortest.takes()) {
+			shortest = q
+		}
+	}
+	return shortest
+}
+
+// takes returns the expected duration of the request if no other is in front of it.
+func (q *question) takes() time.Duration { return q.request.ExpectedAt.Sub(q.request.RequestedAt) }
+
 // send records that a question is sent to a relay.
 func (a *adviser) send(now time.Time, q *question, chosen *relay, probe bool) sending {
 	chosen.inFlight++
 	chosen.breaker.RecordStart()
 	// The service handles this request after those in flight through the same
 	// relay.
-	chosen.busyUntil = q.request.ExpectedAt.Add(max(0, chosen.busyUntil.Sub(now)))
+	chosen.busyUntil = now.Add(q.takes() + max(0, chosen.busyUntil.Sub(now)))
 	if !probe {
 		q.awaited++
 	}
--- a/dispatcher/adviser_test.go
+++ b/dispatcher/adviser_test.go
@@ -591,3 +591,26 @@
 	}
 	return nil, nil
 }
+
+// TestProbeWhileOthersAreBusy guards against a relay that stays a suspect after its
+// link was replaced because the trusted ones are busy, so that no new request is sent
+// of which it could get a copy.
+func TestProbeWhileOthersAreBusy(t *testing.T) {
+	is := is.New(t)
+	w := newAdviceWorld(t, 2)
+	w.warmUp()
+	w.services["entry-01"].silent = true
+	for range 10 {
+		w.add(time.Second)
+	}
+	w.run(3500 * time.Millisecond)
+	is.Equal(w.adviser.relays.suspects(), 1)
+	w.services["entry-01"].silent = false
+	w.services["entry-01"].asked = nil
+	is.Equal(w.adviser.capacity(), scheduler.AdviceCapacity{})
+	w.adviser.linked(w.now, "entry-01")
+	w.run(2 * tickInterval)
+	is.Equal(len(w.services["entry-01"].asked), 1)
+	w.run(1100 * time.Millisecond)
+	is.Equal(w.adviser.relays.suspects(), 0)
+}
