--- a/dispatcher/acquire.go
+++ b/dispatcher/acquire.go
@@ -33,6 +33,11 @@
 	// successorDelay is how long the other entries leave a released cell to
 	// the successor that the owner named.
 	successorDelay = 600 * time.Millisecond
+	// announceInterval is the interval between messages in which an entry tells
+	// the owner that it could be the successor. The owner forgets an entry from
+	// which none has come for capacityValidity, which leaves out three of them.
+	announceInterval = 500 * time.Millisecond
+	capacityValidity = 2 * time.Second
 	// ownerSafetyMargin separates the expiry of the owner's lease from the time
 	// at which other entries may acquire the cell.
 	ownerSafetyMargin = 200 * time.Millisecond
@@ -45,6 +50,7 @@
 	for d.pause(acquireInterval + rand.N(acquireJitter)) {
 		owner := d.cache.ownerView()
 		d.dialOwner(owner)
+		d.announceCapacity(owner.row.Holder)
 		if d.draining.Load() || !d.storeReachable() || !d.mayAcquire(owner) {
 			vacantSince = time.Time{}
 			continue
@@ -69,7 +75,11 @@
 		// PeerUp was called before the session existed for the links that are
 		// up already.
 		for _, id := range d.linkedPeers() {
-			s.post(func() { s.relays.add(id) })
+			s.post(func() { s.addRelay(id) })
+		}
+		if d.draining.Load() {
+			// Drain may have been called before the session existed.
+			s.release()
 		}
 		s.run()
 		d.session.Store(nil)
@@ -193,20 +203,42 @@
 	return keeper.Row{Key: key}, false
 }
 
-// dialOwner keeps a link to the current owner, over which the owner sends
-// advice requests.
+// dialOwner keeps a link to the current owner at the address in its row, over which
+// the owner sends advice requests.
 func (d *Dispatcher) dialOwner(owner ownerView) {
-	if !owner.known || owner.row.Holder == d.dialedOwner {
+	info := encoder.PeerInfo{EntryID: owner.row.Holder, Address: owner.row.Address}
+	if !owner.known || info == d.dialedOwner {
 		return
 	}
-	if d.dialedOwner != "" {
-		d.linker.StopDialing(d.dialedOwner)
-		d.linker.Disconnect(d.dialedOwner)
+	if d.dialedOwner.EntryID != "" {
+		d.linker.StopDialing(d.dialedOwner.EntryID)
+		d.linker.Disconnect(d.dialedOwner.EntryID)
+	}
+	d.dialedOwner = info
+	if info.EntryID != d.options.Self {
+		d.linker.Dial([]encoder.PeerInfo{info})
 	}
-	d.dialedOwner = owner.row.Holder
-	if d.dialedOwner != d.options.Self {
-		d.linker.Dial([]encoder.PeerInfo{{EntryID: owner.row.Holder, Address: owner.row.Address}})
+}
+
+// announceCapacity sends this entry's number of cores to the owner once per
+// announceInterval. The goroutine that sends it is the one that would acquire the
+// cell.
+func (d *Dispatcher) announceCapacity(owner requester.EntryID) {
+	now := d.clock.Now()
+	if owner == "" || owner == d.options.Self || now.Sub(d.announcedAt) < announceInterval {
+		return
 	}
+	d.announcedAt = now
+	d.linker.Send(owner, &encoder.EntryCapacity{Cores: d.capacity()})
+}
+
+// capacity returns the number of cores by which the owner may choose this entry as
+// its successor; 0 if it could not acquire the cell.
+func (d *Dispatcher) capacity() float64 {
+	if d.draining.Load() || !d.storeReachable() {
+		return 0
+	}
+	return d.options.Cores
 }
 
 // PeerUp implements linker.Handler.
@@ -218,9 +250,9 @@
 	if d.cache.ownerView().row.Holder == peer.EntryID {
 		// The linker holds its lock while it calls PeerUp, and Send acquires
 		// that lock.
-		d.group.Go(func() { d.linker.Send(peer.EntryID, &encoder.EntryCapacity{Cores: d.options.Cores}) })
+		d.group.Go(func() { d.linker.Send(peer.EntryID, &encoder.EntryCapacity{Cores: d.capacity()}) })
 	}
-	d.postToSession(func(s *session) { s.relays.add(peer.EntryID) })
+	d.postToSession(func(s *session) { s.addRelay(peer.EntryID) })
 }
 
 // PeerDown implements linker.Handler.
@@ -247,8 +279,9 @@
 // linkedEntry is an entry to which a link is up, whichever side dialled it.
 type linkedEntry struct {
 	// cores is the number of cores of its host; 0 if it is unknown or the entry
-	// is draining.
-	cores float64
+	// can't acquire the cell. It was received at capacityAt.
+	cores      float64
+	capacityAt time.Time
 	// sameDataCentre is true if the entry is in this entry's data centre. A
 	// network partition between data centres isolates both or neither.
 	sameDataCentre bool
@@ -266,13 +299,14 @@
 // peerWithMostCores returns the linked entry with the most cores, and its
 // number of cores. Of equal entries, it returns one in this data centre if there
 // is one, and of these the first by ID. Without a linked entry whose number of
-// cores is known, it returns an empty ID and 0.
+// cores was received within capacityValidity, it returns an empty ID and 0.
 func (d *Dispatcher) peerWithMostCores() (requester.EntryID, float64) {
+	now := d.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var best requester.EntryID
 	for id, linked := range d.linked {
-		if linked.cores == 0 {
+		if linked.cores == 0 || now.Sub(linked.capacityAt) > capacityValidity {
 			continue
 		}
 		if best == "" || linked.preferredTo(d.linked[best]) || !d.linked[best].preferredTo(linked) && id < best {
@@ -312,7 +346,7 @@
 		}
 		d.mu.Lock()
 		if linked, ok := d.linked[from]; ok {
-			linked.cores = message.Cores
+			linked.cores, linked.capacityAt = message.Cores, d.clock.Now()
 			d.linked[from] = linked
 		}
 		d.mu.Unlock()
@@ -324,10 +358,8 @@
 // relayAdvice requests advice on behalf of the owner and sends the result to
 // the owner.
 func (d *Dispatcher) relayAdvice(owner requester.EntryID, request *encoder.AdviceRequest) {
-	ctx, cancel := context.WithTimeout(d.ctx, adviceTimeout)
-	defer cancel()
 	sentAt := time.Now()
-	allowed, err := d.platform.RequestAdvice(ctx, request.Step, request.Workers)
+	allowed, err := d.requestAdvice(d.ctx, request.Step, request.Workers)
 	if err != nil {
 		d.counters.adviceFailed.Add(1)
 		d.log.Warn().Str("Event", "advice failed").Str("Owner", string(owner)).Str("Job", string(request.Step.Job)).
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -183,6 +183,8 @@
 	// connection, which proves that no entry runs there; 0 for none.
 	refusedEpoch atomic.Int64
 	counters     counters
+	// adviceTimeouts is how often adviceTimeout is doubled; see requestAdvice.
+	adviceTimeouts atomic.Int32
 	// cellStats holds the counters of the core as of the last run of logLoad;
 	// nil if this entry has not owned the cell.
 	cellStats atomic.Pointer[scheduler.Stats]
@@ -193,7 +195,10 @@
 
 	// dialedOwner is the owner to which this entry keeps a link. Only
 	// acquireLoop uses it.
-	dialedOwner requester.EntryID
+	dialedOwner encoder.PeerInfo
+	// announcedAt is when this entry last sent its number of cores to the owner.
+	// Only acquireLoop uses it.
+	announcedAt time.Time
 
 	mu sync.Mutex
 	// linked has the entries to which a link is up.
