Dispatcher: forget relays whose links close at a takeover

Found by the review, by reading: a new owner posted one message for each entry to which a link was up when it took over. A link that closed in between posted its removal before that message, and the entry stayed a relay without a link for as long as the session lasted: each request to it was dropped and waited out its bound. Links break just when an owner is lost.

Change: one message, which reads the links when it runs. PeerDown takes the entry out of them before it posts, so either order ends without it.

--- a/dispatcher/acquire.go
+++ b/dispatcher/acquire.go
@@ -74,9 +74,7 @@
 		d.session.Store(s)
 		// PeerUp was called before the session existed for the links that are
 		// up already.
-		for _, id := range d.linkedPeers() {
-			s.post(func() { s.addRelay(id) })
-		}
+		s.post(s.addLinkedRelays)
 		if d.draining.Load() {
 			// Drain may have been called before the session existed.
 			s.release()
--- a/dispatcher/advise.go
+++ b/dispatcher/advise.go
@@ -98,6 +98,14 @@
 	s.dispatcher.counters.adviceFailed.Add(int64(failed))
 }
 
+// addLinkedRelays adds the relays to which links are up now. A link that closes later
+// is removed by what PeerDown posts, which runs after this.
+func (s *session) addLinkedRelays() {
+	for _, id := range s.dispatcher.linkedPeers() {
+		s.addRelay(id)
+	}
+}
+
 // removeRelay removes a relay that has disconnected.
 func (s *session) removeRelay(id requester.EntryID) {
 	failed := s.adviser.remove(s.dispatcher.clock.Now(), id)
