Retrier: one wait between attempts instead of three

Packages linker, dispatcher and keeper each had the same function that waits and heeds the end of a context (dispatcher a second time in a test). It is retrier.Sleep now.

--- a/dispatcher/adviser_test.go
+++ b/dispatcher/adviser_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"kumquatstall/requester"
+	"kumquatstall/retrier"
 	"kumquatstall/scheduler"
 )
 
@@ -586,7 +587,7 @@
 }
 
 func (s *slowAdvice) RequestAdvice(ctx context.Context, _ scheduler.StepName, _ []requester.HostID) ([]scheduler.Ticket, error) {
-	if !sleep(ctx, s.takes) {
+	if !retrier.Sleep(ctx, s.takes) {
 		return nil, errors.Wrap(ctx.Err(), "request advice")
 	}
 	return nil, nil
--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"kumquatstall/keeper"
+	"kumquatstall/retrier"
 	"kumquatstall/scheduler"
 )
 
@@ -121,7 +122,7 @@
 		d.counters.commits.Add(1)
 		if err != nil {
 			d.counters.commitsFailed.Add(1)
-			if !sleep(s.ctx, retryInterval) {
+			if !retrier.Sleep(s.ctx, retryInterval) {
 				return
 			}
 			continue
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -59,6 +59,7 @@
 	"kumquatstall/keeper"
 	"kumquatstall/linker"
 	"kumquatstall/requester"
+	"kumquatstall/retrier"
 	"kumquatstall/scheduler"
 )
 
@@ -307,4 +308,4 @@
 func (d *Dispatcher) Done() <-chan struct{} { return d.done }
 
 // pause waits, and returns false early if the entry is closing.
-func (d *Dispatcher) pause(wait time.Duration) bool { return sleep(d.ctx, wait) }
+func (d *Dispatcher) pause(wait time.Duration) bool { return retrier.Sleep(d.ctx, wait) }
--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -10,6 +10,7 @@
 
 	"kumquatstall/keeper"
 	"kumquatstall/requester"
+	"kumquatstall/retrier"
 	"kumquatstall/scheduler"
 )
 
@@ -23,7 +24,7 @@
 			return
 		}
 		s.dispatcher.log.Warn().Str("Event", "load").Err(err).Msg("reading the cell's rows failed; retrying")
-		if !sleep(s.ctx, retryInterval) {
+		if !retrier.Sleep(s.ctx, retryInterval) {
 			return
 		}
 	}
@@ -146,7 +147,7 @@
 			changes, next, err = s.relistJobs()
 		}
 		if err != nil {
-			if !sleep(s.ctx, retryInterval) {
+			if !retrier.Sleep(s.ctx, retryInterval) {
 				return
 			}
 			continue
@@ -156,7 +157,7 @@
 			s.applyJobs(changes)
 			s.core.JobsKnown(next)
 		})
-		if !sleep(s.ctx, jobsWatchInterval) {
+		if !retrier.Sleep(s.ctx, jobsWatchInterval) {
 			return
 		}
 	}
@@ -281,7 +282,7 @@
 			last = infos
 			s.post(func() { s.core.SetWorkers(now, infos) })
 		}
-		if !sleep(s.ctx, wait) {
+		if !retrier.Sleep(s.ctx, wait) {
 			return
 		}
 	}
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -317,15 +317,3 @@
 		Int64("Starts", stats.Starts).Int64("Done", stats.Done).Int64("Failed", stats.Failed).Int64("Lapsed", stats.Lapsed).Int64("Acknowledged", stats.Acknowledged).Int64("Vanished", stats.Vanished).Int64("AdviceAsked", stats.AdviceAsked).Int64("AdviceFailed", s.dispatcher.counters.adviceFailed.Load()).Dur("StoreMillis", s.dispatcher.store.Latency()).
 		Send()
 }
-
-// sleep waits, and returns false early if ctx is done.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/keeper/client.go
+++ b/keeper/client.go
@@ -8,6 +8,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
+
+	"kumquatstall/retrier"
 )
 
 // Options configures a Client. The zero value of each field means its default.
@@ -260,7 +262,7 @@
 			retry.Reset()
 			continue
 		}
-		sleep(ctx, retry.NextBackOff())
+		retrier.Sleep(ctx, retry.NextBackOff())
 	}
 }
 
@@ -421,12 +423,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -36,6 +36,7 @@
 
 	"kumquatstall/encoder"
 	"kumquatstall/requester"
+	"kumquatstall/retrier"
 )
 
 // Path is the URL path at which an entry accepts links.
@@ -229,7 +230,7 @@
 		pause = yieldPeriod
 	}
 	for {
-		if !sleep(l.ctx, pause) {
+		if !retrier.Sleep(l.ctx, pause) {
 			return
 		}
 		pause = redialInterval
@@ -237,7 +238,7 @@
 			continue
 		}
 		if yields {
-			if !sleep(l.ctx, yieldPeriod-redialInterval) {
+			if !retrier.Sleep(l.ctx, yieldPeriod-redialInterval) {
 				return
 			}
 			if l.connected(id) {
@@ -308,18 +309,6 @@
 	return typed, nil
 }
 
-// sleep waits for pause. It returns false early if the context ends first.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // AddressOf returns the address and port to which a listener is bound.
 func AddressOf(listener net.Listener) netip.AddrPort {
 	if address, ok := listener.Addr().(*net.TCPAddr); ok {
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -1,4 +1,5 @@
-// Package retrier bounds the share of retries among the executions of calls.
+// Package retrier bounds the share of retries among the executions of calls, and
+// waits between attempts.
 //
 // Each trade has a retry budget. A first attempt deposits a fraction of a retry,
 // a retry withdraws one. If most calls fail, retries therefore stay a bounded
