Settings: where other entries reach an entry of the platform's path

An entry told others the address on which it listens for links. The entry of the product's own path has the setting Advertise for it; the platform's path had none.

Change: the optional setting Advertise, by default Listen.Links, is the address in the entry's own record and in the owner's row. It must be one that others can connect to; a wrong one is named. TestLinksAddress and two cases of TestParseSite; with the check removed these report no problem.

--- a/cmd/kumquatstall/serve.go
+++ b/cmd/kumquatstall/serve.go
@@ -103,7 +103,7 @@
 	s.dispatcher = dispatcher.Start(dispatcher.Options{
 		Self:            site.EntryID,
 		DataCentre:      site.DataCentre,
-		Address:         site.Listen.Links,
+		Address:         site.LinksAddress(),
 		Cores:           site.Limits.Cores,
 		MaxLease:        configurer.Millis(site.Timing.LongestLeaseMillis),
 		WritesPerSecond: site.Store.WritesPerSecond * storeWriteShare,
--- a/configurer/site.go
+++ b/configurer/site.go
@@ -17,7 +17,10 @@
 	EntryID    requester.EntryID    `yaml:"EntryID"`
 	DataCentre requester.DataCentre `yaml:"DataCentre"`
 	Listen     SiteListen           `yaml:"Listen"`
-	Store      SiteStore            `yaml:"Store"`
+	// Advertise is where other entries reach Listen.Links, if that is another
+	// address, such as that of a proxy or of address translation.
+	Advertise netip.AddrPort `yaml:"Advertise,omitempty"`
+	Store     SiteStore      `yaml:"Store"`
 	// Advice is the address of the service that decides which workers may run a
 	// step.
 	Advice netip.AddrPort `yaml:"Advice"`
@@ -65,6 +68,14 @@
 	Cores float64 `yaml:"Cores,omitempty"`
 }
 
+// LinksAddress returns where other entries reach this one.
+func (s *Site) LinksAddress() netip.AddrPort {
+	if s.Advertise.IsValid() {
+		return s.Advertise
+	}
+	return s.Listen.Links
+}
+
 // LoadSite reads and validates a settings file. If the file can be read, any error
 // is a *ProblemsError.
 func LoadSite(path string) (*Site, error) {
@@ -115,9 +126,9 @@
 		c.require(a.address.IsValid(), a.key, "an IP address and port")
 	}
 	for _, a := range addresses[3:] {
-		ip := a.address.Addr().Unmap()
-		c.require(a.address.Port() != 0 && !ip.IsUnspecified() && !ip.IsMulticast(), a.key, "the address of a host, with a port")
+		c.require(isHostAddress(a.address), a.key, "the address of a host, with a port")
 	}
+	c.require(!s.Advertise.IsValid() || isHostAddress(s.Advertise), "Advertise", "the address of a host, with a port")
 	c.require(s.Store.WritesPerSecond >= 0 && s.Store.WritesPerSecond <= maxRate, "Store.WritesPerSecond", "a rate between 0 and 1000000000")
 	c.require(s.Timing.GraceSeconds >= 0 && s.Timing.GraceSeconds <= maxGraceSeconds, "Timing.GraceSeconds", "between 0 and 3600")
 	c.require(s.Timing.LongestLeaseMillis >= 0 && s.Timing.LongestLeaseMillis <= maxMillis, "Timing.LongestLeaseMillis", "between 0 and 86400000")
@@ -126,3 +137,9 @@
 	levels := []string{"", "debug", "info", "warn", "error"}
 	c.require(slices.Contains(levels, s.Log.Level), "Log.Level", "one of debug, info, warn, error")
 }
+
+// isHostAddress reports whether an address is one that others can connect to.
+func isHostAddress(address netip.AddrPort) bool {
+	ip := address.Addr().Unmap()
+	return address.Port() != 0 && !ip.IsUnspecified() && !ip.IsMulticast()
+}
--- a/configurer/site_test.go
+++ b/configurer/site_test.go
@@ -43,6 +43,8 @@
 		{"no data centre", `DataCentre: "yame"`, `DataCentre: ""`, "DataCentre"},
 		{"no address for callers", `  Callers: "10.1.0.13:8161"` + "\n", "", "Listen.Callers"},
 		{"no address of the store", `  Address: "10.200.1.7:8169"` + "\n", "", "Store.Address"},
+		{"advertised port of no host", `Advice: `, `Advertise: "0.0.0.0:7720"` + "\nAdvice: ", "Advertise"},
+		{"advertised address without port", `Advice: `, `Advertise: "10.1.0.13:0"` + "\nAdvice: ", "Advertise"},
 		{"negative rate", "WritesPerSecond: 600", "WritesPerSecond: -1", "Store.WritesPerSecond"},
 		{"negative grace", "GraceSeconds: 6", "GraceSeconds: -6", "Timing.GraceSeconds"},
 		{"negative lease", "LongestLeaseMillis: 10000", "LongestLeaseMillis: -1", "Timing.LongestLeaseMillis"},
@@ -68,3 +70,13 @@
 		})
 	}
 }
+
+func TestLinksAddress(t *testing.T) {
+	is := is.New(t)
+	site, err := ParseSite("site.yaml", []byte(validSite))
+	is.NoErr(err)
+	is.Equal(site.LinksAddress().String(), "10.1.0.13:7720")
+	site, err = ParseSite("site.yaml", []byte(validSite+`Advertise: "192.0.2.7:77"`))
+	is.NoErr(err)
+	is.Equal(site.LinksAddress().String(), "192.0.2.7:77")
+}
