Tests: an entry whose port is taken ends a wait at once, and ports are a test's own

The case's stand-in takes ports of 127.0.0.1 from the same range without the claims of standin/port.go. And a wait did not look at the processes, whose end only a later line could explain.

Change: FreeAddress gives addresses of a loopback IP of the test process's own.

TestFreeAddressStaysFreeBesideOthers failed before ("listen tcp 127.0.0.1:23463: bind: address already in use").

--- a/stager/process_test.go
+++ b/stager/process_test.go
@@ -6,16 +6,19 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
@@ -57,13 +60,12 @@
 type process struct {
 	id      requester.EntryID
 	address netip.AddrPort
-	// command is nil while the process is not running.
-	command      *exec.Cmd
+	// running is nil while the process is not running.
+	running      *standin.Process
 	linkProxy    *standin.Proxy
 	tableProxy   *standin.Proxy
 	settingsFile string
-	// exited is closed when the process has exited.
-	exited chan struct{}
+	log          *os.File
 }
 
 // processCluster is a deployment whose entries run in processes of their own.
@@ -132,11 +134,11 @@
 		<-c.loadDone
 	}
 	for _, p := range c.processes {
-		if p.command != nil {
-			_ = p.command.Process.Signal(syscall.SIGCONT)
-			_ = p.command.Process.Kill()
-			<-p.exited
+		if p.running != nil {
+			p.running.Signal(syscall.SIGCONT)
+			p.running.End(syscall.SIGKILL)
 		}
+		_ = p.log.Close()
 	}
 	if c.balancer != nil {
 		c.balancer.Close()
@@ -172,6 +174,8 @@
 	c.must(err)
 	p.settingsFile = filepath.Join(c.t.TempDir(), string(id)+".yaml")
 	c.must(os.WriteFile(p.settingsFile, data, 0o600))
+	p.log, err = os.Create(p.settingsFile + ".log")
+	c.must(err)
 	c.processes = append(c.processes, p)
 	return p
 }
@@ -180,26 +184,18 @@
 func (c *processCluster) launch(p *process) {
 	path, err := builtBinary()
 	c.must(err)
-	p.command = exec.Command(path, "entry", "--config", p.settingsFile)
-	p.command.Stderr = os.Stderr
-	c.must(p.command.Start())
-	p.exited = make(chan struct{})
-	go func() {
-		defer close(p.exited)
-		_ = p.command.Wait()
-	}()
+	p.running, err = standin.StartProcess(p.log, path, "entry", "--config", p.settingsFile)
+	c.must(err)
 }
 
-func (c *processCluster) signal(p *process, signal syscall.Signal) {
-	c.must(p.command.Process.Signal(signal))
+// end ends the process of an entry with a signal and waits until it has exited.
+func (c *processCluster) end(p *process, signal syscall.Signal) {
+	p.running.End(signal)
+	p.running = nil
 }
 
 // kill kills the process of an entry with SIGKILL and waits until it has exited.
-func (c *processCluster) kill(p *process) {
-	c.signal(p, syscall.SIGKILL)
-	<-p.exited
-	p.command = nil
-}
+func (c *processCluster) kill(p *process) { c.end(p, syscall.SIGKILL) }
 
 // status returns the view that an entry reports, or nil if the entry does not
 // respond with status 200 within a second.
@@ -231,11 +227,11 @@
 	return response.StatusCode
 }
 
-// await waits until condition returns true. If the test's context ends first, it
-// logs the view of every entry and fails the test.
+// await waits until condition returns true. If the test's context ends first, or an
+// entry ends by itself, it logs the view of every entry and fails the test.
 func (c *processCluster) await(what string, condition func() bool) {
 	c.t.Helper()
-	if err := c.standIns.Await(c.ctx, what, condition); err != nil {
+	if err := c.awaitRunning(what, condition); err != nil {
 		for _, p := range c.processes {
 			c.t.Logf("%s: %+v", p.id, c.status(p))
 		}
@@ -243,11 +239,29 @@
 	}
 }
 
+// awaitRunning returns an error if the test's context ends before condition returns
+// true, and as soon as an entry has ended by itself.
+func (c *processCluster) awaitRunning(what string, condition func() bool) error {
+	var failure error
+	err := c.standIns.Await(c.ctx, what, func() bool {
+		for _, p := range c.processes {
+			if p.running != nil && failure == nil {
+				failure = errors.Wrapf(p.running.Failure(), "await %s: %s", what, p.id)
+			}
+		}
+		return failure != nil || condition()
+	})
+	if failure != nil {
+		return failure
+	}
+	return err
+}
+
 // heldShards returns how many shards the running entries hold by their own views.
 func (c *processCluster) heldShards() int {
 	held := 0
 	for _, p := range c.processes {
-		if p.command == nil {
+		if p.running == nil {
 			continue
 		}
 		if view := c.status(p); view != nil {
@@ -266,12 +280,12 @@
 func (c *processCluster) converged() bool {
 	running := 0
 	for _, p := range c.processes {
-		if p.command != nil {
+		if p.running != nil {
 			running++
 		}
 	}
 	for _, p := range c.processes {
-		if p.command == nil {
+		if p.running == nil {
 			continue
 		}
 		view := c.status(p)
@@ -344,7 +358,7 @@
 		c.t.Errorf("capacity of a host exceeded %d times", violations)
 	}
 	for _, p := range c.processes {
-		if view := c.status(p); p.command != nil && view != nil && view.Stats.Violations > 0 {
+		if view := c.status(p); p.running != nil && view != nil && view.Stats.Violations > 0 {
 			c.t.Errorf("entry %s detected %d invariant violations", p.id, view.Stats.Violations)
 		}
 	}
@@ -381,7 +395,7 @@
 func TestProcessFrozen(t *testing.T) {
 	c := newProcessCluster(t)
 	c.startLoad()
-	c.signal(c.processes[0], syscall.SIGSTOP)
+	c.processes[0].running.Signal(syscall.SIGSTOP)
 	heldByOthers := func() int {
 		held := 0
 		for _, p := range c.processes[1:] {
@@ -393,7 +407,7 @@
 	}
 	c.await("shards acquired by the other entries", func() bool { return heldByOthers() == c.totalShards() })
 	c.awaitCalls(50)
-	c.signal(c.processes[0], syscall.SIGCONT)
+	c.processes[0].running.Signal(syscall.SIGCONT)
 	c.await("cluster converged again", c.converged)
 	c.awaitAnswered(100)
 	c.checkNoLoss(c.stopAndAudit())
@@ -517,9 +531,7 @@
 	c := newProcessCluster(t)
 	c.startLoad()
 	for _, p := range c.processes[:2] {
-		c.signal(p, syscall.SIGTERM)
-		<-p.exited
-		p.command = nil
+		c.end(p, syscall.SIGTERM)
 		c.await("shards acquired by the other entries", func() bool { return c.heldShards() == c.totalShards() })
 		c.awaitAnswered(50)
 		c.launch(p)
@@ -552,3 +564,20 @@
 	c.awaitAnswered(100)
 	c.checkNoLoss(c.stopAndAudit())
 }
+
+// TestAwaitEndsWithProcess guards against a test that waits for its whole timeout
+// although the port of an entry was taken and the entry has ended, saying so.
+func TestAwaitEndsWithProcess(t *testing.T) {
+	is := is.New(t)
+	c := newProcessCluster(t)
+	p := c.processes[0]
+	c.kill(p)
+	other, err := net.Listen("tcp", p.address.String())
+	is.NoErr(err)
+	defer other.Close()
+	c.launch(p)
+	err = c.awaitRunning("cluster converged again", c.converged)
+	is.True(err != nil)
+	is.True(!errors.Is(err, context.DeadlineExceeded)) // not at the test's timeout
+	is.True(strings.Contains(err.Error(), "address already in use"))
+}
--- a/standin/port.go
+++ b/standin/port.go
@@ -29,13 +29,15 @@
 
 // FreeAddress returns a loopback address with a port that is not in use. No process
 // that asks for one is given the same until this one ends, also while nothing listens
-// there: this process keeps the UDP port of that number.
+// there: this process keeps the UDP port of that number. The IP address is this
+// process's own, so that those who take ports of 127.0.0.1 without asking are not in the
+// way.
 func FreeAddress() (netip.AddrPort, error) {
 	portMu.Lock()
 	defer portMu.Unlock()
 	for range portCount {
 		nextPort++
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+nextPort%portCount))
+		address := netip.AddrPortFrom(ownLoopback(), uint16(firstPort+nextPort%portCount))
 		claim, err := net.ListenPacket("udp", address.String())
 		if err != nil {
 			continue // given to another process
@@ -53,3 +55,10 @@
 	}
 	return netip.AddrPort{}, errors.Newf("none of the %d ports from %d on is free", portCount, firstPort)
 }
+
+// ownLoopback returns a loopback address that depends on the process id and isn't
+// 127.0.0.1. On Linux all of 127.0.0.0/8 are loopback addresses.
+func ownLoopback() netip.Addr {
+	pid := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, 1 + byte(pid>>16)%254, byte(pid >> 8), byte(pid)})
+}
--- a/standin/port_test.go
+++ b/standin/port_test.go
@@ -45,3 +45,17 @@
 	is.NoErr(err)
 	is.True(again != address)
 }
+
+// TestFreeAddressStaysFreeBesideOthers guards against an entry that can't start again
+// because the stand-in of another test took its port of 127.0.0.1 while it was down.
+func TestFreeAddressStaysFreeBesideOthers(t *testing.T) {
+	is := is.New(t)
+	address, err := FreeAddress()
+	is.NoErr(err)
+	other, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", address.Port()))
+	is.NoErr(err)
+	defer other.Close()
+	listener, err := net.Listen("tcp", address.String())
+	is.NoErr(err) // the entry can listen there
+	is.NoErr(listener.Close())
+}
