--- a/standin/proxy.go
+++ b/standin/proxy.go
@@ -13,8 +13,10 @@
 // Proxy is a TCP proxy that injects connection faults in front of one target.
 type Proxy struct {
 	listener net.Listener
-	target   netip.AddrPort
-	group    sync.WaitGroup
+	// others are the listeners at further addresses.
+	others []net.Listener
+	target netip.AddrPort
+	group  sync.WaitGroup
 	// delay is the time in nanoseconds for which bytes are held before they are
 	// forwarded.
 	delay atomic.Int64
@@ -59,16 +61,30 @@
 		return nil, errors.Wrap(err, "listen for proxy")
 	}
 	p := &Proxy{listener: listener, target: target, connections: make(map[*connection]bool)}
-	p.group.Go(p.accept)
+	p.group.Go(func() { p.accept(listener) })
 	return p, nil
 }
 
+// ListenAlso makes the proxy listen at its port on another loopback IP address as
+// well. It may be called before the first connection only.
+func (p *Proxy) ListenAlso(address netip.Addr) error {
+	listener, err := net.Listen("tcp", netip.AddrPortFrom(address, p.Address().Port()).String())
+	if err != nil {
+		return errors.Wrapf(err, "listen for proxy at %s", address)
+	}
+	p.others = append(p.others, listener)
+	p.group.Go(func() { p.accept(listener) })
+	return nil
+}
+
 // Address returns the address on which the proxy listens.
 func (p *Proxy) Address() netip.AddrPort { return p.listener.Addr().(*net.TCPAddr).AddrPort() }
 
 // Close stops the proxy and closes its connections.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
+	for _, listener := range append(p.others, p.listener) {
+		_ = listener.Close()
+	}
 	p.SetRefuse(true)
 	p.group.Wait()
 }
@@ -129,9 +145,9 @@
 	}
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(listener net.Listener) {
 	for {
-		downstream, err := p.listener.Accept()
+		downstream, err := listener.Accept()
 		if err != nil {
 			return
 		}
