Scheduler: try a gang under suspicion away from fresh tasks

A suspect keeps later starts away from its worker, but gangs are packed by best fit only, on top of what has just started there, so the crash told against the wrong task. TestSuspectGangStartsBesideFreshTasks failed before: "not true: h.hostOf(taskOf("gang", 0)) != h.hostOf(fresh)".

--- a/scheduler/candidate.go
+++ b/scheduler/candidate.go
@@ -99,6 +99,9 @@
 	reserved bool
 	// slow is true if the worker runs its tasks below slowSpeed.
 	slow bool
+	// unsettled is true if a gang under suspicion would start beside a task that has
+	// just started there.
+	unsettled bool
 }
 
 // penalty returns the candidate's addition to its best-fit score. Each penalty
@@ -118,6 +121,9 @@
 	if cand.slow {
 		penalty += slowPenalty
 	}
+	if cand.unsettled {
+		penalty += unsettledPenalty
+	}
 	return penalty
 }
 
@@ -132,6 +138,7 @@
 	}
 	total := 0
 	advised := s.job().spec.Advice != nil
+	accused := s.def.Gang && s.tasks[0].suspect()
 	need := s.def.allocation()
 	for _, w := range workers {
 		if !need.Fits(c.availableFor(s, w)) || !c.compatible(s, w) {
@@ -142,12 +149,13 @@
 			continue
 		}
 		cand := candidate{
-			worker:   w,
-			slots:    slots,
-			offRack:  s.def.DataRack != "" && w.info.Rack != s.def.DataRack,
-			avoided:  slices.Contains(s.avoid, w.info.HostID),
-			slow:     w.slow(c.now),
-			reserved: w.reservation != nil && w.reservation.step != s,
+			worker:    w,
+			slots:     slots,
+			offRack:   s.def.DataRack != "" && w.info.Rack != s.def.DataRack,
+			avoided:   slices.Contains(s.avoid, w.info.HostID),
+			slow:      w.slow(c.now),
+			reserved:  w.reservation != nil && w.reservation.step != s,
+			unsettled: accused && w.unsettled(c.now),
 		}
 		if advised {
 			if allowed, _ := s.advice.allows(w); !allowed {
@@ -254,6 +262,9 @@
 	// avoidedPenalty applies to workers where a task of the step has failed or
 	// stalled.
 	avoidedPenalty = 8
+	// unsettledPenalty applies to workers on which another task has just started: a
+	// crash there would not tell which one was the cause.
+	unsettledPenalty = 10
 )
 
 // residual returns the capacity left on a worker after a task, as the sum of
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -260,3 +260,14 @@
 	}
 	return stake
 }
+
+// unsettled reports whether a task has just started on the worker, so that a crash
+// may be due to it.
+func (w *worker) unsettled(now time.Time) bool {
+	for _, r := range w.runs {
+		if now.Sub(r.startedAt) < minTrial {
+			return true
+		}
+	}
+	return false
+}
--- a/scheduler/trial_test.go
+++ b/scheduler/trial_test.go
@@ -168,3 +168,24 @@
 	is.Equal(len(lost), 2)
 	is.True(h.hostOf(taskOf("suspect2", 0)) != "")
 }
+
+// TestSuspectGangStartsBesideFreshTasks guards against a gang under suspicion that
+// starts where others have started just before: a crash then tells nothing, or it
+// convicts the wrong one.
+func TestSuspectGangStartsBesideFreshTasks(t *testing.T) {
+	is := is.New(t)
+	h := newDeadlyHarness(3)
+	h.occupy(1, 1000)
+	fresh := taskOf("fresh", 0)
+	h.add("fresh", Policy{Stretch: 3, ObjectiveMillis: 500}, stepOf(1, 3000))
+	gang := stepOf(2, 1000)
+	gang.Gang = true
+	h.add("gang", Policy{Stretch: 30, ObjectiveMillis: 5000}, gang)
+	h.accuse("gang")
+	for h.hostOf(taskOf("gang", 0)) == "" {
+		h.step(20 * time.Millisecond)
+	}
+	is.Equal(h.startedAt[fresh], h.startedAt[taskOf("gang", 0)]) // in one pass
+	is.True(h.hostOf(taskOf("gang", 0)) != h.hostOf(fresh))
+	is.True(h.hostOf(taskOf("gang", 1)) != h.hostOf(fresh))
+}
