Scheduler: take a start on a dead worker for what it is

A task that was started on a worker which had crashed before, and was not known to have, got evidence against it as if the worker had crashed within 10 ms of the start. Of a start that was not acknowledged the time counts now from the last sign of life of the worker, as the crash may have been at any time since. TestStartOnDeadWorkerIsNoEvidence failed before: "not true: found.ChancePPM >= ...".

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -143,7 +143,7 @@
 		age := max(minAge, silentAt.Sub(r.startedAt))
 		found[r] = crash{
 			Run: r.number, Worker: w.info.HostID, AgeMillis: age.Milliseconds(),
-			ChancePPM: c.crashChance(w, r, silentAt, age, youngest), Unproven: r.acknowledgedAt.IsZero(),
+			ChancePPM: c.crashChance(w, r, silentAt, aliveAt, age, youngest), Unproven: r.acknowledgedAt.IsZero(),
 		}
 	}
 	for _, r := range runs {
--- a/scheduler/evidence.go
+++ b/scheduler/evidence.go
@@ -88,12 +88,17 @@
 }
 
 // crashChance returns the probability, in millionths, that the worker crashes by
-// chance within the given time from the start of the run.
-func (c *Core) crashChance(w *worker, r *run, silentAt time.Time, age, youngest time.Duration) int64 {
+// chance within the given time from the start of the run. A worker that has not
+// acknowledged the start may have crashed before it, at any time since aliveAt.
+func (c *Core) crashChance(w *worker, r *run, silentAt, aliveAt time.Time, age, youngest time.Duration) int64 {
 	if r.tracked || c.wideFailure(w, r, silentAt) {
 		return certainPPM
 	}
-	chance := int64(certainPPM * c.crashRate() * age.Seconds())
+	within := age
+	if r.acknowledgedAt.IsZero() && !aliveAt.IsZero() {
+		within = max(age, silentAt.Sub(aliveAt))
+	}
+	chance := int64(certainPPM * c.crashRate() * within.Seconds())
 	if age >= explainedFactor*youngest && age >= minTrial || r.acknowledgedAt.IsZero() && youngest <= silenceAge {
 		chance = max(chance, explainedPPM)
 	}
--- /dev/null
+++ b/scheduler/evidence_test.go
@@ -0,0 +1,32 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestStartOnDeadWorkerIsNoEvidence guards against a worker that crashed before a
+// start, and is taken for one that crashed right after it.
+func TestStartOnDeadWorkerIsNoEvidence(t *testing.T) {
+	is := is.New(t)
+	h := newDeadlyHarness(1)
+	h.step(20 * time.Millisecond)
+	alive := h.now
+	h.crash(h.infos[0].HostID)
+	h.now = h.now.Add(180 * time.Millisecond) // no poll is due yet
+	h.add("innocent", Policy{Stretch: 3, ObjectiveMillis: 500}, stepOf(1, 1000))
+	h.core.SetWorkers(h.now, h.infos)
+	task := h.core.jobs["innocent"].occurrences[0].steps[0].tasks[0]
+	for task.crashes == nil {
+		h.step(20 * time.Millisecond)
+	}
+	is.Equal(len(task.crashes.crashes), 1)
+	found := task.crashes.crashes[0]
+	is.True(found.Unproven)
+	is.True(found.age() < 100*time.Millisecond) // the start
+	w := h.core.sortedWorkers[0]
+	is.True(w.silentAt.Sub(alive) >= 180*time.Millisecond)
+	is.True(found.ChancePPM >= int64(certainPPM*0.18/(crashMemory+crashPrior).Seconds())) // the crash may have been at any time since the last answer
+}
