Scheduler: count the crashes of idle workers in the rate of crashes

The probability that a worker crashed by chance follows from the rate of crashes that the owner has seen. It counted only the workers on which something ran, but divided by all of them. Crashes of idle workers count now too, once for each incarnation that has reported; they also show that a rack has failed. TestCrashesOfIdleWorkersCount failed before: "0 != 6".

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -125,12 +125,17 @@
 func (c *Core) recordCrash(w *worker) {
 	c.noteSilent(w)
 	w.trial = nil
-	if len(w.runs) == 0 || w.info.Leaving {
+	if w.info.Leaving {
 		return
 	}
 	silentAt := w.silentAt
+	if len(w.runs) > 0 || w.reported && !w.ended {
+		c.lostLives = append(c.lostLives, lostLife{w.info.HostID, silentAt, w.silence})
+	}
+	if len(w.runs) == 0 {
+		return
+	}
 	c.stats.Crashes++
-	c.lostLives = append(c.lostLives, lostLife{w.info.HostID, silentAt, w.silence})
 	aliveAt, youngest := w.lastSign(silentAt)
 	found := make(map[*run]crash)
 	runs := slices.DeleteFunc(w.sortedRuns(), func(r *run) bool {
--- a/scheduler/evidence_test.go
+++ b/scheduler/evidence_test.go
@@ -30,3 +30,19 @@
 	is.True(w.silentAt.Sub(alive) >= 180*time.Millisecond)
 	is.True(found.ChancePPM >= int64(certainPPM*0.18/(crashMemory+crashPrior).Seconds())) // the crash may have been at any time since the last answer
 }
+
+// TestCrashesOfIdleWorkersCount guards against a rate of crashes that leaves out the
+// workers on which nothing ran, so that crashes by chance seem rarer than they are.
+func TestCrashesOfIdleWorkersCount(t *testing.T) {
+	is := is.New(t)
+	h := newDeadlyHarness(12)
+	before := h.core.crashRate()
+	for i := range 6 {
+		h.crash(h.infos[i].HostID)
+	}
+	for range 300 {
+		h.step(20 * time.Millisecond)
+	}
+	is.Equal(len(h.core.lostLives), 6)
+	is.True(h.core.crashRate() > before)
+}
