Scheduler: clean members of a gang explain no crash

A task beside which a suspect had just started counts as innocent to a good part: a suspect is taken for the cause with 0.3. That held for all members of a gang under suspicion, also for those beside which no worker had ever crashed, although each member has a record of its own for that reason. TestCleanMemberAcquitsDeadlyTask failed before: "not true: beside(1) > 0 && beside(1) < suspectPriorPPM".

--- a/scheduler/evidence.go
+++ b/scheduler/evidence.go
@@ -124,7 +124,8 @@
 		if other == r || other.task == nil || other.task.step.def.Gang && other.task.step == r.task.step || silentAt.Sub(other.startedAt) > 2*age {
 			continue
 		}
-		if other.task.suspect() {
+		// Of a gang under suspicion, the members beside which no worker crashed are none.
+		if other.task.crashes.suspect() {
 			chance += suspectPriorPPM
 		} else {
 			chance += taskPriorPPM
--- a/scheduler/evidence_test.go
+++ b/scheduler/evidence_test.go
@@ -46,3 +46,31 @@
 	is.Equal(len(h.core.lostLives), 6)
 	is.True(h.core.crashRate() > before)
 }
+
+// TestCleanMemberAcquitsDeadlyTask guards against a task that seems innocent because
+// a gang under suspicion was on its worker, of which only other members had crashes.
+func TestCleanMemberAcquitsDeadlyTask(t *testing.T) {
+	is := is.New(t)
+	h := newDeadlyHarness(2)
+	gang := stepOf(2, 5000)
+	gang.Gang, gang.AntiAffinity = true, 1
+	h.add("gang", Policy{Stretch: 3, ObjectiveMillis: 500}, gang)
+	for h.hostOf(taskOf("gang", 1)) == "" {
+		h.step(20 * time.Millisecond)
+	}
+	h.accuse("gang")
+	h.add("singles", Policy{Stretch: 3, ObjectiveMillis: 500}, stepOf(2, 3000))
+	for h.hostOf(taskOf("singles", 1)) == "" {
+		h.step(20 * time.Millisecond)
+	}
+	beside := func(index int) int64 {
+		for _, single := range h.core.jobs["singles"].occurrences[0].steps[0].tasks {
+			if r := single.run; r.worker.info.HostID == h.hostOf(taskOf("gang", index)) {
+				return h.core.othersChance(r.worker, r, h.now, time.Second)
+			}
+		}
+		return 0
+	}
+	is.True(beside(0) >= suspectPriorPPM)
+	is.True(beside(1) > 0 && beside(1) < suspectPriorPPM)
+}
