Scheduler: weigh guilt against chance, not a product of probabilities

The probabilities of a task's crashes were multiplied and the product was taken for a probability, against limits that lives of unknown outcome eased, up to 0.05. Crashes right after starts also counted in the rate of crashes by chance.

The probabilities are combined by Fisher's method now, and a task is given up if the result is smaller than the share of the tasks that crash workers, which is learned, divided by the odds that are asked for: 1000 for two or three lives, 10 for four, 1 when the next start may be one too many. The rate is that of the crashes without a start right before.

TestProductOfChancesConvictsInnocent failed before: "759 of 1000000 innocent tasks are given up after 3 crashes, at most 10 may be"; TestUnknownLivesConvictInnocent too.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -59,9 +59,16 @@
 	minCrashes = 2
 	// maxCrashes is the number of lives from which unproven ones count as well.
 	maxCrashes = 4
-	// manyCrashes is the number of crashes soon after a start after which a task
-	// is given up whatever the probability.
+	// manyCrashes is the number of lives after which a task that crashes its workers
+	// must not start again.
 	manyCrashes = 5
+	// firstOdds, from maxCrashes lives on laterOdds, from manyCrashes on lastOdds and,
+	// if that many runs, and all, crashed soon after the start, hopelessOdds are how many
+	// times likelier than chance the guilt of a task has to be for it to be given up.
+	firstOdds    = 1000.0
+	laterOdds    = 10.0
+	lastOdds     = 1.0
+	hopelessOdds = 0.5
 	// suspectPPM is the chance of a crash below which its runs are under
 	// suspicion if they had existed for at most suspectAge.
 	suspectPPM = 50_000
@@ -75,6 +82,9 @@
 	// a new owner doesn't assume that workers never crash.
 	crashMemory = time.Minute
 	crashPrior  = 5 * time.Second
+	// maxFresh is the largest share of the time in which a worker counts as having
+	// just started something.
+	maxFresh = 0.5
 	// minAge is the least age with which a chance is calculated.
 	minAge = 10 * time.Millisecond
 	// A run that was explainedFactor times as old as the youngest one on its
@@ -83,9 +93,9 @@
 	// silenceAge. The chance of its crash is at least explainedPPM.
 	explainedFactor = 4
 	explainedPPM    = 200_000
-	// taskPriorPPM and suspectPriorPPM are the probabilities that a task, or a
-	// suspect, crashes its workers, as far as is known before a crash.
-	taskPriorPPM    = 1_000
+	// taskPrior is the least probability that a task crashes its workers, as far as is
+	// known before a crash, suspectPriorPPM that of a suspect.
+	taskPrior       = 0.001
 	suspectPriorPPM = 300_000
 	// wideWindow, wideCrashes and wideShare define a wide failure: so many other
 	// workers fall silent within that time before or after, and not right after a
@@ -203,7 +213,7 @@
 // judge gives a task up if it is guilty; a long-running one is held back.
 func (c *Core) judge(t *task) {
 	h, j := t.crashes, t.step.job()
-	if !t.guilty() {
+	if !t.guilty(c.deadlyShare()) {
 		return
 	}
 	if t.step.def.LongRunning {
@@ -327,3 +337,21 @@
 	}
 	p.Crashes[index] = h.crashes
 }
+
+// count returns the number of recorded lives, of those that surely were runs of the
+// task, and of the runs that had just started when the worker crashed.
+func (h *crashHistory) count() (lives, known, early int) {
+	if h == nil {
+		return 0, 0, 0
+	}
+	for _, crash := range h.crashes {
+		if crash.Worker == "" || crash.Unproven {
+			continue
+		}
+		known++
+		if crash.age() <= suspectAge {
+			early++
+		}
+	}
+	return len(h.crashes), known, early
+}
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -144,7 +144,7 @@
 		{"many", simulationOptions{deadly: 0.6, workers: 30}},
 	}
 	for _, kind := range kinds {
-		for _, seed := range seedsFrom(t, 1, 4) {
+		for _, seed := range seedsOf(t, kind.name) {
 			t.Run(kind.name+"/"+strconv.FormatUint(seed, 10), func(t *testing.T) {
 				options := kind.options
 				options.workers, options.jobs = max(15, options.workers), 70
--- a/scheduler/evidence.go
+++ b/scheduler/evidence.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -18,51 +19,81 @@
 	silence  silenceCause
 }
 
-// chance returns the probability that so many of the task's runs crashed by
-// chance. A gang starts again whichever member's worker crashes, so the crashes
-// may have come together under any of its members.
+// chance returns the probability that an innocent task has crashes as telling as
+// those of the task, by chance. That of each crash is no more than the share of
+// innocent crashes that are as telling; so the product of several is not a
+// probability, and Fisher's method turns it into one. Which of the runs crashed
+// doesn't matter, but for those whose crash tells nothing.
 func (t *task) chance() float64 {
-	h := t.crashes
-	chance := 1.0
-	for i, crash := range h.crashes {
-		chance *= float64(crash.ChancePPM) / certainPPM
-		// Which of the runs crashed doesn't matter.
-		chance *= float64(max(t.startedRuns, len(h.crashes))-i) / float64(i+1)
+	product, telling, runs := 1.0, 0, t.startedRuns
+	for _, crash := range t.crashes.crashes {
+		switch {
+		case crash.ChancePPM < certainPPM:
+			product *= float64(crash.ChancePPM) / certainPPM
+			telling++
+		case crash.Worker != "":
+			runs--
+		}
 	}
-	if t.step.def.Gang {
-		chance *= float64(len(t.step.tasks))
+	chance := combinedChance(product, telling)
+	for i := range telling {
+		chance *= float64(max(runs, telling)-i) / float64(i+1)
 	}
 	return min(1, chance)
 }
 
-// guiltyChances are, by the number of lives recorded with a task, the
-// probabilities of chance below which the task is given up. The last one holds
-// for all higher numbers.
-var guiltyChances = [...]float64{0, 0, 1e-5, 1e-5, 1e-4, 5e-2}
+// combinedChance returns the probability that the product of so many independent
+// probabilities, each evenly distributed, is at most the given one.
+func combinedChance(product float64, count int) float64 {
+	if count == 0 {
+		return 1
+	}
+	term, sum := 1.0, 0.0
+	for i := range count {
+		sum += term
+		term *= -math.Log(product) / float64(i+1)
+	}
+	return min(1, product*sum)
+}
 
-// guilty reports whether the task is to be given up. Of the lives recorded with
-// it, minCrashes must say something about the task. From maxCrashes on these
-// need not be proven: a task may crash its workers before they acknowledge the
-// start. Once manyCrashes workers have crashed soon after a start of it, and fewer
-// have not, the probability doesn't matter.
-func (t *task) guilty() bool {
+// guilty reports whether the task is to be given up: whether its crashes are less
+// likely by chance than by its guilt, which is the share of the tasks that crash their
+// workers as far as is known before a crash. Of the lives recorded with the task,
+// minCrashes must say something about it. From maxCrashes on these need not be proven:
+// a task may crash its workers before they acknowledge the start.
+func (t *task) guilty(deadlyShare float64) bool {
 	h := t.crashes
 	if h == nil {
 		return false
 	}
-	telling, early := 0, 0
+	telling := 0
 	for _, crash := range h.crashes {
 		if crash.ChancePPM < certainPPM && (!crash.Unproven || len(h.crashes) >= maxCrashes) {
 			telling++
 		}
-		if crash.Worker != "" && crash.age() <= suspectAge {
-			early++
-		}
 	}
-	if telling < minCrashes {
-		return false
-	}
-	return early >= manyCrashes && 2*early > t.startedRuns || t.chance() < guiltyChances[min(len(h.crashes), len(guiltyChances)-1)]
+	return telling >= minCrashes && t.chance()*t.guiltyOdds() < deadlyShare
+}
+
+// guiltyOdds returns how many times likelier than chance the guilt of the task has to
+// be for it to be given up. Once the next start may be one too many, it is as bad to
+// go on with a guilty task as to give up an innocent one, and the likelier counts; a
+// task of which no run has fared better gets nowhere anyway. The members of a gang
+// start one after the other, some of them after the third crash, so a gang has one
+// start less; there, any of its members may be the one that chance has hit.
+func (t *task) guiltyOdds() float64 {
+	lives, known, early := t.crashes.count()
+	switch {
+	case early >= manyCrashes && early >= t.startedRuns:
+		return hopelessOdds
+	case lives >= manyCrashes:
+		return lastOdds
+	case t.step.def.Gang && known >= manyCrashes-1:
+		return min(laterOdds, lastOdds*float64(len(t.step.tasks)))
+	case lives >= maxCrashes:
+		return laterOdds
+	}
+	return firstOdds
 }
 
 // suspect reports whether the task has to start on trial: a worker crashed soon
@@ -106,20 +137,55 @@
 	return min(certainPPM, max(1, chance))
 }
 
-// crashRate returns how many times a second a worker crashes, whatever the cause:
-// where tasks crash workers too, that is more than by chance alone, and errs in
-// favour of the innocent.
+// crashRate returns how many times a second a worker crashes by itself. A crash right
+// after a start may be due to what was started, which othersChance counts; so the rate
+// is that of the other crashes, in the time in which a worker has started nothing
+// right before.
 func (c *Core) crashRate() float64 {
 	c.lostLives = slices.DeleteFunc(c.lostLives, func(life lostLife) bool { return c.now.Sub(life.silentAt) > crashMemory })
-	workers := float64(max(1, len(c.sortedWorkers)))
-	observed := min(crashMemory, c.now.Sub(c.tookOverAt)) + crashPrior
-	return float64(len(c.lostLives)+1) / (workers * observed.Seconds())
+	observed := c.observed() + crashPrior
+	return float64(c.lostBy(silenceUnexplained)+1) / (c.workerCount() * observed.Seconds() * (1 - c.freshShare()))
+}
+
+// deadlyShare returns which share of the tasks crash their workers, from those that
+// have just done so beyond what chance explains: at least taskPrior.
+func (c *Core) deadlyShare() float64 {
+	byChance := c.crashRate() * c.workerCount() * c.observed().Seconds() * c.freshShare()
+	starts := c.startRate() * c.observed().Seconds()
+	return max(taskPrior, (float64(c.lostBy(silenceAfterStart))-byChance+1)/(starts+1/taskPrior))
+}
+
+// lostBy counts the lives that ended lately, and what explains it.
+func (c *Core) lostBy(cause silenceCause) int {
+	count := 0
+	for _, life := range c.lostLives {
+		if life.silence == cause {
+			count++
+		}
+	}
+	return count
+}
+
+// observed returns the time over which the owner has seen crashes that it remembers.
+func (c *Core) observed() time.Duration { return min(crashMemory, c.now.Sub(c.tookOverAt)) }
+
+func (c *Core) workerCount() float64 { return float64(max(1, len(c.sortedWorkers))) }
+
+// startRate returns how many tasks the owner starts in a second.
+func (c *Core) startRate() float64 {
+	return float64(c.stats.Starts) / (c.now.Sub(c.tookOverAt) + crashPrior).Seconds()
+}
+
+// freshShare returns in which share of the time a worker has just started something.
+func (c *Core) freshShare() float64 {
+	return min(maxFresh, c.startRate()*silenceAge.Seconds()/c.workerCount())
 }
 
 // othersChance returns the probability, in millionths, that another task on the
 // worker that started at about the same time, or later, is the cause.
 func (c *Core) othersChance(w *worker, r *run, silentAt time.Time, age time.Duration) int64 {
 	var chance int64
+	fresh := int64(certainPPM * c.deadlyShare())
 	for _, other := range w.runs {
 		if other == r || other.task == nil || other.task.step.def.Gang && other.task.step == r.task.step || silentAt.Sub(other.startedAt) > 2*age {
 			continue
@@ -128,7 +194,7 @@
 		if other.task.crashes.suspect() {
 			chance += suspectPriorPPM
 		} else {
-			chance += taskPriorPPM
+			chance += fresh
 		}
 	}
 	return chance
--- a/scheduler/evidence_test.go
+++ b/scheduler/evidence_test.go
@@ -1,12 +1,82 @@
 package scheduler
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 )
 
+// accusedTask returns a task of a step with so many tasks, with these lives.
+func accusedTask(tasks int, gang bool, crashes ...crash) *task {
+	def := stepOf(tasks, 1000)
+	def.Gang = gang
+	s := &step{def: &def}
+	for i := range tasks {
+		s.tasks = append(s.tasks, &task{step: s, index: i})
+	}
+	s.tasks[0].crashes = &crashHistory{crashes: crashes}
+	for _, known := range crashes {
+		if known.Worker != "" {
+			s.tasks[0].startedRuns++
+		}
+	}
+	return s.tasks[0]
+}
+
+// crashAt returns a proven crash with a probability of chance.
+func crashAt(run RunNumber, age time.Duration, ppm int64) crash {
+	return crash{Run: run, Worker: "w", AgeMillis: age.Milliseconds(), ChancePPM: ppm}
+}
+
+// TestProductOfChancesConvictsInnocent guards against a product of probabilities
+// that is taken for one: of an innocent task each crash has any of them.
+func TestProductOfChancesConvictsInnocent(t *testing.T) {
+	const rounds = 1_000_000
+	random := rand.New(rand.NewPCG(1, 1))
+	// Of a million innocent tasks whose workers crash that often, so many may be given
+	// up: one is expected, 100 when the next start may be one too many, 1000 when it is,
+	// and 2000 if no run fared better; these are the limits on the page, and room for
+	// the draw.
+	limits := []struct{ crashes, runs, most int }{{2, 2, 10}, {3, 3, 10}, {4, 4, 130}, {5, 6, 1100}, {5, 5, 2200}}
+	for _, limit := range limits {
+		crashes, most := limit.crashes, limit.most
+		found := make([]crash, crashes)
+		task := accusedTask(1, false, found...)
+		task.startedRuns = limit.runs
+		guilty := 0
+		for range rounds {
+			for i := range found {
+				found[i] = crashAt(RunNumber(i+1), 100*time.Millisecond, 1+random.Int64N(certainPPM-1))
+			}
+			if task.guilty(taskPrior) {
+				guilty++
+			}
+		}
+		if guilty > most {
+			t.Errorf("%d of %d innocent tasks are given up after %d crashes, at most %d may be", guilty, rounds, crashes, most)
+		}
+	}
+}
+
+// TestUnknownLivesConvictInnocent guards against a task that is given up for two
+// crashes that say little, because three owners were lost: a life of unknown outcome
+// is no evidence.
+func TestUnknownLivesConvictInnocent(t *testing.T) {
+	is := is.New(t)
+	unknown := func(run RunNumber) crash { return crash{Run: run, ChancePPM: certainPPM} }
+	is.True(!accusedTask(2, true, crashAt(1, 800*time.Millisecond, 23893), crashAt(2, 1930*time.Millisecond, 57088), unknown(3), unknown(4), unknown(5)).guilty(taskPrior))
+	is.True(!accusedTask(6, false, crashAt(1, 1210*time.Millisecond, 34553), unknown(2), unknown(3), unknown(4), crashAt(5, 360*time.Millisecond, 12671)).guilty(taskPrior))
+	// Two starts on workers that were dead before were no runs.
+	deadBefore := func(run RunNumber, ppm int64) crash {
+		return crash{Run: run, Worker: "w", AgeMillis: 10, ChancePPM: ppm, Unproven: true}
+	}
+	is.True(!accusedTask(5, true, deadBefore(1, 10579), crashAt(2, 1190*time.Millisecond, 58669), deadBefore(4, 43786), crashAt(5, 430*time.Millisecond, 27273)).guilty(taskPrior))
+	// Two that say much suffice then.
+	is.True(accusedTask(2, false, crashAt(1, 50*time.Millisecond, 3000), crashAt(2, 50*time.Millisecond, 3000), unknown(3), unknown(4), unknown(5)).guilty(taskPrior))
+}
+
 // TestStartOnDeadWorkerIsNoEvidence guards against a worker that crashed before a
 // start, and is taken for one that crashed right after it.
 func TestStartOnDeadWorkerIsNoEvidence(t *testing.T) {
--- a/scheduler/randomised_test.go
+++ b/scheduler/randomised_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -137,6 +138,31 @@
 	return seeds
 }
 
+// regressionSeeds are, by kind of fault, the seeds with which an innocent job was given
+// up or a deadly task was started too often.
+var regressionSeeds = map[string][]uint64{
+	"reborn workers, late orders":            {119, 126, 154, 171, 201, 353},
+	"reborn workers, late orders, takeovers": {129, 138, 148, 149, 154, 178, 189, 201, 202, 215, 234, 236, 237, 288},
+	"silent crashes":                         {120, 209, 218, 219, 221, 236, 262, 285, 5017},
+	"many":                                   {117},
+}
+
+// seedsOf returns four seeds and the regression seeds of a kind of fault, or the four
+// that KUMQUATSTALL_SEED chooses.
+func seedsOf(t *testing.T, kind string) []uint64 {
+	t.Helper()
+	seeds := seedsFrom(t, 1, 4)
+	if os.Getenv("KUMQUATSTALL_SEED") != "" {
+		return seeds
+	}
+	for _, seed := range regressionSeeds[kind] {
+		if !slices.Contains(seeds, seed) {
+			seeds = append(seeds, seed)
+		}
+	}
+	return seeds
+}
+
 // TestRandomisedFaults runs the core with one to three kinds of faults at a
 // time, so that a failure points to its cause.
 func TestRandomisedFaults(t *testing.T) {
@@ -170,7 +196,7 @@
 		{"reborn workers, late orders, takeovers", simulationOptions{crashes: 4, takeovers: 3, delayedOrders: 0.04, ownerFaults: ownerFaults{latePolls: 0.04, quickRebirths: true, slowStore: 3, overlap: true}}},
 	}
 	for _, kind := range kinds {
-		for _, seed := range seedsFrom(t, 1, 4) {
+		for _, seed := range seedsOf(t, kind.name) {
 			t.Run(kind.name+"/"+strconv.FormatUint(seed, 10), func(t *testing.T) {
 				options := kind.options
 				options.workers, options.jobs = 9, 60
--- a/scheduler/recover.go
+++ b/scheduler/recover.go
@@ -108,7 +108,7 @@
 				t.failedRuns = progress.FailedRuns[index]
 			}
 			t.crashes = restoredCrashes(progress.Crashes[index])
-			t.startedRuns = len(progress.Crashes[index])
+			_, t.startedRuns, _ = t.crashes.count()
 			t.checkpoint = progress.Checkpoints[index]
 			if progress.AllDone || bitSet(progress.Done, index) {
 				t.done = true
