--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -141,6 +141,11 @@
 	// unknownLivesRecorded is true once the tasks that a previous owner may have
 	// started and no worker has reported are recorded as such.
 	unknownLivesRecorded bool
+	// inheritedEnds has, until then, when the workers fell silent that are proven to
+	// have ended since the takeover.
+	// inheritedNotes are the starts that the previous owner has noted.
+	inheritedEnds  map[requester.HostID]time.Time
+	inheritedNotes map[*task]notedStart
 	// silences are the recent events in which a worker fell silent right after a
 	// start; risky counts them by queue.
 	silences   []silence
@@ -165,6 +170,8 @@
 		awaitingAdvice: make(map[StepName]*step),
 		allowedShares:  make(map[string]float64),
 		risky:          make(map[string]int),
+		inheritedEnds:  make(map[requester.HostID]time.Time),
+		inheritedNotes: make(map[*task]notedStart),
 
 		corrections: make(map[string]*estimator.Correction),
 	}
@@ -181,6 +188,7 @@
 	c.expireLeases()
 	c.learnStarts()
 	c.updateTrials()
+	c.noteSilences()
 	c.recordUnknownLives()
 	c.evacuate()
 	c.activateOccurrences()
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -124,35 +124,47 @@
 // runs.
 func (c *Core) recordCrash(w *worker) {
 	c.noteSilent(w)
+	c.noteInheritedEnd(w)
 	w.trial = nil
 	if len(w.runs) == 0 || w.info.Leaving {
 		return
 	}
-	silentAt := w.silentAt
 	c.stats.Crashes++
-	c.lostLives = append(c.lostLives, lostLife{w.info.HostID, silentAt, w.silence})
-	aliveAt, youngest := w.lastSign(silentAt)
-	found := make(map[*run]crash)
-	runs := slices.DeleteFunc(w.sortedRuns(), func(r *run) bool {
-		return r.task == nil || r.task.run != r || r.task.done || r.task.step.job().state.Ended()
-	})
-	for _, r := range runs {
+	c.lostLives = append(c.lostLives, lostLife{w.info.HostID, w.silentAt, w.silence})
+	aliveAt, youngest := w.lastSign(w.silentAt)
+	runs := w.tasksRuns()
+	found := make([]crash, len(runs))
+	for i, r := range runs {
 		if !r.task.step.def.Gang {
 			r.task.crashes.clearOutlasted(aliveAt.Sub(r.startedAt))
 		}
-		age := max(minAge, silentAt.Sub(r.startedAt))
-		found[r] = crash{
-			Run: r.number, Worker: w.info.HostID, AgeMillis: age.Milliseconds(),
-			ChancePPM: c.crashChance(w, r, silentAt, age, youngest), Unproven: r.acknowledgedAt.IsZero(),
-		}
+		found[i] = c.crashUnder(w, r, youngest)
 	}
-	for _, r := range runs {
+	for i, r := range runs {
 		if !r.task.step.job().state.Ended() {
-			c.addCrash(r.task, found[r])
+			c.addCrash(r.task, found[i])
 		}
 	}
 }
 
+// tasksRuns returns the runs on the worker that are the present ones of unfinished
+// tasks.
+func (w *worker) tasksRuns() []*run {
+	return slices.DeleteFunc(w.sortedRuns(), func(r *run) bool {
+		return r.task == nil || r.task.run != r || r.task.done || r.task.step.job().state.Ended()
+	})
+}
+
+// crashUnder returns what the silence of a worker says of a run, if the incarnation has
+// ended.
+func (c *Core) crashUnder(w *worker, r *run, youngest time.Duration) crash {
+	age := max(minAge, w.silentAt.Sub(r.startedAt))
+	return crash{
+		Run: r.number, Worker: w.info.HostID, AgeMillis: age.Milliseconds(),
+		ChancePPM: c.crashChance(w, r, w.silentAt, age, youngest), Unproven: r.acknowledgedAt.IsZero(),
+	}
+}
+
 // lastSign returns when the worker last gave a sign of life, and how old the
 // youngest run that it had acknowledged was when it fell silent.
 func (w *worker) lastSign(silentAt time.Time) (aliveAt time.Time, youngest time.Duration) {
@@ -221,6 +233,9 @@
 		return
 	}
 	c.unknownLivesRecorded = true
+	c.collectNotes()
+	defer clear(c.inheritedEnds)
+	defer clear(c.inheritedNotes)
 	for _, s := range slices.Clone(c.open) {
 		if !s.mayHaveUnknownRuns || s.eagerMark || s.waiting == 0 {
 			continue
@@ -229,13 +244,24 @@
 			if t.done || t.run != nil || s.job().state.Ended() {
 				continue
 			}
-			t.appendCrash(crash{Run: c.firstRun() - 1, ChancePPM: certainPPM})
-			c.judge(t)
+			c.recordUnknownLife(t)
 		}
 		c.markDirty(s.job())
 	}
 }
 
+// recordUnknownLife records the life that a task without a run may have taken under
+// the previous owner. If it had crashes before, its starts were noted.
+func (c *Core) recordUnknownLife(t *task) {
+	switch {
+	case t.noted != nil:
+		c.judgeNote(t)
+	case t.crashes.empty():
+		t.appendCrash(crash{Run: c.firstRun() - 1, ChancePPM: certainPPM})
+		c.judge(t)
+	}
+}
+
 // holds returns what keeps a task from starting on a worker that has room for
 // it: an earlier run that may be active, or its crashes.
 func (c *Core) holds(t *task) WaitReason {
@@ -267,6 +293,9 @@
 	return WaitNothing
 }
 
+// empty reports whether no life is recorded.
+func (h *crashHistory) empty() bool { return h == nil || len(h.crashes) == 0 }
+
 // committed reports whether the record is in the store.
 func (h *crashHistory) committed(j *job) bool { return h == nil || h.version <= j.committedVersion }
 
@@ -312,13 +341,19 @@
 	return &crashHistory{crashes: stored}
 }
 
-// addCrashes adds the history of a task to the stored progress.
-func (p *stepProgress) addCrashes(index int, h *crashHistory) {
-	if h == nil || len(h.crashes) == 0 {
-		return
+// addCrashes adds the history of a task to the stored progress, and the start that is
+// noted with it.
+func (p *stepProgress) addCrashes(index int, t *task) {
+	if !t.crashes.empty() {
+		if p.Crashes == nil {
+			p.Crashes = make(map[int][]crash)
+		}
+		p.Crashes[index] = t.crashes.crashes
 	}
-	if p.Crashes == nil {
-		p.Crashes = make(map[int][]crash)
+	if t.noted != nil {
+		if p.Noted == nil {
+			p.Noted = make(map[int]notedStart)
+		}
+		p.Noted[index] = *t.noted
 	}
-	p.Crashes[index] = h.crashes
 }
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -146,21 +146,38 @@
 	for _, kind := range kinds {
 		for _, seed := range seedsFrom(t, 1, 4) {
 			t.Run(kind.name+"/"+strconv.FormatUint(seed, 10), func(t *testing.T) {
-				options := kind.options
-				options.workers, options.jobs = max(15, options.workers), 70
-				sim := newSimulation(seed, options)
-				sim.run(9000)
-				if len(sim.problems) == 0 {
-					sim.checkEnd()
-				}
-				for _, problem := range sim.problems {
-					t.Error(problem)
-				}
+				simulateDeadlyTasks(t, seed, kind.options)
+			})
+		}
+	}
+}
+
+// TestDeadlyTasksBesideLostOwners runs seeds with which a task was started a sixth time,
+// as three to six owners were lost between a start and the proof of its crash.
+func TestDeadlyTasksBesideLostOwners(t *testing.T) {
+	for _, racks := range []float64{0, 0.3} {
+		for _, seed := range []uint64{150, 172, 2028, 3003, 3026, 3028, 3029} {
+			t.Run(fmt.Sprintf("racks %v/%d", racks, seed), func(t *testing.T) {
+				simulateDeadlyTasks(t, seed, simulationOptions{deadly: 0.1, takeovers: 0.6, racks: racks})
 			})
 		}
 	}
 }
 
+// simulateDeadlyTasks runs a simulation in which some tasks crash their workers.
+func simulateDeadlyTasks(t *testing.T, seed uint64, options simulationOptions) {
+	t.Helper()
+	options.workers, options.jobs = max(15, options.workers), 70
+	sim := newSimulation(seed, options)
+	sim.run(9000)
+	if len(sim.problems) == 0 {
+		sim.checkEnd()
+	}
+	for _, problem := range sim.problems {
+		t.Error(problem)
+	}
+}
+
 // deadlyHarness is a harness in which some tasks crash their workers. Another
 // worker is up at the address after crashOutage.
 type deadlyHarness struct {
@@ -334,6 +351,11 @@
 	var again progressRow
 	is.NoErr(DecodeRow(EncodeRow(row), &again))
 	is.Equal(again, row)
+	steps[0].Noted = map[int]notedStart{4: {Run: 10, Worker: "v", BootedAt: time.Date(2026, 7, 10, 12, 0, 0, 1000, time.UTC), StartedAt: time.Date(2026, 7, 10, 12, 0, 1, 0, time.UTC), AgeMillis: 20, ChancePPM: 7, Unproven: true}}
+	again = progressRow{}
+	is.NoErr(DecodeRow(EncodeRow(row), &again))
+	is.Equal(again, row)
+	is.True(DecodeRow([]byte{0x84, 0, 0, 0, 0x81, 0x82, 0, 0x81, 0x83, 0, 0, 0}, &again) != nil)
 	is.True(DecodeRow([]byte{0x84, 0, 0, 0, 0x81, 0x82, 0, 0x81, 0x82, 0, 0}, &again) != nil) // a spoilt step is an error
 }
 
@@ -413,3 +435,97 @@
 	is.Equal(h.core.jobs["innocent"].state, StateRunning)
 	is.Equal(h.core.Stats().GivenUp, int64(0))
 }
+
+// takeOver replaces the owner by one that knows what was committed.
+func (h *deadlyHarness) takeOver(t *testing.T) {
+	t.Helper()
+	is := is.New(t)
+	var jobs []JobRows
+	for id, j := range h.core.jobs {
+		jobs = append(jobs, JobRows{Job: j.spec, Progress: h.stored[ProgressKey(id)]})
+	}
+	var leased LeasedWorkersRow
+	is.NoErr(DecodeRow(h.stored[LeasedWorkersKey], &leased))
+	h.core = New(Options{Epoch: h.core.options.Epoch + 1}, h.now)
+	h.core.RestoreLeasedWorkers(leased)
+	for _, rows := range jobs {
+		is.NoErr(h.core.Recover(rows))
+	}
+	h.core.SetWorkers(h.now, h.infos)
+}
+
+// TestEachOwnerStartsACrashingTaskAnew guards against a task that is started again by
+// each of several owners, as each is lost before the crash under its start is proven.
+func TestEachOwnerStartsACrashingTaskAnew(t *testing.T) {
+	is := is.New(t)
+	h := newDeadlyHarness(12)
+	guilty := taskOf("guilty", 0)
+	h.deadly[guilty] = true
+	h.add("guilty", Policy{Stretch: 3, ObjectiveMillis: 500}, stepOf(1, 1000))
+	h.add("innocent", Policy{Stretch: 3, ObjectiveMillis: 500}, stepOf(1, 1000))
+	for range 4000 {
+		before := h.starts[guilty]
+		h.step(20 * time.Millisecond)
+		if h.starts[guilty] > before {
+			h.step(20 * time.Millisecond)
+			h.takeOver(t)
+		}
+	}
+	t.Logf("%d starts, %d owners", h.starts[guilty], h.core.options.Epoch)
+	is.True(h.starts[guilty] < crashesToStop+startsToStop) // it is given up in time
+	is.Equal(h.core.jobs["guilty"].state, StateFailed)
+	is.Equal(h.core.jobs["innocent"].state, StateRunning)
+}
+
+// TestCrashesAreForgottenBeforeTheirProof guards against an owner that knows that a
+// worker fell silent right after a start, and is lost with this knowledge before the
+// worker's crash is proven.
+func TestCrashesAreForgottenBeforeTheirProof(t *testing.T) {
+	is := is.New(t)
+	h := newDeadlyHarness(12)
+	guilty := taskOf("guilty", 0)
+	h.deadly[guilty] = true
+	h.add("guilty", Policy{Stretch: 3, ObjectiveMillis: 500}, stepOf(1, 1000))
+	h.add("innocent", Policy{Stretch: 3, ObjectiveMillis: 500}, stepOf(1, 1000))
+	for range 4000 {
+		before := h.starts[guilty]
+		h.step(20 * time.Millisecond)
+		if h.starts[guilty] > before {
+			for range 50 {
+				h.step(20 * time.Millisecond)
+			}
+			h.takeOver(t)
+		}
+	}
+	t.Logf("%d starts, %d owners", h.starts[guilty], h.core.options.Epoch)
+	is.True(h.starts[guilty] <= crashesToStop) // what was known is enough
+	is.Equal(h.core.jobs["guilty"].state, StateFailed)
+	is.Equal(h.core.jobs["innocent"].state, StateRunning)
+}
+
+// TestUnsentStartsAreNoCrashes guards against an innocent task that is given up because
+// its owners are lost between storing a start and sending it, or wait to start it.
+func TestUnsentStartsAreNoCrashes(t *testing.T) {
+	is := is.New(t)
+	h := newDeadlyHarness(12)
+	task := func() *task { return h.core.jobs["innocent"].occurrences[0].steps[0].tasks[0] }
+	h.add("innocent", Policy{Stretch: 3, ObjectiveMillis: 500}, stepOf(1, 1000))
+	h.core.Tick(h.now)
+	h.store()
+	is.Equal(len(h.core.Tick(h.now).Starts), 1) // it isn't sent
+	for range 8 {
+		h.store()
+		h.takeOver(t)
+		for sent := 0; sent == 0; {
+			h.now = h.now.Add(20 * time.Millisecond)
+			h.store()
+			orders := h.core.Tick(h.now)
+			sent = len(orders.Starts)
+			for _, order := range orders.Polls {
+				h.core.PollDone(h.now, order, &Report{Clock: WorkerTime(h.now.Sub(order.Worker.BootedAt).Milliseconds()), BootedAt: h.infos[0].BootedAt}, OrderAccepted)
+			}
+		}
+		is.Equal(len(task().crashes.crashes), 1) // that of the first start, which was not noted
+	}
+	is.True(!h.core.jobs["innocent"].state.Ended())
+}
--- a/scheduler/fuzz_test.go
+++ b/scheduler/fuzz_test.go
@@ -46,6 +46,7 @@
 		{
 			calmProgress: calmProgress{Started: true, Done: []byte{5}, Checkpoints: map[int]string{1: "c"}, FailedRuns: map[int][]RunNumber{0: {1, 2}}},
 			Crashes:      map[int][]crash{1: {{Run: 1, Worker: "w", AgeMillis: 20, ChancePPM: 3}}},
+			Noted:        map[int]notedStart{1: {Run: 2, Worker: "w", BootedAt: now, StartedAt: now}},
 		},
 		{calmProgress: calmProgress{AllDone: true}},
 	}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -114,6 +114,7 @@
 	w.confirmedEnd = max(w.confirmedEnd, order.AcknowledgedEnd)
 	if w.unanswered > 0 || !w.reported {
 		c.markFreed(w)
+		c.forgetSilence(w)
 		c.log(LogRecord{Worker: w.info.HostID, Event: "worker answers"})
 	}
 	w.unanswered, w.ended = 0, false
@@ -226,6 +227,7 @@
 	r.resumed, r.tracked = true, true
 	w.lasting = w.lasting.Add(r.lastingNeed())
 	t.run = r
+	c.noteReportedRun(r)
 	t.step.waiting--
 	t.step.job().activeRuns++
 	r.expectedEnd = c.now.Add(t.step.expectedDuration())
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -118,6 +118,9 @@
 	// and those that crashed before.
 	crashes     *crashHistory
 	startedRuns int
+	// noted is the present or last start, if it is noted in the job's rows; nil for
+	// none.
+	noted *notedStart
 	// run is the run that is active, or may be; nil for none.
 	run *run
 }
@@ -387,7 +390,7 @@
 			}
 			row.FailedRuns[index] = t.failedRuns
 		}
-		row.addCrashes(index, t.crashes)
+		row.addCrashes(index, t)
 		if t.checkpoint != "" {
 			if row.Checkpoints == nil {
 				row.Checkpoints = make(map[int]string)
--- a/scheduler/recover.go
+++ b/scheduler/recover.go
@@ -109,6 +109,9 @@
 			}
 			t.crashes = restoredCrashes(progress.Crashes[index])
 			t.startedRuns = len(progress.Crashes[index])
+			if noted, ok := progress.Noted[index]; ok {
+				t.noted = &noted
+			}
 			t.checkpoint = progress.Checkpoints[index]
 			if progress.AllDone || bitSet(progress.Done, index) {
 				t.done = true
--- a/scheduler/row.go
+++ b/scheduler/row.go
@@ -63,8 +63,9 @@
 // is stored as its calmProgress alone.
 type stepProgress struct {
 	calmProgress
-	// Crashes are the crashes under each task.
+	// Crashes are the crashes under each task, Noted the starts that may become some.
 	Crashes map[int][]crash
+	Noted   map[int]notedStart
 }
 
 // calmProgress is the progress of a step under which no worker has crashed. It
@@ -91,29 +92,56 @@
 	Crashes map[int][]crash
 }
 
+// notedProgress is the stored form of a stepProgress with crashes and noted starts.
+type notedProgress struct {
+	_       struct{} `cbor:",toarray"`
+	Calm    calmProgress
+	Crashes map[int][]crash
+	Noted   map[int]notedStart
+}
+
 // MarshalCBOR encodes the progress of a step.
 func (p stepProgress) MarshalCBOR() ([]byte, error) {
-	if len(p.Crashes) == 0 {
-		return rowEncoding.Marshal(p.calmProgress)
+	switch {
+	case len(p.Noted) > 0:
+		return rowEncoding.Marshal(notedProgress{Calm: p.calmProgress, Crashes: p.Crashes, Noted: p.Noted})
+	case len(p.Crashes) > 0:
+		return rowEncoding.Marshal(crashedProgress{Calm: p.calmProgress, Crashes: p.Crashes})
 	}
-	return rowEncoding.Marshal(crashedProgress{Calm: p.calmProgress, Crashes: p.Crashes})
+	return rowEncoding.Marshal(p.calmProgress)
 }
 
-// crashedProgressHeader is the first byte of an encoded crashedProgress, an
-// array of two items. A calmProgress has five.
-const crashedProgressHeader = 0x82
+// crashedProgressHeader and notedProgressHeader are the first bytes of an encoded
+// crashedProgress and notedProgress, arrays of two and three items. A calmProgress has
+// five.
+const (
+	crashedProgressHeader = 0x82
+	notedProgressHeader   = 0x83
+)
 
 // UnmarshalCBOR decodes the progress of a step.
 func (p *stepProgress) UnmarshalCBOR(data []byte) error {
-	if len(data) == 0 || data[0] != crashedProgressHeader {
-		*p = stepProgress{}
-		return errors.Wrap(rowDecoding.Unmarshal(data, &p.calmProgress), "decode the progress of a step")
+	*p = stepProgress{}
+	header := byte(0)
+	if len(data) > 0 {
+		header = data[0]
 	}
-	var crashed crashedProgress
-	if err := rowDecoding.Unmarshal(data, &crashed); err != nil {
-		return errors.Wrap(err, "decode the progress of a step with crashes")
+	switch header {
+	case crashedProgressHeader:
+		var crashed crashedProgress
+		if err := rowDecoding.Unmarshal(data, &crashed); err != nil {
+			return errors.Wrap(err, "decode the progress of a step with crashes")
+		}
+		p.calmProgress, p.Crashes = crashed.Calm, crashed.Crashes
+	case notedProgressHeader:
+		var noted notedProgress
+		if err := rowDecoding.Unmarshal(data, &noted); err != nil {
+			return errors.Wrap(err, "decode the progress of a step with noted starts")
+		}
+		p.calmProgress, p.Crashes, p.Noted = noted.Calm, noted.Crashes, noted.Noted
+	default:
+		return errors.Wrap(rowDecoding.Unmarshal(data, &p.calmProgress), "decode the progress of a step")
 	}
-	*p = stepProgress{calmProgress: crashed.Calm, Crashes: crashed.Crashes}
 	return nil
 }
 
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -214,6 +214,7 @@
 		return
 	}
 	t.run = nil
+	c.forgetNote(t)
 	t.step.job().activeRuns--
 	if t.done {
 		return
--- a/scheduler/start.go
+++ b/scheduler/start.go
@@ -34,6 +34,7 @@
 	}
 	t.lastRun = number
 	t.run = r
+	c.noteStart(r)
 	s.waiting--
 	s.job().activeRuns++
 	w.runs[runKey{r.name, number}] = r
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -60,7 +60,7 @@
 	if w.unanswered > 0 {
 		return
 	}
-	w.silentAt, w.silence = c.now, silenceUnexplained
+	w.silentAt, w.silence, w.silenceNoted = c.now, silenceUnexplained, false
 	var last *run
 	for _, r := range w.sortedRuns() {
 		if !r.tracked && c.now.Sub(r.startedAt) <= silenceAge {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -78,6 +78,9 @@
 	// silentAt is when the worker last stopped answering, silence what explains it.
 	silentAt time.Time
 	silence  silenceCause
+	// silenceNoted is true once this silence is noted with the runs that had just
+	// started there.
+	silenceNoted bool
 	// trial is the trial of a task that may crash the worker; nil for none.
 	trial *trial
 	// reservation is the reservation that includes the worker; nil for none.
