Scheduler: leases end a set time after the owner's last commit

Cause: the successor doesn't know when the last lease was granted, and waits for the longest one, 10 s and the predecessor's term, from its takeover.

Change: no order grants a lease that ends later than 8.2 s after the owner sent its last successful commit. The successor has observed that commit, no earlier than it was sent, and counts from then by the slowest clock. The owner's row says so in the upper bits of its counter, as entries of earlier versions cannot decode a longer row; an owner that follows one of these says it only once all leases from before have expired. A late order may be executed by the worker's next incarnation and grant it a longer lease, so a new row has the incarnations that have reported, and a worker of which another birth is known is waited for as before. A row that was lost has no bound. An acquisition that is sent twice counts from the first sending, which may be the one that was committed: its term began too late, too. The term is 0.1 s shorter, as an entry may observe a commit 0.35 s late.

TestTaskWaitsForLostWorkerAndOwner failed before: "starts again 12.778021936s after the loss of its worker and the owner, want less than 9s"; with 8.3 s it still failed, by 9.05 s.

--- a/dispatcher/acquire.go
+++ b/dispatcher/acquire.go
@@ -65,12 +65,11 @@
 		if !d.ownerUnchanged(owner) {
 			continue
 		}
-		acquiredAt := d.clock.Now()
 		row, revision, ok := d.acquire(owner)
 		if !ok {
 			continue
 		}
-		s := newSession(d, row, revision, acquiredAt, owner.row)
+		s := newSession(d, row, revision, d.acquisition.sentAt, owner)
 		d.session.Store(s)
 		// PeerUp was called before the session existed for the links that are
 		// up already.
@@ -160,12 +159,25 @@
 	maxOwnerTerm = 4 * time.Second
 )
 
+// acquisition is an attempt to acquire the cell. Another one with the same value may
+// find that an earlier one was committed, so sentAt is when the first was sent.
+type acquisition struct {
+	value  string
+	sentAt time.Time
+}
+
 // acquire increments the epoch by a compare-and-set of the owner's row. It
 // returns the row that it wrote, the row's revision, and whether this entry is
 // now the owner.
 func (d *Dispatcher) acquire(owner ownerView) (ownerRow, int64, bool) {
 	row := ownerRow{Holder: d.options.Self, Address: d.options.Address, Epoch: owner.row.Epoch + 1, TermMillis: d.ownerTerm().Milliseconds(), Eager: owner.row.Eager, MaxCores: max(owner.row.MaxCores, d.options.Cores)}
+	if owner.row.leaseTerm() > 0 {
+		row.setLeaseTerm(max(owner.row.leaseTerm(), scheduler.DefaultLeaseTerm))
+	}
 	value := scheduler.EncodeRow(row)
+	if d.acquisition.value != string(value) {
+		d.acquisition = acquisition{value: string(value), sentAt: d.clock.Now()}
+	}
 	ctx, cancel := context.WithTimeout(d.ctx, storeTimeout)
 	defer cancel()
 	result, err := d.store.Transact(ctx, keeper.Transaction{
--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -31,6 +31,9 @@
 	s.commitInFlight = true
 	next := s.row
 	next.Counter++
+	if next.leaseTerm() == 0 && s.core.LeasesBounded() {
+		next.setLeaseTerm(scheduler.DefaultLeaseTerm)
+	}
 	successor, cores := d.peerWithMostCores()
 	next.MaxCores = max(cores, d.options.Cores)
 	s.transferOwnership(now, next.MaxCores)
@@ -157,6 +160,7 @@
 	s.leaseValidUntil = sentAt.Add(next.term())
 	s.mu.Unlock()
 	d.counters.commitTime.Observe(now.Sub(sentAt))
+	s.core.Renewed(sentAt)
 	s.core.Committed(now, batch)
 	s.core.StoreReached(sentAt, revision)
 	if s.loaded && next.Eager && d.store.Latency() > eagerOffLatency {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -200,6 +200,9 @@
 	// announcedAt is when this entry last sent its number of cores to the owner.
 	// Only acquireLoop uses it.
 	announcedAt time.Time
+	// acquisition is the last attempt to acquire the cell. Only acquireLoop uses
+	// it.
+	acquisition acquisition
 
 	mu sync.Mutex
 	// linked has the entries to which a link is up.
--- a/dispatcher/eager_test.go
+++ b/dispatcher/eager_test.go
@@ -24,7 +24,7 @@
 	clock := &manualClock{now: time.Date(2026, 12, 5, 4, 0, 0, 0, time.UTC)}
 	d := &Dispatcher{clock: clock, ctx: context.Background(), store: keeper.NewHedged(nil)}
 	previous := ownerRow{Epoch: 1, Eager: true, TermMillis: 3000}
-	s := newSession(d, ownerRow{Epoch: 2, Eager: true, TermMillis: 3000}, 5, clock.now, previous)
+	s := newSession(d, ownerRow{Epoch: 2, Eager: true, TermMillis: 3000}, 5, clock.now, ownerView{row: previous})
 	is.True(s.nextEager()) // not loaded
 	s.loaded = true
 	is.True(!s.core.Dirty())
@@ -46,7 +46,7 @@
 	clock := &manualClock{now: time.Date(2026, 12, 5, 4, 0, 0, 0, time.UTC)}
 	d := &Dispatcher{clock: clock, ctx: context.Background(), store: keeper.NewHedged(nil)}
 	previous := ownerRow{Epoch: 1, Eager: true, TermMillis: 3000}
-	s := newSession(d, ownerRow{Epoch: 2, Eager: true, TermMillis: 3000}, 5, clock.now, previous)
+	s := newSession(d, ownerRow{Epoch: 2, Eager: true, TermMillis: 3000}, 5, clock.now, ownerView{row: previous})
 	s.loaded = true
 	commit := func(revision int64) {
 		sentAt := clock.now
--- a/dispatcher/lease_test.go
+++ b/dispatcher/lease_test.go
@@ -32,7 +32,7 @@
 		ctx: ctx, store: keeper.NewHedged(silentTable{}), linked: make(map[requester.EntryID]linkedEntry),
 	}
 	long := ownerRow{Holder: "self", Epoch: 1, TermMillis: maxOwnerTerm.Milliseconds()}
-	s := newSession(d, long, 1, d.clock.Now(), ownerRow{})
+	s := newSession(d, long, 1, d.clock.Now(), ownerView{})
 	now := d.clock.Now().Add(time.Second)
 	s.commit(now)
 	cancel()
--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -69,6 +69,9 @@
 	if leased := rows[scheduler.LeasedWorkersKey]; leased != nil {
 		s.restoreLeasedWorkers(leased)
 	}
+	if births := rows[scheduler.BirthsKey]; births != nil {
+		s.restoreBirths(births)
+	}
 	jobs := 0
 	for key, value := range rows {
 		if !strings.HasPrefix(key, scheduler.JobTable) || strings.HasSuffix(key, scheduler.CancelSuffix) {
@@ -111,13 +114,24 @@
 	s.core.RestoreLeasedWorkers(row)
 }
 
+// restoreBirths restores the births of the workers that may hold leases from the
+// value of their row.
+func (s *session) restoreBirths(value []byte) {
+	var row scheduler.BirthsRow
+	if err := scheduler.DecodeRow(value, &row); err != nil {
+		s.dispatcher.logOddRow(scheduler.BirthsKey, err, "decoding the row of births failed; workers that do not answer are waited for as long as any lease may last")
+		return
+	}
+	s.core.RestoreBirths(row)
+}
+
 // removeOrphanedProgress queues the removal of progress rows whose jobs have no
 // row any more. A job that the core lacks because one of its rows cannot be
 // decoded keeps its progress.
 func (s *session) removeOrphanedProgress(rows map[string][]byte) {
 	for key := range rows {
 		id := requester.JobID(strings.TrimPrefix(key, scheduler.ProgressPrefix))
-		if !strings.HasPrefix(key, scheduler.ProgressPrefix) || key == scheduler.LeasedWorkersKey || rows[scheduler.JobKey(id)] != nil {
+		if !strings.HasPrefix(key, scheduler.ProgressPrefix) || key == scheduler.LeasedWorkersKey || key == scheduler.BirthsKey || rows[scheduler.JobKey(id)] != nil {
 			continue
 		}
 		s.pendingDeletes = append(s.pendingDeletes, keeper.Write{Key: key, Delete: true})
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -109,8 +109,8 @@
 
 // newSession returns a session of the cell that was acquired by committing row.
 // acquiredAt is when that transaction was sent, and previous is the row that it
-// replaced.
-func newSession(d *Dispatcher, row ownerRow, revision int64, acquiredAt time.Time, previous ownerRow) *session {
+// replaced, as this entry observed it.
+func newSession(d *Dispatcher, row ownerRow, revision int64, acquiredAt time.Time, previous ownerView) *session {
 	ctx, cancel := context.WithCancel(d.ctx)
 	now := d.clock.Now()
 	s := &session{
@@ -118,8 +118,10 @@
 		core: scheduler.New(scheduler.Options{
 			Epoch:              row.Epoch,
 			MaxLease:           d.options.MaxLease,
-			PreviousOwnerEager: previous.Eager,
-			PreviousOwnerTerm:  previous.term() + ownerSafetyMargin,
+			PreviousOwnerEager: previous.row.Eager,
+			PreviousOwnerTerm:  previous.row.term() + ownerSafetyMargin,
+			PreviousLeaseTerm:  previous.row.leaseTerm(),
+			PreviousCommitAt:   previous.observedAt,
 		}, now),
 		ctx:              ctx,
 		cancel:           cancel,
@@ -133,6 +135,7 @@
 		renewedAt:        acquiredAt,
 		prunedAt:         now,
 	}
+	s.core.Renewed(acquiredAt)
 	s.adviser = newAdviser(s.core, d.options.Self)
 	return s
 }
--- a/dispatcher/statecache.go
+++ b/dispatcher/statecache.go
@@ -20,7 +20,10 @@
 	Holder  requester.EntryID
 	Address netip.AddrPort
 	Epoch   int64
-	// Counter increases with each commit, so that no two rows are equal.
+	// Counter increases with each commit, so that no two rows are equal. The bits
+	// from leaseTermShift on hold the term of the workers' leases: a row with one
+	// more field could not be decoded by entries of earlier versions, which leave
+	// these bits 0.
 	Counter int64
 	// TermMillis is the term of the lease: how long after it sent the commit
 	// that wrote the row the holder may send orders.
@@ -38,6 +41,21 @@
 
 func (r *ownerRow) term() time.Duration { return time.Duration(r.TermMillis) * time.Millisecond }
 
+// leaseTermShift is where the bits of Counter with the term of leases begin.
+const leaseTermShift = 40
+
+// leaseTerm bounds the workers' leases of the holder and of earlier owners: none
+// lasts longer than this from when the commit that wrote the row was sent. 0 means
+// that no such bound is known.
+func (r *ownerRow) leaseTerm() time.Duration {
+	return time.Duration(max(0, r.Counter>>leaseTermShift)) * time.Millisecond
+}
+
+// setLeaseTerm sets the term of leases of a row that has none.
+func (r *ownerRow) setLeaseTerm(term time.Duration) {
+	r.Counter |= term.Milliseconds() << leaseTermShift
+}
+
 // ownerView is the owner's row as this entry has observed it.
 type ownerView struct {
 	row      ownerRow
--- a/dispatcher/takeover_relays_test.go
+++ b/dispatcher/takeover_relays_test.go
@@ -23,7 +23,7 @@
 	for _, id := range []requester.EntryID{"closes", "stays"} {
 		d.PeerUp(encoder.PeerInfo{EntryID: id}, 1)
 	}
-	s := newSession(d, ownerRow{Holder: "self", Epoch: 1}, 1, d.clock.Now(), ownerRow{})
+	s := newSession(d, ownerRow{Holder: "self", Epoch: 1}, 1, d.clock.Now(), ownerView{})
 	d.session.Store(s)
 	d.PeerDown("closes", errors.New("silent"))
 	s.post(s.addLinkedRelays)
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -24,6 +24,9 @@
 // LeasedWorkersKey is the key of the row of leased workers.
 const LeasedWorkersKey = ProgressPrefix + "@roster"
 
+// BirthsKey is the key of the row of births.
+const BirthsKey = ProgressPrefix + "@births"
+
 // A key consists of a table, a partition of it and a row. Transactions within
 // different partitions do not wait for each other. All rows that the owner
 // writes are in one partition; accepted jobs are spread over several.
@@ -60,6 +63,8 @@
 	Writes        []RowWrite
 	jobs          []jobWrite
 	leasedWorkers []leasedWrite
+	// births is true if the batch writes the row of births.
+	births bool
 }
 
 // leasedWrite is a worker and its address in a row of leased workers.
@@ -95,6 +100,10 @@
 		}
 		batch.Writes = append(batch.Writes, RowWrite{Key: LeasedWorkersKey, Value: EncodeRow(row)})
 	}
+	if c.birthsDirty && !c.renewedAt.IsZero() && !c.leasesUnknown() {
+		c.birthsDirty, batch.births = false, true
+		batch.Writes = append(batch.Writes, RowWrite{Key: BirthsKey, Value: EncodeRow(c.birthsRow())})
+	}
 	for len(c.dirty) > 0 && len(batch.Writes)+writesPerJob <= limit {
 		batch.add(c.dirty[0])
 		c.dirty = c.dirty[1:]
@@ -114,6 +123,7 @@
 // to their workers, and steps that depend on them may start.
 func (c *Core) Committed(now time.Time, batch *Batch) {
 	c.now = now
+	c.birthsStored = c.birthsStored || batch.births
 	for _, write := range batch.leasedWorkers {
 		if w := write.worker; !w.leaseRecorded && write.address == w.info.Address {
 			w.leaseRecorded = true
--- a/scheduler/birth.go
+++ b/scheduler/birth.go
@@ -17,6 +17,7 @@
 // one before, so an earlier birth shows nothing, and one that lies ahead shows
 // nothing before the worker reports it.
 func (c *Core) observeListedBirth(w *worker, bootedAt time.Time) {
+	c.checkGrantedTo(w, bootedAt)
 	if !bootedAt.After(w.listedBirth) {
 		return
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -12,8 +12,8 @@
 	// Epoch is the epoch of the ownership. It is part of the fence of all
 	// orders.
 	Epoch int64
-	// LeaseTerm is the duration of the lease that a poll grants to a worker;
-	// default 8.3 s: longer than most partitions last, and short enough for what a
+	// LeaseTerm is how long a lease lasts from when the owner sent its last commit;
+	// default 8.2 s: longer than most partitions last, and short enough for what a
 	// worker ran to start again within 9 s of the worker's loss.
 	LeaseTerm time.Duration
 	// MaxLease is the longest lease that any owner may have granted; default
@@ -25,11 +25,17 @@
 	// PreviousOwnerTerm is how long a previous owner may have continued to
 	// issue orders after this one took over; default 3 s.
 	PreviousOwnerTerm time.Duration
+	// PreviousLeaseTerm bounds the leases that the previous owner and those before
+	// it granted: none lasts longer than this from when the previous owner sent its
+	// last commit. 0 means that no such bound is known. PreviousCommitAt is when
+	// that commit was observed.
+	PreviousLeaseTerm time.Duration
+	PreviousCommitAt  time.Time
 }
 
 func (o Options) withDefaults() Options {
 	if o.LeaseTerm <= 0 {
-		o.LeaseTerm = 8300 * time.Millisecond
+		o.LeaseTerm = DefaultLeaseTerm
 	}
 	if o.MaxLease <= 0 {
 		o.MaxLease = 10 * time.Second
@@ -40,6 +46,9 @@
 	return o
 }
 
+// DefaultLeaseTerm is the default of Options.LeaseTerm.
+const DefaultLeaseTerm = 8200 * time.Millisecond
+
 // minClockRate is the lowest rate at which a worker's clock is assumed to run,
 // relative to the owner's clock.
 const minClockRate = 0.98
@@ -58,7 +67,10 @@
 	now     time.Time
 	// tookOverAt is when this owner acquired the cell.
 	tookOverAt time.Time
-	jobs       map[requester.JobID]*job
+	// renewedAt is when the last transaction that renewed the ownership was sent;
+	// zero if leases don't depend on that.
+	renewedAt time.Time
+	jobs      map[requester.JobID]*job
 	// dirty are the jobs with changes that no batch contains yet, oldest change
 	// first.
 	dirty []*job
@@ -95,6 +107,12 @@
 	// leasedWorkersDirty is true if the stored row of leased workers lacks a
 	// worker or contains a removed one.
 	leasedWorkersDirty bool
+	// birthsDirty is true if the row of births has to be written, birthsStored if
+	// this owner or one whose leases are bounded has written it.
+	birthsDirty  bool
+	birthsStored bool
+	// leasesInherited is true if some worker may hold a lease of a previous owner.
+	leasesInherited bool
 	// unknownLeases is true if workers that this owner does not know of may
 	// hold leases granted by a previous one.
 	unknownLeases bool
@@ -167,6 +185,8 @@
 		risky:          make(map[string]int),
 
 		corrections: make(map[string]*estimator.Correction),
+
+		birthsDirty: true,
 	}
 }
 
--- a/scheduler/mutation_test.go
+++ b/scheduler/mutation_test.go
@@ -114,6 +114,9 @@
 				}
 			}
 		}},
+		{"bounded leases of a previous owner are taken for shorter", simulationOptions{takeovers: 4, partitions: 6, ownerFaults: ownerFaults{bounded: true, overlap: true}}, func(c *Core) {
+			c.options.PreviousLeaseTerm = min(c.options.PreviousLeaseTerm, 2*time.Second)
+		}},
 		{"steps start before their start record is committed", simulationOptions{takeovers: 10, partitions: 6}, func(c *Core) {
 			c.eager = true
 		}},
--- a/scheduler/owners_test.go
+++ b/scheduler/owners_test.go
@@ -25,6 +25,8 @@
 	// jobs whose steps need advice.
 	timed   float64
 	advised float64
+	// bounded makes owners renew, bound leases by that, and tell their successors.
+	bounded bool
 }
 
 // slowed reports whether the faults make the simulation take longer to end all
@@ -36,17 +38,24 @@
 // owners is the state of the owners and of the store that ownerFaults affect.
 type owners struct {
 	// ownerEager is what the owner's row says.
-	ownerEager  bool
-	slowUntil   time.Time
-	committedAt time.Time
-	revision    int64
+	ownerEager bool
+	// ownerLeaseTerm is the term of leases in the owner's row, ownerStoredAt when
+	// that row was stored.
+	ownerLeaseTerm time.Duration
+	ownerStoredAt  time.Time
+	slowUntil      time.Time
+	committedAt    time.Time
+	revision       int64
 	// previous is a replaced owner that still issues orders, until
 	// previousUntil.
 	previous      *Core
 	previousUntil time.Time
 }
 
-const previousOwnerTerm = time.Second
+const (
+	previousOwnerTerm  = time.Second
+	simulatedLeaseTerm = 9 * time.Second
+)
 
 // slow reports whether the store is slow.
 func (sim *simulation) slow() bool { return sim.now.Before(sim.slowUntil) }
@@ -125,7 +134,7 @@
 
 // renewalDue reports whether a transaction without rows of the core is due.
 func (sim *simulation) renewalDue() bool {
-	return sim.options.slowStore > 0 && sim.now.Sub(sim.committedAt) >= 200*time.Millisecond
+	return (sim.options.bounded || sim.options.slowStore > 0) && sim.now.Sub(sim.committedAt) >= 200*time.Millisecond
 }
 
 // nextOwnerEager returns what the owner's row says after the next transaction,
@@ -148,10 +157,36 @@
 		}
 	}
 	sim.ownerEager = eager
+	sim.storeOwner()
 	sim.revision++
 	sim.checkStartsStored()
 }
 
+// storeOwner stores the owner's row, with the term of leases once they are bounded.
+func (sim *simulation) storeOwner() {
+	sim.ownerStoredAt = sim.now
+	if sim.options.bounded && sim.core.LeasesBounded() {
+		sim.ownerLeaseTerm = simulatedLeaseTerm
+	}
+}
+
+// boundLeases makes a new owner's leases depend on its renewals, and restores the
+// births.
+func (sim *simulation) boundLeases() {
+	sim.ownerStoredAt = sim.now
+	if !sim.options.bounded {
+		return
+	}
+	sim.core.Renewed(sim.now)
+	if value, ok := sim.rows[BirthsKey]; ok {
+		var row BirthsRow
+		if err := DecodeRow(value, &row); err != nil {
+			sim.problem("decode row of births: %v", err)
+		}
+		sim.core.RestoreBirths(row)
+	}
+}
+
 // hides reports whether an order of an owner does not reach a worker.
 func (f *fakeWorker) hides(core *Core) bool {
 	return f.sim.now.Before(f.partitionedUntil) || core == f.sim.core && f.sim.now.Before(f.hiddenUntil)
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -121,6 +121,7 @@
 	if !w.reported {
 		// A previous owner may have granted a lease of this length just now.
 		w.reported = true
+		c.noteReportedBirth(w)
 		w.leaseDeadline = w.clock + WorkerTime(c.options.MaxLease/time.Millisecond)
 	}
 	w.withheld = report.Withheld
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -200,7 +200,7 @@
 	sim.epoch++
 	sim.replaceOwner()
 	sim.commitInFlight = nil
-	sim.core = New(Options{Epoch: sim.epoch, LeaseTerm: 9 * time.Second, MaxLease: 10 * time.Second, PreviousOwnerEager: sim.ownerEager, PreviousOwnerTerm: previousOwnerTerm}, sim.now)
+	sim.core = New(Options{Epoch: sim.epoch, LeaseTerm: simulatedLeaseTerm, MaxLease: 10 * time.Second, PreviousOwnerEager: sim.ownerEager, PreviousOwnerTerm: previousOwnerTerm, PreviousLeaseTerm: sim.ownerLeaseTerm, PreviousCommitAt: sim.ownerStoredAt}, sim.now)
 	if value, ok := sim.rows[LeasedWorkersKey]; ok {
 		var row LeasedWorkersRow
 		if err := DecodeRow(value, &row); err != nil {
@@ -208,6 +208,7 @@
 		}
 		sim.core.RestoreLeasedWorkers(row)
 	}
+	sim.boundLeases()
 	for _, id := range sim.jobIDs() {
 		value, ok := sim.rows[JobKey(id)]
 		if !ok {
@@ -382,6 +383,9 @@
 		}
 		sim.store(batch, eager)
 		sim.commitInFlight, sim.committedAt = nil, sim.now
+		if sim.options.bounded {
+			core.Renewed(sentAt)
+		}
 		core.Committed(sim.now, batch)
 		core.StoreReached(sentAt, sim.revision)
 		if eager && sim.slow() {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -20,6 +20,9 @@
 	ended bool
 	// inherited is true if a previous owner may have sent the worker orders.
 	inherited bool
+	// grantedTo is the birth of the incarnation that alone may hold leases of
+	// previous owners; zero if it is unknown.
+	grantedTo time.Time
 	// reported is true if the worker's current incarnation has responded to a
 	// poll of this owner.
 	reported bool
@@ -135,13 +138,17 @@
 // leaseExpiry returns the time by which every lease that the worker can hold
 // has expired; zero if it has ended. As long as the worker has not reported,
 // leases may have been granted up to PreviousOwnerTerm after unreportedSince, each
-// for at most MaxLease.
+// for at most MaxLease, unless a shorter bound is known.
 func (w *worker) leaseExpiry(c *Core) time.Time {
 	if w.ended {
 		return time.Time{}
 	}
 	if !w.reported {
-		return w.unreportedSince.Add(c.longestUnreported())
+		expiry := w.unreportedSince.Add(c.longestUnreported())
+		if c.options.PreviousLeaseTerm > 0 && !w.grantedTo.IsZero() && c.previousLeasesEnd().Before(expiry) {
+			return c.previousLeasesEnd()
+		}
+		return expiry
 	}
 	left := time.Duration(w.leaseDeadline-w.clock) * time.Millisecond
 	return w.clockAt.Add(time.Duration(float64(left)/minClockRate) + expiryMargin)
@@ -157,7 +164,7 @@
 // leased workers cannot be decoded. Until every lease of a previous owner has
 // expired, the row is not replaced, so that a successor finds it as it is, and no
 // worker gets new tasks.
-func (c *Core) AssumeUnknownLeases() { c.unknownLeases = true }
+func (c *Core) AssumeUnknownLeases() { c.unknownLeases, c.leasesInherited = true, true }
 
 // leasesUnknown reports whether workers that this owner does not know of may
 // still hold leases.
@@ -172,7 +179,7 @@
 	if !w.reported || w.unanswered > 0 {
 		return 0
 	}
-	deadline := w.clockEstimate(c.now) + WorkerTime(c.options.LeaseTerm/time.Millisecond)
+	deadline := c.latestDeadline(w)
 	w.leaseDeadline = max(w.leaseDeadline, deadline)
 	return deadline
 }
@@ -186,7 +193,7 @@
 // was granted has expired.
 func (c *Core) startDeadline(w *worker) WorkerTime {
 	now := w.clockEstimate(c.now)
-	deadline := min(w.leaseDeadline, now+WorkerTime(c.options.LeaseTerm/time.Millisecond))
+	deadline := min(w.leaseDeadline, c.latestDeadline(w))
 	if deadline < now+WorkerTime(minStartLease/time.Millisecond) {
 		return c.grantLease(w)
 	}
@@ -198,7 +205,7 @@
 func (c *Core) RestoreLeasedWorkers(row LeasedWorkersRow) {
 	for _, listed := range row.Workers {
 		w := c.addWorker(WorkerInfo{HostID: listed.HostID, Address: listed.Address})
-		w.inherited = true
+		w.inherited, c.leasesInherited = true, true
 		w.leaseRecorded = true
 	}
 }
@@ -312,6 +319,7 @@
 		return
 	}
 	if w.bootedAt.IsZero() {
+		c.checkGrantedTo(w, bootedAt)
 		w.bootedAt, w.birthSeenAt = bootedAt, c.now
 		return
 	}
@@ -328,6 +336,7 @@
 	w.unverifiedEnds, w.violatedEnd, w.confirmedEnd = nil, 0, 0
 	w.withheld, w.appliedBeyond = 0, nil
 	w.clock, w.leaseDeadline = 0, 0
+	w.grantedTo, c.birthsDirty = time.Time{}, true
 	w.clockAt = time.Time{}
 	w.reported, w.ended = false, false
 	w.unreportedSince = c.now
