--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -82,7 +82,7 @@
 	store   *store
 	entries []*entry
 	minions []*minion
-	client  *http.Client
+	adviser *adviser
 	host    string
 	service string
 }
@@ -121,7 +121,7 @@
 	dir, err := os.MkdirTemp("", "review2-")
 	must(err)
 	cleanups = append(cleanups, func() { _ = os.RemoveAll(dir) })
-	in := &installation{dir: dir, rec: rec, store: newStore(rec), client: &http.Client{}, host: "nony24.example", service: "fold-planner"}
+	in := &installation{dir: dir, rec: rec, store: newStore(rec), adviser: newAdviser(360*time.Millisecond, 5200*time.Microsecond, 1500*time.Millisecond, 0.25), host: "nony24.example", service: "fold-planner"}
 	for _, route := range routes {
 		route["host"], route["service"], route["kind"], route["timeout_ms"] = in.host, in.service, "non_idempotent", 3000
 	}
@@ -131,9 +131,6 @@
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	net := fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), rand.IntN(250))
-	// No queue of these cases has advice, so nothing is ever asked here.
-	advice, stopAdvice := serveOn(net+".251:0", http.NotFoundHandler())
-	cleanups = append(cleanups, stopAdvice)
 	template, err := os.ReadFile("deploy/settings.yaml")
 	must(err)
 	for i, zone := range []string{"yame", "yame", "kurume", "kurume", "okawa", "okawa", "yanagawa"} {
@@ -144,6 +141,8 @@
 		var stop func()
 		e.storeAddress, stop = serveOn(net+".250:0", in.store.handler(e.name))
 		cleanups = append(cleanups, stop)
+		advice, stopAdvice := serveOn(net+".251:0", in.adviser.handler())
+		cleanups = append(cleanups, stopAdvice)
 		base := 20000 + rand.IntN(20000)
 		e.front, e.ready = fmt.Sprintf("%s:%d", e.ip, base), fmt.Sprintf("%s:%d", e.ip, base+1)
 		e.settings = filepath.Join(dir, e.name+".yaml")
@@ -156,7 +155,7 @@
 		in.entries = append(in.entries, e)
 	}
 	for n := range minions {
-		m := newMinion(n, fmt.Sprintf("%s.%d", net, 100+n), in.service, 32000, 131072, in.store, rec)
+		m := newMinion(n, fmt.Sprintf("%s.%d", net, 100+n), in.service, 32000, 131072, in.store, in.adviser, rec)
 		in.minions = append(in.minions, m)
 	}
 	cleanups = append(cleanups, func() {
@@ -323,7 +322,7 @@
 }
 
 func main() {
-	cases := map[string]func(dir string, trouble bool){"wide": wide, "cancelled": cancelled}
+	cases := map[string]func(dir string, trouble bool){"wide": wide, "cancelled": cancelled, "lasting": lasting}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand2 CASE FOLDER, from the repository's root; cases:", strings.Join(sorted(cases), " "))
 		os.Exit(2)
--- a/review/stand2/minion.go
+++ b/review/stand2/minion.go
@@ -34,12 +34,14 @@
 func (r *run) submission() string { return r.task[:strings.IndexByte(r.task, '.')] }
 
 // minion is one minion: it starts, stops and holds tasks as PROTOCOL.md says. The
-// spec of a task says how long it takes: "work MILLISECONDS CPU", or "lasts CPU".
+// spec of a task says how long it takes: "work MILLISECONDS CPU", or else it lasts. One that
+// ends with "advised" needs a ticket.
 type minion struct {
 	id, rack, address, service string
 	cpu, memMB                 int64
 	born                       time.Time
 	store                      *store
+	advice                     *adviser
 	rec                        *recorder
 	quiet                      bool
 
@@ -57,10 +59,10 @@
 	close    func()
 }
 
-func newMinion(n int, host, service string, cpu, memMB int64, st *store, rec *recorder) *minion {
+func newMinion(n int, host, service string, cpu, memMB int64, st *store, advice *adviser, rec *recorder) *minion {
 	m := &minion{
 		id: fmt.Sprintf("i-%010x", 0xa0b1c2d300+n), rack: fmt.Sprintf("r1-%d", n/6), service: service, cpu: cpu, memMB: memMB,
-		born: time.Now().Truncate(time.Millisecond), store: st, rec: rec, barred: make(map[string]int64), changed: make(chan struct{}),
+		born: time.Now().Truncate(time.Millisecond), store: st, advice: advice, rec: rec, barred: make(map[string]int64), changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api/run-start", m.guard(m.start))
@@ -134,6 +136,7 @@
 	Fence      int64  `cbor:"fence"`
 	SeenUpto   int64  `cbor:"seen_upto"`
 	WaitMS     int64  `cbor:"wait_ms"`
+	Ticket     string `cbor:"ticket"`
 }
 
 func (m *minion) reply(w http.ResponseWriter, status int, reason string) {
@@ -185,6 +188,10 @@
 		m.reply(w, http.StatusConflict, "late")
 		return
 	}
+	if strings.HasSuffix(o.Spec, "advised") && !m.advice.holds(o.Ticket, o.Task, m.id) {
+		m.reply(w, http.StatusConflict, "ticket")
+		return
+	}
 	m.extend(o.DeadlineMS, now)
 	r := &run{task: o.Task, number: o.Run, minion: m.id, startedAt: now}
 	var millis, cpu int64
