Review 7: tasks run again after they were done, at a change of owner

Cause: a new owner counts a minion as known by a report that holds only the first 500 of its ends, and starts the tasks of the others again.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/kumquatstall ] && [ -x target/review2 ] || exit 2
-exec target/review2 cancelled review/7
+exec target/review2 manyends review/7
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -322,7 +322,7 @@
 }
 
 func main() {
-	cases := map[string]func(dir string, trouble bool){"wide": wide, "cancelled": cancelled, "lasting": lasting, "maymiss": maymiss, "serving": serving}
+	cases := map[string]func(dir string, trouble bool){"wide": wide, "cancelled": cancelled, "lasting": lasting, "maymiss": maymiss, "serving": serving, "manyends": manyends}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand2 CASE FOLDER, from the repository's root; cases:", strings.Join(sorted(cases), " "))
 		os.Exit(2)
--- a/review/stand2/minion.go
+++ b/review/stand2/minion.go
@@ -29,6 +29,10 @@
 	endedAt   time.Time
 	how       string
 	lasts     bool
+	// end is the number under which the minion lists the end; noted is true once a
+	// seen_upto has reached it, with no lapse of the minion's lease between the two.
+	end   int64
+	noted bool
 }
 
 func (r *run) submission() string { return r.task[:strings.IndexByte(r.task, '.')] }
@@ -48,6 +52,7 @@
 	mu       sync.Mutex
 	fence    int64
 	lease    time.Time
+	lapsedAt time.Time
 	running  []*run
 	ended    [][]any
 	lastEnd  int64
@@ -250,6 +255,9 @@
 	}
 	m.fence = o.Fence
 	m.extend(o.DeadlineMS, now)
+	for _, r := range m.history {
+		r.noted = r.noted || r.end > 0 && r.end <= o.SeenUpto && !m.lapsedAt.After(r.endedAt)
+	}
 	kept := m.ended[:0:0]
 	for _, e := range m.ended {
 		if e[0].(int64) > o.SeenUpto {
@@ -285,6 +293,9 @@
 
 // advance ends the runs whose work is done, and all of them once the lease is over.
 func (m *minion) advance(now time.Time) {
+	if now.After(m.lease) && !m.lease.IsZero() {
+		m.lapsedAt = m.lease
+	}
 	for _, r := range append([]*run(nil), m.running...) {
 		switch {
 		case !r.lasts && !now.Before(r.endsAt) && !r.endsAt.After(m.lease):
@@ -306,6 +317,7 @@
 	m.running = kept
 	m.barred[r.task] = max(m.barred[r.task], r.number)
 	m.lastEnd++
+	r.end = m.lastEnd
 	m.ended = append(m.ended, []any{m.lastEnd, r.task, r.number, how, ""})
 	if !m.quiet || how != "done" {
 		m.rec.note("minion %s ends %s run %d: %s", m.id, r.task, r.number, how)
