--- a/review/stand2/minion.go
+++ b/review/stand2/minion.go
@@ -171,6 +171,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.gone {
+		panic(http.ErrAbortHandler)
+	}
 	now := time.Now()
 	m.advance(now)
 	if o.Fence < m.fence {
@@ -221,6 +224,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.gone {
+		panic(http.ErrAbortHandler)
+	}
 	now := time.Now()
 	m.advance(now)
 	if o.Fence < m.fence {
@@ -247,6 +253,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.gone {
+		panic(http.ErrAbortHandler)
+	}
 	now := time.Now()
 	m.advance(now)
 	if o.Fence < m.fence {
