--- a/review/stand2/cancelled.go
+++ b/review/stand2/cancelled.go
@@ -9,12 +9,12 @@
 )
 
 // cancelled: a consumer gets no 2xx for a submission, as the platform's store loses the
-// answer to the write, gives up and cancels. The store does the write 6 s after it was
+// answer to the write, gives up and cancels. The store does the write 5.9 s after it was
 // sent, as its condition still holds.
 func cancelled(dir string, trouble bool) {
 	const (
 		window    = 2500 * time.Millisecond
-		late      = 6 * time.Second
+		late      = 5900 * time.Millisecond
 		cancelMS  = 3000 * time.Millisecond
 		stopMS    = 900 * time.Millisecond
 		contactMS = 3000 * time.Millisecond
