--- a/cmd/kumquatstall/serve.go
+++ b/cmd/kumquatstall/serve.go
@@ -108,6 +108,7 @@
 		Cores:           site.Limits.Cores,
 		MaxLease:        configurer.Millis(site.Timing.LongestLeaseMillis),
 		WritesPerSecond: site.Store.WritesPerSecond * storeWriteShare,
+		RowBytes:        site.Store.RowBytes,
 	}, s.client, nil, s.log)
 	expvar.Publish("kumquatstall", jsonVar(s.dispatcher.Metrics))
 	expvar.Publish("kumquatstall_platform", jsonVar(s.client.Metrics))
--- a/configurer/site.go
+++ b/configurer/site.go
@@ -47,6 +47,9 @@
 	// and cancellations to a fixed share of it; 0 means the default limit of an
 	// entry.
 	WritesPerSecond float64 `yaml:"WritesPerSecond,omitempty"`
+	// RowBytes is the most bytes that the store takes in the value of a row; 0 means
+	// 65,536.
+	RowBytes int `yaml:"RowBytes,omitempty"`
 }
 
 // SiteTiming holds durations; 0 means the default.
@@ -104,6 +107,8 @@
 // Limits of the values in the settings of a site.
 const (
 	maxGraceSeconds = 3600
+	minRowBytes     = 4096
+	maxRowBytes     = 1e9
 	maxRate         = 1e9
 	maxMemoryMB     = 1e9
 	maxCores        = 1e6
@@ -130,6 +135,7 @@
 	}
 	c.require(!s.Advertise.IsValid() || isHostAddress(s.Advertise), "Advertise", "the address of a host, with a port")
 	c.require(s.Store.WritesPerSecond >= 0 && s.Store.WritesPerSecond <= maxRate, "Store.WritesPerSecond", "a rate between 0 and 1000000000")
+	c.require(s.Store.RowBytes == 0 || s.Store.RowBytes >= minRowBytes && s.Store.RowBytes <= maxRowBytes, "Store.RowBytes", "0, or between 4096 and 1000000000")
 	c.require(s.Timing.GraceSeconds >= 0 && s.Timing.GraceSeconds <= maxGraceSeconds, "Timing.GraceSeconds", "between 0 and 3600")
 	c.require(s.Timing.LongestLeaseMillis >= 0 && s.Timing.LongestLeaseMillis <= maxMillis, "Timing.LongestLeaseMillis", "between 0 and 86400000")
 	c.require(s.Limits.MemoryMB >= 0 && s.Limits.MemoryMB <= maxMemoryMB, "Limits.MemoryMB", "between 0 and 1000000000")
--- a/dispatcher/accept.go
+++ b/dispatcher/accept.go
@@ -30,6 +30,9 @@
 	OutcomeUnknown
 	// OutcomeNotFound means that no such job is known.
 	OutcomeNotFound
+	// OutcomeInvalid means that the store refuses the request as invalid, so that it
+	// has had and will have no effect.
+	OutcomeInvalid
 )
 
 // acceptTimeout bounds the attempts to store one request; twice the read
@@ -45,6 +48,12 @@
 	failingTimeout = 60 * time.Millisecond
 )
 
+// CheckRows checks that the store can hold the rows of a job, whatever happens to its
+// tasks. The error names the field that is too large.
+func (d *Dispatcher) CheckRows(job *scheduler.Job) *requester.FieldError {
+	return job.CheckRows(d.options.RowBytes)
+}
+
 // Submit stores a job. If there is a job with the same ID already, Submit
 // leaves it unchanged and returns OutcomeDone.
 func (d *Dispatcher) Submit(ctx context.Context, job scheduler.Job) Outcome {
@@ -58,7 +67,7 @@
 	key := scheduler.JobKey(job.JobID)
 	transaction := keeper.Transaction{
 		Conditions: []keeper.Condition{{Key: key}},
-		Writes:     []keeper.Write{{Key: key, Value: scheduler.EncodeRow(job)}},
+		Writes:     []keeper.Write{{Key: key, Value: scheduler.EncodeJob(job)}},
 	}
 	result, outcome := d.transact(ctx, scheduler.JobPartition(job.JobID), transaction)
 	if outcome != OutcomeDone {
@@ -108,6 +117,9 @@
 		return received.result, OutcomeDone
 	case errors.Is(received.err, keeper.ErrUnresolved):
 		return received.result, OutcomeUnknown
+	case errors.Is(received.err, keeper.ErrInvalid):
+		d.log.Error().Str("Event", "request refused").Err(received.err).Msg("the store refuses to store a request as invalid; its caller is told")
+		return received.result, OutcomeInvalid
 	default:
 		return received.result, OutcomeUnavailable
 	}
--- a/dispatcher/acquire.go
+++ b/dispatcher/acquire.go
@@ -38,6 +38,9 @@
 	// which none has come for capacityValidity, which leaves out three of them.
 	announceInterval = 500 * time.Millisecond
 	capacityValidity = 2 * time.Second
+	// refusedDelay is the delay before another attempt after the store has refused
+	// one as invalid.
+	refusedDelay = time.Second
 	// ownerSafetyMargin separates the expiry of the owner's lease from the time
 	// at which other entries may acquire the cell.
 	ownerSafetyMargin = 200 * time.Millisecond
@@ -186,6 +189,9 @@
 	})
 	if err != nil {
 		d.log.Warn().Str("Event", "acquire").Int64("Epoch", row.Epoch).Err(err).Msg("acquiring the cell failed or its outcome is unknown; retrying")
+		if errors.Is(err, keeper.ErrInvalid) {
+			d.pause(refusedDelay)
+		}
 		return row, 0, false
 	}
 	revision := result.Revision
--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"kumquatstall/keeper"
 	"kumquatstall/retrier"
 	"kumquatstall/scheduler"
@@ -49,12 +52,45 @@
 		Writes:     []keeper.Write{{Key: ownerKey, Value: scheduler.EncodeRow(next)}},
 	}
 	deletes := min(len(s.pendingDeletes), maxDeletesPerCommit)
-	transaction.Writes = append(transaction.Writes, s.pendingDeletes[:deletes]...)
+	removals := slices.Clone(s.pendingDeletes[:deletes])
+	transaction.Writes = append(transaction.Writes, removals...)
 	s.pendingDeletes = s.pendingDeletes[deletes:]
 	for _, write := range batch.Writes {
 		transaction.Writes = append(transaction.Writes, keeper.Write{Key: write.Key, Value: write.Value, Delete: write.Value == nil})
 	}
-	s.spawn(func() { s.sendCommit(next, batch, transaction) })
+	pending := &pendingCommit{next: next, batch: batch, removals: removals, transaction: transaction, sentAt: now}
+	s.spawn(func() { s.sendCommit(pending) })
+}
+
+// pendingCommit is a commit whose outcome is not known yet.
+type pendingCommit struct {
+	// next is the owner's row that it writes.
+	next  ownerRow
+	batch *scheduler.Batch
+	// removals are the pending deletes that it includes.
+	removals    []keeper.Write
+	transaction keeper.Transaction
+	sentAt      time.Time
+}
+
+// commitRefused handles a commit that the store has refused as invalid, as it would do
+// again. The core writes the rows of the batch by other ones. An entry whose owner's row
+// alone is refused can't own the cell.
+func (s *session) commitRefused(refused *pendingCommit, err error) {
+	d := s.dispatcher
+	s.commitInFlight = false
+	d.counters.commitsRefused.Add(1)
+	d.log.Error().Str("Event", "commit refused").Int64("Epoch", s.row.Epoch).Int("Rows", len(refused.transaction.Writes)).Int("Removals", len(refused.removals)).Err(err).
+		Msg("the store refuses a commit as invalid; it is not sent again as it was")
+	switch {
+	case !refused.batch.Empty():
+		s.core.Refused(d.clock.Now(), refused.batch, err.Error())
+		s.pendingDeletes = append(refused.removals, s.pendingDeletes...)
+	case len(refused.removals) > 0:
+		d.log.Error().Str("Event", "removals refused").Str("First", refused.removals[0].Key).Int("Rows", len(refused.removals)).Msg("the store refuses to remove rows; they are left to a later owner")
+	default:
+		s.ended = true
+	}
 }
 
 // limitLease shortens the lease to a time. From the moment at which a row with a
@@ -112,17 +148,21 @@
 	eagerOffLatency = 80 * time.Millisecond
 )
 
-// sendCommit sends a transaction until its outcome is known, and posts the
-// outcome. Each attempt sends the same bytes: of several attempts that reach
+// sendCommit sends a transaction until its outcome is known, which is also that the
+// store refuses it as invalid, and posts the outcome. Each attempt sends the same bytes: of several attempts that reach
 // the store, even late, only one can commit.
-func (s *session) sendCommit(next ownerRow, batch *scheduler.Batch, transaction keeper.Transaction) {
+func (s *session) sendCommit(pending *pendingCommit) {
 	d := s.dispatcher
-	sentAt := d.clock.Now()
+	pending.sentAt = d.clock.Now()
 	for s.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(s.ctx, storeTimeout)
-		result, err := d.store.Transact(ctx, transaction)
+		result, err := d.store.Transact(ctx, pending.transaction)
 		cancel()
 		d.counters.commits.Add(1)
+		if errors.Is(err, keeper.ErrInvalid) {
+			s.post(func() { s.commitRefused(pending, err) })
+			return
+		}
 		if err != nil {
 			d.counters.commitsFailed.Add(1)
 			if !retrier.Sleep(s.ctx, retryInterval) {
@@ -133,20 +173,21 @@
 		revision, committed := result.Revision, result.Committed
 		if !committed {
 			var current keeper.Row
-			current, committed = conflictingRow(result, ownerKey, transaction.Writes[0].Value)
+			current, committed = conflictingRow(result, ownerKey, pending.transaction.Writes[0].Value)
 			revision = current.Revision
 		}
-		s.post(func() { s.commitDone(next, batch, revision, committed, sentAt) })
+		s.post(func() { s.commitDone(pending, revision, committed) })
 		return
 	}
 }
 
 // commitDone handles the outcome of a commit. If it succeeded, the lease is
-// renewed as of sentAt, the core is notified of the committed batch, and the new
+// renewed as of when it was sent, the core is notified of the committed batch, and the new
 // states are published. If it did not succeed, another entry owns the cell and
 // the session ends.
-func (s *session) commitDone(next ownerRow, batch *scheduler.Batch, revision int64, committed bool, sentAt time.Time) {
+func (s *session) commitDone(done *pendingCommit, revision int64, committed bool) {
 	d := s.dispatcher
+	next, batch, sentAt := done.next, done.batch, done.sentAt
 	now := d.clock.Now()
 	s.commitInFlight = false
 	if !committed {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -137,6 +137,9 @@
 	// WritesPerSecond bounds the transactions with which this entry stores
 	// jobs and cancellations; default 60.
 	WritesPerSecond float64
+	// RowBytes is the most bytes that the store takes in the value of a row; default
+	// 65,536.
+	RowBytes int
 	// StateRetention is how long the state of an ended job is kept; default
 	// 3 min.
 	StateRetention time.Duration
@@ -155,6 +158,9 @@
 	if o.WritesPerSecond <= 0 {
 		o.WritesPerSecond = 60
 	}
+	if o.RowBytes <= 0 {
+		o.RowBytes = scheduler.DefaultRowBytes
+	}
 	if o.StateRetention <= 0 {
 		o.StateRetention = 3 * time.Minute
 	}
@@ -216,6 +222,10 @@
 // that row in addition.
 const maxTransaction = 90
 
+// maxTransactionBytes bounds the values of the transactions that are merged into one call
+// to the store, in base64. The rest of what a call may hold is left for keys.
+const maxTransactionBytes = scheduler.DefaultCallBytes * 9 / 10
+
 // Start starts an entry. If clock is nil, it uses the clock of the host.
 func Start(options Options, platform Platform, clock Clock, log zerolog.Logger) *Dispatcher {
 	if clock == nil {
@@ -237,9 +247,10 @@
 	d.store = keeper.NewHedged(platform)
 	for range scheduler.JobPartitions {
 		d.jobWriters = append(d.jobWriters, keeper.Start(d.store, keeper.Options{
-			WritesPerSecond:    options.WritesPerSecond / scheduler.JobPartitions,
-			MaxTransactionSize: maxTransaction,
-			CallTimeout:        storeTimeout,
+			WritesPerSecond:     options.WritesPerSecond / scheduler.JobPartitions,
+			MaxTransactionSize:  maxTransaction,
+			MaxTransactionBytes: maxTransactionBytes,
+			CallTimeout:         storeTimeout,
 		}))
 	}
 	self := encoder.PeerInfo{EntryID: options.Self, DataCentre: options.DataCentre, Address: options.Address}
--- a/dispatcher/eager_test.go
+++ b/dispatcher/eager_test.go
@@ -51,7 +51,7 @@
 	commit := func(revision int64) {
 		sentAt := clock.now
 		clock.now = clock.now.Add(previous.term() + ownerSafetyMargin)
-		s.commitDone(s.row, &scheduler.Batch{}, revision, true, sentAt)
+		s.commitDone(&pendingCommit{next: s.row, batch: &scheduler.Batch{}, sentAt: sentAt}, revision, true)
 		s.core.JobsKnown(revision)
 		s.core.Tick(clock.now)
 	}
--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -66,12 +66,8 @@
 // accepting entries have stored.
 func (s *session) recover(rows map[string][]byte) {
 	d := s.dispatcher
-	if leased := rows[scheduler.LeasedWorkersKey]; leased != nil {
-		s.restoreLeasedWorkers(leased)
-	}
-	if births := rows[scheduler.BirthsKey]; births != nil {
-		s.restoreBirths(births)
-	}
+	s.restoreWorkers(rows)
+	details := detailsByJob(rows)
 	jobs := 0
 	for key, value := range rows {
 		if !strings.HasPrefix(key, scheduler.JobTable) || strings.HasSuffix(key, scheduler.CancelSuffix) {
@@ -91,6 +87,7 @@
 		err := s.core.Recover(scheduler.JobRows{
 			Job:       job,
 			Progress:  progress,
+			Details:   details[job.JobID],
 			Cancelled: cancelled,
 		})
 		if err != nil {
@@ -102,12 +99,39 @@
 	d.log.Info().Str("Event", "recovered").Int64("Epoch", s.row.Epoch).Int("Jobs", jobs).Msg("recovered the cell from its rows; scheduling starts")
 }
 
+// detailsByJob returns the rows with details of the tasks of each job.
+func detailsByJob(rows map[string][]byte) map[requester.JobID][]scheduler.RowWrite {
+	details := make(map[requester.JobID][]scheduler.RowWrite)
+	for key, value := range rows {
+		if scheduler.IsDetailKey(key) {
+			id := scheduler.ProgressJob(key)
+			details[id] = append(details[id], scheduler.RowWrite{Key: key, Value: value})
+		}
+	}
+	return details
+}
+
+// restoreWorkers restores what previous owners have stored of the workers that may hold
+// leases: which they are, and then their births.
+func (s *session) restoreWorkers(rows map[string][]byte) {
+	for key, value := range rows {
+		if scheduler.IsListKey(key, scheduler.LeasedWorkersKey) {
+			s.restoreLeasedWorkers(key, value)
+		}
+	}
+	for key, value := range rows {
+		if scheduler.IsListKey(key, scheduler.BirthsKey) {
+			s.restoreBirths(key, value)
+		}
+	}
+}
+
 // restoreLeasedWorkers restores the workers that may hold leases from the value
-// of their row.
-func (s *session) restoreLeasedWorkers(value []byte) {
+// of a row that lists them.
+func (s *session) restoreLeasedWorkers(key string, value []byte) {
 	var row scheduler.LeasedWorkersRow
 	if err := scheduler.DecodeRow(value, &row); err != nil {
-		s.dispatcher.log.Error().Str("Event", "row").Str("Key", scheduler.LeasedWorkersKey).Err(err).Msg("decoding the row of leased workers failed; nothing starts until every lease of a previous owner has expired")
+		s.dispatcher.log.Error().Str("Event", "row").Str("Key", key).Err(err).Msg("decoding the row of leased workers failed; nothing starts until every lease of a previous owner has expired")
 		s.core.AssumeUnknownLeases()
 		return
 	}
@@ -115,11 +139,11 @@
 }
 
 // restoreBirths restores the births of the workers that may hold leases from the
-// value of their row.
-func (s *session) restoreBirths(value []byte) {
+// value of a row that lists them.
+func (s *session) restoreBirths(key string, value []byte) {
 	var row scheduler.BirthsRow
 	if err := scheduler.DecodeRow(value, &row); err != nil {
-		s.dispatcher.logOddRow(scheduler.BirthsKey, err, "decoding the row of births failed; workers that do not answer are waited for as long as any lease may last")
+		s.dispatcher.logOddRow(key, err, "decoding the row of births failed; workers that do not answer are waited for as long as any lease may last")
 		return
 	}
 	s.core.RestoreBirths(row)
@@ -130,8 +154,8 @@
 // decoded keeps its progress.
 func (s *session) removeOrphanedProgress(rows map[string][]byte) {
 	for key := range rows {
-		id := requester.JobID(strings.TrimPrefix(key, scheduler.ProgressPrefix))
-		if !strings.HasPrefix(key, scheduler.ProgressPrefix) || key == scheduler.LeasedWorkersKey || key == scheduler.BirthsKey || rows[scheduler.JobKey(id)] != nil {
+		if !strings.HasPrefix(key, scheduler.ProgressPrefix) || scheduler.IsListKey(key, scheduler.LeasedWorkersKey) || scheduler.IsListKey(key, scheduler.BirthsKey) ||
+			rows[scheduler.JobKey(scheduler.ProgressJob(key))] != nil {
 			continue
 		}
 		s.pendingDeletes = append(s.pendingDeletes, keeper.Write{Key: key, Delete: true})
--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -58,10 +58,12 @@
 // counters are the metrics of an entry.
 type counters struct {
 	// submitted counts the requests to store a job, by Outcome.
-	submitted     [4]atomic.Int64
+	submitted     [5]atomic.Int64
 	commits       atomic.Int64
 	commitsFailed atomic.Int64
-	adviceFailed  atomic.Int64
+	// commitsRefused counts the commits that the store has refused as invalid.
+	commitsRefused atomic.Int64
+	adviceFailed   atomic.Int64
 	// adviceAfterDeadline counts the replies to advice requests that had failed
 	// before.
 	adviceAfterDeadline atomic.Int64
@@ -110,7 +112,9 @@
 		Submitted     map[string]int64
 		Commits       int64
 		CommitsFailed int64
-		AdviceFailed  int64
+		// CommitsRefused counts commits that the store has refused as invalid.
+		CommitsRefused int64
+		AdviceFailed   int64
 		// AdviceAfterDeadline counts replies that came too late.
 		AdviceAfterDeadline int64
 		OddRows             int64
@@ -125,6 +129,7 @@
 		Submitted:           make(map[string]int64),
 		Commits:             d.counters.commits.Load(),
 		CommitsFailed:       d.counters.commitsFailed.Load(),
+		CommitsRefused:      d.counters.commitsRefused.Load(),
 		AdviceFailed:        d.counters.adviceFailed.Load(),
 		AdviceAfterDeadline: d.counters.adviceAfterDeadline.Load(),
 		OddRows:             d.counters.oddRows.Load(),
@@ -136,7 +141,7 @@
 	if config := d.Config(); config != nil {
 		published.ConfigVersion = config.Version
 	}
-	for outcome := OutcomeDone; outcome <= OutcomeNotFound; outcome++ {
+	for outcome := OutcomeDone; outcome <= OutcomeInvalid; outcome++ {
 		published.Submitted[outcome.String()] = d.counters.submitted[outcome].Load()
 	}
 	data, err := json.Marshal(published)
--- a/dispatcher/odd.go
+++ b/dispatcher/odd.go
@@ -21,8 +21,8 @@
 
 // decodeJob decodes and checks the row of a job.
 func decodeJob(key string, value []byte) (scheduler.Job, error) {
-	var job scheduler.Job
-	if err := scheduler.DecodeRow(value, &job); err != nil {
+	job, err := scheduler.DecodeJob(value)
+	if err != nil {
 		return scheduler.Job{}, err
 	}
 	return job, checkJob(key, &job)
--- a/dispatcher/odd_owner_test.go
+++ b/dispatcher/odd_owner_test.go
@@ -18,7 +18,7 @@
 func TestOddOwnerRowLeavesCellWithoutOwner(t *testing.T) {
 	const ownerKey = scheduler.StatePrefix + "@owner"
 	for name, value := range map[string][]byte{
-		"not CBOR": {0xff}, "nested": nested(100_000), "another type": {0xa0}, "no value": nil, "removed": nil,
+		"not CBOR": {0xff}, "nested": nested(60_000), "another type": {0xa0}, "no value": nil, "removed": nil,
 		"huge numbers":     {0x89, 0x61, 'x', 0x60, 0x1b, 0x7f, 255, 255, 255, 255, 255, 255, 255, 1, 0x1b, 0x7f, 255, 255, 255, 255, 255, 255, 255, 0xf4, 0xfb, 0x7f, 0xf8, 0, 0, 0, 0, 0, 0, 0xf4, 0x60},
 		"negative numbers": {0x89, 0x61, 'x', 0x60, 0x3b, 0x7f, 255, 255, 255, 255, 255, 255, 255, 1, 0x3b, 0x7f, 255, 255, 255, 255, 255, 255, 255, 0xf4, 0xf9, 0, 0, 0xf4, 0x60},
 	} {
--- a/dispatcher/odd_rows_test.go
+++ b/dispatcher/odd_rows_test.go
@@ -63,7 +63,7 @@
 		"step after a negative":  job(func(j *scheduler.Job) { j.Steps[1].After = []int{-1} }),
 		"another job's ID":       job(func(j *scheduler.Job) { j.JobID = "00000000000000fe" }),
 		"no ID":                  job(func(j *scheduler.Job) { j.JobID = "" }),
-		"nested beyond decoding": nested(100_000),
+		"nested beyond decoding": nested(60_000),
 		"cut off":                job(func(*scheduler.Job) {})[:20],
 		"no value":               nil,
 	}
@@ -105,7 +105,7 @@
 // state of one job cannot be decoded, and that it reports the other states.
 func TestOddStateRowKeepsEntryUnready(t *testing.T) {
 	for name, value := range map[string][]byte{
-		"not CBOR": {0xff}, "nested": nested(100_000), "another type": {0xa0}, "no such state": scheduler.EncodeRow(scheduler.StateRow{State: 77}),
+		"not CBOR": {0xff}, "nested": nested(60_000), "another type": {0xa0}, "no such state": scheduler.EncodeRow(scheduler.StateRow{State: 77}),
 		"negative state": scheduler.EncodeRow(scheduler.StateRow{State: -1}), "no value": nil,
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/dispatcher/outcome_string.go
+++ b/dispatcher/outcome_string.go
@@ -12,11 +12,12 @@
 	_ = x[OutcomeUnavailable-1]
 	_ = x[OutcomeUnknown-2]
 	_ = x[OutcomeNotFound-3]
+	_ = x[OutcomeInvalid-4]
 }
 
-const _Outcome_name = "DoneUnavailableUnknownNotFound"
+const _Outcome_name = "DoneUnavailableUnknownNotFoundInvalid"
 
-var _Outcome_index = [...]uint8{0, 4, 15, 22, 30}
+var _Outcome_index = [...]uint8{0, 4, 15, 22, 30, 37}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -118,6 +118,7 @@
 		core: scheduler.New(scheduler.Options{
 			Epoch:              row.Epoch,
 			MaxLease:           d.options.MaxLease,
+			RowBytes:           d.options.RowBytes,
 			PreviousOwnerEager: previous.row.Eager,
 			PreviousOwnerTerm:  previous.row.term() + ownerSafetyMargin,
 			PreviousLeaseTerm:  previous.row.leaseTerm(),
--- a/keeper/client.go
+++ b/keeper/client.go
@@ -28,6 +28,10 @@
 	// transactions that are merged into one request; default unbounded. A larger
 	// transaction is sent alone.
 	MaxTransactionSize int
+	// MaxTransactionBytes bounds the size of the values of the transactions that are
+	// merged into one request, encoded in base64; default unbounded. A larger
+	// transaction is sent alone.
+	MaxTransactionBytes int
 	// Observe is called after every call of the Table, with its error; it may
 	// be nil.
 	Observe func(operation Operation, err error)
@@ -66,6 +70,10 @@
 // not applied and won't be.
 var ErrNotApplied = errors.New("transaction was not applied")
 
+// ErrInvalid marks an error of a Table that has refused the transaction as invalid: it
+// was not applied, and the same one would be refused again.
+var ErrInvalid = errors.New("transaction is invalid for the table service")
+
 // ErrUnresolved reports that the outcome of a transaction was still unknown at
 // its deadline or when the client was closed. It may have been applied, or may
 // still be.
@@ -85,6 +93,9 @@
 	// inDoubt is true if an earlier request may have applied the transaction,
 	// although no response confirmed it.
 	inDoubt bool
+	// alone is true if the transaction is sent in a request of its own, as the
+	// service has refused one that it shared.
+	alone bool
 }
 
 // pendingRead is a queued read.
@@ -282,7 +293,7 @@
 // commitGroup merges waiting transactions with disjoint keys into one request,
 // sends it and returns the transactions still unresolved.
 func (c *Client) commitGroup(ctx context.Context, waiting []*pendingTransaction) ([]*pendingTransaction, error) {
-	group, rest := splitDisjoint(waiting, c.options.MaxTransactionSize)
+	group, rest := splitDisjoint(waiting, c.options)
 	var merged Transaction
 	for _, pending := range group {
 		merged.Conditions = append(merged.Conditions, pending.transaction.Conditions...)
@@ -292,6 +303,9 @@
 	defer cancel()
 	result, err := c.table.Transact(callCtx, merged)
 	c.options.Observe(OperationTransact, err)
+	if errors.Is(err, ErrInvalid) {
+		return append(resolveInvalid(group, err), rest...), nil
+	}
 	if err != nil {
 		for _, pending := range group {
 			pending.inDoubt = pending.inDoubt || !errors.Is(err, ErrNotApplied)
@@ -333,6 +347,24 @@
 	return unresolved
 }
 
+// resolveInvalid completes a transaction that the service has refused as invalid. Of
+// several in one request it returns all, to be sent each in one of its own: one of them
+// must not fail the others. A transaction that may have been applied before stays
+// unresolved.
+func resolveInvalid(group []*pendingTransaction, err error) []*pendingTransaction {
+	if len(group) > 1 {
+		for _, pending := range group {
+			pending.alone = true
+		}
+		return group
+	}
+	if group[0].inDoubt {
+		err = ErrUnresolved
+	}
+	group[0].done(TransactResult{}, err)
+	return nil
+}
+
 // conflictsOf returns the rows of current at the transaction's conditions.
 func conflictsOf(transaction Transaction, current map[string]Row) []Row {
 	var conflicting []Row
@@ -365,14 +397,16 @@
 // order. A transaction in rest blocks later ones with the same keys, so that
 // transactions on a key stay in order. Every write has a condition on its key, so
 // the keys of the conditions are sufficient. The first transaction is always in
-// the group, even if it exceeds maxSize. The sizes of those in rest count too:
-// once maxSize is exceeded, no later transaction is added to the group.
-func splitDisjoint(waiting []*pendingTransaction, maxSize int) (group, rest []*pendingTransaction) {
+// the group, even if it exceeds a limit. The sizes of those in rest count too:
+// once a limit is exceeded, no later transaction is added to the group.
+func splitDisjoint(waiting []*pendingTransaction, limits Options) (group, rest []*pendingTransaction) {
 	seenKeys := make(map[string]bool)
-	size := 0
+	size, bytes := 0, 0
 	for _, pending := range waiting {
 		size += len(pending.transaction.Conditions) + len(pending.transaction.Writes)
-		excluded := maxSize > 0 && size > maxSize && len(group) > 0
+		bytes += pending.transaction.valueBytes()
+		exceeds := limits.MaxTransactionSize > 0 && size > limits.MaxTransactionSize || limits.MaxTransactionBytes > 0 && bytes > limits.MaxTransactionBytes
+		excluded := len(group) > 0 && (exceeds || pending.alone || group[0].alone)
 		for _, condition := range pending.transaction.Conditions {
 			excluded = excluded || seenKeys[condition.Key]
 		}
--- a/keeper/client_test.go
+++ b/keeper/client_test.go
@@ -126,3 +126,76 @@
 	}
 	is.True(table.requests < len(transactions)/2)
 }
+
+// limitedTable refuses as invalid a transaction with a value that is longer than most.
+type limitedTable struct {
+	fakeTable
+	most int
+}
+
+func (t *limitedTable) Transact(ctx context.Context, transaction Transaction) (TransactResult, error) {
+	for _, write := range transaction.Writes {
+		if len(write.Value) > t.most {
+			t.mu.Lock()
+			t.requests++
+			t.mu.Unlock()
+			return TransactResult{}, errors.Mark(errors.Mark(errors.New("value is too long"), ErrInvalid), ErrNotApplied)
+		}
+	}
+	return t.fakeTable.Transact(ctx, transaction)
+}
+
+// transactAll queues transactions at once and returns their outcomes.
+func transactAll(c *Client, timeout time.Duration, transactions ...Transaction) []transactOutcome {
+	outcomes := make([]transactOutcome, len(transactions))
+	var group sync.WaitGroup
+	for i, transaction := range transactions {
+		group.Add(1)
+		c.Transact(transaction, time.Now().Add(timeout), func(result TransactResult, err error) {
+			outcomes[i] = transactOutcome{result, err}
+			group.Done()
+		})
+	}
+	group.Wait()
+	return outcomes
+}
+
+// TestInvalidTransactionSparesTheGroup guards against a transaction that the service
+// refuses as invalid and that is sent until its deadline, with all that share the request.
+func TestInvalidTransactionSparesTheGroup(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	table := &limitedTable{fakeTable: fakeTable{rows: make(map[string]Row)}, most: 3}
+	client := Start(table, Options{WritesPerSecond: 10_000})
+	began := time.Now()
+	outcomes := transactAll(client, 5*time.Second, insert("a", "x"), insert("b", "too long"), insert("c", "y"), insert("d", "z"))
+	is.True(time.Since(began) < 2*time.Second) // none waits for its deadline
+	for i, outcome := range outcomes {
+		if i == 1 {
+			is.True(errors.Is(outcome.err, ErrInvalid))
+			is.True(errors.Is(outcome.err, ErrNotApplied))
+			continue
+		}
+		is.NoErr(outcome.err)
+		is.True(outcome.result.Committed)
+	}
+	is.True(table.requests <= 6)
+	client.Close()
+	<-client.Done()
+}
+
+// TestGroupFitsARequest guards against transactions that each fit and that are merged into
+// a request which is larger than the service takes.
+func TestGroupFitsARequest(t *testing.T) {
+	is := is.New(t)
+	value := string(make([]byte, 300))
+	var waiting []*pendingTransaction
+	for _, key := range []string{"a", "b", "c", "d"} {
+		waiting = append(waiting, &pendingTransaction{transaction: insert(key, value)})
+	}
+	group, rest := splitDisjoint(waiting, Options{MaxTransactionBytes: 1000})
+	is.Equal(len(group), 2) // each takes 400 bytes in base64
+	is.Equal(len(rest), 2)
+	group, _ = splitDisjoint(waiting, Options{MaxTransactionBytes: 100})
+	is.Equal(len(group), 1)
+}
--- a/keeper/hedge.go
+++ b/keeper/hedge.go
@@ -51,7 +51,7 @@
 // is ErrNotApplied only if every attempt is proven not to have been applied.
 func (h *Hedged) Transact(ctx context.Context, transaction Transaction) (TransactResult, error) {
 	result, err := h.transact(ctx, transaction)
-	if err == nil {
+	if err == nil || errors.Is(err, ErrInvalid) {
 		h.failingSince.Store(nil)
 	} else {
 		now := time.Now()
@@ -145,8 +145,12 @@
 }
 
 // lessCertain returns the error that proves less: ErrNotApplied proves that an
-// attempt was not applied, any other error proves nothing.
+// attempt was not applied, any other error proves nothing. Of two that prove it, one
+// that is also ErrInvalid tells more.
 func lessCertain(a, b error) error {
+	if errors.Is(a, ErrInvalid) && errors.Is(b, ErrNotApplied) {
+		return a
+	}
 	if a == nil || errors.Is(a, ErrNotApplied) {
 		return b
 	}
--- a/keeper/table.go
+++ b/keeper/table.go
@@ -18,6 +18,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -54,6 +55,16 @@
 	Writes     []Write
 }
 
+// valueBytes returns the size of the values that the transaction writes, encoded in
+// base64.
+func (t *Transaction) valueBytes() int {
+	size := 0
+	for i := range t.Writes {
+		size += base64.StdEncoding.EncodedLen(len(t.Writes[i].Value))
+	}
+	return size
+}
+
 // TransactResult is the outcome of a transaction.
 type TransactResult struct {
 	Committed bool
@@ -84,7 +95,8 @@
 // Table is the table service.
 type Table interface {
 	// Transact applies a transaction. An error that is ErrNotApplied proves that
-	// it was not applied and won't be; after any other error it may have been
+	// it was not applied and won't be; one that is also ErrInvalid that the same
+	// transaction would be refused again. After any other error it may have been
 	// applied or may still be.
 	Transact(ctx context.Context, transaction Transaction) (TransactResult, error)
 	// Read returns the requested rows. It may read each key and each prefix at
@@ -138,6 +150,10 @@
 	if err != nil {
 		return errors.Wrapf(err, "read response to table request %s from %s", path, t.address)
 	}
+	if response.StatusCode == http.StatusBadRequest || response.StatusCode == http.StatusRequestEntityTooLarge {
+		err := errors.Newf("table request %s to %s: got status %d: %.200s", path, t.address, response.StatusCode, data)
+		return errors.Mark(errors.Mark(err, ErrInvalid), ErrNotApplied)
+	}
 	if response.StatusCode != http.StatusOK {
 		return errors.Newf("table request %s to %s: got status %d, expected 200", path, t.address, response.StatusCode)
 	}
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"encoding/base64"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -65,6 +66,8 @@
 	leasedWorkers []leasedWrite
 	// births is true if the batch writes the row of births.
 	births bool
+	// bytes is the size of Writes in a call to the store.
+	bytes int
 }
 
 // leasedWrite is a worker and its address in a row of leased workers.
@@ -73,56 +76,124 @@
 	address netip.AddrPort
 }
 
-// jobWrite is the version, state and progress of a job that a batch writes.
+// jobWrite is what a batch writes of a job.
 type jobWrite struct {
-	job      *job
-	version  int64
-	state    State
-	progress []byte
+	job    *job
+	writes []RowWrite
+	// last is true if the rows of the job are up to date with this batch, in its
+	// version and state.
+	last    bool
+	version int64
+	state   State
 }
 
 // Empty reports whether there is nothing to write.
 func (b *Batch) Empty() bool { return len(b.Writes) == 0 }
 
-// writesPerJob is the maximum number of rows that a change of one job writes.
-const writesPerJob = 2
+// batchRoom is how much a batch may hold.
+type batchRoom struct{ rows, bytes int }
 
-// TakeBatch returns up to limit rows to write. The caller passes the batch to
-// Committed once the transaction has committed.
+// writeOverheadBytes bounds what a write takes in a call besides its key and value.
+const writeOverheadBytes = 64
+
+// callBytes returns the size of a write in a call to the store.
+func (w *RowWrite) callBytes() int {
+	return base64.StdEncoding.EncodedLen(len(w.Value)) + len(w.Key) + writeOverheadBytes
+}
+
+func (r batchRoom) holds(rows, bytes int) bool { return rows <= r.rows && bytes <= r.bytes }
+
+// left returns the room that is left beside the batch.
+func (r batchRoom) left(b *Batch) batchRoom {
+	return batchRoom{r.rows - len(b.Writes), r.bytes - b.bytes}
+}
+
+// callBytes returns the size of writes in a call to the store.
+func callBytes(writes []RowWrite) int {
+	size := 0
+	for i := range writes {
+		size += writes[i].callBytes()
+	}
+	return size
+}
+
+func (b *Batch) append(writes []RowWrite) {
+	b.bytes += callBytes(writes)
+	b.Writes = append(b.Writes, writes...)
+}
+
+// reservedCallBytes is what the owner's row, the conditions and the removals of other
+// rows take in the call that writes a batch.
+const reservedCallBytes = 16 << 10
+
+// TakeBatch returns up to limit rows to write, which fit into one call to the store. The
+// caller passes the batch to Committed once the transaction has committed, or to Refused
+// if the store refuses it as invalid.
 func (c *Core) TakeBatch(limit int) *Batch {
 	batch := &Batch{}
-	if c.leasedWorkersDirty && !c.leasesUnknown() {
+	room := batchRoom{limit, c.options.CallBytes - reservedCallBytes}
+	if !c.now.Before(c.rosterHeldUntil) && !c.leasesUnknown() {
+		c.addWorkerRows(batch)
+	}
+	if c.batchJobs > 0 && !batch.Empty() {
+		return batch
+	}
+	// left are the jobs that the batch does not contain, unfinished those of which it
+	// contains a part; they let the others go first.
+	var left, unfinished []*job
+	for i, j := range c.dirty {
+		if j.heldUntil.After(c.now) {
+			left = append(left, j)
+			continue
+		}
+		if c.batchJobs > 0 && len(batch.jobs) == c.batchJobs {
+			left = append(left, c.dirty[i:]...)
+			break
+		}
+		if len(j.plan.groups) == 0 {
+			j.plan = j.newPlan(c.options.rowLimit())
+		}
+		if !batch.add(j, room) {
+			j.plan = writePlan{}
+			left = append(left, c.dirty[i:]...)
+			break
+		}
+		if j.dirty = len(j.plan.groups) > 0 || j.version > j.plan.version; j.dirty {
+			unfinished = append(unfinished, j)
+		}
+	}
+	c.dirty = append(left, unfinished...)
+	return batch
+}
+
+// addWorkerRows adds the rows of leased workers and of births to a batch, if they have
+// changed.
+func (c *Core) addWorkerRows(batch *Batch) {
+	if c.leasedWorkersDirty {
 		c.leasedWorkersDirty = false
 		row := LeasedWorkersRow{}
 		for _, w := range c.sortedWorkers {
 			batch.leasedWorkers = append(batch.leasedWorkers, leasedWrite{w, w.info.Address})
 			row.Workers = append(row.Workers, LeasedWorker{HostID: w.info.HostID, Address: w.info.Address})
 		}
-		batch.Writes = append(batch.Writes, RowWrite{Key: LeasedWorkersKey, Value: EncodeRow(row)})
+		encode := func(from, to int) []byte { return EncodeRow(LeasedWorkersRow{Workers: row.Workers[from:to]}) }
+		batch.append(listWrites(LeasedWorkersKey, len(row.Workers), encode, c.options.rowLimit(), &c.rosterParts))
 	}
-	if c.birthsDirty && !c.renewedAt.IsZero() && !c.leasesUnknown() {
+	if c.birthsDirty && !c.renewedAt.IsZero() {
 		c.birthsDirty, batch.births = false, true
-		batch.Writes = append(batch.Writes, RowWrite{Key: BirthsKey, Value: EncodeRow(c.birthsRow())})
+		births := c.birthsRow().Births
+		encode := func(from, to int) []byte { return EncodeRow(BirthsRow{Births: births[from:to]}) }
+		batch.append(listWrites(BirthsKey, len(births), encode, c.options.rowLimit(), &c.birthParts))
 	}
-	for len(c.dirty) > 0 && len(batch.Writes)+writesPerJob <= limit {
-		batch.add(c.dirty[0])
-		c.dirty = c.dirty[1:]
-	}
-	return batch
-}
-
-// add adds the rows of a job to the batch.
-func (b *Batch) add(j *job) {
-	j.dirty = false
-	writes := j.rowWrites()
-	b.jobs = append(b.jobs, jobWrite{job: j, version: j.version, state: j.state, progress: writes[len(writes)-1].Value})
-	b.Writes = append(b.Writes, writes...)
 }
 
 // Committed records that a batch was committed: ended runs may be acknowledged
 // to their workers, and steps that depend on them may start.
 func (c *Core) Committed(now time.Time, batch *Batch) {
 	c.now = now
+	if c.batchJobs *= 2; c.batchJobs > MaxBatchJobs {
+		c.batchJobs = 0
+	}
 	c.birthsStored = c.birthsStored || batch.births
 	for _, write := range batch.leasedWorkers {
 		if w := write.worker; !w.leaseRecorded && write.address == w.info.Address {
@@ -131,10 +202,14 @@
 		}
 	}
 	for _, write := range batch.jobs {
-		write.job.committedVersion = write.version
-		write.job.storedState = write.state
-		write.job.storedProgress = committedProgress{value: write.progress}
-		c.openReadySteps(write.job)
+		j := write.job
+		for _, row := range write.writes {
+			j.storedProgress.apply(j.name(), row)
+		}
+		if write.last {
+			j.committedVersion, j.storedState, j.refusals = write.version, write.state, 0
+			c.openReadySteps(j)
+		}
 	}
 	for _, w := range c.sortedWorkers {
 		c.advanceCommittedEnd(w)
--- a/scheduler/bounded.go
+++ b/scheduler/bounded.go
@@ -52,9 +52,10 @@
 }
 
 // RestoreBirths restores the births of the workers that may hold leases. It is
-// called after RestoreLeasedWorkers, and changes nothing if the previous owner's
-// leases have no known bound.
+// called after RestoreLeasedWorkers for each part of the list, and changes nothing if
+// the previous owner's leases have no known bound.
 func (c *Core) RestoreBirths(row BirthsRow) {
+	c.birthParts++
 	if c.options.PreviousLeaseTerm <= 0 {
 		return
 	}
--- a/scheduler/capacity_test.go
+++ b/scheduler/capacity_test.go
@@ -31,7 +31,7 @@
 
 	successor := New(Options{Epoch: 2}, h.now)
 	job := h.core.jobs["lasting"].spec
-	is.NoErr(successor.Recover(JobRows{Job: job, Progress: EncodeRow(h.core.jobs["lasting"].progress())}))
+	is.NoErr(successor.Recover(JobRows{Job: job, Progress: EncodeRow(h.core.jobs["lasting"].progress(h.core.jobs["lasting"].detailedTasks()))}))
 	successor.SetWorkers(h.now, []WorkerInfo{w.info})
 	report := &Report{Clock: 1, BootedAt: w.bootedAt}
 	for _, start := range h.running {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -31,6 +31,11 @@
 	// that commit was observed.
 	PreviousLeaseTerm time.Duration
 	PreviousCommitAt  time.Time
+	// RowBytes and CallBytes are the most bytes that the store takes in the value of
+	// a row, and in one call; default 65,536 and 1,000,000. Values count as the store
+	// is sent them, in base64.
+	RowBytes  int
+	CallBytes int
 }
 
 func (o Options) withDefaults() Options {
@@ -43,6 +48,12 @@
 	if o.PreviousOwnerTerm <= 0 {
 		o.PreviousOwnerTerm = 3 * time.Second
 	}
+	if o.RowBytes <= 0 {
+		o.RowBytes = DefaultRowBytes
+	}
+	if o.CallBytes <= 0 {
+		o.CallBytes = DefaultCallBytes
+	}
 	return o
 }
 
@@ -152,6 +163,15 @@
 	// placementPending is true if a change since the last placement pass may
 	// let tasks start.
 	placementPending bool
+	// batchJobs is the most jobs in the next batch, as the store has refused one
+	// lately; 0 means no limit. rosterHeldUntil is when the rows of workers are
+	// written again that the store has refused.
+	batchJobs       int
+	rosterHeldUntil time.Time
+	// rosterParts and birthParts are the numbers of rows that the stored lists of
+	// leased workers and of births take.
+	rosterParts int
+	birthParts  int
 	// fenced is true if a worker has seen a higher fence.
 	fenced bool
 	// lostLives are the incarnations of workers that ended lately.
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -22,7 +22,8 @@
 // The records are committed before the task starts again. What a later owner
 // cannot know is whether a task of a started step that no worker reports was
 // lost with its worker or never started. It records that as a life of unknown
-// outcome, which is no evidence by itself.
+// outcome, which is no evidence by itself. While the task waits, such a life alone isn't
+// stored: the start record of the step tells every later owner of it.
 
 // crash records an incarnation of a worker that ended while it ran a task.
 type crash struct {
@@ -202,12 +203,35 @@
 	h := t.crashes
 	if i := slices.IndexFunc(h.crashes, func(known crash) bool { return known.Run == found.Run }); i < 0 {
 		h.crashes = append(h.crashes, found)
+		h.limit()
 	} else if found.ChancePPM < h.crashes[i].ChancePPM {
 		h.crashes[i] = found
 	}
 	return h
 }
 
+// maxLives bounds the lives in the record of a task.
+const maxLives = 16
+
+// limit removes a life if there are too many: the oldest that says nothing about the
+// task, or else the oldest.
+func (h *crashHistory) limit() {
+	if len(h.crashes) <= maxLives {
+		return
+	}
+	oldest := max(0, slices.IndexFunc(h.crashes, func(crash crash) bool { return crash.ChancePPM >= certainPPM }))
+	h.crashes = slices.Delete(h.crashes, oldest, oldest+1)
+}
+
+// storedCrashes returns the lives that are stored with the task. One of unknown outcome
+// alone is not, as long as the task waits: the start record of its step tells of it.
+func (t *task) storedCrashes() []crash {
+	if t.crashes.empty() || t.noted == nil && len(t.crashes.crashes) == 1 && t.crashes.crashes[0].Worker == "" {
+		return nil
+	}
+	return t.crashes.crashes
+}
+
 // addCrash adds a crash to the record of a task, and gives the task up if it is
 // guilty.
 func (c *Core) addCrash(t *task, found crash) {
@@ -261,7 +285,6 @@
 			}
 			c.recordUnknownLife(t)
 		}
-		c.markDirty(s.job())
 	}
 }
 
@@ -271,6 +294,7 @@
 	switch {
 	case t.noted != nil:
 		c.judgeNote(t)
+		c.markDirty(t.step.job())
 	case t.crashes.empty():
 		t.appendCrash(crash{Run: c.firstRun() - 1, ChancePPM: certainPPM})
 		c.judge(t)
@@ -359,11 +383,11 @@
 // addCrashes adds the history of a task to the stored progress, and the start that is
 // noted with it.
 func (p *stepProgress) addCrashes(index int, t *task) {
-	if !t.crashes.empty() {
+	if crashes := t.storedCrashes(); len(crashes) > 0 {
 		if p.Crashes == nil {
 			p.Crashes = make(map[int][]crash)
 		}
-		p.Crashes[index] = t.crashes.crashes
+		p.Crashes[index] = crashes
 	}
 	if t.noted != nil {
 		if p.Noted == nil {
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -442,7 +442,7 @@
 	is := is.New(t)
 	var jobs []JobRows
 	for id, j := range h.core.jobs {
-		jobs = append(jobs, JobRows{Job: j.spec, Progress: h.stored[ProgressKey(id)]})
+		jobs = append(jobs, JobRows{Job: j.spec, Progress: h.stored[ProgressKey(id)], Details: storedDetails(h.stored, id)})
 	}
 	var leased LeasedWorkersRow
 	is.NoErr(DecodeRow(h.stored[LeasedWorkersKey], &leased))
--- a/scheduler/owners_test.go
+++ b/scheduler/owners_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"encoding/base64"
 	"time"
 )
 
@@ -25,6 +26,8 @@
 	// jobs whose steps need advice.
 	timed   float64
 	advised float64
+	// rowBytes and callBytes are the limits of the store; 0 for the defaults.
+	rowBytes, callBytes int
 	// bounded makes owners renew, bound leases by that, and tell their successors.
 	bounded bool
 }
@@ -149,6 +152,7 @@
 
 // store applies a transaction to the stored rows.
 func (sim *simulation) store(batch *Batch, eager bool) {
+	sim.checkSizes(batch)
 	for _, write := range batch.Writes {
 		if write.Value == nil {
 			delete(sim.rows, write.Key)
@@ -187,6 +191,21 @@
 	}
 }
 
+// checkSizes checks that the store takes the rows of a batch.
+func (sim *simulation) checkSizes(batch *Batch) {
+	call := 0
+	for _, write := range batch.Writes {
+		size := base64.StdEncoding.EncodedLen(len(write.Value))
+		if size > sim.core.options.RowBytes {
+			sim.problem("the value of %s takes %d bytes, the store takes %d", write.Key, size, sim.core.options.RowBytes)
+		}
+		call += size + len(write.Key)
+	}
+	if call > sim.core.options.CallBytes {
+		sim.problem("a call takes %d bytes, the store takes %d", call, sim.core.options.CallBytes)
+	}
+}
+
 // hides reports whether an order of an owner does not reach a worker.
 func (f *fakeWorker) hides(core *Core) bool {
 	return f.sim.now.Before(f.partitionedUntil) || core == f.sim.core && f.sim.now.Before(f.hiddenUntil)
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -15,10 +15,19 @@
 	state State
 	// storedState is the state in the last committed row, or notStored.
 	storedState State
-	// storedProgress is the last committed row with the job's progress; empty
-	// for none.
+	// storedProgress is what is committed of the job's progress; empty for
+	// nothing.
 	storedProgress committedProgress
-	occurrences    []*occurrence
+	// refusals counts how often the store has refused the job's rows as invalid,
+	// heldUntil is when they are written again.
+	refusals  int
+	heldUntil time.Time
+	// cuts are the first tasks of the ranges that have detail rows.
+	cuts []taskPosition
+	// plan is what is left to write of rows that take several transactions; empty for
+	// none.
+	plan        writePlan
+	occurrences []*occurrence
 	// nextOccurrence is the first occurrence that has not been activated.
 	nextOccurrence int64
 	// durations are the predicted durations of the tasks of each step;
@@ -302,14 +311,15 @@
 
 // mayOverlap reports whether the job may have one more active occurrence, besides
 // those that it has. The state of all of them together is bounded like that of
-// one, so that a job whose occurrences are all due does not fill the memory.
-func (j *job) mayOverlap() bool {
+// one, so that a job whose occurrences are all due fills neither the memory nor its
+// progress row.
+func (j *job) mayOverlap(rowLimit int) bool {
 	tasks := 0
 	for i := range j.spec.Steps {
 		tasks += j.spec.Steps[i].Count
 	}
 	active := len(j.occurrences)
-	return active == 0 || active < maxOverlapping && (active+1)*tasks <= MaxStepTasks
+	return active == 0 || active < maxOverlapping && (active+1)*tasks <= MaxStepTasks && (active+1)*j.spec.fixedBytes() <= rowLimit/fixedShare
 }
 
 // activateOccurrences creates the next occurrence of each job for which it is
@@ -320,7 +330,7 @@
 	}
 	var due []*job
 	for _, j := range c.timed {
-		if j.nextOccurrence < j.spec.Occurrences && !c.now.Before(j.spec.dueAt(j.nextOccurrence)) && j.mayOverlap() {
+		if j.nextOccurrence < j.spec.Occurrences && !c.now.Before(j.spec.dueAt(j.nextOccurrence)) && j.mayOverlap(c.options.rowLimit()) {
 			due = append(due, j)
 		}
 	}
@@ -337,65 +347,37 @@
 	}
 }
 
-// rowWrites returns the writes that bring the stored rows of a job up to date,
-// last that of its progress.
-func (j *job) rowWrites() []RowWrite {
-	row := StateRow{Queue: j.spec.Queue, State: j.state, Timed: j.spec.Occurrences > 0}
-	if j.state.Ended() {
-		row.EndedAt = j.endedAt.Unix()
-	}
-	var writes []RowWrite
-	if j.state != j.storedState {
-		writes = append(writes, RowWrite{Key: StateKey(j.name()), Value: EncodeRow(row)})
-	}
-	progress := progressRow{State: row.State, EndedAt: row.EndedAt}
-	if !j.state.Ended() {
-		progress = j.progress()
-	}
-	return append(writes, RowWrite{Key: ProgressKey(j.name()), Value: EncodeRow(progress)})
-}
-
-func (j *job) progress() progressRow {
+// progress returns the job's progress row, with the details of the given tasks.
+func (j *job) progress(detailed []sizedTask) progressRow {
 	row := progressRow{State: j.state, NextOccurrence: j.nextOccurrence}
 	for _, o := range j.occurrences {
 		stored := occurrenceProgress{Number: o.number}
 		for _, s := range o.steps {
-			stored.Steps = append(stored.Steps, s.progress())
+			steps := s.progress()
+			for len(detailed) > 0 && detailed[0].task.step == s {
+				steps.addDetails(detailed[0].task)
+				detailed = detailed[1:]
+			}
+			stored.Steps = append(stored.Steps, steps)
 		}
 		row.Occurrences = append(row.Occurrences, stored)
 	}
 	return row
 }
 
+// progress returns the progress of the step without the details of its tasks.
 func (s *step) progress() stepProgress {
 	row := stepProgress{calmProgress: calmProgress{Started: s.startRecordVersion > 0 || s.mayHaveUnknownRuns}}
 	if s.complete() {
 		row.AllDone = true
 		return row
 	}
-	if s.def.Gang && len(s.failedRuns) > 0 {
-		row.FailedRuns = map[int][]RunNumber{0: s.failedRuns}
-	}
 	for index, t := range s.tasks {
 		if t.done {
 			if row.Done == nil {
 				row.Done = make([]byte, (len(s.tasks)+7)/8)
 			}
 			row.Done[index/8] |= 1 << (index % 8)
-			continue
-		}
-		if !s.def.Gang && len(t.failedRuns) > 0 {
-			if row.FailedRuns == nil {
-				row.FailedRuns = make(map[int][]RunNumber)
-			}
-			row.FailedRuns[index] = t.failedRuns
-		}
-		row.addCrashes(index, t)
-		if t.checkpoint != "" {
-			if row.Checkpoints == nil {
-				row.Checkpoints = make(map[int]string)
-			}
-			row.Checkpoints[index] = t.checkpoint
 		}
 	}
 	return row
--- a/scheduler/recover.go
+++ b/scheduler/recover.go
@@ -11,7 +11,9 @@
 	Job Job
 	// Progress is the value of the row with the job's progress; nil if no owner
 	// has written one.
-	Progress  []byte
+	Progress []byte
+	// Details are the rows with details of the job's tasks.
+	Details   []RowWrite
 	Cancelled bool
 }
 
@@ -30,7 +32,12 @@
 			return err
 		}
 	}
-	j := &job{spec: rows.Job, state: progress.State, storedState: progress.State, storedProgress: committedProgress{value: rows.Progress}}
+	details, err := decodeDetails(rows.Details)
+	if err != nil {
+		c.Exclude(rows.Job.JobID)
+		return err
+	}
+	j := &job{spec: rows.Job, state: progress.State, storedState: progress.State, storedProgress: committedProgress{value: rows.Progress, details: details}}
 	c.predictDurations(j)
 	if rows.Progress == nil {
 		j.storedState = notStored
@@ -38,6 +45,9 @@
 	c.jobs[j.name()] = j
 	if progress.State.Ended() {
 		j.endedAt = time.Unix(progress.EndedAt, 0)
+		if len(details) > 0 {
+			c.markDirty(j) // the rows with details are to be removed
+		}
 		return nil
 	}
 	if rows.Progress == nil {
@@ -56,6 +66,10 @@
 		}
 		c.timed[j.name()] = j
 	}
+	for i := range details {
+		j.cuts = append(j.cuts, details[i].first)
+		j.restoreDetails(details[i].row)
+	}
 	if c.options.PreviousOwnerEager {
 		c.markStartable(j)
 	}
@@ -100,19 +114,8 @@
 		}
 		s := o.steps[number]
 		s.mayHaveUnknownRuns = progress.Started
-		if s.def.Gang {
-			s.failedRuns = progress.FailedRuns[0]
-		}
+		s.restoreDetails(&progress)
 		for index, t := range s.tasks {
-			if !s.def.Gang {
-				t.failedRuns = progress.FailedRuns[index]
-			}
-			t.crashes = restoredCrashes(progress.Crashes[index])
-			_, t.startedRuns, _ = t.crashes.count()
-			if noted, ok := progress.Noted[index]; ok {
-				t.noted = &noted
-			}
-			t.checkpoint = progress.Checkpoints[index]
 			if progress.AllDone || bitSet(progress.Done, index) {
 				t.done = true
 				s.done++
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"kumquatstall/requester"
@@ -262,9 +263,17 @@
 	}
 }
 
+// maxCheckpoint bounds a checkpoint, in bytes. A longer one isn't used, and the task
+// resumes from the one before it.
+const maxCheckpoint = 4096
+
 // setCheckpoint sets the checkpoint from which a task resumes. All members of a
 // gang resume from the same one.
 func (c *Core) setCheckpoint(t *task, checkpoint string) {
+	if len(checkpoint) > maxCheckpoint {
+		c.log(LogRecord{Job: t.step.job().name(), Task: t.name(), Event: "checkpoint dropped", Why: "it has " + strconv.Itoa(len(checkpoint)) + " bytes, and the rows of a job hold at most " + strconv.Itoa(maxCheckpoint)})
+		return
+	}
 	if t.step.def.Gang {
 		for _, member := range t.step.tasks {
 			member.checkpoint = checkpoint
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -238,8 +238,8 @@
 	BootedAt time.Time
 	Running  []RunningTask
 	Ended    []EndedRun
-	// Partial is true if the worker may have more ended runs than it returned.
-	// A run that is missing from such a report is not known to have ended.
+	// Partial is true if the report may lack a run or an end that the worker has. A
+	// run that is missing from such a report is not known to have ended.
 	Partial bool
 	// Withheld is the number of the first end that could not be decoded; 0 for
 	// none. Neither it nor a later end may be acknowledged.
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -200,7 +200,7 @@
 	sim.epoch++
 	sim.replaceOwner()
 	sim.commitInFlight = nil
-	sim.core = New(Options{Epoch: sim.epoch, LeaseTerm: simulatedLeaseTerm, MaxLease: 10 * time.Second, PreviousOwnerEager: sim.ownerEager, PreviousOwnerTerm: previousOwnerTerm, PreviousLeaseTerm: sim.ownerLeaseTerm, PreviousCommitAt: sim.ownerStoredAt}, sim.now)
+	sim.core = New(Options{Epoch: sim.epoch, LeaseTerm: simulatedLeaseTerm, MaxLease: 10 * time.Second, PreviousOwnerEager: sim.ownerEager, PreviousOwnerTerm: previousOwnerTerm, PreviousLeaseTerm: sim.ownerLeaseTerm, PreviousCommitAt: sim.ownerStoredAt, RowBytes: sim.options.rowBytes, CallBytes: sim.options.callBytes}, sim.now)
 	if value, ok := sim.rows[LeasedWorkersKey]; ok {
 		var row LeasedWorkersRow
 		if err := DecodeRow(value, &row); err != nil {
@@ -218,7 +218,7 @@
 		if err := DecodeRow(value, &job); err != nil {
 			sim.problem("decode job: %v", err)
 		}
-		err := sim.core.Recover(JobRows{Job: job, Progress: sim.rows[ProgressKey(id)], Cancelled: sim.cancelled[id]})
+		err := sim.core.Recover(JobRows{Job: job, Progress: sim.rows[ProgressKey(id)], Details: storedDetails(sim.rows, id), Cancelled: sim.cancelled[id]})
 		if err != nil {
 			sim.problem("recover job: %v", err)
 		}
@@ -535,7 +535,7 @@
 	f.forget(order.AcknowledgedEnd)
 	report := &Report{Clock: f.clock(), BootedAt: f.info.BootedAt, Ended: slices.Clone(f.ended)}
 	for key, r := range f.runs {
-		report.Running = append(report.Running, RunningTask{Task: key.name, Run: key.number, Percent: r.percent(f.sim.now)})
+		report.Running = append(report.Running, RunningTask{Task: key.name, Run: key.number, Percent: r.percent(f.sim.now), Checkpoint: f.sim.checkpoint(key.name)})
 	}
 	slices.SortFunc(report.Running, func(a, b RunningTask) int {
 		return compareRuns(&run{name: a.Task, number: a.Run}, &run{name: b.Task, number: b.Run})
@@ -543,6 +543,14 @@
 	return report, OrderAccepted
 }
 
+// checkpoint returns the checkpoint of each run of a task that has checkpoints.
+func (sim *simulation) checkpoint(name TaskName) string {
+	if sim.options.rowBytes == 0 || !sim.accepted[name.Job].Steps[name.Step].Checkpointing {
+		return ""
+	}
+	return "0123456789abcdef"
+}
+
 // tick ends the runs that are due to end by now.
 func (f *fakeWorker) tick() {
 	sim := f.sim
--- a/scheduler/stats.go
+++ b/scheduler/stats.go
@@ -70,6 +70,10 @@
 	Crashes int64
 	Trials  int64
 	GivenUp int64
+	// BatchesRefused counts batches that the store has refused as invalid,
+	// JobsHeldBack how often the rows of a job were held back for that.
+	BatchesRefused int64
+	JobsHeldBack   int64
 }
 
 // LogRecord is an event for the log.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -204,8 +204,9 @@
 }
 
 // RestoreLeasedWorkers adds the workers to which a previous owner may have sent
-// orders.
+// orders. It is called for each part of the list.
 func (c *Core) RestoreLeasedWorkers(row LeasedWorkersRow) {
+	c.rosterParts++
 	for _, listed := range row.Workers {
 		w := c.addWorker(WorkerInfo{HostID: listed.HostID, Address: listed.Address})
 		w.inherited, c.leasesInherited = true, true
--- a/standin/cell.go
+++ b/standin/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -45,6 +46,45 @@
 	// for changes: watches after an earlier revision return
 	// dispatcher.ErrHistoryTruncated.
 	TruncateHistory bool
+	// RefusedWrites, if not empty, makes the store refuse as invalid each transaction
+	// with a write of a key that contains this text.
+	RefusedWrites string
+	// LateWrites, if not empty, makes the store send no response to a transaction with
+	// a write of a key that contains this text, and perform it LateBy later.
+	LateWrites string
+	LateBy     time.Duration
+}
+
+// Limits of the store on a row, in bytes of its value, and on a call, in bytes of its
+// values in base64 and in entries.
+const (
+	cellRowBytes  = 65_536
+	cellCallBytes = 1_000_000
+	cellEntries   = 100
+)
+
+// refusal returns why the store refuses a transaction as invalid, or nil.
+func (f *CellFaults) refusal(transaction *keeper.Transaction) error {
+	entries, bytes := len(transaction.Conditions)+len(transaction.Writes), 0
+	for i := range transaction.Writes {
+		write := &transaction.Writes[i]
+		bytes += base64.StdEncoding.EncodedLen(len(write.Value))
+		if len(write.Value) > cellRowBytes {
+			return errors.Newf("the value of %s has %d bytes, at most %d are allowed", write.Key, len(write.Value), cellRowBytes)
+		}
+		if f.RefusedWrites != "" && strings.Contains(write.Key, f.RefusedWrites) {
+			return errors.Newf("the write of %s is refused", write.Key)
+		}
+	}
+	if entries > cellEntries || bytes > cellCallBytes {
+		return errors.Newf("a call has %d entries and %d bytes, at most %d and %d are allowed", entries, bytes, cellEntries, cellCallBytes)
+	}
+	return nil
+}
+
+// late reports whether a transaction is performed late.
+func (f *CellFaults) late(transaction *keeper.Transaction) bool {
+	return f.LateWrites != "" && slices.ContainsFunc(transaction.Writes, func(write keeper.Write) bool { return strings.Contains(write.Key, f.LateWrites) })
 }
 
 // Cell is the platform of one cell in memory: a store with a change history, the
@@ -223,6 +263,17 @@
 	if err := c.awaitStoreFor(ctx, c.Latency+before); err != nil {
 		return keeper.TransactResult{}, err
 	}
+	c.mu.Lock()
+	faults := c.faults
+	c.mu.Unlock()
+	if err := faults.refusal(&transaction); err != nil {
+		return keeper.TransactResult{}, errors.Mark(errors.Mark(err, keeper.ErrInvalid), keeper.ErrNotApplied)
+	}
+	if faults.late(&transaction) {
+		time.AfterFunc(faults.LateBy, func() { _, _ = c.commit(transaction) })
+		<-ctx.Done()
+		return keeper.TransactResult{}, errors.Wrap(ctx.Err(), "transaction: no response received")
+	}
 	result, err := c.commit(transaction)
 	if after > 0 {
 		if err := c.awaitStoreFor(ctx, after); err != nil {
