--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -239,15 +239,15 @@
 	return orders
 }
 
-// Reconciled reports whether no worker can still run a task that this owner
-// does not know of: each worker to which a previous owner may have granted a
-// lease has reported, or its lease has expired.
+// Reconciled reports whether no worker can still run, or have done, a task that this
+// owner does not know of: each worker to which a previous owner may have granted a
+// lease has reported all of its runs and ends, or its lease has expired.
 func (c *Core) Reconciled() bool {
 	if c.leasesUnknown() {
 		return false
 	}
 	for _, w := range c.sortedWorkers {
-		if w.inherited && !w.reported && c.now.Before(w.leaseExpiry(c)) {
+		if w.inherited && !w.known(c) && c.now.Before(w.leaseExpiry(c)) {
 			return false
 		}
 	}
--- a/scheduler/forgotten_test.go
+++ b/scheduler/forgotten_test.go
@@ -12,6 +12,9 @@
 	if !sim.storedDone(ended.Task) {
 		sim.problem("%s forgets end %d, %v done, and the store does not say so", f.info.HostID, ended.Number, ended.Task)
 	}
+	if sim.startedAt[ended.Task].After(f.endedAt[ended.Number]) && ended.Number > f.lapsedEnd {
+		sim.problem("%v was started again after it was done as end %d of %s", ended.Task, ended.Number, f.info.HostID)
+	}
 	step := sim.accepted[ended.Task.Job].Steps[ended.Task.Step]
 	for index := range step.Count {
 		if name := (TaskName{StepName: ended.Task.StepName, Index: index}); step.Gang || name == ended.Task {
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -121,24 +122,35 @@
 	w.clock, w.clockAt = report.Clock, c.now
 	if !w.reported {
 		// A previous owner may have granted a lease of this length just now.
-		w.reported = true
+		w.reported, w.endsAt = true, c.now
 		c.noteReportedBirth(w)
 		w.leaseDeadline = w.clock + WorkerTime(c.options.MaxLease/time.Millisecond)
 	}
 	w.withheld = report.Withheld
 	for _, ended := range sortedEnds(report) {
 		if w.isNewEnd(ended.Number) {
+			w.endsAt = c.now
 			w.addUnverifiedEnd(ended)
 			c.applyEnd(w, ended)
 		}
 	}
 	c.reconcileRuns(w, order, report)
+	c.noteEndsListed(w, report)
 	c.updateSpeed(w)
 	c.stopStalled(w)
 	c.advanceCommittedEnd(w)
 	c.placementPending = true
 }
 
+// noteEndsListed records whether the worker has more ends than it has listed so far.
+func (c *Core) noteEndsListed(w *worker, report *Report) {
+	if report.More && !w.endsListed && w.inherited {
+		c.stats.EndsInParts++
+		c.log(LogRecord{Worker: w.info.HostID, Event: "worker has more ends", Why: "tasks of earlier owners wait for the rest; listed up to end " + strconv.FormatInt(w.appliedEnd, 10)})
+	}
+	w.endsListed = w.endsListed || !report.More
+}
+
 // sortedEnds returns the ends of a report in the order of their numbers, as an
 // acknowledgement covers all lower numbers.
 func sortedEnds(report *Report) []EndedRun {
--- a/scheduler/randomised_test.go
+++ b/scheduler/randomised_test.go
@@ -37,6 +37,7 @@
 			}
 		}
 	}
+	sim.startedAt[name] = sim.now
 	if sim.acknowledged[name] {
 		sim.problem("%v started after its end was acknowledged", name)
 	}
@@ -196,6 +197,8 @@
 		{"reborn workers, late orders, takeovers", simulationOptions{crashes: 4, takeovers: 3, delayedOrders: 0.04, ownerFaults: ownerFaults{latePolls: 0.04, quickRebirths: true, slowStore: 3, overlap: true}}},
 		{"small rows, takeovers, failures", simulationOptions{takeovers: 8, failures: 0.3, ownerFaults: ownerFaults{rowBytes: 1024, callBytes: 20_000}}},
 		{"small rows, takeovers, crashes, slow store", simulationOptions{takeovers: 6, crashes: 4, failures: 0.1, ownerFaults: ownerFaults{rowBytes: 1024, callBytes: 20_000, slowStore: 4, timed: 0.3}}},
+		{"short reports, takeovers", simulationOptions{takeovers: 8, endsPerReport: 2}},
+		{"short reports, takeovers, partitions, failures", simulationOptions{takeovers: 5, partitions: 4, failures: 0.2, endsPerReport: 1, ownerFaults: ownerFaults{slowStore: 4, overlap: true}}},
 		{"bounded leases, takeovers, partitions", simulationOptions{takeovers: 3, partitions: 5, ownerFaults: ownerFaults{bounded: true, overlap: true}}},
 		{"bounded leases, slow store, takeovers, permanent crashes", simulationOptions{takeovers: 4, crashes: 1.5, permanent: 0.8, partitions: 3, ownerFaults: ownerFaults{bounded: true, slowStore: 4, overlap: true}}},
 		{"bounded leases, reborn workers, late orders, takeovers, partitions", simulationOptions{crashes: 3, takeovers: 3, partitions: 4, delayedOrders: 0.04, ownerFaults: ownerFaults{bounded: true, latePolls: 0.04, quickRebirths: true, overlap: true}}},
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -241,6 +241,9 @@
 	// Partial is true if the report may lack a run or an end that the worker has. A
 	// run that is missing from such a report is not known to have ended.
 	Partial bool
+	// More is true if the worker may have more ended runs than the report has room
+	// for. It returns them once these are acknowledged.
+	More bool
 	// Withheld is the number of the first end that could not be decoded; 0 for
 	// none. Neither it nor a later end may be acknowledged.
 	Withheld int64
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -32,7 +32,9 @@
 	// worker, finished those that ended successfully on a worker.
 	acknowledged map[TaskName]bool
 	finished     map[TaskName]bool
-	failedRuns   map[TaskName]map[RunNumber]bool
+	// startedAt is when each task last started.
+	startedAt  map[TaskName]time.Time
+	failedRuns map[TaskName]map[RunNumber]bool
 	// crashes is what is known of the tasks that crash their workers.
 	crashes  crashLog
 	problems []string
@@ -78,6 +80,8 @@
 	// silent is true if workers on which deadly tasks start don't refuse
 	// connections but fall silent.
 	silent bool
+	// endsPerReport is the most ends that a report lists; 0 for all.
+	endsPerReport int
 	// mutate breaks a rule of the core before each tick, if it is set.
 	mutate func(*Core)
 }
@@ -102,8 +106,12 @@
 	runs  map[runKey]*fakeRun
 	// barredRuns holds, by task, the highest number of a run that was stopped
 	// or has ended. Starts up to it are rejected.
-	barredRuns       map[TaskName]RunNumber
-	ended            []EndedRun
+	barredRuns map[TaskName]RunNumber
+	ended      []EndedRun
+	// lapsedEnd is the number of the last end before the worker's lease lapsed,
+	// endedAt when the runs ended.
+	lapsedEnd        int64
+	endedAt          map[int64]time.Time
 	lastEnd          int64
 	bootedAt         time.Time
 	partitionedUntil time.Time
@@ -160,6 +168,7 @@
 		cancelled:    make(map[requester.JobID]bool),
 		acknowledged: make(map[TaskName]bool),
 		finished:     make(map[TaskName]bool),
+		startedAt:    make(map[TaskName]time.Time),
 		failedRuns:   make(map[TaskName]map[RunNumber]bool),
 	}
 	for i := range options.workers {
@@ -176,6 +185,7 @@
 			},
 			runs:       make(map[runKey]*fakeRun),
 			barredRuns: make(map[TaskName]RunNumber),
+			endedAt:    make(map[int64]time.Time),
 			bootedAt:   sim.now,
 			clockRate:  0.98 + 0.02*sim.random.Float64(),
 		})
@@ -534,6 +544,9 @@
 	f.extendLease(order.Deadline)
 	f.forget(order.AcknowledgedEnd)
 	report := &Report{Clock: f.clock(), BootedAt: f.info.BootedAt, Ended: slices.Clone(f.ended)}
+	if most := f.sim.options.endsPerReport; most > 0 && len(f.ended) >= most {
+		report.Ended, report.Partial, report.More = report.Ended[:most], true, true
+	}
 	for key, r := range f.runs {
 		report.Running = append(report.Running, RunningTask{Task: key.name, Run: key.number, Percent: r.percent(f.sim.now), Checkpoint: f.sim.checkpoint(key.name)})
 	}
@@ -558,6 +571,9 @@
 		return
 	}
 	f.showRoom()
+	if !f.sim.now.Before(f.lease) {
+		f.lapsedEnd = f.lastEnd
+	}
 	keys := make([]runKey, 0, len(f.runs))
 	for key := range f.runs {
 		keys = append(keys, key)
@@ -643,6 +659,7 @@
 	delete(f.runs, r.key)
 	f.barredRuns[r.key.name] = max(f.barredRuns[r.key.name], r.key.number)
 	f.lastEnd++
+	f.endedAt[f.lastEnd] = f.sim.now
 	f.ended = append(f.ended, EndedRun{Number: f.lastEnd, Task: r.key.name, Run: r.key.number, Kind: kind})
 	switch kind {
 	case EndDone:
@@ -687,8 +704,8 @@
 	f.endLife()
 	sim.after(sim.rebirthDelay(), func() {
 		f.crashed, f.refuses = false, false
-		f.fence, f.lease, f.lastEnd, f.ended = 0, time.Time{}, 0, nil
-		f.barredRuns = make(map[TaskName]RunNumber)
+		f.fence, f.lease, f.lastEnd, f.lapsedEnd, f.ended = 0, time.Time{}, 0, 0, nil
+		f.barredRuns, f.endedAt = make(map[TaskName]RunNumber), make(map[int64]time.Time)
 		f.bootedAt = sim.now
 		f.info.BootedAt = sim.now
 		f.furnishAnew()
--- a/scheduler/stats.go
+++ b/scheduler/stats.go
@@ -70,6 +70,9 @@
 	Crashes int64
 	Trials  int64
 	GivenUp int64
+	// EndsInParts counts reports of workers with more ends than a report holds, of
+	// the time before the takeover.
+	EndsInParts int64
 	// BatchesRefused counts batches that the store has refused as invalid,
 	// JobsHeldBack how often the rows of a job were held back for that.
 	BatchesRefused int64
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -26,7 +26,12 @@
 	// reported is true if the worker's current incarnation has responded to a
 	// poll of this owner.
 	reported bool
-	bootedAt time.Time
+	// endsListed is true once the current incarnation has responded to this owner
+	// without More, so that all that ended there before is known. endsAt is when
+	// it last reported an end that was new, or responded for the first time.
+	endsListed bool
+	endsAt     time.Time
+	bootedAt   time.Time
 	// birthSeenAt is when bootedAt was first observed, listedBirth the latest
 	// birth that the list has shown.
 	birthSeenAt time.Time
@@ -114,6 +119,14 @@
 	return w.listed && w.leaseRecorded && w.reported && !w.info.Leaving && w.unsized == 0 && w.infoIsCurrent()
 }
 
+// known reports whether no run or end of the time before the takeover is unknown on a
+// worker that has reported. One that has more ends than a report holds lists them as the
+// ones before are acknowledged; if that comes to a stop, since one of them can't be, the
+// rest is given up after the time for which a silent worker is waited for.
+func (w *worker) known(c *Core) bool {
+	return w.reported && (w.endsListed || !c.now.Before(w.endsAt.Add(c.longestUnreported())))
+}
+
 // eligible reports whether the worker may get new tasks now: it is usable, has
 // reported within the freshness window, is responsive and not suspended, its
 // reports have room for further ends, and its tasks make progress. On probation it
@@ -342,7 +355,7 @@
 	w.clock, w.leaseDeadline = 0, 0
 	w.grantedTo, c.birthsDirty = time.Time{}, true
 	w.clockAt = time.Time{}
-	w.reported, w.ended = false, false
+	w.reported, w.endsListed, w.ended = false, false, false
 	w.unreportedSince = c.now
 	// A poll in flight was meant for the previous incarnation.
 	w.pollInFlight, w.nextPollAt = false, c.now
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -295,13 +295,19 @@
 		}
 	}
 	w.unacknowledgedEnds = slices.DeleteFunc(w.unacknowledgedEnds, func(e scheduler.EndedRun) bool { return e.Number <= order.AcknowledgedEnd })
-	report := &scheduler.Report{Clock: w.clock(now), BootedAt: w.info.BootedAt, Ended: slices.Clone(w.unacknowledgedEnds)}
+	more := len(w.unacknowledgedEnds) >= maxListedEnds
+	listed := w.unacknowledgedEnds[:min(len(w.unacknowledgedEnds), maxListedEnds)]
+	report := &scheduler.Report{Clock: w.clock(now), BootedAt: w.info.BootedAt, Ended: slices.Clone(listed), Partial: more, More: more}
 	for _, run := range w.running {
 		report.Running = append(report.Running, scheduler.RunningTask{Task: run.Task, Run: run.Run, Percent: run.percent(now)})
 	}
 	return report, scheduler.OrderAccepted
 }
 
+// maxListedEnds is the most ends that a worker lists in a report. It lists the others once
+// these are acknowledged.
+const maxListedEnds = 500
+
 // advance ends the runs that have ended by now: those whose execution time is over,
 // and those that outlast a lease that has expired.
 func (w *TaskWorker) advance(now time.Time) {
