--- a/dispatcher/accept.go
+++ b/dispatcher/accept.go
@@ -55,8 +55,21 @@
 }
 
 // Submit stores a job. If there is a job with the same ID already, Submit
-// leaves it unchanged and returns OutcomeDone.
+// leaves it unchanged and returns OutcomeDone. A job that was cancelled before is stored
+// as a cancelled one.
 func (d *Dispatcher) Submit(ctx context.Context, job scheduler.Job) Outcome {
+	outcome := d.submit(ctx, job)
+	if outcome == OutcomeUnknown {
+		d.doubts.add(job.JobID, d.clock.Now())
+	}
+	if outcome == OutcomeUnavailable && d.doubts.has(job.JobID, d.clock.Now()) {
+		// This request has no effect, but an earlier one still may.
+		return OutcomeUnknown
+	}
+	return outcome
+}
+
+func (d *Dispatcher) submit(ctx context.Context, job scheduler.Job) Outcome {
 	if _, known := d.cache.state(job.JobID); known {
 		return OutcomeDone
 	}
@@ -70,6 +83,17 @@
 		Writes:     []keeper.Write{{Key: key, Value: scheduler.EncodeJob(job)}},
 	}
 	result, outcome := d.transact(ctx, scheduler.JobPartition(job.JobID), transaction)
+	if outcome == OutcomeDone && !result.Committed {
+		stored, _ := conflictingRow(result, key, nil)
+		if !scheduler.IsTombstone(stored.Value) {
+			return OutcomeDone
+		}
+		// It was cancelled before, and is accepted as a cancelled one.
+		job.Cancelled = true
+		transaction.Conditions[0].Revision = stored.Revision
+		transaction.Writes[0].Value = scheduler.EncodeJob(job)
+		result, outcome = d.transact(ctx, scheduler.JobPartition(job.JobID), transaction)
+	}
 	if outcome != OutcomeDone {
 		return outcome
 	}
@@ -125,59 +149,47 @@
 	}
 }
 
-// Cancel stores a cancellation of a job. It returns OutcomeDone without storing
-// anything if the job has ended.
-func (d *Dispatcher) Cancel(ctx context.Context, id requester.JobID) Outcome {
-	state, outcome := d.State(ctx, id)
-	if outcome != OutcomeDone || state.State.Ended() {
-		return outcome
-	}
-	if !d.storeReachable() {
-		return OutcomeUnavailable
-	}
-	key := scheduler.CancelKey(id)
-	_, outcome = d.transact(ctx, scheduler.JobPartition(id), keeper.Transaction{
-		Conditions: []keeper.Condition{{Key: key}},
-		Writes:     []keeper.Write{{Key: key, Value: []byte{1}}},
-	})
-	// A conflict means that a cancellation is already stored.
-	if outcome == OutcomeDone {
-		d.notifyOwner(&encoder.JobStored{Cancelled: id})
-	}
-	return outcome
-}
-
 // State returns the state of a job. It reads the store if the job is not in the
 // state cache.
 func (d *Dispatcher) State(ctx context.Context, id requester.JobID) (scheduler.StateRow, Outcome) {
+	row, _, outcome := d.lookUp(ctx, id)
+	return row, outcome
+}
+
+// lookUp returns the state of a job or, if there is none, whether the store has a
+// tombstone for it.
+func (d *Dispatcher) lookUp(ctx context.Context, id requester.JobID) (row scheduler.StateRow, buried bool, outcome Outcome) {
 	if row, ok := d.cache.state(id); ok {
-		return row, OutcomeDone
+		return row, false, OutcomeDone
 	}
 	// Another entry may have just accepted the job.
-	var row scheduler.StateRow
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	result, err := d.platform.Read(ctx, keeper.ReadRequest{Keys: []string{scheduler.JobKey(id), scheduler.StateKey(id)}})
 	if err != nil {
-		return row, OutcomeUnavailable
+		return row, false, OutcomeUnavailable
 	}
 	for _, found := range result.Rows {
 		if found.Key == scheduler.StateKey(id) {
 			d.applyChange(Change{Row: found})
 			continue
 		}
+		if scheduler.IsTombstone(found.Value) {
+			buried = true
+			continue
+		}
 		job, err := decodeJob(found.Key, found.Value)
 		if err != nil {
 			d.logOddRow(found.Key, err, "decoding the row of a job failed; its state is reported as unavailable")
-			return row, OutcomeUnavailable
+			return row, false, OutcomeUnavailable
 		}
 		d.cacheQueued(id, job.Queue, job.Occurrences > 0, found.Revision)
 	}
 	row, known := d.cache.state(id)
 	if !known {
-		return row, OutcomeNotFound
+		return row, buried, OutcomeNotFound
 	}
-	return row, OutcomeDone
+	return row, false, OutcomeDone
 }
 
 // Pending returns the number of pending jobs of a queue: those of which no task
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -54,6 +54,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"kumquatstall/encoder"
 	"kumquatstall/keeper"
@@ -190,6 +191,10 @@
 	// connection, which proves that no entry runs there; 0 for none.
 	refusedEpoch atomic.Int64
 	counters     counters
+	// tombstones limits the tombstones that this entry stores.
+	tombstones *rate.Limiter
+	// doubts are the jobs that a request of this entry may still store.
+	doubts doubts
 	// adviceTimeouts is how often adviceTimeout is doubled; see requestAdvice.
 	adviceTimeouts atomic.Int32
 	// cellStats holds the counters of the core as of the last run of logLoad;
@@ -243,6 +248,8 @@
 		cancel:   cancel,
 		done:     make(chan struct{}),
 		linked:   make(map[requester.EntryID]linkedEntry),
+
+		tombstones: rate.NewLimiter(maxTombstones/rate.Limit(tombstoneRetention.Seconds()), maxTombstones),
 	}
 	d.store = keeper.NewHedged(platform)
 	for range scheduler.JobPartitions {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -124,6 +124,19 @@
 	}
 }
 
+// checkStopped checks that every run has been stopped or has ended.
+func (s *site) checkStopped() {
+	s.t.Helper()
+	for _, w := range s.cell.Workers() {
+		runs, _ := w.Runs(time.Now())
+		for _, run := range runs {
+			if run.EndedAt.IsZero() {
+				s.t.Errorf("%v runs on", run.Task)
+			}
+		}
+	}
+}
+
 func TestJobsRunToTheirEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -315,12 +328,7 @@
 		row, outcome := s.entries[0].State(context.Background(), s.jobs[0])
 		is.Equal(outcome, dispatcher.OutcomeDone)
 		is.Equal(row.State, scheduler.StateCancelled)
-		for _, w := range s.cell.Workers() {
-			runs, _ := w.Runs(time.Now())
-			for _, run := range runs {
-				is.True(!run.EndedAt.IsZero()) // every run has been stopped
-			}
-		}
+		s.checkStopped()
 	})
 }
 
--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -48,6 +48,7 @@
 		return 0, errors.Newf("list rows of the cell: store returned revision %d, expected at least that of the acquisition, %d", oldest, s.acquiredRevision)
 	}
 	byKey := make(map[string][]byte, len(progress)+len(rows))
+	leftovers := leftoverRows(rows)
 	for _, row := range append(progress, rows...) {
 		if row.Value == nil {
 			// The row exists, but its value cannot be decoded.
@@ -56,12 +57,38 @@
 		byKey[row.Key] = row.Value
 	}
 	s.post(func() {
+		for _, row := range leftovers {
+			delete(byKey, row.Key)
+			s.noteLeftover(d.clock.Now(), row)
+		}
 		s.recover(byKey)
 		s.core.JobsKnown(revision)
 	})
 	return revision, nil
 }
 
+// leftoverRows returns the rows that belong to no job.
+func leftoverRows(rows []keeper.Row) []keeper.Row {
+	jobs := make(map[requester.JobID]bool)
+	for _, row := range rows {
+		if !strings.HasSuffix(row.Key, scheduler.CancelSuffix) && !scheduler.IsTombstone(row.Value) {
+			jobs[jobOfKey(row.Key)] = true
+		}
+	}
+	var leftovers []keeper.Row
+	for _, row := range rows {
+		if !jobs[jobOfKey(row.Key)] {
+			leftovers = append(leftovers, row)
+		}
+	}
+	return leftovers
+}
+
+// jobOfKey returns the job to which a row in the tables of jobs belongs.
+func jobOfKey(key string) requester.JobID {
+	return requester.JobID(strings.TrimSuffix(key[strings.LastIndex(key, "/")+1:], scheduler.CancelSuffix))
+}
+
 // recover restores the core from the rows that previous owners and the
 // accepting entries have stored.
 func (s *session) recover(rows map[string][]byte) {
@@ -168,7 +195,7 @@
 	job, err := decodeJob(key, value)
 	if err != nil {
 		s.dispatcher.logOddRow(key, err, "decoding the row of a job failed; the job is not scheduled")
-		s.core.Exclude(requester.JobID(key[strings.LastIndex(key, "/")+1:]))
+		s.core.Exclude(jobOfKey(key))
 		return job, false
 	}
 	return job, true
@@ -251,15 +278,23 @@
 func (s *session) applyJobs(changes []Change) {
 	now := s.dispatcher.clock.Now()
 	for _, change := range changes {
-		if change.Removed {
-			continue
-		}
-		key := change.Row.Key
-		if strings.HasSuffix(key, scheduler.CancelSuffix) {
-			id := strings.TrimSuffix(key[strings.LastIndex(key, "/")+1:], scheduler.CancelSuffix)
-			s.core.Cancel(now, requester.JobID(id))
-			continue
-		}
+		s.applyJob(now, change)
+	}
+}
+
+// applyJob applies the change of a row in the tables of jobs.
+func (s *session) applyJob(now time.Time, change Change) {
+	key, id := change.Row.Key, jobOfKey(change.Row.Key)
+	isCancellation := strings.HasSuffix(key, scheduler.CancelSuffix)
+	switch {
+	case change.Removed:
+		delete(s.leftovers, key)
+	case isCancellation && s.core.Knows(id):
+		s.core.Cancel(now, id)
+	case isCancellation || scheduler.IsTombstone(change.Row.Value):
+		s.noteLeftover(now, change.Row)
+	default:
+		delete(s.leftovers, key)
 		if job, ok := s.decodeJob(key, change.Row.Value); ok {
 			s.addJob(now, job)
 		}
--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -63,7 +63,11 @@
 	commitsFailed atomic.Int64
 	// commitsRefused counts the commits that the store has refused as invalid.
 	commitsRefused atomic.Int64
-	adviceFailed   atomic.Int64
+	// tombstones counts the tombstones that were stored, tombstonesDenied the
+	// cancellations refused since too many were.
+	tombstones       atomic.Int64
+	tombstonesDenied atomic.Int64
+	adviceFailed     atomic.Int64
 	// adviceAfterDeadline counts the replies to advice requests that had failed
 	// before.
 	adviceAfterDeadline atomic.Int64
@@ -114,7 +118,11 @@
 		CommitsFailed int64
 		// CommitsRefused counts commits that the store has refused as invalid.
 		CommitsRefused int64
-		AdviceFailed   int64
+		// Tombstones counts cancellations of jobs that are not stored, for which a
+		// tombstone was. TombstonesDenied counts those refused as there were too many.
+		Tombstones       int64
+		TombstonesDenied int64
+		AdviceFailed     int64
 		// AdviceAfterDeadline counts replies that came too late.
 		AdviceAfterDeadline int64
 		OddRows             int64
@@ -130,6 +138,8 @@
 		Commits:             d.counters.commits.Load(),
 		CommitsFailed:       d.counters.commitsFailed.Load(),
 		CommitsRefused:      d.counters.commitsRefused.Load(),
+		Tombstones:          d.counters.tombstones.Load(),
+		TombstonesDenied:    d.counters.tombstonesDenied.Load(),
 		AdviceFailed:        d.counters.adviceFailed.Load(),
 		AdviceAfterDeadline: d.counters.adviceAfterDeadline.Load(),
 		OddRows:             d.counters.oddRows.Load(),
--- a/dispatcher/prune.go
+++ b/dispatcher/prune.go
@@ -12,12 +12,13 @@
 
 // prune removes the rows of jobs whose retention has passed: first the rows of
 // the jobs, so that no owner can mistake them for unfinished jobs, then their
-// progress, and much later their states.
+// progress, and much later their states. It also removes rows that belong to no job.
 func (s *session) prune(now time.Time) {
 	if now.Sub(s.prunedAt) < pruneInterval {
 		return
 	}
 	s.prunedAt = now
+	s.removeLeftovers(now)
 	before := now.Add(-s.dispatcher.options.StateRetention)
 	if len(s.pendingDeletes) == 0 {
 		for _, id := range s.dispatcher.cache.endedBefore(before, maxPrunedJobs) {
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -95,6 +95,8 @@
 	// staleJobs are ended jobs whose rows a read or watch has returned again.
 	// These rows are removed in case the store still has them.
 	staleJobs []requester.JobID
+	// leftovers are the rows among those of jobs that belong to no job, by key.
+	leftovers map[string]leftover
 	// pruneInFlight is true while rows of ended jobs are being removed.
 	pruneInFlight bool
 	// releasing is true if the next commit releases the cell.
@@ -135,6 +137,7 @@
 		leaseValidUntil:  acquiredAt.Add(row.term()),
 		renewedAt:        acquiredAt,
 		prunedAt:         now,
+		leftovers:        make(map[string]leftover),
 	}
 	s.core.Renewed(acquiredAt)
 	s.adviser = newAdviser(s.core, d.options.Self)
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -90,6 +90,8 @@
 	FirstDue     time.Time `cbor:",omitzero"`
 	PeriodMillis int64     `cbor:",omitempty"`
 	AcceptedAt   time.Time
+	// Cancelled is true if the job was cancelled before it was stored. It never runs.
+	Cancelled bool `cbor:",omitempty"`
 }
 
 // Limits of a job.
--- a/scheduler/jobrow.go
+++ b/scheduler/jobrow.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"io"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -15,6 +16,25 @@
 // large, it is compressed: most of a job of many steps is repetition, such as lists of the
 // steps that each waits for. A compressed row is an encoded string of bytes, which no
 // encoded Job is.
+//
+// A Tombstone in its place says that the job was cancelled before it was stored. A write
+// that stores the job, and that is under way or performed late, requires that there is no
+// row, so that it fails.
+
+// Tombstone is the value of the row of a job that was cancelled before it was stored.
+type Tombstone struct {
+	_           struct{} `cbor:",toarray"`
+	CancelledAt time.Time
+}
+
+// cborArray is the major type of arrays, in the upper bits of the first byte.
+const cborArray = 4 << 5
+
+// IsTombstone reports whether the value of the row of a job is a tombstone.
+func IsTombstone(value []byte) bool {
+	var tombstone Tombstone
+	return len(value) > 0 && value[0]&cborMajor == cborArray && DecodeRow(value, &tombstone) == nil
+}
 
 const (
 	// minCompressed is the size of an encoded job, in bytes, from which on it is
@@ -58,12 +78,16 @@
 	return job, nil
 }
 
-// cborBytes is the major type of strings of bytes, in the upper bits of the first byte.
-const cborBytes = 2 << 5
+// cborMajor are the bits of the first byte with the major type, cborBytes is that of
+// strings of bytes.
+const (
+	cborMajor = 7 << 5
+	cborBytes = 2 << 5
+)
 
 // unpack returns the encoded job in a compressed row, and whether the row is one.
 func unpack(value []byte) (plain []byte, packed bool, err error) {
-	if len(value) == 0 || value[0]&0xe0 != cborBytes {
+	if len(value) == 0 || value[0]&cborMajor != cborBytes {
 		return nil, false, nil
 	}
 	var data []byte
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -191,6 +191,9 @@
 // HasJob reports whether the core has the job.
 func (c *Core) HasJob(id requester.JobID) bool { return c.jobs[id] != nil }
 
+// Knows reports whether the core has been told of the job, also if it excludes it.
+func (c *Core) Knows(id requester.JobID) bool { return c.HasJob(id) || c.excluded[id] }
+
 // newOccurrence adds an occurrence, with all tasks waiting, to a job.
 func (c *Core) newOccurrence(j *job, number int64) *occurrence {
 	o := &occurrence{job: j, number: number, dueAt: j.spec.dueAt(number)}
--- a/scheduler/recover.go
+++ b/scheduler/recover.go
@@ -73,7 +73,7 @@
 	if c.options.PreviousOwnerEager {
 		c.markStartable(j)
 	}
-	if rows.Cancelled {
+	if rows.Cancelled || rows.Job.Cancelled {
 		c.Cancel(c.now, j.name())
 		return nil
 	}
@@ -92,6 +92,10 @@
 	c.predictDurations(j)
 	c.jobs[j.name()] = j
 	c.markDirty(j)
+	if spec.Cancelled {
+		c.Cancel(now, j.name())
+		return
+	}
 	c.placementPending = true
 	if spec.Occurrences > 0 {
 		c.timed[j.name()] = j
