Scheduler: stored details are applied by what is stored, and fuzzed

A takeover with many rows of details looked at every task of the step for each row: 100 rows of a job of 100,000 tasks are 10 million look-ups. Now only the stored ones are looked at.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -371,15 +371,6 @@
 	}
 }
 
-// restoredCrashes returns the history that a previous owner stored; nil for
-// none.
-func restoredCrashes(stored []crash) *crashHistory {
-	if len(stored) == 0 {
-		return nil
-	}
-	return &crashHistory{crashes: stored}
-}
-
 // addCrashes adds the history of a task to the stored progress, and the start that is
 // noted with it.
 func (p *stepProgress) addCrashes(index int, t *task) {
--- a/scheduler/detail.go
+++ b/scheduler/detail.go
@@ -285,20 +285,26 @@
 // restoreDetails applies stored details of the tasks of a step. They take the place of
 // those that were applied before, but for failed runs: each of them counts.
 func (s *step) restoreDetails(stored *stepProgress) {
-	for index, t := range s.tasks {
-		if failed := stored.FailedRuns[index]; !s.def.Gang {
-			t.failedRuns = union(t.failedRuns, failed)
-		} else if index == 0 {
+	for index, failed := range stored.FailedRuns {
+		if s.def.Gang && index == 0 {
 			s.failedRuns = union(s.failedRuns, failed)
+		} else if t := s.taskAt(index); t != nil && !s.def.Gang {
+			t.failedRuns = union(t.failedRuns, failed)
 		}
-		if crashes := restoredCrashes(stored.Crashes[index]); crashes != nil {
-			t.crashes = crashes
-			_, t.startedRuns, _ = crashes.count()
+	}
+	for index, crashes := range stored.Crashes {
+		if t := s.taskAt(index); t != nil && len(crashes) > 0 {
+			t.crashes = &crashHistory{crashes: crashes}
+			_, t.startedRuns, _ = t.crashes.count()
 		}
-		if noted, ok := stored.Noted[index]; ok {
+	}
+	for index, noted := range stored.Noted {
+		if t := s.taskAt(index); t != nil {
 			t.noted = &noted
 		}
-		if checkpoint := stored.Checkpoints[index]; checkpoint != "" {
+	}
+	for index, checkpoint := range stored.Checkpoints {
+		if t := s.taskAt(index); t != nil && checkpoint != "" {
 			t.checkpoint = checkpoint
 		}
 	}
@@ -309,6 +315,14 @@
 	}
 }
 
+// taskAt returns the task with that index, or nil.
+func (s *step) taskAt(index int) *task {
+	if index < 0 || index >= len(s.tasks) {
+		return nil
+	}
+	return s.tasks[index]
+}
+
 // union returns the run numbers of both lists, without duplicates.
 func union(a, b []RunNumber) []RunNumber {
 	for _, number := range b {
--- a/scheduler/fuzz_test.go
+++ b/scheduler/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,13 +16,19 @@
 	f.Add(EncodeRow(Job{JobID: "j1", Queue: "q", Policy: Policy{Service: "s", Advice: &Advice{DecideMillis: 4}}, Steps: []Step{{Count: 3, Gang: true}, {Count: 1, After: []int{0}}}, AcceptedAt: now}))
 	f.Add(EncodeRow(Job{JobID: "j1", Steps: []Step{{Count: 1}}, Occurrences: 3, FirstDue: now, PeriodMillis: 500}))
 	f.Add([]byte{0xa0})
+	packed := Job{JobID: "j1", Queue: "q", Policy: Policy{Service: "s"}, Payload: strings.Repeat("a", MaxPayload), Steps: []Step{{Count: 1, Image: strings.Repeat("b", MaxPayload)}}}
+	f.Add(EncodeJob(packed))
+	f.Add(EncodeRow(Tombstone{CancelledAt: now}))
 	f.Fuzz(func(t *testing.T, value []byte) {
-		var job Job
-		if DecodeRow(value, &job) != nil || job.Validate() != nil {
+		job, err := DecodeJob(value)
+		if err == nil && IsTombstone(value) {
+			t.Fatal("a tombstone is a job")
+		}
+		if err != nil || job.Validate() != nil {
 			return
 		}
-		var again Job
-		if err := DecodeRow(EncodeRow(job), &again); err != nil {
+		again, err := DecodeJob(EncodeJob(job))
+		if err != nil {
 			t.Fatalf("the row of a valid job can't be decoded: %v", err)
 		}
 		if !reflect.DeepEqual(EncodeRow(again), EncodeRow(job)) {
@@ -50,16 +57,18 @@
 		},
 		{calmProgress: calmProgress{AllDone: true}},
 	}
-	f.Add(EncodeRow(progressRow{State: StateRunning, NextOccurrence: 1, Occurrences: []occurrenceProgress{{Steps: steps}}}), false)
-	f.Add(EncodeRow(progressRow{State: StateRunning, NextOccurrence: 9, Occurrences: []occurrenceProgress{{Number: 7, Steps: steps}, {Number: 8, Steps: steps[:1]}}}), true)
-	f.Add(EncodeRow(progressRow{State: 99, EndedAt: -1 << 62}), false)
-	f.Fuzz(func(t *testing.T, value []byte, timed bool) {
+	details := EncodeRow(detailRow{Steps: []stepDetails{{Step: 0, Progress: steps[0]}, {Occurrence: 7, Step: 1, Progress: steps[0]}}})
+	f.Add(EncodeRow(progressRow{State: StateRunning, NextOccurrence: 1, Occurrences: []occurrenceProgress{{Steps: steps}}}), details, false)
+	f.Add(EncodeRow(progressRow{State: StateRunning, NextOccurrence: 9, Occurrences: []occurrenceProgress{{Number: 7, Steps: steps}, {Number: 8, Steps: steps[:1]}}}), details, true)
+	f.Add(EncodeRow(progressRow{State: 99, EndedAt: -1 << 62}), []byte{0xa0}, false)
+	f.Fuzz(func(t *testing.T, value, detail []byte, timed bool) {
 		job := Job{JobID: "j1", Queue: "q", Policy: Policy{Service: "s"}, Steps: []Step{{Count: 3}, {Count: 2, Gang: true, After: []int{0}}}, AcceptedAt: now}
 		if timed {
 			job.Occurrences, job.FirstDue, job.PeriodMillis = 20, now, 10
 		}
 		core := New(Options{Epoch: 2}, now)
-		if core.Recover(JobRows{Job: job, Progress: value}) != nil {
+		first := detailKey("j1", taskPosition{index: 1})
+		if core.Recover(JobRows{Job: job, Progress: value, Details: []RowWrite{{Key: first, Value: detail}}}) != nil {
 			return
 		}
 		for range 3 {
@@ -69,6 +78,10 @@
 			for _, write := range batch.Writes {
 				var row progressRow
 				var state StateRow
+				var details detailRow
+				if err := DecodeRow(write.Value, &details); IsDetailKey(write.Key) && write.Value != nil && err != nil {
+					t.Fatalf("a written row of details can't be decoded: %v", err)
+				}
 				if err := DecodeRow(write.Value, &row); write.Key == ProgressKey("j1") && err != nil {
 					t.Fatalf("a written progress row can't be decoded: %v", err)
 				}
