Scheduler: a task is under suspicion by what its crashes say, not by their number

Cause: two crashes under a task put it under suspicion whatever they said; it then waits for a worker of its own.

Change: crashes that say nothing don't count; several count by how unlikely they are together.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -74,6 +74,9 @@
 	// suspicion if they had existed for at most suspectAge.
 	suspectPPM = 50_000
 	suspectAge = 2 * time.Second
+	// suspectChance is the chance of several crashes together below which the task is
+	// under suspicion, if one of them was that early.
+	suspectChance = 0.25
 	// A task is cleared of a crash once a run of it has lasted for clearFactor
 	// times the run that crashed, and at least minTrial.
 	clearFactor = 2
--- a/scheduler/evidence.go
+++ b/scheduler/evidence.go
@@ -96,18 +96,21 @@
 	return firstOdds
 }
 
-// suspect reports whether the task has to start on trial: a worker crashed soon
-// after a start of it, and that was unlikely by chance or not the first one.
+// suspect reports whether the task has to start on trial: a worker crashed soon after a
+// start of it, and that was unlikely by chance, or several crashes together were rather
+// unlikely. A crash that says nothing of the task, such as one of many at the same time,
+// counts for nothing.
 func (h *crashHistory) suspect() bool {
 	if h == nil {
 		return false
 	}
-	crashes, early := 0, false
+	product, telling, early := 1.0, 0, false
 	for _, crash := range h.crashes {
-		if crash.Worker == "" {
+		if crash.Worker == "" || crash.ChancePPM >= certainPPM {
 			continue
 		}
-		crashes++
+		product *= float64(crash.ChancePPM) / certainPPM
+		telling++
 		if crash.age() <= suspectAge {
 			early = true
 			if crash.ChancePPM < suspectPPM {
@@ -115,7 +118,7 @@
 			}
 		}
 	}
-	return early && crashes >= minCrashes
+	return early && telling >= minCrashes && combinedChance(product, telling) < suspectChance
 }
 
 // crashChance returns the probability, in millionths, that the worker crashes by
--- a/scheduler/evidence_test.go
+++ b/scheduler/evidence_test.go
@@ -144,3 +144,34 @@
 	is.True(beside(0) >= suspectPriorPPM)
 	is.True(beside(1) > 0 && beside(1) < suspectPriorPPM)
 }
+
+// TestSuspicionNeedsEvidence guards against tasks that wait for a trial, beside free room,
+// since their workers were lost with many others or for other known reasons.
+func TestSuspicionNeedsEvidence(t *testing.T) {
+	const early, late = 500, 3000
+	life := func(chance, age int64) crash {
+		return crash{Worker: "w", ChancePPM: chance, AgeMillis: age}
+	}
+	tests := []struct {
+		name    string
+		crashes []crash
+		suspect bool
+	}{
+		{"none", nil, false},
+		{"unknown lives", []crash{{ChancePPM: certainPPM}, {ChancePPM: 10}}, false},
+		{"lost with many others", []crash{life(certainPPM, early), life(certainPPM, early), life(certainPPM, early)}, false},
+		{"once, unlikely", []crash{life(20_000, early)}, true},
+		{"once, unlikely, long after the start", []crash{life(20_000, late)}, false},
+		{"once, likely", []crash{life(300_000, early)}, false},
+		{"twice, likely", []crash{life(300_000, early), life(300_000, early)}, false},
+		{"twice, unlikely together", []crash{life(80_000, early), life(80_000, late)}, true},
+		{"twice, once with many others", []crash{life(80_000, early), life(certainPPM, early)}, false},
+		{"four times", []crash{life(120_000, early), life(120_000, early), life(120_000, early), life(120_000, early)}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal((&crashHistory{crashes: test.crashes}).suspect(), test.suspect)
+		})
+	}
+}
--- a/scheduler/stats.go
+++ b/scheduler/stats.go
@@ -127,11 +127,17 @@
 	Silent  int
 	Used    requester.Resources
 	Total   requester.Resources
+	// Suspects counts the workers on which a suspect is on trial, Trials those with
+	// any trial. FreeMilliCores is what decides whether more suspects may be tried:
+	// what is free on workers without a trial; WantedMilliCores what waiting tasks
+	// need.
+	Suspects, Trials                 int
+	FreeMilliCores, WantedMilliCores int64
 }
 
 // Load returns the current load of the cell.
 func (c *Core) Load() Load {
-	var load Load
+	load := Load{Suspects: c.trials(true), Trials: c.trials(false), FreeMilliCores: c.freeMilliCores, WantedMilliCores: c.wantedMilliCores}
 	for _, j := range c.jobs {
 		if !j.state.Ended() {
 			load.Jobs++
