Scheduler: a task that serves starts beside paused ones where none may be stopped

Cause: tasks with a target and best-effort tasks are kept apart, and where none of these may be stopped nothing else was tried.

Change: it starts beside them, and they are paused as long as it runs there (pace 0, then 100). Pace orders are repeated until accepted, ever less often, and by each new owner.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -88,6 +88,8 @@
 type Workers interface {
 	Start(ctx context.Context, order scheduler.StartOrder) scheduler.OrderResult
 	Stop(ctx context.Context, order scheduler.StopOrder) scheduler.OrderResult
+	// Pace sets the share of what a run would otherwise use that it may use.
+	Pace(ctx context.Context, order scheduler.PaceOrder) scheduler.OrderResult
 	// Poll returns the worker's report. A long poll waits for the end of a run
 	// for up to wait. The report is nil if the worker sent none.
 	Poll(ctx context.Context, order scheduler.PollOrder, wait time.Duration) (*scheduler.Report, scheduler.OrderResult)
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -221,6 +221,12 @@
 			s.post(func() { s.core.StartDone(d.clock.Now(), order, result) })
 		})
 	}
+	for _, order := range orders.Paces {
+		s.spawn(func() {
+			result := withTimeout(s.ctx, orderTimeout, func(ctx context.Context) scheduler.OrderResult { return d.platform.Pace(ctx, order) })
+			s.post(func() { s.core.PaceDone(d.clock.Now(), order, result) })
+		})
+	}
 	for _, order := range orders.Polls {
 		s.spawn(func() { s.poll(order) })
 	}
--- a/scheduler/candidate.go
+++ b/scheduler/candidate.go
@@ -198,7 +198,7 @@
 	if s.def.AntiAffinity > 0 {
 		limit = min(limit, s.def.AntiAffinity-s.countRuns(w))
 	}
-	if s.def.Fills && (w.hasTargetedRun() || w.clearing()) || s.def.TargetMillis > 0 && w.hasBestEffortRun() {
+	if s.keptApart(w) {
 		return 0
 	}
 	if w.health.probation {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -233,6 +233,7 @@
 	c.evacuate()
 	c.activateOccurrences()
 	c.place()
+	c.updatePaces()
 	c.pollWorkers()
 	orders := c.orders
 	c.orders = Orders{}
--- a/scheduler/displace.go
+++ b/scheduler/displace.go
@@ -18,7 +18,8 @@
 
 // displaceBestEffort stops the best-effort runs on as many workers as the waiting
 // tasks of a step with a target need beyond the room that there is, and the
-// workers that are being cleared for the step already.
+// workers that are being cleared for the step already. Workers whose best-effort runs
+// can't be stopped are shared instead.
 func (c *Core) displaceBestEffort(s *step) {
 	if s.def.TargetMillis <= 0 || s.def.Gang || s.advice.inFlight > 0 || c.now.Before(s.displaceAfter) {
 		return
@@ -37,14 +38,20 @@
 		}
 	}
 	slices.SortStableFunc(found, func(a, b *worker) int { return cmp.Compare(len(a.runs), len(b.runs)) })
+	var kept []*worker
 	for _, w := range found {
 		if wanted <= 0 {
 			return
 		}
 		if c.clearFor(s, w) {
 			wanted--
+		} else {
+			kept = append(kept, w)
 		}
 	}
+	for _, w := range kept[:min(wanted, len(kept))] {
+		c.shareWith(s, w)
+	}
 }
 
 // displaceable reports whether a worker could run a task of the step but for
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -239,6 +239,8 @@
 	r.task = t
 	r.resumed, r.tracked = true, true
 	w.lasting = w.lasting.Add(r.lastingNeed())
+	w.filling += r.countFilling()
+	r.pace.percent = unknownPace
 	t.run = r
 	c.noteReportedRun(r)
 	t.step.waiting--
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -66,6 +66,8 @@
 	// sound is true once the run has shown that its worker is sound, as a task
 	// that lasts and is not done otherwise.
 	sound bool
+	// pace is the pace of a best-effort run.
+	pace runPace
 	// unsized is true if the resources that the run occupies are unknown.
 	unsized bool
 }
@@ -203,6 +205,7 @@
 	delete(w.runs, runKey{r.name, r.number})
 	w.allocated = w.allocated.Sub(r.need)
 	w.lasting = w.lasting.Sub(r.lastingNeed())
+	w.filling -= r.countFilling()
 	if r.unsized {
 		w.unsized--
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -188,6 +188,7 @@
 	Starts []StartOrder
 	Stops  []StopOrder
 	Polls  []PollOrder
+	Paces  []PaceOrder
 }
 
 // RunningTask is a worker's report of a run in progress.
--- a/scheduler/start.go
+++ b/scheduler/start.go
@@ -26,6 +26,7 @@
 		startFence:  c.fence(w),
 		expectedEnd: c.now.Add(s.expectedDuration()),
 		resumed:     t.checkpoint != "",
+		pace:        runPace{percent: fullPace},
 	}
 	if violated := c.violatedInvariant(t, w, need); violated != "" {
 		c.stats.Violations++
@@ -40,6 +41,7 @@
 	w.runs[runKey{r.name, number}] = r
 	w.allocated = w.allocated.Add(need)
 	w.lasting = w.lasting.Add(r.lastingNeed())
+	w.filling += r.countFilling()
 	c.consumeUnreserved(s, w)
 	c.stats.Starts++
 	c.orders.Starts = append(c.orders.Starts, StartOrder{
@@ -79,7 +81,7 @@
 		return "the worker does not meet the step's constraints"
 	case s.def.AntiAffinity > 0 && s.countRuns(w) >= s.def.AntiAffinity:
 		return "too many tasks of the step on the worker"
-	case s.def.Fills && w.hasTargetedRun() || s.def.TargetMillis > 0 && w.hasBestEffortRun():
+	case s.keptApart(w):
 		return "best-effort tasks beside tasks with a response time target"
 	case !c.startRecorded(s):
 		return "the step's start record is not committed"
--- a/scheduler/stats.go
+++ b/scheduler/stats.go
@@ -52,6 +52,8 @@
 	// Displaced counts best-effort runs that were stopped for tasks with a
 	// target for their response times.
 	Displaced int64
+	// Paced counts the changes of the pace of best-effort runs.
+	Paced int64
 	// Acknowledged counts the ends that polls have acknowledged to workers. A
 	// worker forgets them.
 	Acknowledged int64
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -99,6 +99,10 @@
 	// clearedFor is the step for whose waiting tasks the worker's best-effort
 	// runs were stopped; nil for none.
 	clearedFor *step
+	// sharedWith is the step with a target whose tasks may start beside the worker's
+	// best-effort runs; nil for none. filling counts these runs.
+	sharedWith *step
+	filling    int
 	// speed is the speed of the worker's tasks at speedAt, relative to the
 	// expected one; 0 means that they made no progress.
 	speed   float64
--- a/standin/cellorders.go
+++ b/standin/cellorders.go
@@ -99,6 +99,17 @@
 	return scheduler.OrderUnknown
 }
 
+// Pace implements dispatcher.Workers.
+func (c *entryPlatform) Pace(ctx context.Context, order scheduler.PaceOrder) scheduler.OrderResult {
+	if c.delayOrder(ctx, order.Worker, func(w *TaskWorker, now time.Time) { w.Pace(order, now) }) {
+		return scheduler.OrderUnknown
+	}
+	if w := c.deliver(ctx, order.Worker); w != nil {
+		return c.respond(w.Pace(order, time.Now()))
+	}
+	return scheduler.OrderUnknown
+}
+
 // Poll implements dispatcher.Workers.
 func (c *entryPlatform) Poll(ctx context.Context, order scheduler.PollOrder, wait time.Duration) (*scheduler.Report, scheduler.OrderResult) {
 	if c.delayOrder(ctx, order.Worker, func(w *TaskWorker, now time.Time) { w.Poll(order, now) }) {
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -44,7 +44,9 @@
 	EndsAt time.Time
 	// EndedAt is when the run ended; zero while it is running.
 	EndedAt time.Time
-	Kind    scheduler.EndKind
+	// Pace is the pace of the run in percent.
+	Pace int
+	Kind scheduler.EndKind
 	// Acknowledged is true if an owner acknowledged the end before the lease
 	// expired.
 	Acknowledged bool
@@ -248,7 +250,7 @@
 	}
 	w.renewLease(order.Deadline, now)
 	spec, need := parsePayload(order.Payload)
-	run := &RunRecord{Worker: w.info.HostID, Task: order.Task, Run: order.Run, Need: need, StartedAt: now, incarnation: w.bootedAt, EndsAt: now.Add(time.Duration(spec.Millis) * time.Millisecond), fails: spec.Fails}
+	run := &RunRecord{Worker: w.info.HostID, Task: order.Task, Run: order.Run, Need: need, StartedAt: now, Pace: 100, incarnation: w.bootedAt, EndsAt: now.Add(time.Duration(spec.Millis) * time.Millisecond), fails: spec.Fails}
 	w.running = append(w.running, run)
 	w.history = append(w.history, run)
 	var used requester.Resources
@@ -261,6 +263,23 @@
 	return scheduler.OrderAccepted
 }
 
+// Pace executes an order to set the pace of a run. It is recorded, and changes nothing else.
+func (w *TaskWorker) Pace(order scheduler.PaceOrder, now time.Time) scheduler.OrderResult {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	if !w.acceptFence(order.Fence) {
+		return scheduler.OrderFenced
+	}
+	for _, run := range w.running {
+		if run.Task == order.Task && run.Run == order.Run {
+			run.Pace = order.Percent
+			return scheduler.OrderAccepted
+		}
+	}
+	return scheduler.OrderStaleRun
+}
+
 // Stop executes an order to stop a run. Later orders to start this run or an
 // earlier one of the task are rejected, also if the run never started.
 func (w *TaskWorker) Stop(order scheduler.StopOrder, now time.Time) scheduler.OrderResult {
