Scheduler: a task on a worker that doesn't answer counts as unavailable

Cause: the run of a silent worker counted as at work until its lease was over, 8.6 s after the loss. By the rule a task is away after 4.5 s, for whatever cause.

Change: it counts as unavailable from the first order without an answer on.

--- a/scheduler/displace.go
+++ b/scheduler/displace.go
@@ -103,11 +103,12 @@
 	return w.clearedFor != nil
 }
 
-// unavailable counts the tasks of the step without a run that is at work.
+// unavailable counts the tasks of the step without a run that is known to be at work. That
+// of a worker which doesn't answer isn't.
 func (s *step) unavailable() int {
 	count := 0
 	for _, t := range s.tasks {
-		if t.run == nil || t.run.phase != runAcknowledged || t.run.progress.percent < completePercent {
+		if t.run == nil || t.run.phase != runAcknowledged || t.run.worker.unanswered > 0 || t.run.progress.percent < completePercent {
 			count++
 		}
 	}
--- a/scheduler/pace_test.go
+++ b/scheduler/pace_test.go
@@ -116,6 +116,24 @@
 	is.Equal(len(h.tick(OrderAccepted)), 0)
 }
 
+// TestSilentWorkersTaskIsAway guards against a task that is stopped for another one while
+// the run of a lost worker still counts as at work, so that its step misses more than it
+// may.
+func TestSilentWorkersTaskIsAway(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(3)
+	h.fill(3, 1)
+	for range 20 {
+		h.tick(OrderAccepted, "w000")
+	}
+	h.add("serves", Policy{Stretch: 2}, serving(1))
+	for range 20 {
+		h.tick(OrderAccepted, "w000")
+	}
+	is.Equal(len(h.stopping()), 0)
+	is.True(h.hasStarted("serves"))
+}
+
 // TestPaceOfATakenOverRun checks that a new owner, which can't know the pace of best-effort
 // runs, sets it: a run that its predecessor has paused would stay so.
 func TestPaceOfATakenOverRun(t *testing.T) {
