--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"kumquatstall/requester"
@@ -41,17 +40,6 @@
 	Unproven bool
 }
 
-// crashHistory is the record of the crashes under a task. The members of a gang
-// have a record each: a member that crashes its workers does so in every run,
-// while others crash workers of different members.
-type crashHistory struct {
-	crashes []crash
-	// version is the first version of the job's rows with the last crash.
-	version int64
-	// heldUntil is the earliest time of the next start of a long-running task.
-	heldUntil time.Time
-}
-
 const (
 	// certainPPM is a probability of 1.
 	certainPPM = 1_000_000
@@ -120,19 +108,6 @@
 // clearedAfter is how long a run must last to clear its task of the crash.
 func (crash *crash) clearedAfter() time.Duration { return max(minTrial, clearFactor*crash.age()) }
 
-// describe names the workers and runs of the crashes.
-func (h *crashHistory) describe() string {
-	var parts []string
-	for _, crash := range h.crashes {
-		worker := string(crash.Worker)
-		if worker == "" {
-			worker = "an unknown worker"
-		}
-		parts = append(parts, fmt.Sprintf("run %d on %s within %v", crash.Run, worker, crash.age()))
-	}
-	return strings.Join(parts, ", ")
-}
-
 // recordCrash records that an incarnation of a worker has provably ended, under
 // each task that it may have run. The caller does so before it releases the
 // runs.
@@ -213,19 +188,6 @@
 	return h
 }
 
-// maxLives bounds the lives in the record of a task.
-const maxLives = 16
-
-// limit removes a life if there are too many: the oldest that says nothing about the
-// task, or else the oldest.
-func (h *crashHistory) limit() {
-	if len(h.crashes) <= maxLives {
-		return
-	}
-	oldest := max(0, slices.IndexFunc(h.crashes, func(crash crash) bool { return crash.ChancePPM >= certainPPM }))
-	h.crashes = slices.Delete(h.crashes, oldest, oldest+1)
-}
-
 // storedCrashes returns the lives that are stored with the task. One of unknown outcome
 // alone is not, as long as the task waits: the start record of its step tells of it.
 func (t *task) storedCrashes() []crash {
@@ -335,12 +297,6 @@
 	return WaitNothing
 }
 
-// empty reports whether no life is recorded.
-func (h *crashHistory) empty() bool { return h == nil || len(h.crashes) == 0 }
-
-// committed reports whether the record is in the store.
-func (h *crashHistory) committed(j *job) bool { return h == nil || h.version <= j.committedVersion }
-
 // clearRun clears the task of a run that a worker reports of the crashes that
 // the run has outlasted.
 func (c *Core) clearRun(r *run) {
@@ -367,13 +323,6 @@
 	return shortest
 }
 
-// clearOutlasted removes the crashes that a run of the task has outlasted.
-func (h *crashHistory) clearOutlasted(lasted time.Duration) {
-	if h != nil {
-		h.crashes = slices.DeleteFunc(h.crashes, func(crash crash) bool { return lasted >= crash.clearedAfter() })
-	}
-}
-
 // addCrashes adds the history of a task to the stored progress, and the start that is
 // noted with it.
 func (p *stepProgress) addCrashes(index int, t *task) {
@@ -390,21 +339,3 @@
 		p.Noted[index] = *t.noted
 	}
 }
-
-// count returns the number of recorded lives, of those that surely were runs of the
-// task, and of the runs that had just started when the worker crashed.
-func (h *crashHistory) count() (lives, known, early int) {
-	if h == nil {
-		return 0, 0, 0
-	}
-	for _, crash := range h.crashes {
-		if crash.Worker == "" || crash.Unproven {
-			continue
-		}
-		known++
-		if crash.age() <= suspectAge {
-			early++
-		}
-	}
-	return len(h.crashes), known, early
-}
