Scheduler: a job whose rows the store keeps refusing frees its workers

A job that is held back can't have its ends acknowledged, and an acknowledgement covers all ends up to a number: its workers would keep the ends of all jobs behind, and get no new tasks from 250 on. So none of its tasks start while it is held back, and after four refusals, between which the store took the rows of other jobs, it is given up; the row of an ended job is small. A store that refuses everything gives no job up.

The deadline of the removal of leftover rows is by the clock of the client that keeps it.

--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -58,7 +58,7 @@
 	for _, write := range batch.Writes {
 		transaction.Writes = append(transaction.Writes, keeper.Write{Key: write.Key, Value: write.Value, Delete: write.Value == nil})
 	}
-	pending := &pendingCommit{next: next, batch: batch, removals: removals, transaction: transaction, sentAt: now}
+	pending := &pendingCommit{next: next, batch: batch, removals: removals, transaction: transaction}
 	s.spawn(func() { s.sendCommit(pending) })
 }
 
@@ -70,7 +70,8 @@
 	// removals are the pending deletes that it includes.
 	removals    []keeper.Write
 	transaction keeper.Transaction
-	sentAt      time.Time
+	// sentAt is when it was first sent.
+	sentAt time.Time
 }
 
 // commitRefused handles a commit that the store has refused as invalid, as it would do
@@ -148,9 +149,9 @@
 	eagerOffLatency = 80 * time.Millisecond
 )
 
-// sendCommit sends a transaction until its outcome is known, which is also that the
-// store refuses it as invalid, and posts the outcome. Each attempt sends the same bytes: of several attempts that reach
-// the store, even late, only one can commit.
+// sendCommit sends a transaction until its outcome is known, which may be that the
+// store refuses it as invalid, and posts the outcome. Each attempt sends the same
+// bytes: of several attempts that reach the store, even late, only one can commit.
 func (s *session) sendCommit(pending *pendingCommit) {
 	d := s.dispatcher
 	pending.sentAt = d.clock.Now()
@@ -182,9 +183,9 @@
 }
 
 // commitDone handles the outcome of a commit. If it succeeded, the lease is
-// renewed as of when it was sent, the core is notified of the committed batch, and the new
-// states are published. If it did not succeed, another entry owns the cell and
-// the session ends.
+// renewed as of when it was sent, the core is notified of the committed batch, and
+// the new states are published. If it did not succeed, another entry owns the cell
+// and the session ends.
 func (s *session) commitDone(done *pendingCommit, revision int64, committed bool) {
 	d := s.dispatcher
 	next, batch, sentAt := done.next, done.batch, done.sentAt
--- a/dispatcher/leftover.go
+++ b/dispatcher/leftover.go
@@ -41,7 +41,7 @@
 		s.dispatcher.jobWriters[scheduler.JobPartition(id)].Transact(keeper.Transaction{
 			Conditions: []keeper.Condition{{Key: key, Revision: row.revision}},
 			Writes:     []keeper.Write{{Key: key, Delete: true}},
-		}, now.Add(acceptTimeout), func(_ keeper.TransactResult, err error) { s.post(func() { s.leftoverRemoved(key, row.revision, err) }) })
+		}, time.Now().Add(acceptTimeout), func(_ keeper.TransactResult, err error) { s.post(func() { s.leftoverRemoved(key, row.revision, err) }) })
 	}
 }
 
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -195,6 +195,9 @@
 		c.batchJobs = 0
 	}
 	c.birthsStored = c.birthsStored || batch.births
+	if len(batch.jobs) > 0 {
+		c.jobCommits++
+	}
 	for _, write := range batch.leasedWorkers {
 		if w := write.worker; !w.leaseRecorded && write.address == w.info.Address {
 			w.leaseRecorded = true
@@ -207,7 +210,7 @@
 			j.storedProgress.apply(j.name(), row)
 		}
 		if write.last {
-			j.committedVersion, j.storedState, j.refusals = write.version, write.state, 0
+			j.committedVersion, j.storedState, j.refusals, j.strikes = write.version, write.state, 0, 0
 			c.openReadySteps(j)
 		}
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -166,7 +166,9 @@
 	// batchJobs is the most jobs in the next batch, as the store has refused one
 	// lately; 0 means no limit. rosterHeldUntil is when the rows of workers are
 	// written again that the store has refused.
-	batchJobs       int
+	batchJobs int
+	// jobCommits counts the committed batches with rows of jobs.
+	jobCommits      int64
 	rosterHeldUntil time.Time
 	// rosterParts and birthParts are the numbers of rows that the stored lists of
 	// leased workers and of births take.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -33,6 +33,10 @@
 			c.noteWait(s, WaitUnknownRuns)
 			continue
 		}
+		if s.job().refusals > 0 {
+			c.noteWait(s, WaitRefused)
+			continue
+		}
 		if !c.startRecorded(s) {
 			c.noteWait(s, s.unrecorded())
 			continue
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -128,10 +128,15 @@
 // a batch is limited by its rows and bytes alone.
 const MaxBatchJobs = 64
 
-// Delays before rows that the store has refused are written again, as they are then.
+// Rows that the store has refused are written again, as they are then, after
+// firstRefusalDelay, which doubles with each further refusal, at most maxRefusalDoublings
+// times. After maxStrikes refusals in a row between which the store took the rows of other
+// jobs, a job is given up: the row of an ended job is small, and as long as the ends of its
+// runs can't be acknowledged, their workers are lost to all others.
 const (
 	firstRefusalDelay   = 5 * time.Second
 	maxRefusalDoublings = 4
+	maxStrikes          = 4
 )
 
 // Refused records that the store has refused a batch as invalid, so that nothing of it is
@@ -181,6 +186,15 @@
 		Job: j.name(), Event: "rows of a job refused", Violation: true,
 		Why: "refusal " + strconv.Itoa(j.refusals) + " by the store: " + why + "; not written again before " + j.heldUntil.UTC().Format(time.TimeOnly) + ": " + strings.Join(rows, ", "),
 	})
+	if c.jobCommits > j.refusedAfter {
+		j.strikes++
+	}
+	j.refusedAfter = c.jobCommits
+	if j.strikes >= maxStrikes && !j.state.Ended() {
+		c.stats.JobsFailed++
+		c.endJob(j, StateFailed, "the store refuses its rows")
+		j.heldUntil = time.Time{} // its rows are others now
+	}
 }
 
 // listWrites returns the writes of a list with so many elements: the row with that key,
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -18,10 +18,14 @@
 	// storedProgress is what is committed of the job's progress; empty for
 	// nothing.
 	storedProgress committedProgress
-	// refusals counts how often the store has refused the job's rows as invalid,
-	// heldUntil is when they are written again.
-	refusals  int
-	heldUntil time.Time
+	// refusals counts how often the store has refused the job's rows as invalid
+	// since it last took them, heldUntil is when they are written again. strikes
+	// counts the refusals between which it took those of other jobs, and
+	// refusedAfter is Core.jobCommits at the last one.
+	refusals     int
+	heldUntil    time.Time
+	strikes      int
+	refusedAfter int64
 	// cuts are the first tasks of the ranges that have detail rows.
 	cuts []taskPosition
 	// plan is what is left to write of rows that take several transactions; empty for
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -47,6 +47,9 @@
 	WaitTrial
 	// WaitRack means that a gang waits for one rack: for at most maxRackWait.
 	WaitRack
+	// WaitRefused means that the store has refused the job's rows as invalid: until it
+	// takes them, or the job is given up.
+	WaitRefused
 	waitReasons
 )
 
--- a/scheduler/waitreason_string.go
+++ b/scheduler/waitreason_string.go
@@ -18,12 +18,13 @@
 	_ = x[WaitPause-7]
 	_ = x[WaitTrial-8]
 	_ = x[WaitRack-9]
-	_ = x[waitReasons-10]
+	_ = x[WaitRefused-10]
+	_ = x[waitReasons-11]
 }
 
-const _WaitReason_name = "NothingRoomAdviceStartRecordUnknownRunsEarlierRunCrashRecordPauseTrialRackwaitReasons"
+const _WaitReason_name = "NothingRoomAdviceStartRecordUnknownRunsEarlierRunCrashRecordPauseTrialRackRefusedwaitReasons"
 
-var _WaitReason_index = [...]uint8{0, 7, 11, 17, 28, 39, 49, 60, 65, 70, 74, 85}
+var _WaitReason_index = [...]uint8{0, 7, 11, 17, 28, 39, 49, 60, 65, 70, 74, 81, 92}
 
 func (i WaitReason) String() string {
 	idx := int(i) - 0
