Stand-in: a test of signals doesn't depend on who started it

Traced: nohup has SIGHUP ignored, which the test's child inherits, so the signal that was to end it did nothing. The test was wrong to rely on that. It sends SIGUSR1 now and checks the same: that a process which ends by the last signal the test has sent counts as ended by the test.

--- a/standin/process_test.go
+++ b/standin/process_test.go
@@ -37,7 +37,7 @@
 	p.End(syscall.SIGKILL)
 	is.NoErr(p.Failure())
 	p = startShell(t, "exec sleep 60")
-	p.Signal(syscall.SIGHUP)
+	p.Signal(syscall.SIGUSR1) // which, unlike SIGHUP, nohup doesn't have ignored
 	<-p.Exited()
 	is.NoErr(p.Failure())
 }
