Scheduler: a part of a list of workers that can't be decoded doesn't stay

A list of workers that takes several rows is rewritten from the number of rows that were restored, so one that could not be decoded stayed behind the others: each owner would have assumed unknown leases again, and started nothing for 13 s. It counts now, and the list is written anew once these leases are over. Found by reading; TestListOfManyWorkers fails without the count.

--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -171,6 +171,7 @@
 	var row scheduler.BirthsRow
 	if err := scheduler.DecodeRow(value, &row); err != nil {
 		s.dispatcher.logOddRow(key, err, "decoding the row of births failed; workers that do not answer are waited for as long as any lease may last")
+		s.core.SkipBirths()
 		return
 	}
 	s.core.RestoreBirths(row)
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -191,7 +191,7 @@
 // to their workers, and steps that depend on them may start.
 func (c *Core) Committed(now time.Time, batch *Batch) {
 	c.now = now
-	if c.batchJobs *= 2; c.batchJobs > MaxBatchJobs {
+	if c.batchJobs *= 2; c.batchJobs > maxBatchJobs {
 		c.batchJobs = 0
 	}
 	c.birthsStored = c.birthsStored || batch.births
--- a/scheduler/bounded.go
+++ b/scheduler/bounded.go
@@ -72,6 +72,9 @@
 	}
 }
 
+// SkipBirths is called instead of RestoreBirths if a row of births cannot be decoded.
+func (c *Core) SkipBirths() { c.birthParts++ }
+
 // birthsRow returns the row of births: the incarnations that have reported, and
 // those that had reported to a previous owner.
 func (c *Core) birthsRow() BirthsRow {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -164,10 +164,10 @@
 	// let tasks start.
 	placementPending bool
 	// batchJobs is the most jobs in the next batch, as the store has refused one
-	// lately; 0 means no limit. rosterHeldUntil is when the rows of workers are
-	// written again that the store has refused.
-	batchJobs int
-	// jobCommits counts the committed batches with rows of jobs.
+	// lately; 0 means no limit. jobCommits counts the committed batches with rows of
+	// jobs. rosterHeldUntil is when the rows of workers are written again that the
+	// store has refused.
+	batchJobs       int
 	jobCommits      int64
 	rosterHeldUntil time.Time
 	// rosterParts and birthParts are the numbers of rows that the stored lists of
--- a/scheduler/detail_test.go
+++ b/scheduler/detail_test.go
@@ -83,10 +83,13 @@
 }
 
 // restoreLists restores what the store has of workers.
-func (s *rowStore) restoreLists(c *Core) {
+func (s *rowStore) restoreLists(c *Core) { s.restoreListsBut(c, "") }
+
+// restoreListsBut is restoreLists without a row.
+func (s *rowStore) restoreListsBut(c *Core, skipped string) {
 	s.t.Helper()
 	for _, key := range slices.Sorted(maps.Keys(s.rows)) {
-		if IsListKey(key, LeasedWorkersKey) {
+		if IsListKey(key, LeasedWorkersKey) && key != skipped {
 			var row LeasedWorkersRow
 			if err := DecodeRow(s.rows[key], &row); err != nil {
 				s.t.Fatal(err)
@@ -506,6 +509,15 @@
 	next.SetWorkers(next.now, infos[:5])
 	store.commit(next, next.now)
 	is.Equal(len(store.takeOver(3, detailsNow).workers), 5) // no part of the longer list is left
+
+	last := New(Options{Epoch: 4}, detailsNow)
+	store.rows[LeasedWorkersKey+"~1"] = []byte{0xff}
+	store.restoreListsBut(last, LeasedWorkersKey+"~1")
+	last.AssumeUnknownLeases()
+	last.now = detailsNow.Add(time.Hour)
+	last.SetWorkers(last.now, infos[:5])
+	store.commit(last, last.now)
+	is.Equal(store.rows[LeasedWorkersKey+"~1"], nil) // nor a part that can't be decoded
 }
 
 // TestOverlappingOccurrencesFitTheirRow guards against a job with times of whose
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -124,9 +124,9 @@
 	return true
 }
 
-// MaxBatchJobs bounds the jobs of a batch after the store has refused one: from there on
+// maxBatchJobs bounds the jobs of a batch after the store has refused one: from there on
 // a batch is limited by its rows and bytes alone.
-const MaxBatchJobs = 64
+const maxBatchJobs = 64
 
 // Rows that the store has refused are written again, as they are then, after
 // firstRefusalDelay, which doubles with each further refusal, at most maxRefusalDoublings
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -180,11 +180,14 @@
 	return c.options.PreviousOwnerTerm + time.Duration(float64(c.options.MaxLease)/minClockRate) + expiryMargin
 }
 
-// AssumeUnknownLeases is called instead of RestoreLeasedWorkers if the row of
+// AssumeUnknownLeases is called instead of RestoreLeasedWorkers if a row of
 // leased workers cannot be decoded. Until every lease of a previous owner has
 // expired, the row is not replaced, so that a successor finds it as it is, and no
 // worker gets new tasks.
-func (c *Core) AssumeUnknownLeases() { c.unknownLeases, c.leasesInherited = true, true }
+func (c *Core) AssumeUnknownLeases() {
+	c.rosterParts++
+	c.unknownLeases, c.leasesInherited, c.leasedWorkersDirty = true, true, true
+}
 
 // leasesUnknown reports whether workers that this owner does not know of may
 // still hold leases.
