Tests: two that would have passed without the change now fail without it

TestLargeJobLetsOthersGoFirst had one small job beside the large one, which fits into what is left of any batch; it has six middling ones now, and fails when the large one goes first. TestWideJobAndLostOwners passed with rows too large, as a refused job no longer holds up the others; it checks now that no commit is refused, and fails with rows of the old form. No check was taken out, and no product code changed.

--- a/dispatcher/invalid_test.go
+++ b/dispatcher/invalid_test.go
@@ -75,6 +75,9 @@
 		row, outcome := s.entries[1].State(context.Background(), wide.JobID)
 		is.Equal(outcome, dispatcher.OutcomeDone)
 		is.Equal(row.State, scheduler.StateRunning)
+		for _, d := range s.entries {
+			is.True(strings.Contains(d.Metrics(), `"CommitsRefused":0`)) // no row was too large
+		}
 	})
 }
 
--- a/scheduler/detail_test.go
+++ b/scheduler/detail_test.go
@@ -333,22 +333,34 @@
 func TestLargeJobLetsOthersGoFirst(t *testing.T) {
 	is := is.New(t)
 	store := newRowStore(t)
-	large, small := jobOf("large", stepOf(20_000, 1000)), jobOf("small", stepOf(1, 1000))
-	c := store.takeOver(1, detailsNow, large, small)
-	j, other := c.jobs["large"], c.jobs["small"]
+	jobs := []Job{jobOf("large", stepOf(20_000, 1000))}
+	for i := range 6 {
+		jobs = append(jobs, jobOf(fmt.Sprintf("other%d", i), stepOf(100, 1000)))
+	}
+	c := store.takeOver(1, detailsNow, jobs...)
+	j := c.jobs["large"]
 	store.commit(c, detailsNow)
+	var others []*job
+	for _, other := range jobs[1:] {
+		burden(c.jobs[other.JobID])
+		others = append(others, c.jobs[other.JobID])
+	}
+	waits := func() bool {
+		return slices.ContainsFunc(others, func(other *job) bool { return other.committedVersion < other.version })
+	}
 	burden(j)
 	c.markDirty(j)
 	wanted, waited, longest := j.version, 0, 0
 	for range 400 {
-		c.markDirty(other)
-		version := other.version
 		for i := range j.occurrences[0].steps[0].tasks {
 			j.occurrences[0].steps[0].tasks[i].checkpoint += "x"
 		}
 		c.markDirty(j)
-		for batches := 0; other.committedVersion < version; batches++ {
-			is.True(batches < 3) // the small one waits for one batch of the other at most
+		for _, other := range others {
+			c.markDirty(other)
+		}
+		for batches := 0; waits(); batches++ {
+			is.True(batches < 3) // the others wait for one batch of the large one at most
 			batch := c.TakeBatch(storeEntries)
 			is.Equal(store.write(batch), "")
 			c.Committed(detailsNow, batch)
