--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -328,6 +328,6 @@
 		Int("Workers", load.Workers).Int("Silent", load.Silent).Int("Asking", len(s.adviser.pending)).Int("Advisers", len(s.adviser.relays)).Int("AdvisersLate", s.adviser.relays.suspects()).
 		Dict("Waits", waits(&load)).Int64("UsedMilliCores", load.Used.MilliCores).Int64("MilliCores", load.Total.MilliCores).
 		Int("Suspects", load.Suspects).Int("Trials", load.Trials).Int64("FreeMilliCores", load.FreeMilliCores).Int64("WantedMilliCores", load.WantedMilliCores).
-		Int64("Starts", stats.Starts).Int64("Done", stats.Done).Int64("Failed", stats.Failed).Int64("Lapsed", stats.Lapsed).Int64("Acknowledged", stats.Acknowledged).Int64("Vanished", stats.Vanished).Int64("AdviceAsked", stats.AdviceAsked).Int64("AdviceFailed", s.dispatcher.counters.adviceFailed.Load()).Dur("StoreMillis", s.dispatcher.store.Latency()).
+		Int64("Starts", stats.Starts).Int64("Done", stats.Done).Int64("Failed", stats.Failed).Int64("Lapsed", stats.Lapsed).Int64("Acknowledged", stats.Acknowledged).Int64("Vanished", stats.Vanished).Int64("Resurfaced", stats.Resurfaced).Int64("ForeignRuns", stats.ForeignRuns).Int64("EndsMissing", stats.EndsMissing).Int64("AdviceAsked", stats.AdviceAsked).Int64("AdviceFailed", s.dispatcher.counters.adviceFailed.Load()).Dur("StoreMillis", s.dispatcher.store.Latency()).
 		Send()
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -129,6 +129,9 @@
 	unknownLeases bool
 	// timed are the unfinished jobs with occurrences at set times.
 	timed map[requester.JobID]*job
+	// released are the runs that were released lately without a reported end.
+	released         map[runKey]releasedRun
+	releasedPrunedAt time.Time
 	// strays counts, by task, the orphaned runs that may still be active.
 	strays map[TaskName]int
 	// excluded are the jobs whose rows cannot be decoded.
@@ -205,6 +208,7 @@
 		generations:    make(map[requester.HostID]int64),
 		timed:          make(map[requester.JobID]*job),
 		strays:         make(map[TaskName]int),
+		released:       make(map[runKey]releasedRun),
 		excluded:       make(map[requester.JobID]bool),
 		unknownEnds:    make(map[requester.JobID]bool),
 		awaitingAdvice: make(map[StepName]*step),
--- a/scheduler/ends.go
+++ b/scheduler/ends.go
@@ -54,6 +54,9 @@
 		Why: ended.Kind.String() + ", end " + strconv.FormatInt(ended.Number, 10),
 	})
 	key := runKey{ended.Task, ended.Run}
+	if ended.Kind != EndExpired {
+		c.noteResurfaced(w, key)
+	}
 	t := c.findTask(ended.Task)
 	r := w.runs[key]
 	if r != nil {
@@ -68,7 +71,7 @@
 		return
 	}
 	if ended.Kind == EndStopped || ended.Kind == EndExpired {
-		c.releaseLost(r, "it was stopped")
+		c.releaseUndone(r, "it was stopped")
 		return
 	}
 	// When a member of a gang fails or is aborted, the workers end the other
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -112,6 +112,7 @@
 	if !c.observeReportedBirth(w, order, report.BootedAt) || !c.addressesCurrent(w, order.Fence) {
 		return
 	}
+	c.noteEndsMissing(w, report)
 	w.confirmedEnd = max(w.confirmedEnd, order.AcknowledgedEnd)
 	if w.unanswered > 0 || !w.reported {
 		c.markFreed(w)
@@ -194,9 +195,9 @@
 			// acknowledged may miss a run that started in between. A start with a
 			// lower fence than the poll's is rejected from the poll on.
 			if r.startFence < order.Fence {
-				c.releaseLost(r, "its start was never executed")
+				c.releaseLost(r, "its start was never executed: the worker has seen a higher fence")
 			} else if !r.barredAt.IsZero() && !order.SentAt.Before(r.barredAt) {
-				c.releaseLost(r, "its start was never executed")
+				c.releaseLost(r, "its start was never executed: the worker has accepted a stop")
 			} else if r.barredAt.IsZero() {
 				c.sendStop(r)
 			}
@@ -214,6 +215,9 @@
 // previous owner started it, or it is orphaned: no unfinished task needs it,
 // and it is stopped.
 func (c *Core) trackReportedRun(w *worker, running RunningTask) *run {
+	key := runKey{running.Task, running.Run}
+	c.noteResurfaced(w, key)
+	c.noteForeignRun(w, key)
 	t := c.findTask(running.Task)
 	r := &run{name: running.Task, number: running.Run, worker: w, phase: runAcknowledged, startedAt: c.now, acknowledgedAt: c.now, startFence: c.fence(w)}
 	if t != nil {
@@ -226,7 +230,7 @@
 		r.unsized = true
 		w.unsized++
 	}
-	w.runs[runKey{running.Task, running.Run}] = r
+	w.runs[key] = r
 	w.allocated = w.allocated.Add(r.need)
 	needed := t != nil && !t.done && t.run == nil && !t.step.job().state.Ended() && !c.conflictsWithGang(t, running.Run)
 	if !needed {
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -247,10 +247,16 @@
 	return slices.ContainsFunc(s.tasks, c.mayRun)
 }
 
-// releaseLost releases a run without a reported completion or failure: its
-// start was rejected, it was stopped, or it was lost with its worker. It stops
-// the other members of the run's gang, unless their tasks are done.
+// releaseLost releases a run without a reported end: its start was rejected or
+// never executed, or it was lost with its worker.
 func (c *Core) releaseLost(r *run, why string) {
+	c.noteReleased(r, why)
+	c.releaseUndone(r, why)
+}
+
+// releaseUndone releases a run without a reported completion or failure. It stops
+// the other members of the run's gang, unless their tasks are done.
+func (c *Core) releaseUndone(r *run, why string) {
 	c.release(r)
 	if t := r.task; t != nil && t.step.def.Gang && !t.done {
 		c.stopGang(t.step, r.number, why)
--- a/scheduler/stats.go
+++ b/scheduler/stats.go
@@ -63,6 +63,13 @@
 	// LongWaits counts how often tasks of a step waited for one reason for
 	// longWait, leaving out waits for room while half of it is in use.
 	LongWaits int64
+	// Resurfaced counts runs that a worker reported after they had been released
+	// without a reported end. ForeignRuns counts runs of earlier owners that an
+	// incarnation of a worker has which began after the takeover, EndsMissing ends
+	// that the first report of an incarnation lacks.
+	Resurfaced  int64
+	ForeignRuns int64
+	EndsMissing int64
 	// StraysStopped counts orphaned runs: a worker reported them, and no
 	// unfinished task needed them.
 	StraysStopped int64
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -32,6 +32,9 @@
 	endsListed bool
 	endsAt     time.Time
 	bootedAt   time.Time
+	// followed is true if this owner has observed that the current incarnation
+	// replaced another one.
+	followed bool
 	// birthSeenAt is when bootedAt was first observed, listedBirth the latest
 	// birth that the list has shown.
 	birthSeenAt time.Time
@@ -352,7 +355,7 @@
 
 // reborn records that a worker is in another incarnation than before.
 func (c *Core) reborn(w *worker, bootedAt time.Time) {
-	w.bootedAt, w.birthSeenAt = bootedAt, c.now
+	w.bootedAt, w.birthSeenAt, w.followed = bootedAt, c.now, true
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker reborn"})
 	c.recordCrash(w)
 	c.observeBirth(w)
