--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -127,8 +127,6 @@
 	// clockRate is the rate of its clock, 1 being exact.
 	clockRate float64
 	room      fakeRoom
-	// formerLives holds the earlier incarnations by the time of their boot.
-	formerLives map[time.Time]formerLife
 }
 
 type fakeRun struct {
@@ -499,9 +497,6 @@
 }
 
 func (f *fakeWorker) start(order StartOrder) OrderResult {
-	if f.formerlyRejected(order) {
-		return OrderUnknown
-	}
 	if !f.acceptFence(order.Fence) {
 		return OrderFenced
 	}
@@ -701,7 +696,6 @@
 		sim.permanentCrashes++
 		return
 	}
-	f.endLife()
 	sim.after(sim.rebirthDelay(), func() {
 		f.crashed, f.refuses = false, false
 		f.fence, f.lease, f.lastEnd, f.lapsedEnd, f.ended = 0, time.Time{}, 0, 0, nil
