--- a/scheduler/candidate.go
+++ b/scheduler/candidate.go
@@ -241,7 +241,8 @@
 	return false
 }
 
-// countRuns counts the runs of the step that occupy capacity on a worker.
+// countRuns counts the runs of the step on a worker, and the open starts that may become
+// some.
 func (s *step) countRuns(w *worker) int {
 	count := 0
 	for key := range w.runs {
@@ -249,6 +250,11 @@
 			count++
 		}
 	}
+	for _, t := range s.tasks {
+		if t.run == nil && t.open != nil && t.open.Worker == w.info.HostID {
+			count++
+		}
+	}
 	return count
 }
 
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -129,6 +129,10 @@
 	unknownLeases bool
 	// timed are the unfinished jobs with occurrences at set times.
 	timed map[requester.JobID]*job
+	// openTasks are the tasks with an open start, sentRuns the runs that were started
+	// within answerTime, oldest first.
+	openTasks []*task
+	sentRuns  []*run
 	// released are the runs that were released lately without a reported end.
 	released         map[runKey]releasedRun
 	releasedPrunedAt time.Time
@@ -232,6 +236,8 @@
 func (c *Core) Tick(now time.Time) Orders {
 	c.now = now
 	c.expireLeases()
+	c.storeUnanswered()
+	c.closeStarts()
 	c.learnStarts()
 	c.updateTrials()
 	c.noteSilences()
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -272,6 +272,9 @@
 	if c.mayRun(t) {
 		return WaitEarlierRun
 	}
+	if t.open != nil {
+		return WaitOpenStart
+	}
 	reason := c.crashHold(t)
 	if reason != WaitNothing {
 		// Neither time nor a commit frees a worker, so a scan of freed workers only
--- a/scheduler/detail.go
+++ b/scheduler/detail.go
@@ -91,6 +91,7 @@
 	runNumberBytes        = 9
 	crashBytes            = 33
 	notedStartBytes       = 110
+	openStartBytes        = 50
 )
 
 // fixedBytes returns the most bytes of an occurrence that are always in the job's
@@ -125,6 +126,9 @@
 	if t.noted != nil {
 		size += mapEntryBytes + notedStartBytes + len(t.noted.Worker)
 	}
+	if t.open != nil {
+		size += mapEntryBytes + openStartBytes + len(t.open.Worker)
+	}
 	return size
 }
 
@@ -158,6 +162,12 @@
 		p.FailedRuns[t.index] = failed
 	}
 	p.addCrashes(t.index, t)
+	if t.open != nil {
+		if p.Open == nil {
+			p.Open = make(map[int]openStart)
+		}
+		p.Open[t.index] = *t.open
+	}
 	if checkpoint := t.storedCheckpoint(); checkpoint != "" {
 		if p.Checkpoints == nil {
 			p.Checkpoints = make(map[int]string)
@@ -303,6 +313,11 @@
 			t.noted = &noted
 		}
 	}
+	for index, open := range stored.Open {
+		if t := s.taskAt(index); t != nil {
+			t.open = &open
+		}
+	}
 	for index, checkpoint := range stored.Checkpoints {
 		if t := s.taskAt(index); t != nil && checkpoint != "" {
 			t.checkpoint = checkpoint
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -13,6 +13,9 @@
 		// Some members of an earlier run have not ended yet.
 		return WaitEarlierRun
 	}
+	if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.open != nil }) {
+		return WaitOpenStart
+	}
 	if c.now.Sub(s.scannedAt) < gangRescanInterval {
 		return s.wait.reason
 	}
--- a/scheduler/mutation_test.go
+++ b/scheduler/mutation_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -47,7 +48,11 @@
 		{"unacknowledged starts are dropped", simulationOptions{lostResponses: 0.1, delayedOrders: 0.1}, func(c *Core) {
 			forRuns(c, func(w *worker, r *run) {
 				if r.phase == runUnacknowledged {
+					r.settled = true
 					c.release(r)
+					if r.task != nil && r.task.open != nil {
+						c.closeStart(r.task)
+					}
 				}
 			})
 		}},
@@ -102,6 +107,18 @@
 				r.reported = r.reported || !r.acknowledgedAt.IsZero()
 			})
 		}},
+		{"open starts are taken for never executed", simulationOptions{crashes: 6, delayedOrders: 0.1, ownerFaults: ownerFaults{quickRebirths: true}}, func(c *Core) {
+			for _, t := range slices.Clone(c.openTasks) {
+				c.closeStart(t)
+			}
+		}},
+		{"open starts of an earlier owner are forgotten", simulationOptions{crashes: 8, takeovers: 8, delayedOrders: 0.1, ownerFaults: ownerFaults{quickRebirths: true}}, func(c *Core) {
+			for _, t := range slices.Clone(c.openTasks) {
+				if t.open.Run < c.firstRun() {
+					c.closeStart(t)
+				}
+			}
+		}},
 		{"steps that may have unknown runs are started", simulationOptions{takeovers: 4, partitions: 6}, func(c *Core) {
 			for _, s := range c.open {
 				s.mayHaveUnknownRuns = false
--- a/scheduler/nextlife_test.go
+++ b/scheduler/nextlife_test.go
@@ -123,3 +123,144 @@
 	}
 	return orders.Starts
 }
+
+// unanswered starts the only task of a job on a worker that falls silent. The start is
+// not answered, nor is any poll of that worker; all others answer.
+func (h *harness) unanswered(t *testing.T) StartOrder {
+	t.Helper()
+	h.advanceAnswered(20 * time.Second) // so that the clocks say which life answers
+	h.add("j", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 8000))
+	h.commit()
+	h.now = h.now.Add(10 * time.Millisecond)
+	orders := h.core.Tick(h.now)
+	if len(orders.Starts) != 1 {
+		t.Fatalf("tick issued %d starts, want 1", len(orders.Starts))
+	}
+	h.answerPolls(orders, orders.Starts[0].Worker)
+	return orders.Starts[0]
+}
+
+// advanceSilent lets time pass; all workers but one answer. It returns the starts.
+func (h *harness) advanceSilent(silent WorkerRef, wait time.Duration) []StartOrder {
+	h.now = h.now.Add(wait)
+	h.commit()
+	orders := h.core.Tick(h.now)
+	h.answerPolls(orders, silent)
+	return orders.Starts
+}
+
+// answerPolls answers the polls of all idle workers but one.
+func (h *harness) answerPolls(orders Orders, silent WorkerRef) {
+	for _, poll := range orders.Polls {
+		if poll.Worker.HostID == silent.HostID {
+			h.core.PollDone(h.now, poll, nil, OrderUnknown)
+			continue
+		}
+		h.core.PollDone(h.now, poll, &Report{Clock: h.clock(poll.Worker), BootedAt: poll.Worker.BootedAt}, OrderAccepted)
+	}
+}
+
+// TestOpenStartBehindACut guards against a task that starts again once the lease of its
+// silent worker's former life has expired: the next life, which no owner reaches, may
+// have executed the start late, under the longest lease.
+func TestOpenStartBehindACut(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(2)
+	start := h.unanswered(t)
+	sentAt := h.now
+	h.core.StartDone(h.now.Add(700*time.Millisecond), start, OrderUnknown)
+	for h.now.Sub(sentAt) < 22*time.Second {
+		is.Equal(len(h.advanceSilent(start.Worker, 100*time.Millisecond)), 0)
+	}
+	started := 0
+	for range 60 {
+		started += len(h.advanceSilent(start.Worker, 100*time.Millisecond))
+	}
+	is.Equal(started, 1) // every lease of any life has expired
+}
+
+// TestStartAnsweredByTheNextLife guards against a task that starts again once the lease
+// of its silent worker's former life has expired, although the answer to its start
+// came from the next one, which had no more than the longest lease.
+func TestStartAnsweredByTheNextLife(t *testing.T) {
+	cases := []struct {
+		name  string
+		clock WorkerTime
+		wait  time.Duration
+	}{
+		{"by the life that is known", 25_000, 8 * time.Second},
+		{"by another one", 5, 10 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(2)
+			start := h.unanswered(t)
+			sentAt := h.now
+			h.core.StartAccepted(h.now, start, c.clock)
+			for h.now.Sub(sentAt) < c.wait {
+				is.Equal(len(h.advanceSilent(start.Worker, 100*time.Millisecond)), 0)
+			}
+			if c.clock < 1000 {
+				return
+			}
+			started := 0
+			for range 20 {
+				started += len(h.advanceSilent(start.Worker, 100*time.Millisecond))
+			}
+			is.Equal(started, 1) // the known life's lease has expired
+		})
+	}
+}
+
+// TestOpenStartKeepsItsRoom guards against starts on a worker whose next life, unknown
+// to the owner, has executed an open start: together they need more than it has.
+func TestOpenStartKeepsItsRoom(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	start := h.unanswered(t)
+	h.core.StartDone(h.now, start, OrderUnknown)
+	h.add("k", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 8000))
+	for range 100 {
+		is.Equal(len(h.advanceAnswered(100*time.Millisecond)), 0)
+	}
+	started := 0
+	for range 60 {
+		started += len(h.advanceAnswered(100 * time.Millisecond))
+	}
+	is.True(started > 0) // nothing of the first start can act any more
+}
+
+// TestOpenStartOfALostOwner guards against a new owner that starts a task again which a
+// start of its predecessor, given up or about to be, may still run.
+func TestOpenStartOfALostOwner(t *testing.T) {
+	for _, givenUp := range []bool{false, true} {
+		is := is.New(t)
+		h := newHarness(2)
+		start := h.unanswered(t)
+		sentAt := h.now
+		if givenUp {
+			h.core.StartDone(h.now.Add(700*time.Millisecond), start, OrderUnknown)
+		}
+		h.now = h.now.Add(answerTime)
+		h.core.Tick(h.now)
+		batch := h.core.TakeBatch(100)
+		rows := JobRows{Job: jobOf("j", stepOf(1, 8000))}
+		for _, write := range batch.Writes {
+			if write.Key == ProgressKey("j") {
+				rows.Progress = write.Value
+			}
+		}
+		infos := []WorkerInfo{h.core.sortedWorkers[0].info, h.core.sortedWorkers[1].info}
+		is.NoErr(h.takeOver(Options{Epoch: 2, PreviousOwnerTerm: time.Second}, rows))
+		h.core.SetWorkers(h.now, infos)
+		for h.now.Sub(sentAt) < 12*time.Second {
+			is.Equal(len(h.advanceAnswered(100*time.Millisecond)), 0)
+		}
+		started := 0
+		for range 80 {
+			started += len(h.advanceAnswered(100 * time.Millisecond))
+		}
+		is.Equal(started, 1)
+	}
+}
--- /dev/null
+++ b/scheduler/open.go
@@ -0,0 +1,205 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"kumquatstall/requester"
+)
+
+// A start without an answer may be executed seconds later, and not only by the
+// incarnation of the worker for which it was meant: the next one under the same host ID
+// knows of no fence, no stop and no run of before, and its clock begins anew, so that no
+// deadline has passed either. What one incarnation has shown, such as a report without
+// the run, says nothing about the next. So such a start is open, whatever has become of
+// the run, and its task starts again nowhere, also not on the same worker, until nothing
+// of the start can act any more. That is so once the latest time at which an order
+// arrives has passed and the worker has answered a poll sent after it: the report has
+// the run, or nobody will ever have it. If the worker doesn't answer, the longest lease
+// has to pass as well, since the run may go on behind a cut.
+//
+// A start is settled, and not open, once it has been answered, whatever the answer, or a
+// worker has reported the run: an order is executed at most once.
+//
+// The owner stores the open starts with the details of their tasks, so that its
+// successor waits for them too.
+
+// openStart is a start that has no answer and may be executed until Until. A run that
+// began by then may go on until its lease expires.
+type openStart struct {
+	_      struct{} `cbor:",toarray"`
+	Run    RunNumber
+	Worker requester.HostID
+	Until  time.Time
+}
+
+const (
+	// maxOrderDelay is how long after it was issued an order without an answer may
+	// still be executed.
+	maxOrderDelay = 13 * time.Second
+	// answerTime is after what time without an answer a start is stored as open. The
+	// answer may still come.
+	answerTime = 250 * time.Millisecond
+	// maxClockDifference is how much the clocks of two owners may differ.
+	maxClockDifference = 5 * time.Second
+)
+
+// actsUntil returns the time until which an incarnation of the worker may execute the
+// start of a run that is not settled.
+func (r *run) actsUntil() time.Time { return r.startedAt.Add(maxOrderDelay) }
+
+// nextLifeExpiry returns the time by which every lease has expired that an incarnation
+// of the worker of which this owner hears nothing can have been granted. Orders to an
+// earlier one grant it some: the deadlines in them lie far ahead of its clock.
+func (c *Core) nextLifeExpiry(until time.Time) time.Time {
+	return until.Add(time.Duration(float64(c.options.MaxLease)/minClockRate) + expiryMargin)
+}
+
+// runExpiry returns the time by which a run on a worker that doesn't answer has ended.
+// Unless the present incarnation is known to have it, a later one may.
+func (c *Core) runExpiry(r *run) time.Time {
+	expiry := r.worker.leaseExpiry(c)
+	if r.reported || r.confirmed || r.worker.ended {
+		return expiry
+	}
+	last := r.startedAt
+	if r.worker.grantedAt.After(last) {
+		last = r.worker.grantedAt
+	}
+	if beyond := c.nextLifeExpiry(last.Add(maxOrderDelay)); beyond.After(expiry) {
+		return beyond
+	}
+	return expiry
+}
+
+// settle records that the start of a run is not executed any more.
+func (c *Core) settle(r *run) {
+	r.settled = true
+	if r.task != nil && r.task.open != nil && r.task.open.Run == r.number {
+		c.closeStart(r.task)
+	}
+}
+
+// settleStart settles the start of an order that has been answered, also if its run has
+// been released since.
+func (c *Core) settleStart(r *run, order StartOrder) {
+	if r != nil {
+		c.settle(r)
+		return
+	}
+	if t := c.findTask(order.Task); t != nil && t.open != nil && t.open.Run == order.Run {
+		c.closeStart(t)
+	}
+}
+
+// StartAccepted handles the acceptance of a start by a worker whose clock showed that
+// time then. The clock of each incarnation begins anew: one that shows more than has
+// passed since the present incarnation was known to be alive is that one's.
+func (c *Core) StartAccepted(now time.Time, order StartOrder, clock WorkerTime) {
+	c.StartDone(now, order, OrderAccepted)
+	w, ok := c.workers[order.Worker.HostID]
+	if !ok || !w.reported || !c.addressesCurrent(w, order.Fence) {
+		return
+	}
+	if r := w.runs[runKey{order.Task, order.Run}]; r != nil && clock > WorkerTime(now.Sub(w.answeredPollAt)/time.Millisecond) {
+		r.confirmed = true
+	}
+}
+
+// openStart records that the start of a run is open, unless it is settled.
+func (c *Core) openStart(r *run) {
+	t := r.task
+	if r.settled || t == nil || t.done || !c.now.Before(r.actsUntil()) || t.open != nil && t.open.Run == r.number {
+		return
+	}
+	c.stats.OpenStarts++
+	t.open = &openStart{Run: r.number, Worker: r.worker.info.HostID, Until: r.actsUntil()}
+	c.openTasks = append(c.openTasks, t)
+	c.markDirty(t.step.job())
+}
+
+// storeUnanswered has the starts stored as open that have no answer after answerTime: if
+// the owner is lost before it gives them up, its successor must know of them.
+func (c *Core) storeUnanswered() {
+	for len(c.sentRuns) > 0 && c.now.Sub(c.sentRuns[0].startedAt) >= answerTime {
+		if r := c.sentRuns[0]; r.phase == runStarting && r.worker.runs[runKey{r.name, r.number}] == r {
+			c.openStart(r)
+		}
+		c.sentRuns = c.sentRuns[1:]
+	}
+}
+
+// closeStart records that the open start of a task cannot act any more.
+func (c *Core) closeStart(t *task) {
+	t.open = nil
+	c.openTasks = slices.DeleteFunc(c.openTasks, func(other *task) bool { return other == t })
+	// No worker is freed by this, so a scan of freed workers would not find one.
+	t.step.scannedAt = time.Time{}
+	c.placementPending = true
+	if !t.done && !t.step.job().state.Ended() {
+		c.markDirty(t.step.job())
+	}
+}
+
+// closeStarts closes the open starts that cannot act any more, and forgets those of
+// tasks that have ended.
+func (c *Core) closeStarts() {
+	for _, t := range slices.Clone(c.openTasks) {
+		if t.done || t.step.job().state.Ended() || !c.mayAct(t.open) {
+			c.closeStart(t)
+		}
+	}
+}
+
+// reserveForOpen adds up what the open starts need on each worker.
+func (c *Core) reserveForOpen() {
+	for _, w := range c.sortedWorkers {
+		w.reservedForOpen = requester.Resources{}
+	}
+	for _, t := range c.openTasks {
+		if w := c.workers[t.open.Worker]; w != nil && t.run == nil {
+			w.reservedForOpen = w.reservedForOpen.Add(t.step.def.allocation())
+		}
+	}
+}
+
+// mayAct reports whether the start may be executed, or a run of it may be active of
+// which its worker has not reported.
+func (c *Core) mayAct(open *openStart) bool {
+	until := c.latestExecution(open)
+	if c.now.Before(until) {
+		return true
+	}
+	if w := c.workers[open.Worker]; w != nil && !w.answeredPollAt.Before(until) {
+		return false
+	}
+	return c.now.Before(c.nextLifeExpiry(until))
+}
+
+// latestExecution returns the time until which an open start may be executed, by this
+// owner's clock. That of a previous owner may have differed, but it issued no order
+// after the end of its term.
+func (c *Core) latestExecution(open *openStart) time.Time {
+	if open.Run >= c.firstRun() {
+		return open.Until
+	}
+	until, latest := open.Until.Add(maxClockDifference), c.tookOverAt.Add(c.options.PreviousOwnerTerm+maxOrderDelay)
+	if until.After(latest) {
+		return latest
+	}
+	return until
+}
+
+// restoreOpenStarts takes over the open starts of a job that previous owners have
+// stored.
+func (c *Core) restoreOpenStarts(j *job) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if t.open != nil && !t.done {
+					c.openTasks = append(c.openTasks, t)
+				}
+			}
+		}
+	}
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -20,6 +20,7 @@
 	c.placementPending = false
 	reconciled := c.Reconciled()
 	c.sortByRank(c.open)
+	c.reserveForOpen()
 	c.updateEligible()
 	c.addWanted()
 	c.updateReservations()
@@ -76,11 +77,11 @@
 }
 
 // addWanted adds up what the waiting tasks need, but for those that the last pass
-// left waiting for a trial.
+// left waiting for a trial or an open start.
 func (c *Core) addWanted() {
 	c.wantedMilliCores = 0
 	for _, s := range c.open {
-		if s.wait.reason != WaitTrial {
+		if s.wait.reason != WaitTrial && s.wait.reason != WaitOpenStart {
 			c.wantedMilliCores += int64(s.waiting) * s.def.allocation().MilliCores
 		}
 	}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -100,6 +100,7 @@
 	w.nextPollAt = c.now.Add(pollRetryInterval)
 	for _, r := range w.sortedRuns() {
 		c.stats.Lapsed++
+		c.settle(r) // what is sent to the address is for another host ID
 		c.releaseLost(r, "its worker's incarnation ended")
 	}
 	w.ended = true
@@ -136,6 +137,9 @@
 		}
 	}
 	c.reconcileRuns(w, order, report)
+	if !report.Partial {
+		w.answeredPollAt = order.SentAt
+	}
 	c.noteEndsListed(w, report)
 	c.updateSpeed(w)
 	c.stopStalled(w)
@@ -278,6 +282,7 @@
 		r.countStarted()
 	}
 	r.reported = true
+	c.settle(r)
 	r.checkpoint = running.Checkpoint
 	r.recordPercent(c.now, running.Percent)
 	c.clearRun(r)
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -136,6 +136,8 @@
 	noted *notedStart
 	// run is the run that is active, or may be; nil for none.
 	run *run
+	// open is the open start of the task; nil for none.
+	open *openStart
 }
 
 func (j *job) name() requester.JobID { return j.spec.JobID }
--- a/scheduler/recover.go
+++ b/scheduler/recover.go
@@ -70,6 +70,7 @@
 		j.cuts = append(j.cuts, details[i].first)
 		j.restoreDetails(details[i].row)
 	}
+	c.restoreOpenStarts(j)
 	if c.options.PreviousOwnerEager {
 		c.markStartable(j)
 	}
--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -113,7 +113,7 @@
 // lack of capacity, and is not in its cool-down. One that waits for a trial had room
 // when it was last considered.
 func (c *Core) needsReservation(s *step) bool {
-	if !s.open || !s.def.Gang || s.def.SameRack || s.waiting < len(s.tasks) || c.now.Before(s.reserveAfter) || s.wait.reason == WaitTrial {
+	if !s.open || !s.def.Gang || s.def.SameRack || s.waiting < len(s.tasks) || c.now.Before(s.reserveAfter) || s.wait.reason == WaitTrial || s.wait.reason == WaitOpenStart {
 		return false
 	}
 	advised := s.job().spec.Advice == nil || len(s.advice.tickets) > 0
--- a/scheduler/row.go
+++ b/scheduler/row.go
@@ -63,9 +63,11 @@
 // is stored as its calmProgress alone.
 type stepProgress struct {
 	calmProgress
-	// Crashes are the crashes under each task, Noted the starts that may become some.
+	// Crashes are the crashes under each task, Noted the starts that may become some,
+	// Open the starts that may still be executed.
 	Crashes map[int][]crash
 	Noted   map[int]notedStart
+	Open    map[int]openStart
 }
 
 // calmProgress is the progress of a step under which no worker has crashed. It
@@ -100,9 +102,20 @@
 	Noted   map[int]notedStart
 }
 
+// openProgress is the stored form of a stepProgress with open starts.
+type openProgress struct {
+	_       struct{} `cbor:",toarray"`
+	Calm    calmProgress
+	Crashes map[int][]crash
+	Noted   map[int]notedStart
+	Open    map[int]openStart
+}
+
 // MarshalCBOR encodes the progress of a step.
 func (p stepProgress) MarshalCBOR() ([]byte, error) {
 	switch {
+	case len(p.Open) > 0:
+		return rowEncoding.Marshal(openProgress{Calm: p.calmProgress, Crashes: p.Crashes, Noted: p.Noted, Open: p.Open})
 	case len(p.Noted) > 0:
 		return rowEncoding.Marshal(notedProgress{Calm: p.calmProgress, Crashes: p.Crashes, Noted: p.Noted})
 	case len(p.Crashes) > 0:
@@ -111,12 +124,12 @@
 	return rowEncoding.Marshal(p.calmProgress)
 }
 
-// crashedProgressHeader and notedProgressHeader are the first bytes of an encoded
-// crashedProgress and notedProgress, arrays of two and three items. A calmProgress has
-// five.
+// These are the first bytes of an encoded crashedProgress, notedProgress and
+// openProgress, arrays of two to four items. A calmProgress has five.
 const (
 	crashedProgressHeader = 0x82
 	notedProgressHeader   = 0x83
+	openProgressHeader    = 0x84
 )
 
 // UnmarshalCBOR decodes the progress of a step.
@@ -139,6 +152,12 @@
 			return errors.Wrap(err, "decode the progress of a step with noted starts")
 		}
 		p.calmProgress, p.Crashes, p.Noted = noted.Calm, noted.Crashes, noted.Noted
+	case openProgressHeader:
+		var open openProgress
+		if err := rowDecoding.Unmarshal(data, &open); err != nil {
+			return errors.Wrap(err, "decode the progress of a step with open starts")
+		}
+		p.calmProgress, p.Crashes, p.Noted, p.Open = open.Calm, open.Crashes, open.Noted, open.Open
 	default:
 		return errors.Wrap(rowDecoding.Unmarshal(data, &p.calmProgress), "decode the progress of a step")
 	}
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -45,6 +45,11 @@
 	// has reported the run.
 	startFence Fence
 	reported   bool
+	// settled is true once no incarnation of the worker executes the start any more:
+	// it was answered, or the run was reported.
+	settled bool
+	// confirmed is true if the worker's present incarnation has accepted the start.
+	confirmed bool
 	// expectedEnd is when the run should end, by the expected duration or by
 	// its progress.
 	expectedEnd time.Time
@@ -143,6 +148,9 @@
 		return
 	}
 	r, ok := w.runs[runKey{order.Task, order.Run}]
+	if result != OrderUnknown {
+		c.settleStart(r, order)
+	}
 	if !ok || !c.addressesCurrent(w, order.Fence) || r.phase != runStarting && r.phase != runStopping {
 		return
 	}
@@ -161,6 +169,7 @@
 		if r.phase == runStarting {
 			r.phase = runUnacknowledged
 		}
+		c.openStart(r)
 		c.noteSilent(w)
 		w.unanswered++
 		w.nextPollAt = now
@@ -223,6 +232,7 @@
 	if t.done {
 		return
 	}
+	c.openStart(r)
 	t.step.waiting++
 	if r.checkpoint != "" && t.step.def.Checkpointing {
 		c.setCheckpoint(t, r.checkpoint)
@@ -299,6 +309,9 @@
 			continue
 		}
 		for _, r := range w.sortedRuns() {
+			if c.now.Before(c.runExpiry(r)) {
+				continue
+			}
 			c.stats.Lapsed++
 			c.log(LogRecord{Job: r.name.Job, Task: r.name, Run: r.number, Worker: w.info.HostID, Event: "lease lapsed"})
 			c.releaseLost(r, "its lease expired")
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -33,10 +33,16 @@
 // hold has expired. A start without a response is unacknowledged: the worker
 // may have executed it, or may still do so. If the worker's next report
 // contains the run, the run continues. If it does not, and the poll was sent
-// with a higher fence than the start, the worker rejects the start from then on,
-// and the task starts again. Otherwise the run is stopped, and the task starts
-// again once the worker has acknowledged the stop and the response to a later
-// poll does not contain the run, or once the lease has expired.
+// with a higher fence than the start, the worker's present incarnation rejects the
+// start from then on, and the run is released. Otherwise the run is stopped, and
+// released once the worker has acknowledged the stop and the response to a later
+// poll does not contain it.
+//
+// What an incarnation has shown ends with it: the next one under the same host ID may
+// execute the start all the same. So the start stays open until no order of its time
+// can arrive any more and the worker has answered since, or the longest lease has
+// expired as well. Until then its task doesn't start again, its room on the worker
+// isn't used, and the stored rows say so to a successor.
 //
 // # Durability and takeover
 //
--- a/scheduler/start.go
+++ b/scheduler/start.go
@@ -43,6 +43,7 @@
 	w.lasting = w.lasting.Add(r.lastingNeed())
 	w.filling += r.countFilling()
 	c.consumeUnreserved(s, w)
+	c.sentRuns = append(c.sentRuns, r)
 	c.stats.Starts++
 	c.orders.Starts = append(c.orders.Starts, StartOrder{
 		Worker:     w.ref(),
@@ -69,6 +70,8 @@
 		return "the task is done"
 	case c.mayRun(t):
 		return "the task may be running"
+	case t.open != nil:
+		return "an earlier start of the task may still be executed"
 	case s.job().state.Ended():
 		return "the job has ended"
 	case !s.occurrence.predecessorsDone(s):
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -50,6 +50,10 @@
 	// WaitRefused means that the store has refused the job's rows as invalid: until it
 	// takes them, or the job is given up.
 	WaitRefused
+	// WaitOpenStart means that an earlier start of a task, or of a member of a gang,
+	// may still be executed: until an order that is late has arrived and the worker
+	// has answered, or the longest lease has expired as well.
+	WaitOpenStart
 	waitReasons
 )
 
--- a/scheduler/waitreason_string.go
+++ b/scheduler/waitreason_string.go
@@ -19,12 +19,13 @@
 	_ = x[WaitTrial-8]
 	_ = x[WaitRack-9]
 	_ = x[WaitRefused-10]
-	_ = x[waitReasons-11]
+	_ = x[WaitOpenStart-11]
+	_ = x[waitReasons-12]
 }
 
-const _WaitReason_name = "NothingRoomAdviceStartRecordUnknownRunsEarlierRunCrashRecordPauseTrialRackRefusedwaitReasons"
+const _WaitReason_name = "NothingRoomAdviceStartRecordUnknownRunsEarlierRunCrashRecordPauseTrialRackRefusedOpenStartwaitReasons"
 
-var _WaitReason_index = [...]uint8{0, 7, 11, 17, 28, 39, 49, 60, 65, 70, 74, 81, 92}
+var _WaitReason_index = [...]uint8{0, 7, 11, 17, 28, 39, 49, 60, 65, 70, 74, 81, 90, 101}
 
 func (i WaitReason) String() string {
 	idx := int(i) - 0
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -45,6 +45,9 @@
 	bornFence  Fence
 	runs       map[runKey]*run
 	allocated  requester.Resources
+	// reservedForOpen is what the open starts need whose runs were released, as of the
+	// last placement pass: the worker's next incarnation may have them already.
+	reservedForOpen requester.Resources
 	// lasting is the part of allocated that tasks that last occupy.
 	lasting requester.Resources
 	// clock is a reading of the worker's clock, taken no later than clockAt.
@@ -53,6 +56,11 @@
 	// leaseDeadline is the latest deadline of a lease that the worker can have
 	// been granted, on its own clock.
 	leaseDeadline WorkerTime
+	// grantedAt is when the last order was issued that granted a lease.
+	// answeredPollAt is when the last poll was issued to which the worker has
+	// responded with a whole report.
+	grantedAt      time.Time
+	answeredPollAt time.Time
 	// unreportedSince is the time since which the current incarnation has not
 	// reported to this owner: the takeover or the observed restart.
 	unreportedSince time.Time
@@ -149,8 +157,10 @@
 // those of its present runs are to be among them.
 const maxKeptEnds = 250
 
-// available returns the resources that no run occupies.
-func (w *worker) available() requester.Resources { return w.info.Total.Sub(w.allocated) }
+// available returns the resources that no run occupies, and no open start may.
+func (w *worker) available() requester.Resources {
+	return w.info.Total.Sub(w.allocated).Sub(w.reservedForOpen)
+}
 
 // clockEstimate estimates the worker's clock at now from its last reading, as
 // if that had been taken at clockAt and the clock ran at the owner's rate.
@@ -207,6 +217,7 @@
 	}
 	deadline := c.latestDeadline(w)
 	w.leaseDeadline = max(w.leaseDeadline, deadline)
+	w.grantedAt = c.now
 	return deadline
 }
 
@@ -223,6 +234,7 @@
 	if deadline < now+WorkerTime(minStartLease/time.Millisecond) {
 		return c.grantLease(w)
 	}
+	w.grantedAt = c.now
 	return deadline
 }
 
@@ -372,7 +384,7 @@
 	w.health = health{}
 	w.speedAt = time.Time{}
 	for _, r := range w.sortedRuns() {
-		if r.reported {
+		if r.reported || r.confirmed {
 			c.stats.Lapsed++
 			c.releaseLost(r, "its worker restarted")
 			continue
