Pooler: a request that is given up resets its connection

Cause (one of several that are looked into): an order that is given up by its deadline closed its connection in the ordinary way. What the kernel still held for a worker that was dark or behind a cut was delivered later, perhaps to the worker's next life, which can't tell that the order was meant for an earlier one.

Change: the connections of the pooler, which carry the orders to workers, the transactions of the store and the calls to endpoints, have linger 0 from the moment they are opened, so that every close resets them. So do those of the keeper's own client of the table. One dialer does it, no caller checks anything. A reset of each close loses nothing: a connection is closed when it is idle, after a whole response, or to give a request up.

Why it works: with linger 0 a close discards the send buffer and sends a reset instead of the rest. What the other host's kernel has accepted can't be taken back.

--- a/keeper/table.go
+++ b/keeper/table.go
@@ -26,6 +26,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"kumquatstall/pooler"
 )
 
 // Row is one row of the table.
@@ -116,7 +118,7 @@
 var _ Table = (*httpTable)(nil)
 
 func newHTTPTable(address netip.AddrPort) *httpTable {
-	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
+	transport := &http.Transport{DialContext: (&pooler.Dialer{}).DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
 	return &httpTable{client: &http.Client{Transport: transport}, address: address}
 }
 
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -9,6 +9,12 @@
 // the late request. Those in flight on the retired transport go on until their own
 // timeouts, and take no place from those of the new one. Other addresses are not
 // affected.
+//
+// A request that is given up may still be on its way: its bytes wait in this host's
+// kernel while the other host can't be reached. After an ordinary close the kernel
+// would deliver them later, perhaps to a process that has taken the place of the one
+// for which they were meant. So a close resets the connection, which discards them. See
+// Dialer.
 package pooler
 
 import (
@@ -37,7 +43,7 @@
 // Pooler has the connections to each address. It is safe for concurrent use.
 type Pooler struct {
 	options Options
-	dialer  *net.Dialer
+	dialer  *Dialer
 
 	mu        sync.Mutex
 	byAddress map[netip.AddrPort]*pool
@@ -56,11 +62,38 @@
 func New(options Options) *Pooler {
 	return &Pooler{
 		options:   options,
-		dialer:    &net.Dialer{Timeout: options.DialTimeout},
+		dialer:    &Dialer{net.Dialer{Timeout: options.DialTimeout}},
 		byAddress: make(map[netip.AddrPort]*pool),
 	}
 }
 
+// Dialer opens TCP connections whose close resets them, so that the bytes that the
+// other host's kernel has not accepted are discarded. It is for connections on which
+// each request has a response, and which are closed when they are idle, after a whole
+// response, or to give up a request: then a reset loses nothing that is still wanted.
+type Dialer struct{ net.Dialer }
+
+// DialContext opens a connection.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := d.Dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "open connection to %s", address)
+	}
+	if err := resetOnClose(conn); err != nil {
+		return nil, errors.CombineErrors(errors.Wrapf(err, "open connection to %s", address), conn.Close())
+	}
+	return conn, nil
+}
+
+// resetOnClose makes the close of a TCP connection reset it.
+func resetOnClose(conn net.Conn) error {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return errors.Newf("connection is a %T, which can't be reset", conn)
+	}
+	return errors.Wrap(tcp.SetLinger(0), "set linger")
+}
+
 // Client returns the client for a request to an address. All of its connections
 // were opened after the given time; a zero time is before all others.
 func (p *Pooler) Client(address netip.AddrPort, after time.Time) *http.Client {
