Scheduler: a start that was never sent frees its task at once

Callers saw tasks wait for seconds, until a lease had expired, when the process of a worker was gone and its host refused connections, although there was room beside; and each such start counted as one that the worker's next life might carry out.

Cause: Client.sendOrder mapped every error to scheduler.OrderUnknown, also errNotSent, which proves that no connection was obtained and so no byte was sent.

Change: a new result, OrderUnsent. For a start, the worker counts as unresponsive as with OrderUnknown, but the run is released, as no life of the worker executes it: the task starts elsewhere with the next tick, the other members of its gang are stopped as when a start is rejected, and the fence stays as it is. The run is released before the silence is noted, so that it neither counts as a crash nor explains the silence. A start that was meant for a former life is released too, and does not make the present one unresponsive. A run that the worker has reported stays, whatever the result says. For stops and polls, OrderUnsent is handled as OrderUnknown. It counts as Rejected ("starts that were not executed"), with the log record "start not sent".

Why it works: the transport writes a request only to a connection that it has reported by GotConn, and errNotSent says that there was no such report; each run number is sent in one start order only.

--- a/scheduler/orderresult_string.go
+++ b/scheduler/orderresult_string.go
@@ -18,11 +18,12 @@
 	_ = x[OrderRefused-7]
 	_ = x[OrderInvalid-8]
 	_ = x[OrderOtherIncarnation-9]
+	_ = x[OrderUnsent-10]
 }
 
-const _OrderResult_name = "UnknownAcceptedFencedOldLateNoRoomNoTicketRefusedInvalidOtherLife"
+const _OrderResult_name = "UnknownAcceptedFencedOldLateNoRoomNoTicketRefusedInvalidOtherLifeUnsent"
 
-var _OrderResult_index = [...]uint8{0, 7, 15, 21, 24, 28, 34, 42, 49, 56, 65}
+var _OrderResult_index = [...]uint8{0, 7, 15, 21, 24, 28, 34, 42, 49, 56, 65, 71}
 
 func (i OrderResult) String() string {
 	idx := int(i) - 0
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -80,7 +80,7 @@
 		c.noteSilent(w)
 		w.unanswered++
 		w.nextPollAt = now.Add(pollRetryInterval)
-		if result == OrderUnknown {
+		if result == OrderUnknown || result == OrderUnsent {
 			c.raiseGeneration(w)
 		}
 	}
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -130,7 +130,7 @@
 		c.rejectedByFence(w, order.Fence)
 	case OrderOtherIncarnation:
 		c.endIncarnation(w, order.Worker)
-	case OrderUnknown:
+	case OrderUnknown, OrderUnsent:
 		c.raiseGeneration(w)
 	}
 }
@@ -143,6 +143,10 @@
 		return
 	}
 	r, ok := w.runs[runKey{order.Task, order.Run}]
+	if ok && result == OrderUnsent {
+		c.startUnsent(r, order)
+		return
+	}
 	if !ok || !c.addressesCurrent(w, order.Fence) || r.phase != runStarting && r.phase != runStopping {
 		return
 	}
@@ -161,9 +165,7 @@
 		if r.phase == runStarting {
 			r.phase = runUnacknowledged
 		}
-		c.noteSilent(w)
-		w.unanswered++
-		w.nextPollAt = now
+		c.noteUnanswered(w)
 		c.raiseGeneration(w)
 		return
 	case OrderFenced:
@@ -180,6 +182,29 @@
 	c.releaseLost(r, "start was rejected")
 }
 
+// startUnsent handles a start that was never sent. Whichever incarnation of the worker it
+// was meant for, none executes it.
+func (c *Core) startUnsent(r *run, order StartOrder) {
+	w := r.worker
+	if r.acknowledgedAt.IsZero() {
+		c.stats.Rejected++
+		c.log(LogRecord{Job: order.Task.Job, Task: order.Task, Run: order.Run, Worker: w.info.HostID, Event: "start not sent"})
+		c.releaseLost(r, "its start was not sent")
+	}
+	// The run is released before, so that it doesn't explain why the worker is silent.
+	if c.addressesCurrent(w, order.Fence) {
+		c.noteUnanswered(w)
+	}
+}
+
+// noteUnanswered counts a start without an answer: the worker is unresponsive, and is
+// polled at once.
+func (c *Core) noteUnanswered(w *worker) {
+	c.noteSilent(w)
+	w.unanswered++
+	w.nextPollAt = c.now
+}
+
 // countStarted counts a run that its worker is known to have started.
 func (r *run) countStarted() {
 	if r.task != nil && r.task.run == r {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -257,7 +257,8 @@
 
 // The results of orders.
 const (
-	// OrderUnknown means that no response was received. The worker may have
+	// OrderUnknown means that no response was received although something may have
+	// been sent. The worker may have
 	// executed the order, or may still do so.
 	OrderUnknown OrderResult = iota
 	OrderAccepted
@@ -280,6 +281,9 @@
 	// OrderOtherIncarnation means that another incarnation responded at the
 	// address, so that the addressed one has ended.
 	OrderOtherIncarnation // OtherLife
+	// OrderUnsent means that no byte of the order was sent, so that the worker
+	// never executes it.
+	OrderUnsent
 )
 
 // Ticket is the advice service's permission for a worker to run a step, valid
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -414,13 +414,13 @@
 		sim.send(order.Worker, func(f *fakeWorker) func() {
 			report, result := f.poll(order)
 			return func() { core.PollDone(sim.now, order, report, result) }
-		}, func() { core.PollDone(sim.now, order, nil, OrderUnknown) }, core, sim.options.latePolls)
+		}, func(result OrderResult) { core.PollDone(sim.now, order, nil, result) }, core, sim.options.latePolls)
 	}
 	for _, order := range orders.Stops {
 		sim.send(order.Worker, func(f *fakeWorker) func() {
 			result := f.stop(order)
 			return func() { core.StopDone(sim.now, order, result) }
-		}, func() { core.StopDone(sim.now, order, OrderUnknown) }, core, sim.options.delayedOrders)
+		}, func(result OrderResult) { core.StopDone(sim.now, order, result) }, core, sim.options.delayedOrders)
 	}
 	issuedAt := sim.now
 	for _, order := range orders.Starts {
@@ -428,13 +428,13 @@
 			f.room.issuedAt = issuedAt
 			result := f.start(order)
 			return func() { core.StartDone(sim.now, order, result) }
-		}, func() { core.StartDone(sim.now, order, OrderUnknown) }, core, sim.options.delayedOrders)
+		}, func(result OrderResult) { core.StartDone(sim.now, order, result) }, core, sim.options.delayedOrders)
 	}
 }
 
 // send delivers an order to a worker and its response to the core. The order is
-// late with the given probability.
-func (sim *simulation) send(to WorkerRef, do func(*fakeWorker) func(), fail func(), core *Core, late float64) {
+// late with the given probability. A host that refuses connections is sent no byte of it.
+func (sim *simulation) send(to WorkerRef, do func(*fakeWorker) func(), fail func(OrderResult), core *Core, late float64) {
 	r := sim.random
 	index := slices.IndexFunc(sim.workers, func(f *fakeWorker) bool { return f.info.HostID == to.HostID })
 	f := sim.workers[index]
@@ -445,28 +445,29 @@
 			reply()
 		}
 	}
+	noAnswer := func() { fail(OrderUnknown) }
 	if late > 0 && r.Float64() < late {
 		sim.after(time.Duration(2000+r.IntN(10000))*time.Millisecond, func() {
 			if !f.crashed {
 				do(f)
 			}
 		})
-		sim.after(700*time.Millisecond, func() { respond(fail) })
+		sim.after(700*time.Millisecond, func() { respond(noAnswer) })
 		return
 	}
 	lost := r.Float64() < sim.options.lostResponses
 	sim.after(outbound, func() {
 		if f.refuses && !sim.now.Before(f.partitionedUntil) {
-			sim.after(inbound, func() { respond(fail) })
+			sim.after(inbound, func() { respond(func() { fail(OrderUnsent) }) })
 			return
 		}
 		if f.crashed || f.hides(core) {
-			sim.after(700*time.Millisecond, func() { respond(fail) })
+			sim.after(700*time.Millisecond, func() { respond(noAnswer) })
 			return
 		}
 		reply := do(f)
 		if lost {
-			sim.after(700*time.Millisecond, func() { respond(fail) })
+			sim.after(700*time.Millisecond, func() { respond(noAnswer) })
 			return
 		}
 		sim.after(inbound, func() { respond(reply) })
