Stand-in: a worker's next life carries out what was late for the former one

Cause in our tests: the stand-in dropped a late order that was meant for a former incarnation unless the present one had heard of an owner before, and dropped every late order whose worker was down or behind a cut when it was due. The users' page says that a call without a response may be executed seconds later, and that a worker that starts again under its id knows nothing of before; nothing on it says that such a call is lost. So the soak could not play what the users saw.

Change: a late order is carried out by whichever incarnation is up. One that finds the worker down waits for its next incarnation, up to the longest delay. A cut keeps back only what was sent into it, as the worker has the rest. SetOrdersLate makes the orders to one worker late, for soaks.

--- a/standin/cellfaults.go
+++ b/standin/cellfaults.go
@@ -30,7 +30,7 @@
 	StoreDelay time.Duration
 	// OrdersLate is the share, from 0 to 1, of the orders that get no response and
 	// that the worker executes minOrderDelay to maxOrderDelay later, also if it
-	// has restarted by then.
+	// has restarted or is partitioned by then.
 	OrdersLate float64
 	// WorkerRowsExpired makes the list of workers empty, as if the workers had
 	// stopped renewing their rows.
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -86,6 +86,8 @@
 	bootedAt    time.Time
 	down        bool
 	partitioned bool
+	// ordersLate is the share of the orders that are late.
+	ordersLate float64
 	// fence is the highest fence received by this incarnation.
 	fence         scheduler.Fence
 	leaseDeadline time.Time
@@ -130,12 +132,19 @@
 	return !w.down && !w.partitioned
 }
 
-// knows reports whether the incarnation that booted at sentTo is still up, or the
-// present one has received a fence.
-func (w *TaskWorker) knows(sentTo time.Time) bool {
+// SetOrdersLate sets the share, from 0 to 1, of the orders to this worker that are late,
+// as CellFaults.OrdersLate does for all workers.
+func (w *TaskWorker) SetOrdersLate(share float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.bootedAt.Equal(sentTo) || w.fence > 0
+	w.ordersLate = share
+}
+
+// orderLateness returns the share of the orders that are late.
+func (w *TaskWorker) orderLateness() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ordersLate
 }
 
 // SetPartitioned starts or ends a network partition, during which the worker's
