Stand-in: a start that is rejected as old extends the lease

Cause in our tests: the stand-in's worker took the deadline of a start that it accepted only.

Change: the deadline of a start that is not fenced off and not past extends the lease, also if the run is there already or is old.

Evidence: the cases "old" and "again" of TestRejectedStartExtendsLease failed before.

--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -237,7 +237,8 @@
 }
 
 // Start executes an order to start a run. A repeated order for a run that is
-// running is accepted without effect. A run that does not fit the free capacity is
+// running is accepted without effect but on the lease, which an order that is rejected as
+// stale extends as well. A run that does not fit the free capacity is
 // started nevertheless and recorded as a violation.
 func (w *TaskWorker) Start(order scheduler.StartOrder, now time.Time) scheduler.OrderResult {
 	w.mu.Lock()
@@ -246,18 +247,16 @@
 	if !w.acceptFence(order.Fence) {
 		return scheduler.OrderFenced
 	}
-	for _, run := range w.running {
-		if run.Task == order.Task && run.Run == order.Run {
-			return scheduler.OrderAccepted
-		}
+	if order.Deadline <= w.clock(now) {
+		return w.startExpired(order)
+	}
+	w.renewLease(order.Deadline, now)
+	if w.isRunning(order.Task, order.Run) {
+		return scheduler.OrderAccepted
 	}
 	if order.Run <= w.staleThrough[order.Task] {
 		return scheduler.OrderStaleRun
 	}
-	if order.Deadline <= w.clock(now) {
-		return scheduler.OrderExpired
-	}
-	w.renewLease(order.Deadline, now)
 	spec, need := parsePayload(order.Payload)
 	run := &RunRecord{Worker: w.info.HostID, Task: order.Task, Run: order.Run, Need: need, StartedAt: now, Pace: 100, incarnation: w.bootedAt, EndsAt: now.Add(time.Duration(spec.Millis) * time.Millisecond), fails: spec.Fails}
 	w.running = append(w.running, run)
@@ -272,6 +271,22 @@
 	return scheduler.OrderAccepted
 }
 
+// startExpired returns the result of an order to start a run whose deadline has passed.
+func (w *TaskWorker) startExpired(order scheduler.StartOrder) scheduler.OrderResult {
+	switch {
+	case w.isRunning(order.Task, order.Run):
+		return scheduler.OrderAccepted
+	case order.Run <= w.staleThrough[order.Task]:
+		return scheduler.OrderStaleRun
+	}
+	return scheduler.OrderExpired
+}
+
+// isRunning reports whether a run is running.
+func (w *TaskWorker) isRunning(task scheduler.TaskName, number scheduler.RunNumber) bool {
+	return slices.ContainsFunc(w.running, func(run *RunRecord) bool { return run.Task == task && run.Run == number })
+}
+
 // Pace executes an order to set the pace of a run. It is recorded, and changes nothing else.
 func (w *TaskWorker) Pace(order scheduler.PaceOrder, now time.Time) scheduler.OrderResult {
 	w.mu.Lock()
--- a/standin/taskworker_test.go
+++ b/standin/taskworker_test.go
@@ -78,6 +78,45 @@
 	}
 }
 
+// TestRejectedStartExtendsLease guards against a stand-in whose runs lapse earlier than a
+// worker's may: a start that is rejected as old carries a deadline for all that runs.
+func TestRejectedStartExtendsLease(t *testing.T) {
+	tests := []struct {
+		name  string
+		order func() scheduler.StartOrder
+		want  scheduler.OrderResult
+		lapse time.Duration
+	}{
+		{"old", func() scheduler.StartOrder { return startOrder(testTask, 1, 5*time.Second) }, scheduler.OrderStaleRun, 5 * time.Second},
+		{"again", func() scheduler.StartOrder { return startOrder(longTask, 1, 5*time.Second) }, scheduler.OrderAccepted, 5 * time.Second},
+		{"fence", func() scheduler.StartOrder {
+			order := startOrder(testTask, 1, 5*time.Second)
+			order.Fence = 0
+			return order
+		}, scheduler.OrderFenced, 2 * time.Second},
+		{"late", func() scheduler.StartOrder { return startOrder(testTask, 2, 0) }, scheduler.OrderExpired, 2 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			w, _ := testWorkers(now)
+			long := startOrder(longTask, 1, 2*time.Second)
+			long.Payload = RunSpec{Millis: 60_000}.Payload(requester.Resources{MilliCores: 1})
+			is.Equal(w.Start(long, now), scheduler.OrderAccepted)
+			is.Equal(w.Stop(scheduler.StopOrder{Task: testTask, Run: 1, Fence: 1}, now), scheduler.OrderAccepted)
+			is.Equal(w.Start(test.order(), now), test.want)
+			runs, _ := w.Runs(now.Add(time.Minute))
+			is.Equal(len(runs), 1)
+			is.Equal(runs[0].Kind, scheduler.EndExpired)
+			is.Equal(runs[0].EndedAt.Sub(w.bootedAt), test.lapse)
+		})
+	}
+}
+
+// longTask is another task than testTask.
+var longTask = scheduler.TaskName{StepName: scheduler.StepName{Job: "fedcba9876543210"}}
+
 // A poll acknowledged ends of runs that ended while its response waited.
 func TestPollAcknowledgesOnArrival(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
