Stand-in: the list of workers shows a former life for a while

Cause in our tests: the list of workers of the stand-in showed at once that a worker was down, and the birth of its next incarnation from the moment of its start. The soak never played that.

Change: Cell.Heartbeat, which the soak sets to the heartbeat of its rooms. An incarnation writes its first row within a heartbeat of its start; until then, or until it expires, the list has the row of the former one.

Evidence: TestListShowsFormerIncarnation failed with a list that ignores the heartbeat.

--- a/standin/cell.go
+++ b/standin/cell.go
@@ -47,6 +47,10 @@
 	// workers and the advice service. An order reaches its worker after half of
 	// it, and the response to an order is not delayed.
 	Latency time.Duration
+	// Heartbeat is the interval at which a worker writes its row in the list of workers;
+	// see TaskWorker.Listed. With 0 the list shows at once that a worker is down or has
+	// started again. Set it before the first call.
+	Heartbeat time.Duration
 }
 
 // NewCell returns a cell with workers that boot now. The seed determines which
@@ -346,7 +350,7 @@
 	c.mu.Unlock()
 	var infos []scheduler.WorkerInfo
 	for _, w := range c.Workers() {
-		if info, up := w.Info(); up && !expired {
+		if info, listed := w.Listed(time.Now(), c.Heartbeat); listed && !expired {
 			infos = append(infos, info)
 		}
 	}
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -86,6 +86,10 @@
 	bootedAt    time.Time
 	down        bool
 	partitioned bool
+	// crashedAt is when the last incarnation before this one crashed, and former is what
+	// its row in the list of workers contains. Zero if there was none.
+	crashedAt time.Time
+	former    scheduler.WorkerInfo
 	// ordersLate is the share of the orders that are late.
 	ordersLate float64
 	// fence is the highest fence received by this incarnation.
@@ -124,6 +128,31 @@
 	return w.info, !w.down
 }
 
+// missedBeats is after how many heartbeats of silence a worker's row expires.
+const missedBeats = 3
+
+// Listed returns what the list of workers contains on the worker, and whether it is on the
+// list, if it writes its row once per heartbeat. So the row of an incarnation that crashed
+// stays until the next one writes its first, or until it expires. With heartbeat 0 it is
+// Info.
+func (w *TaskWorker) Listed(now time.Time, heartbeat time.Duration) (scheduler.WorkerInfo, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.down && !now.Before(w.bootedAt.Add(firstBeat(w.bootedAt, heartbeat))) {
+		return w.info, true
+	}
+	return w.former, now.Before(w.crashedAt.Add(missedBeats * heartbeat))
+}
+
+// firstBeat returns how long after its start an incarnation first writes its row: at most
+// a heartbeat, which depends on nothing but the time of its start.
+func firstBeat(bootedAt time.Time, heartbeat time.Duration) time.Duration {
+	if heartbeat < time.Millisecond {
+		return 0
+	}
+	return time.Duration(bootedAt.UnixMilli()%heartbeat.Milliseconds()) * time.Millisecond
+}
+
 // Reachable reports whether orders reach the worker: it is up and not
 // partitioned.
 func (w *TaskWorker) Reachable() bool {
@@ -171,6 +200,9 @@
 	for _, run := range w.running {
 		run.EndedAt, run.Kind = now, scheduler.EndUnknown
 	}
+	if !w.down {
+		w.crashedAt, w.former = now, w.info
+	}
 	w.down, w.running, w.unacknowledgedEnds = true, nil, nil
 }
 
--- a/standin/taskworker_test.go
+++ b/standin/taskworker_test.go
@@ -78,6 +78,42 @@
 	}
 }
 
+// TestListShowsFormerIncarnation guards against a stand-in whose list of workers shows at
+// once what a worker has become: its row is that of the former incarnation until the next
+// one writes its first, or until it expires.
+func TestListShowsFormerIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const heartbeat = 1500 * time.Millisecond
+		cell := NewCell(1, CellWorkers("service", 1, requester.Resources{MilliCores: 8000}))
+		platform := cell.PlatformFor("entry")
+		w := cell.Workers()[0]
+		list := func() []scheduler.WorkerInfo {
+			infos, err := platform.ListWorkers(context.Background())
+			is.NoErr(err)
+			return infos
+		}
+		first, _ := w.Info()
+		w.Crash(time.Now())
+		is.Equal(len(list()), 0) // without heartbeats
+		cell.Heartbeat = heartbeat
+		is.Equal(list(), []scheduler.WorkerInfo{first})
+		time.Sleep(time.Second)
+		w.Restart(time.Now())
+		second, _ := w.Info()
+		beat := second.BootedAt.UnixMilli() % heartbeat.Milliseconds()
+		is.True(beat > 100)
+		is.Equal(list(), []scheduler.WorkerInfo{first})
+		time.Sleep(time.Duration(beat) * time.Millisecond)
+		is.Equal(list(), []scheduler.WorkerInfo{second})
+		w.Crash(time.Now())
+		time.Sleep(missedBeats*heartbeat - 100*time.Millisecond)
+		is.Equal(list(), []scheduler.WorkerInfo{second})
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(len(list()), 0)
+	})
+}
+
 // TestRejectedStartExtendsLease guards against a stand-in whose runs lapse earlier than a
 // worker's may: a start that is rejected as old carries a deadline for all that runs.
 func TestRejectedStartExtendsLease(t *testing.T) {
