Placer: a sync names the incarnation that is to carry it out

What callers could see: two runs of one task at once, or a worker with more tasks than it has room for, on the product's own workers.

Cause: a sync that got no answer may be carried out seconds later, and its worker may have started again by then. So a start that had long been settled (carried out, lost with its incarnation, started elsewhere) ran again, and a lease lasted longer than the holder counted.

Change: a sync carries Boot, the incarnation for which it is meant, and any other one takes over the epoch, reports in full and does nothing else. The first sync to an incarnation therefore grants nothing; the holder sends what it contained again at once, now under the right Boot, and counts a lease of an earlier holder from that report. A start is queued again only while its task is bound to the worker.

--- a/decider/randomised_test.go
+++ b/decider/randomised_test.go
@@ -54,6 +54,7 @@
 	s := newSimulation(t, seed)
 	s.mutate = mutate
 	s.advance(6 * time.Second)
+	s.startRebirths()
 	for step := range steps {
 		s.step(step)
 		s.advance(100 * time.Millisecond)
--- a/decider/simulation_test.go
+++ b/decider/simulation_test.go
@@ -16,6 +16,7 @@
 	"kumquatstall/encoder"
 	"kumquatstall/keeper"
 	"kumquatstall/leaser"
+	"kumquatstall/placer"
 	"kumquatstall/requester"
 	"kumquatstall/router"
 	"kumquatstall/standin"
@@ -54,6 +55,7 @@
 	partitioned map[[2]int]bool
 	// workerUnreachableUntil is when a worker becomes reachable again.
 	workerUnreachableUntil map[requester.HostID]time.Time
+	lives                  workerLives
 	faultKinds             []int
 	faults                 faultRates
 	faultsEnded            bool
@@ -176,6 +178,7 @@
 		workerUnreachableUntil: make(map[requester.HostID]time.Time),
 	}
 	s.faultKinds = drawFaultKinds(s.random)
+	s.lives = newWorkerLives(seed)
 	for index := range testDataCentres {
 		s.addHosts(index)
 	}
@@ -221,6 +224,7 @@
 		}
 		s.hosts = append(s.hosts, host)
 		s.workers[host.HostID] = standin.NewRuntime(host.HostID, host.Total, s.now)
+		s.lives.names = append(s.lives.names, host.HostID)
 	}
 }
 
@@ -675,16 +679,11 @@
 	sync := command.Sync
 	s.after(s.delay(), func() {
 		done := SyncDone{Sync: sync}
-		if s.now.Before(s.workerUnreachableUntil[sync.Worker]) {
+		if s.now.Before(s.workerUnreachableUntil[sync.Worker]) || s.delaySync(n, sync) {
 			s.after(500*time.Millisecond, func() { s.deliver(n, incarnation, SyncDone{Sync: sync, Failed: true}) })
 			return
 		}
-		request := sync.Request
-		request.Deadline = request.Deadline.Add(-n.clockSkew)
-		if s.mutate == mutationWorkersKeepExpiredTasks {
-			request.Deadline = request.Deadline.Add(time.Hour)
-		}
-		done.Report = s.workers[sync.Worker].Sync(request, s.now)
+		done.Report = s.carryOut(n, sync)
 		if s.chance(s.faults.lostResponse) {
 			s.after(time.Second, func() { s.deliver(n, incarnation, SyncDone{Sync: sync, Failed: true}) })
 			return
@@ -693,6 +692,16 @@
 	})
 }
 
+// carryOut carries out a sync at its worker.
+func (s *simulation) carryOut(n *node, sync placer.Sync) placer.SyncReport {
+	request := sync.Request
+	request.Deadline = request.Deadline.Add(-n.clockSkew)
+	if s.mutate == mutationWorkersKeepExpiredTasks {
+		request.Deadline = request.Deadline.Add(time.Hour)
+	}
+	return s.workers[sync.Worker].Sync(request, s.now)
+}
+
 // stopNode ends the process of a node: its links close on the sides that it can
 // still reach.
 func (s *simulation) stopNode(n *node) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -119,9 +119,17 @@
 // acknowledges runs. A worker rejects a request whose epoch is lower than the
 // highest one that it has received. It ends its runs at Deadline unless a later
 // request extends the lease.
+//
+// A request that gets no response may be carried out seconds later, and a worker that has
+// started again knows nothing of before: no epoch, no stop and no run that has ended. So
+// a request names the incarnation for which it is meant, and no other one carries it out.
 type SyncRequest struct {
 	Holder requester.EntryID
 	Epoch  int64
+	// Boot is the incarnation of the worker's process that is to carry out the
+	// request; 0 if the holder doesn't know it yet. Any other incarnation takes
+	// over the epoch, reports in full and does nothing else.
+	Boot int64
 	// Deadline is the end of the lease on the worker's clock.
 	Deadline time.Time
 	// Since is the sequence number after which changes are reported; 0
@@ -163,7 +171,9 @@
 	// Fenced is true if the worker rejected the request because it has received
 	// one with a higher epoch.
 	Fenced bool `json:",omitempty"`
-	// Boot identifies the incarnation of the worker's process.
+	// Boot identifies the incarnation of the worker's process. If it is another one
+	// than the request names, the request was not carried out, and the report is a
+	// full one.
 	Boot int64
 	// Sequence is the sequence number of the last change reported.
 	Sequence int64
@@ -228,7 +238,7 @@
 	// ExpireLeases has not removed its tasks and orphans since.
 	reported bool
 	// boot is the incarnation of the worker's process that sent the last
-	// report.
+	// report; 0 before the first.
 	boot int64
 	// sequence is the sequence number of the last change reported; 0 requests
 	// a full report.
--- a/placer/sync.go
+++ b/placer/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"kumquatstall/estimator"
@@ -41,13 +42,14 @@
 
 func (f *Fleet) newSync(w *worker, now time.Time) Sync {
 	starts := w.starts[:min(maxStarts, len(w.starts))]
-	if !w.unresponsive {
+	if !w.unresponsive && w.boot != 0 {
 		// The lease counts as granted from the moment the request is sent.
 		w.leaseDeadline = now.Add(f.limits.LeaseTerm)
 	}
 	request := SyncRequest{
 		Holder:   f.holder,
 		Epoch:    f.epoch,
+		Boot:     w.boot,
 		Deadline: w.leaseDeadline,
 		Since:    w.sequence,
 		Starts:   starts,
@@ -76,11 +78,18 @@
 	w.syncInFlight = false
 	w.unresponsive = true
 	w.sequence = 0
-	w.stops = append(sync.Request.Stops, w.stops...)
-	w.throttles = append(sync.Request.Throttles, w.throttles...)
-	w.acks = append(sync.Request.Acks, w.acks...)
+	w.putBack(&sync.Request)
+}
+
+// putBack queues again what a request contained that may not have been carried out, but
+// no start of a task that isn't bound to the worker any more, as its lease has expired.
+func (w *worker) putBack(request *SyncRequest) {
+	w.stops = append(request.Stops, w.stops...)
+	w.throttles = append(request.Throttles, w.throttles...)
+	w.acks = append(request.Acks, w.acks...)
 	// A repeated start is idempotent: the worker recognises its TaskID.
-	w.starts = append(sync.Request.Starts, w.starts...)
+	bound := slices.DeleteFunc(slices.Clone(request.Starts), func(start TaskStart) bool { return w.tasks[start.Task] == nil })
+	w.starts = append(bound, w.starts...)
 }
 
 // OnReport applies a worker's response to a sync. It ignores the report of a
@@ -95,17 +104,15 @@
 		return
 	}
 	w.unresponsive = false
-	full := sync.Request.Since == 0
-	if !full && report.Boot != w.boot {
-		// The worker has restarted and lost its state: request a full report.
-		w.sequence = 0
-		w.lastSyncAt = time.Time{}
-		return
-	}
-	w.boot = report.Boot
 	w.reported = true
 	w.sequence = report.Sequence
-	f.markRunning(now, w, sync.Request.Starts)
+	full := sync.Request.Since == 0
+	if report.Boot == sync.Request.Boot {
+		f.markRunning(now, w, sync.Request.Starts)
+	} else {
+		full = true
+		f.onOtherIncarnation(now, w, &sync.Request, report.Boot)
+	}
 	for _, run := range report.Tasks {
 		f.onTaskReport(now, w, run)
 	}
@@ -115,6 +122,19 @@
 	f.resolveOvercommit(w)
 }
 
+// onOtherIncarnation handles that another incarnation than a request names has answered
+// it: it has not carried it out, so what it contained is sent again, to that one and at
+// once. What runs there may hold a lease of an earlier holder, which can't have extended
+// it since this one's epoch arrived.
+func (f *Fleet) onOtherIncarnation(now time.Time, w *worker, request *SyncRequest, boot int64) {
+	w.boot = boot
+	w.putBack(request)
+	if expiry := now.Add(f.limits.LeaseTerm); expiry.After(w.leaseDeadline) {
+		w.leaseDeadline = expiry
+	}
+	w.lastSyncAt = time.Time{}
+}
+
 // requeueMissing puts back in the queue the tasks whose starts were sent to the
 // worker but that its full report does not contain, and releases the resources of
 // orphans that it does not contain.
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -88,6 +88,21 @@
 	return &Runtime{hostID: hostID, total: total, boot: boot.UnixNano(), tasks: make(map[placer.TaskID]*workerTask)}
 }
 
+// Reboot ends the runs without a report and begins a new incarnation, which knows
+// nothing of before: no task, no lease and no epoch.
+func (w *Runtime) Reboot(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	for _, task := range w.tasks {
+		if task.state == placer.RunRunning {
+			w.endTask(task, placer.RunFailed, now)
+		}
+	}
+	w.boot, w.sequence, w.epoch, w.leaseDeadline = now.UnixNano(), 0, 0, time.Time{}
+	w.tasks = make(map[placer.TaskID]*workerTask)
+}
+
 // Worker is a stand-in for a worker host, which runs tasks under a lease and
 // serves sync requests over HTTP.
 type Worker struct {
@@ -155,7 +170,8 @@
 // Sync executes a request of the shard's holder: it renews the lease, removes
 // acknowledged tasks, stops, throttles and starts tasks, and reports the tasks that
 // have changed since request.Since, or all if that is 0. A request of an older
-// epoch changes nothing and is reported as fenced. A request whose deadline has
+// epoch changes nothing and is reported as fenced. A request for another incarnation
+// changes nothing but the epoch and gets a full report. A request whose deadline has
 // passed starts no task.
 func (w *Runtime) Sync(request placer.SyncRequest, now time.Time) placer.SyncReport {
 	w.mu.Lock()
@@ -165,9 +181,23 @@
 		return placer.SyncReport{Now: now, Epoch: w.epoch, Fenced: true}
 	}
 	w.epoch = request.Epoch
+	if request.Boot != w.boot {
+		return w.report(0, now)
+	}
 	if request.Deadline.After(w.leaseDeadline) {
 		w.leaseDeadline = request.Deadline
 	}
+	w.endTasks(request, now)
+	if now.Before(request.Deadline) {
+		for _, start := range request.Starts {
+			w.startTask(start, now)
+		}
+	}
+	return w.report(request.Since, now)
+}
+
+// endTasks removes the acknowledged tasks of a request, and stops and throttles tasks.
+func (w *Runtime) endTasks(request placer.SyncRequest, now time.Time) {
 	for _, id := range request.Acks {
 		if task, ok := w.tasks[id]; ok && task.state != placer.RunRunning {
 			delete(w.tasks, id)
@@ -184,15 +214,14 @@
 			w.recordChange(task)
 		}
 	}
-	report := placer.SyncReport{Now: now, Epoch: w.epoch, Boot: w.boot}
-	if now.Before(request.Deadline) {
-		for _, start := range request.Starts {
-			w.startTask(start, now)
-		}
-	}
-	report.Sequence = w.sequence
+}
+
+// report returns a report on the tasks that have changed after since, or on all if that is
+// 0.
+func (w *Runtime) report(since int64, now time.Time) placer.SyncReport {
+	report := placer.SyncReport{Now: now, Epoch: w.epoch, Boot: w.boot, Sequence: w.sequence}
 	for id, task := range w.tasks {
-		if task.lastChange <= request.Since && request.Since > 0 {
+		if task.lastChange <= since && since > 0 {
 			continue
 		}
 		report.Tasks = append(report.Tasks, placer.TaskReport{Task: id, Job: task.start.Job, State: task.state, Need: task.start.Need, Use: task.usage(now), ProgressMicros: task.progress()})
