Placer: a worker doesn't carry out a sync that a later one has overtaken

What callers could see: a task of the product's own workers that runs again after its end was acknowledged.

Cause: a sync without an answer is sent again as another one, and the first may still be carried out. The worker recognises a repeated start by its run only until the end of that run is acknowledged, as it forgets the run then. So the first sync started the run once more, if it came before its deadline.

Change: a sync carries a number, which rises with each sync of an epoch. A worker that has carried out a later one of the same epoch carries out none before it. A holder whose numbers begin anew in the same epoch takes over the worker's from the report and sends what the request contained again.

Evidence: TestOvertakenStart "1 != 0" before, passes now. TestNumbersBeginAnew guards the change itself.

--- a/placer/lives_test.go
+++ b/placer/lives_test.go
@@ -138,3 +138,44 @@
 	status, _ := h.fleet.Status("j")
 	h.is.Equal(status.State, requester.JobSucceeded)
 }
+
+// TestOvertakenStart guards against a task that runs again after its end was acknowledged: a
+// start that got no answer is carried out after it was repeated, and after its run was
+// forgotten.
+func TestOvertakenStart(t *testing.T) {
+	h := newLivesHarness(t, "a")
+	row := livesJob()
+	row.Job.RunMillis = 1000
+	h.fleet.Add(row, 1, false)
+	h.is.Equal(h.fleet.Place(h.now), 1)
+	late := h.fleet.Syncs(h.now)[0]
+	h.wait(100 * time.Millisecond)
+	h.fleet.OnSyncFailed(h.now, late)
+	h.wait(time.Second)
+	h.exchange()
+	h.wait(1100 * time.Millisecond)
+	h.exchange()
+	for _, write := range h.fleet.RowWrites() {
+		h.fleet.WriteCommitted(write, 2)
+	}
+	h.exchange() // the end is acknowledged
+	report := h.workers["a"].Sync(late.Request, h.now)
+	h.is.True(report.Overtaken)
+	h.is.Equal(h.running(), 0.0)
+}
+
+// TestNumbersBeginAnew guards against a holder whose requests count as overtaken for good, as
+// it has begun to count anew in the same epoch.
+func TestNumbersBeginAnew(t *testing.T) {
+	h := newLivesHarness(t, "a")
+	for range 5 {
+		h.wait(time.Second)
+		h.exchange()
+	}
+	h.fleet = placer.New("entry", 1, h.now, livesLimits)
+	h.fleet.SetWorkers(h.now, []placer.WorkerInfo{{HostID: "a", Total: livesRoom}})
+	h.exchange()
+	h.addJob()
+	h.exchange()
+	h.is.Equal(h.running(), 1.0)
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -130,6 +130,9 @@
 	// request; 0 if the holder doesn't know it yet. Any other incarnation takes
 	// over the epoch, reports in full and does nothing else.
 	Boot int64
+	// Number rises with each request of an epoch. An incarnation that has carried
+	// out a later request of the epoch doesn't carry out this one.
+	Number int64
 	// Deadline is the end of the lease on the worker's clock.
 	Deadline time.Time
 	// Since is the sequence number after which changes are reported; 0
@@ -171,10 +174,13 @@
 	// Fenced is true if the worker rejected the request because it has received
 	// one with a higher epoch.
 	Fenced bool `json:",omitempty"`
-	// Boot identifies the incarnation of the worker's process. If it is another one
-	// than the request names, the request was not carried out, and the report is a
-	// full one.
+	// Boot identifies the incarnation of the worker's process. If the request names
+	// another one, it was not carried out, and the report is a full one.
 	Boot int64
+	// Overtaken is true if the request was not carried out because a later one of
+	// the same epoch had been, whose Number is given. The report is a full one.
+	Overtaken bool  `json:",omitempty"`
+	Number    int64 `json:",omitempty"`
 	// Sequence is the sequence number of the last change reported.
 	Sequence int64
 	// Tasks lists the runs that have changed after SyncRequest.Since. In a full
@@ -336,6 +342,8 @@
 	holder     requester.EntryID
 	epoch      int64
 	tookOverAt time.Time
+	// lastNumber is the number of the last sync.
+	lastNumber int64
 	workers    map[requester.HostID]*worker
 	workerList []*worker
 	// free holds, for each worker of workerList, its allocatable resources less
--- a/placer/sync.go
+++ b/placer/sync.go
@@ -46,10 +46,12 @@
 		// The lease counts as granted from the moment the request is sent.
 		w.leaseDeadline = now.Add(f.limits.LeaseTerm)
 	}
+	f.lastNumber++
 	request := SyncRequest{
 		Holder:   f.holder,
 		Epoch:    f.epoch,
 		Boot:     w.boot,
+		Number:   f.lastNumber,
 		Deadline: w.leaseDeadline,
 		Since:    w.sequence,
 		Starts:   starts,
@@ -107,11 +109,11 @@
 	w.reported = true
 	w.sequence = report.Sequence
 	full := sync.Request.Since == 0
-	if report.Boot == sync.Request.Boot {
+	if report.Boot == sync.Request.Boot && !report.Overtaken {
 		f.markRunning(now, w, sync.Request.Starts)
 	} else {
 		full = true
-		f.onOtherIncarnation(now, w, &sync.Request, report.Boot)
+		f.onNotCarriedOut(now, w, &sync.Request, &report)
 	}
 	for _, run := range report.Tasks {
 		f.onTaskReport(now, w, run)
@@ -122,12 +124,14 @@
 	f.resolveOvercommit(w)
 }
 
-// onOtherIncarnation handles that another incarnation than a request names has answered
-// it: it has not carried it out, so what it contained is sent again, to that one and at
-// once. What runs there may hold a lease of an earlier holder, which can't have extended
-// it since this one's epoch arrived.
-func (f *Fleet) onOtherIncarnation(now time.Time, w *worker, request *SyncRequest, boot int64) {
-	w.boot = boot
+// onNotCarriedOut handles that a request was not carried out: another incarnation than it
+// names has answered it, or one that has seen a later request of this epoch. What it
+// contained is sent again at once, to that incarnation and with a higher number. What runs
+// there may hold a lease of an earlier holder, which can't have extended it since this
+// one's epoch arrived.
+func (f *Fleet) onNotCarriedOut(now time.Time, w *worker, request *SyncRequest, report *SyncReport) {
+	w.boot = report.Boot
+	f.lastNumber = max(f.lastNumber, report.Number)
 	w.putBack(request)
 	if expiry := now.Add(f.limits.LeaseTerm); expiry.After(w.leaseDeadline) {
 		w.leaseDeadline = expiry
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -73,8 +73,9 @@
 	boot int64
 	// sequence is the number of the last change of a task.
 	sequence int64
-	// epoch is the highest epoch received, the fencing token.
-	epoch int64
+	// epoch is the highest epoch received, the fencing token, and number that of the
+	// last request carried out under it.
+	epoch, number int64
 	// leaseDeadline is when the lease expires; zero before the first lease.
 	leaseDeadline time.Time
 	tasks         map[placer.TaskID]*workerTask
@@ -99,7 +100,7 @@
 			w.endTask(task, placer.RunFailed, now)
 		}
 	}
-	w.boot, w.sequence, w.epoch, w.leaseDeadline = now.UnixNano(), 0, 0, time.Time{}
+	w.boot, w.sequence, w.epoch, w.number, w.leaseDeadline = now.UnixNano(), 0, 0, 0, time.Time{}
 	w.tasks = make(map[placer.TaskID]*workerTask)
 }
 
@@ -170,9 +171,9 @@
 // Sync executes a request of the shard's holder: it renews the lease, removes
 // acknowledged tasks, stops, throttles and starts tasks, and reports the tasks that
 // have changed since request.Since, or all if that is 0. A request of an older
-// epoch changes nothing and is reported as fenced. A request for another incarnation
-// changes nothing but the epoch and gets a full report. A request whose deadline has
-// passed starts no task.
+// epoch changes nothing and is reported as fenced. A request for another incarnation, or
+// one that a later one has overtaken, changes nothing but the epoch and gets a full
+// report. A request whose deadline has passed starts no task.
 func (w *Runtime) Sync(request placer.SyncRequest, now time.Time) placer.SyncReport {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -180,10 +181,18 @@
 	if request.Epoch < w.epoch {
 		return placer.SyncReport{Now: now, Epoch: w.epoch, Fenced: true}
 	}
-	w.epoch = request.Epoch
+	if request.Epoch > w.epoch {
+		w.epoch, w.number = request.Epoch, 0
+	}
 	if request.Boot != w.boot {
 		return w.report(0, now)
 	}
+	if request.Number < w.number {
+		report := w.report(0, now)
+		report.Overtaken, report.Number = true, w.number
+		return report
+	}
+	w.number = request.Number
 	if request.Deadline.After(w.leaseDeadline) {
 		w.leaseDeadline = request.Deadline
 	}
