Decider, leaser: replies to a former incarnation of an entry match nothing

What callers could see, on the product's own interface: the answer to another call, a call that runs twice, or a shard with two holders.

Cause: an entry numbers the calls, replications, relays and job requests that it sends to others, and its rounds of grants, and a reply names the number only. The numbers began at 1 in each incarnation, and a reply goes to whatever link there is to the entry of that name. So the reply to call 17 of the former incarnation was taken for that to call 17 of the next one: with NotHere the call counted as not sent, although the peer may be running it; with an answer, a caller got it. A grant to the former incarnation extended a lease of the next one by a term that nobody had promised.

Change: numbers and rounds begin at the incarnation, which is its start in nanoseconds, so those of two incarnations don't meet unless one sends a thousand million messages a second.

--- a/decider/core.go
+++ b/decider/core.go
@@ -148,7 +148,10 @@
 	// commands are those issued for the event being handled.
 	commands []Command
 	timers   timers
-	nextID   uint64
+	// nextID numbers the messages to other entries and the commands. It begins at the
+	// incarnation, a time in nanoseconds, so that a reply to another incarnation of
+	// this entry, which links tell apart by the entry's name only, matches nothing.
+	nextID uint64
 
 	leaser    *leaser.Leaser
 	config    *tuner.Store
@@ -310,6 +313,7 @@
 		jobRequests:       make(map[uint64]*pendingJobRequest),
 		grantRounds:       make(map[int64]leaser.GrantRequest),
 		hostShards:        make(map[requester.HostID]int),
+		nextID:            uint64(options.Incarnation),
 		startedAt:         now,
 	}
 }
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -188,8 +188,11 @@
 	// lastReadAt is when the table last answered a read.
 	lastReadAt time.Time
 	draining   bool
-	lastRound  int64
-	startedAt  time.Time
+	// lastRound is the number of the last round of grants. Numbers begin at the
+	// incarnation, a time in nanoseconds, so that no reply to another incarnation of
+	// this entry counts.
+	lastRound int64
+	startedAt time.Time
 	// contactedAt is when every listed member had sent a heartbeat to this
 	// entry or was proven dead; zero before.
 	contactedAt time.Time
@@ -201,7 +204,7 @@
 
 // New returns a Leaser that is not registered and holds no shard.
 func New(options Options, now time.Time) *Leaser {
-	l := &Leaser{options: options, chart: charter.MustLoad("seat"), members: make(map[requester.EntryID]Member), hostListed: make(map[requester.EntryID]bool), startedAt: now}
+	l := &Leaser{options: options, chart: charter.MustLoad("seat"), members: make(map[requester.EntryID]Member), hostListed: make(map[requester.EntryID]bool), startedAt: now, lastRound: options.Incarnation}
 	for range options.Shards {
 		l.shards = append(l.shards, &shardState{machine: l.chart.Start()})
 	}
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -92,11 +92,17 @@
 // newHolder returns a leaser that holds shard 1 by the table.
 func newHolder(t *testing.T) *Leaser {
 	t.Helper()
-	l := newLeaser("holder", 1)
-	applyRows(t, l, testStart, 2, memberRow("holder", 1, 1), memberRow("other", 1, 2))
+	return newHolderOf(t, 1)
+}
+
+// newHolderOf is newHolder in a given incarnation.
+func newHolderOf(t *testing.T, incarnation int64) *Leaser {
+	t.Helper()
+	l := newLeaser("holder", incarnation)
+	applyRows(t, l, testStart, 2, memberRow("holder", incarnation, 1), memberRow("other", 1, 2))
 	peers := []Peer{{EntryID: "other", Connected: true, Incarnation: 1, HeartbeatReceived: true, MayAcquire: true}}
 	for now := testStart; now.Before(testStart.Add(2 * testTerm)); now = now.Add(50 * time.Millisecond) {
-		applyRows(t, l, now, 2, memberRow("holder", 1, 1), memberRow("other", 1, 2))
+		applyRows(t, l, now, 2, memberRow("holder", incarnation, 1), memberRow("other", 1, 2))
 		for _, operation := range l.Tick(now, peers).Operations {
 			l.OnResult(now, operation, keeper.TransactResult{Committed: true, Revision: 3}, nil, true)
 		}
@@ -130,6 +136,27 @@
 	is.True(l.Extended(1))
 }
 
+// TestGrantForFormerLife guards against an entry that extends a lease by a grant that was
+// given to its former incarnation, as both number their rounds alike.
+func TestGrantForFormerLife(t *testing.T) {
+	is := is.New(t)
+	peers := []Peer{{EntryID: "other", Connected: true, Incarnation: 1, HeartbeatReceived: true, MayAcquire: true}}
+	var replies []GrantReply
+	for life := range 2 {
+		l := newHolderOf(t, testStart.Add(time.Duration(life)*time.Second).UnixNano())
+		deadline := l.Deadline(1)
+		now := deadline.Add(-testTerm / 3)
+		sent := l.Tick(now, peers).GrantRequests
+		is.Equal(len(sent), 1)
+		for _, reply := range replies {
+			l.OnGrantReply(now, "other", reply, sent[0], peers)
+		}
+		is.Equal(l.Deadline(1), deadline)
+		is.True(!l.Extended(1))
+		replies = append(replies, GrantReply{Round: sent[0].Round, Granted: []int{1}})
+	}
+}
+
 // TestPromiseBinds checks that an entry that has granted a shard neither
 // acquires it nor grants it to another entry until the grant expires.
 func TestPromiseBinds(t *testing.T) {
