Dispatcher: a reply about advice for an earlier owner matches nothing

What users could see: a step that gets the tickets of another one, so that its starts are rejected, or that is held back as failed.

Cause: an owner numbers its requests for advice, and a relay's reply names the number only. Numbers began at 1 in each session, and the reply goes to the entry of that name: to its next session, or to its next incarnation, where the same number is another step's.

Change: numbers begin at a value of the epoch, of which each session has another one.

Evidence: TestAdviceForFormerOwner failed before ("not true: !known").

--- a/dispatcher/adviser.go
+++ b/dispatcher/adviser.go
@@ -25,7 +25,10 @@
 	relays relays
 	// pending has the requests in flight, by ID.
 	pending map[uint64]pendingAdvice
-	lastID  uint64
+	// lastID is the ID of the last request. IDs begin at a value of the owner's epoch, so
+	// that a reply to an earlier owner on this host, perhaps in another incarnation of the
+	// entry, matches nothing: it goes to the entry of that name.
+	lastID uint64
 	// lags are how much later than expected the replies of each relay arrive, also
 	// those that come after the deadline.
 	lags *estimator.Durations
@@ -69,8 +72,12 @@
 	request scheduler.AdviceRequest
 }
 
-func newAdviser(core advised, self requester.EntryID) *adviser {
-	a := &adviser{core: core, self: self, pending: make(map[uint64]pendingAdvice), suspected: make(map[requester.EntryID]bool), lags: estimator.NewDurations(0)}
+// adviceIDsPerEpoch is how many requests an owner sends in its epoch at most: that many IDs
+// for each of maxEpoch epochs are all that there are.
+const adviceIDsPerEpoch = 1 << 24
+
+func newAdviser(core advised, self requester.EntryID, epoch int64) *adviser {
+	a := &adviser{core: core, self: self, lastID: uint64(epoch) * adviceIDsPerEpoch, pending: make(map[uint64]pendingAdvice), suspected: make(map[requester.EntryID]bool), lags: estimator.NewDurations(0)}
 	a.relays.add(self)
 	return a
 }
--- a/dispatcher/adviser_test.go
+++ b/dispatcher/adviser_test.go
@@ -118,7 +118,7 @@
 
 func newAdviceWorld(t *testing.T, entries int) *adviceWorld {
 	w := &adviceWorld{t: t, now: time.Date(2026, 7, 10, 12, 0, 0, 0, time.UTC), services: make(map[requester.EntryID]*service)}
-	w.adviser = newAdviser(w, ownerName)
+	w.adviser = newAdviser(w, ownerName, 1)
 	for _, r := range newRelays(entries) {
 		w.adviser.relays.add(r.id)
 		w.services[r.id] = &service{}
@@ -551,6 +551,26 @@
 	is.Equal(w.adviser.pending[sent[0].id].deadline, w.now.Add(relayWait(20*time.Millisecond, 0)))
 }
 
+// TestAdviceForFormerOwner guards against a step that gets the tickets of another one, as a
+// relay's reply to the entry's earlier session, or to its former incarnation, reaches the
+// present one, which numbers its requests alike.
+func TestAdviceForFormerOwner(t *testing.T) {
+	is := is.New(t)
+	w := newAdviceWorld(t, 1)
+	w.add(20 * time.Millisecond)
+	ask := func(epoch int64) uint64 {
+		w.adviser = newAdviser(w, ownerName, epoch)
+		sent := w.adviser.ask(w.now, []scheduler.AdviceRequest{{RequestedAt: w.now, ExpectedAt: w.now.Add(20 * time.Millisecond)}})
+		is.Equal(len(sent), 1)
+		return sent[0].id
+	}
+	former := ask(1)
+	ask(2)
+	_, known := w.adviser.handle(w.now, former, nil, false)
+	is.True(!known)
+	is.Equal(len(w.adviser.pending), 1)
+}
+
 // TestRelayOfASlowService guards against requests to the advice service that are cut
 // off for ever because each takes longer than their timeout.
 func TestRelayOfASlowService(t *testing.T) {
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -140,7 +140,7 @@
 		leftovers:        make(map[string]leftover),
 	}
 	s.core.Renewed(acquiredAt)
-	s.adviser = newAdviser(s.core, d.options.Self)
+	s.adviser = newAdviser(s.core, d.options.Self, row.Epoch)
 	return s
 }
 
