Linker, decider: a message names the incarnation that has sent it

What callers could see, on the product's own interface: calls sent to an entry that doesn't hold the shard any more, a replica counted for an entry that has never asked for it, a grant that binds a dead one.

Cause: the linker reported a message by the peer's name. One that was read from the link of a dead incarnation may be handled after the next one is linked, and counted as the next one's: its leases, its promise that it may acquire, and that it knows of this entry.

Change: the linker says from which incarnation a message is, and the core drops what isn't from the one that is linked. The dispatcher's messages carry what they need and ignore it. The signature of PeerMessage changes in the tests that implement or call it; nothing else changes in them.

Evidence: TestMessageOfFormerLife "1 != 0" before (the next incarnation was sent the reply to a request that it had not made); passes now.

--- a/decider/events.go
+++ b/decider/events.go
@@ -46,10 +46,12 @@
 	Refused bool
 }
 
-// PeerMessage is a message from a peer.
+// PeerMessage is a message from an incarnation of a peer. It may arrive after the PeerUp
+// of the next incarnation.
 type PeerMessage struct {
-	From    requester.EntryID
-	Message encoder.Message
+	From        requester.EntryID
+	Incarnation int64
+	Message     encoder.Message
 }
 
 // TableFailure is the reason why a transaction has no result.
--- a/decider/nextlife_test.go
+++ b/decider/nextlife_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"kumquatstall/encoder"
+	"kumquatstall/leaser"
 	"kumquatstall/recorder"
 	"kumquatstall/requester"
 )
@@ -38,9 +39,30 @@
 		now = now.Add(time.Second)
 		c, present := lifeOf(now, "present")
 		reply := &encoder.CallReply{ID: former.ID, NotHere: notHere, Answer: requester.Answer{RequestID: "former", Outcome: requester.OutcomeAnswered}}
-		is.Equal(len(c.Handle(now, PeerMessage{From: "b", Message: reply})), 0)
+		is.Equal(len(c.Handle(now, PeerMessage{From: "b", Incarnation: 1, Message: reply})), 0)
 		f, ok := c.forwards[present.ID]
 		is.True(ok)
 		is.Equal(f.to, requester.EntryID("b"))
 	}
 }
+
+// TestMessageOfFormerLife guards against what a peer's former incarnation has sent, and that is
+// handled after the next one is linked, being taken for that of the next one: a shard that it
+// held, or a replica that it has asked for.
+func TestMessageOfFormerLife(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	c, _ := lifeOf(now, "call")
+	shard := leaser.Shard{DataCentre: "here", Number: 1}
+	heartbeat := &encoder.Heartbeat{SentAt: now, Holdings: []leaser.ShardLease{{Seat: shard, Epoch: 5}}, MayClaim: true}
+	replicate := &encoder.ReplicateRequest{ID: 1, RequestID: "r"}
+	c.Handle(now, PeerUp{Peer: encoder.PeerInfo{EntryID: "b", DataCentre: "here"}, Incarnation: 2})
+	c.Handle(now, PeerMessage{From: "b", Incarnation: 1, Message: heartbeat})
+	is.Equal(len(c.Handle(now, PeerMessage{From: "b", Incarnation: 1, Message: replicate})), 0)
+	_, known := c.holderOf(shard)
+	is.True(!known)
+	is.True(!c.peers["b"].heartbeatReceived)
+	c.Handle(now, PeerMessage{From: "b", Incarnation: 2, Message: heartbeat})
+	holder, _ := c.holderOf(shard)
+	is.Equal(holder, requester.EntryID("b"))
+}
--- a/decider/peers.go
+++ b/decider/peers.go
@@ -310,9 +310,11 @@
 	}
 }
 
+// onPeerMessage handles a message of the connected incarnation of a peer. What a former
+// one has sent says nothing of the present one, and concerns requests that it has not made.
 func (c *Core) onPeerMessage(event PeerMessage) {
 	p, ok := c.peers[event.From]
-	if !ok || !p.connected {
+	if !ok || !p.connected || event.Incarnation != p.incarnation {
 		return
 	}
 	switch message := event.Message.(type) {
--- a/decider/simulation_test.go
+++ b/decider/simulation_test.go
@@ -463,7 +463,7 @@
 		}
 		for _, other := range s.nodes {
 			if other.dataCentre == n.dataCentre && other != n {
-				s.post(n, time.Millisecond, PeerMessage{From: other.id, Message: &encoder.GrantReply{Reply: reply}})
+				s.post(n, time.Millisecond, PeerMessage{From: other.id, Incarnation: other.incarnation, Message: &encoder.GrantReply{Reply: reply}})
 			}
 		}
 		return
@@ -473,7 +473,7 @@
 	if err != nil {
 		s.failf("encode message: %v", err)
 	}
-	incarnation := to.incarnation
+	incarnation, sender := to.incarnation, n.incarnation
 	s.after(s.delay(), func() {
 		if !s.reachable(n, to) || to.links[n.index] != serial || to.incarnation != incarnation {
 			return
@@ -482,7 +482,7 @@
 		if err != nil {
 			s.failf("decode message: %v", err)
 		}
-		s.deliver(to, incarnation, PeerMessage{From: n.id, Message: message})
+		s.deliver(to, incarnation, PeerMessage{From: n.id, Incarnation: sender, Message: message})
 	})
 }
 
--- a/dispatcher/acquire.go
+++ b/dispatcher/acquire.go
@@ -347,7 +347,7 @@
 }
 
 // PeerMessage implements linker.Handler.
-func (d *Dispatcher) PeerMessage(from requester.EntryID, message encoder.Message) {
+func (d *Dispatcher) PeerMessage(from requester.EntryID, _ int64, message encoder.Message) {
 	switch message := message.(type) {
 	case *encoder.AdviceRequest:
 		d.group.Go(func() { d.relayAdvice(from, message) })
--- a/dispatcher/capacity_test.go
+++ b/dispatcher/capacity_test.go
@@ -17,12 +17,12 @@
 	is := is.New(t)
 	d := &Dispatcher{clock: NewClock(), linked: map[requester.EntryID]linkedEntry{"peer": {cores: 2}}}
 	for _, cores := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, 1e300} {
-		d.PeerMessage("peer", &encoder.EntryCapacity{Cores: cores})
+		d.PeerMessage("peer", 1, &encoder.EntryCapacity{Cores: cores})
 		is.Equal(d.linked["peer"].cores, 2.0)
 	}
-	d.PeerMessage("peer", &encoder.EntryCapacity{Cores: 4})
+	d.PeerMessage("peer", 1, &encoder.EntryCapacity{Cores: 4})
 	is.Equal(d.linked["peer"].cores, 4.0)
-	d.PeerMessage("peer", &encoder.EntryCapacity{})
+	d.PeerMessage("peer", 1, &encoder.EntryCapacity{})
 	is.Equal(d.linked["peer"].cores, 0.0) // it is draining
 }
 
@@ -32,9 +32,9 @@
 	is := is.New(t)
 	clock := &manualClock{now: time.Date(2026, 7, 10, 12, 0, 0, 0, time.UTC)}
 	d := &Dispatcher{clock: clock, linked: map[requester.EntryID]linkedEntry{"silent": {}, "sound": {}}}
-	d.PeerMessage("silent", &encoder.EntryCapacity{Cores: 4})
+	d.PeerMessage("silent", 1, &encoder.EntryCapacity{Cores: 4})
 	for range 5 {
-		d.PeerMessage("sound", &encoder.EntryCapacity{Cores: 2})
+		d.PeerMessage("sound", 1, &encoder.EntryCapacity{Cores: 2})
 		clock.now = clock.now.Add(announceInterval)
 	}
 	id, cores := d.peerWithMostCores()
--- a/dispatcher/owner_address_test.go
+++ b/dispatcher/owner_address_test.go
@@ -18,10 +18,10 @@
 // quietHandler is a linker.Handler that ignores every event.
 type quietHandler struct{}
 
-func (quietHandler) PeerUp(encoder.PeerInfo, int64)                 {}
-func (quietHandler) PeerDown(requester.EntryID, error)              {}
-func (quietHandler) PeerRefused(requester.EntryID, bool)            {}
-func (quietHandler) PeerMessage(requester.EntryID, encoder.Message) {}
+func (quietHandler) PeerUp(encoder.PeerInfo, int64)                        {}
+func (quietHandler) PeerDown(requester.EntryID, error)                     {}
+func (quietHandler) PeerRefused(requester.EntryID, bool)                   {}
+func (quietHandler) PeerMessage(requester.EntryID, int64, encoder.Message) {}
 
 // TestOwnerAtANewAddress guards against an entry that goes on dialling the address of
 // an owner's earlier row: it is no relay of that owner, and the refusal there counts
--- a/linker/handshake.go
+++ b/linker/handshake.go
@@ -118,13 +118,14 @@
 	signs.onReceived() // the handshake
 	ctx, cancel := context.WithCancelCause(l.ctx)
 	current := &link{
-		peer:     hello.EntryID,
-		dialer:   dialer,
-		openedAt: time.Now(),
-		conn:     conn,
-		queue:    make(chan encoder.Message, queueLength),
-		cancel:   cancel,
-		signs:    signs,
+		peer:        hello.EntryID,
+		incarnation: hello.Incarnation,
+		dialer:      dialer,
+		openedAt:    time.Now(),
+		conn:        conn,
+		queue:       make(chan encoder.Message, queueLength),
+		cancel:      cancel,
+		signs:       signs,
 	}
 	l.mu.Lock()
 	previous := l.links[hello.EntryID]
--- a/linker/link.go
+++ b/linker/link.go
@@ -24,6 +24,8 @@
 // link is an open connection whose handshake is complete.
 type link struct {
 	peer requester.EntryID
+	// incarnation is that of the peer.
+	incarnation int64
 	// dialer is the entry that opened the connection.
 	dialer   requester.EntryID
 	openedAt time.Time
@@ -65,7 +67,7 @@
 			current.end(err)
 			return
 		}
-		l.handler.PeerMessage(current.peer, message)
+		l.handler.PeerMessage(current.peer, current.incarnation, message)
 	}
 }
 
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -56,8 +56,10 @@
 	// PeerRefused reports a change in whether the address of a dialled peer
 	// refuses connections.
 	PeerRefused(id requester.EntryID, refused bool)
-	// PeerMessage reports a message that was received on a link to the peer.
-	PeerMessage(from requester.EntryID, message encoder.Message)
+	// PeerMessage reports a message that was received on a link to an incarnation of
+	// the peer. It may be called after PeerDown of that link, and then after PeerUp of
+	// the next one.
+	PeerMessage(from requester.EntryID, incarnation int64, message encoder.Message)
 }
 
 // Options configures a Linker.
--- a/linker/silence_test.go
+++ b/linker/silence_test.go
@@ -30,10 +30,10 @@
 	received int
 }
 
-func (e *end) PeerUp(encoder.PeerInfo, int64)                 { e.count(&e.ups) }
-func (e *end) PeerDown(requester.EntryID, error)              { e.count(&e.downs) }
-func (e *end) PeerRefused(requester.EntryID, bool)            {}
-func (e *end) PeerMessage(requester.EntryID, encoder.Message) { e.count(&e.received) }
+func (e *end) PeerUp(encoder.PeerInfo, int64)                        { e.count(&e.ups) }
+func (e *end) PeerDown(requester.EntryID, error)                     { e.count(&e.downs) }
+func (e *end) PeerRefused(requester.EntryID, bool)                   {}
+func (e *end) PeerMessage(requester.EntryID, int64, encoder.Message) { e.count(&e.received) }
 
 func (e *end) count(counter *int) {
 	e.mu.Lock()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -367,8 +367,8 @@
 }
 
 // PeerMessage implements linker.Handler.
-func (e *Entry) PeerMessage(from requester.EntryID, message encoder.Message) {
-	e.mailbox.post(decider.PeerMessage{From: from, Message: message})
+func (e *Entry) PeerMessage(from requester.EntryID, incarnation int64, message encoder.Message) {
+	e.mailbox.post(decider.PeerMessage{From: from, Incarnation: incarnation, Message: message})
 }
 
 // deliver passes a result to the goroutine that waits for it in postAndAwait.
