Linker: a dead incarnation's link doesn't replace its successor's

What callers could see: an entry that is back and not reached for seconds by another one.

Cause: any link whose handshake ended replaced an older one. What a dead incarnation had sent for its handshake may be read after its successor has linked; then the link to the successor was closed, and the core, which ignores an older incarnation, counted the peer as not connected until the dead link was found silent.

Change: a link to an earlier incarnation than the present link's is closed. An incarnation that seems earlier because its clock was set back links as soon as the former one's link is closed, by a reset or by silence.

Evidence: TestFormerLifeDoesNotReplaceNext before: the two incarnations took turns, "[2 1 2 1 ...] != [2]"; passes now.

--- a/linker/handshake.go
+++ b/linker/handshake.go
@@ -113,7 +113,9 @@
 // register makes a connection the current link to its peer, starts its goroutines
 // and closes the previous link. But if the previous link is younger than
 // yieldPeriod and was dialled by the entry with the lower ID, both sides have
-// dialled at the same time, and register closes the new connection instead.
+// dialled at the same time, and register closes the new connection instead. It does too if
+// the previous link is to a later incarnation: what a dead one had sent for the handshake may
+// be read after its successor has linked.
 func (l *Linker) register(conn *websocket.Conn, signs *lifeSigns, hello *encoder.Hello, dialer requester.EntryID) {
 	signs.onReceived() // the handshake
 	ctx, cancel := context.WithCancelCause(l.ctx)
@@ -130,7 +132,8 @@
 	l.mu.Lock()
 	previous := l.links[hello.EntryID]
 	simultaneous := previous != nil && previous.dialer < dialer && time.Since(previous.openedAt) < yieldPeriod
-	if l.closed || simultaneous {
+	outlived := previous != nil && hello.Incarnation < previous.incarnation
+	if l.closed || simultaneous || outlived {
 		l.mu.Unlock()
 		cancel(errReplaced)
 		_ = conn.CloseNow()
