Leaser, decider: a heartbeat of a former incarnation doesn't count

What callers could see: a shard with two holders, and so calls that run twice, after entries restart while the table is away from one of them.

Cause: an entry acquires a shard that was held before only once every member has sent it a heartbeat, as a member that knows it asks it before a takeover. "Has sent a heartbeat" was kept by the member's name. Its next incarnation may have read the list of members before this entry was registered, know nothing of it, lose the table and take a shard over without asking, while the entry counted the heartbeat of the former one and acquired the same shard.

Change: the heartbeat counts for the incarnation that has sent it. The core also drops the leases, the promise to acquire and the word on the table of a former incarnation once the next one is linked.

Evidence: TestNewcomerMeetsPresentIncarnations "2 != 0" (it acquired two shards) and TestHeartbeatOfFormerLife failed before; both pass.

--- a/decider/nextlife_test.go
+++ b/decider/nextlife_test.go
@@ -66,3 +66,24 @@
 	holder, _ := c.holderOf(shard)
 	is.Equal(holder, requester.EntryID("b"))
 }
+
+// TestHeartbeatOfFormerLife guards against what a former incarnation of a peer has told in a
+// heartbeat, which says nothing of the next one: that it knows of this entry, may acquire, and
+// holds shards.
+func TestHeartbeatOfFormerLife(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	c, _ := lifeOf(now, "call")
+	shard := leaser.Shard{DataCentre: "here", Number: 1}
+	heartbeat := &encoder.Heartbeat{SentAt: now, Holdings: []leaser.ShardLease{{Seat: shard, Epoch: 5}}, MayClaim: true, StoreDown: true}
+	c.Handle(now, PeerMessage{From: "b", Incarnation: 1, Message: heartbeat})
+	is.True(c.leaserPeers()[0].HeartbeatReceived)
+	c.Handle(now, PeerDown{EntryID: "b"})
+	c.Handle(now, PeerUp{Peer: encoder.PeerInfo{EntryID: "b", DataCentre: "here"}, Incarnation: 1})
+	is.True(c.leaserPeers()[0].HeartbeatReceived) // the same incarnation
+	c.Handle(now, PeerUp{Peer: encoder.PeerInfo{EntryID: "b", DataCentre: "here"}, Incarnation: 2})
+	is.Equal(c.leaserPeers()[0], leaser.Peer{EntryID: "b", Connected: true, Incarnation: 2})
+	is.True(!c.peers["b"].storeDown)
+	_, known := c.holderOf(shard)
+	is.True(!known)
+}
--- a/decider/peers.go
+++ b/decider/peers.go
@@ -40,8 +40,8 @@
 	mayAcquire bool
 	// lastSentAt is the SentAt of the last heartbeat received.
 	lastSentAt time.Time
-	// heartbeatReceived is true once the peer has sent a heartbeat; it stays
-	// true after the link has closed.
+	// heartbeatReceived is true once this incarnation of the peer has sent a
+	// heartbeat; it stays true after the link has closed.
 	heartbeatReceived bool
 	// roundTrip is the smoothed round-trip time of heartbeats, and offset the
 	// peer's clock minus the own one.
@@ -90,6 +90,7 @@
 	}
 	if known.incarnation != 0 && event.Incarnation > known.incarnation {
 		c.recordMemberLoss(known)
+		known.forgetHeartbeats()
 	}
 	known.info = event.Peer
 	known.incarnation = event.Incarnation
@@ -103,6 +104,11 @@
 	c.fetchPendingReplicas(event.Peer.EntryID)
 }
 
+// forgetHeartbeats drops what an incarnation of the peer has told in its heartbeats.
+func (p *peer) forgetHeartbeats() {
+	p.heartbeatReceived, p.mayAcquire, p.storeDown, p.leases = false, false, false, nil
+}
+
 // recordMemberLoss records when a peer's process has ended, if the peer is in the
 // own data centre: the replicas of write-ahead records in its memory are lost.
 func (c *Core) recordMemberLoss(p *peer) {
--- a/leaser/acquire.go
+++ b/leaser/acquire.go
@@ -34,14 +34,18 @@
 }
 
 // contactedAll reports whether every listed member has sent a heartbeat to
-// this entry or is proven dead.
+// this entry or is proven dead. A heartbeat of a former incarnation doesn't count, as the
+// present one may not know of this entry.
 func (l *Leaser) contactedAll(peers []Peer) bool {
-	contacted := make(map[requester.EntryID]bool, len(peers))
+	contacted := make(map[requester.EntryID]int64, len(peers))
 	for _, peer := range peers {
-		contacted[peer.EntryID] = peer.HeartbeatReceived
+		if peer.HeartbeatReceived {
+			contacted[peer.EntryID] = peer.Incarnation
+		}
 	}
 	for id, member := range l.members {
-		if id == l.options.Self || contacted[id] {
+		incarnation, heard := contacted[id]
+		if id == l.options.Self || heard && incarnation >= member.Incarnation {
 			continue
 		}
 		if !l.provenDead(ShardRow{Holder: id, Incarnation: member.Incarnation}, peers) {
--- a/leaser/decide.go
+++ b/leaser/decide.go
@@ -23,7 +23,7 @@
 	Draining bool
 	// MayAcquire is true if the peer could acquire a vacant shard.
 	MayAcquire bool
-	// HeartbeatReceived is true if the peer has sent a heartbeat to this
+	// HeartbeatReceived is true if that incarnation has sent a heartbeat to this
 	// entry, and so knows of it.
 	HeartbeatReceived bool
 }
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -89,6 +89,34 @@
 	is.True(acquired)
 }
 
+// TestNewcomerMeetsPresentIncarnations guards against an entry that acquires a shard after a
+// heartbeat of a member's former incarnation: the present one may not know of this entry, and
+// hold the shard by a takeover.
+func TestNewcomerMeetsPresentIncarnations(t *testing.T) {
+	is := is.New(t)
+	l := newLeaser("new", 1)
+	rows := []keeper.Row{
+		memberRow("new", 1, 10),
+		memberRow("other", 2, 9),
+		shardRow("1", ShardRow{Epoch: 4, MembersRevision: 8}, 8), // released
+	}
+	peer := Peer{EntryID: "other", Incarnation: 1, HeartbeatReceived: true}
+	now := testStart
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		applyRows(t, l, now, 10, rows...)
+		is.Equal(acquisitionsIn(l.Tick(now, []Peer{peer})), 0)
+	}
+	peer.Connected, peer.Incarnation = true, 2
+	acquired := 0
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		applyRows(t, l, now, 10, rows...)
+		acquired += acquisitionsIn(l.Tick(now, []Peer{peer}))
+	}
+	is.True(acquired > 0)
+}
+
 // newHolder returns a leaser that holds shard 1 by the table.
 func newHolder(t *testing.T) *Leaser {
 	t.Helper()
