Decider: a list of replicas counts for the tenure that asked for it

What callers could see: a call that runs twice on the product's own interface.

Cause: a coordinator that acquires a shard asks the others for their replicas and the previous holder for what ended there. The reply named the shard, not the epoch. So a reply to an earlier tenure, also one of the entry's former incarnation, said for the present one that every earlier attempt could be found, and a repeated attempt of a call that the coordinator in between had run was run again.

Change: the reply carries the epoch of the question, and counts for that epoch only.

Evidence: TestReplicaListOfFormerTenure failed before ("false != true"); passes now.

--- a/decider/coordinator.go
+++ b/decider/coordinator.go
@@ -130,6 +130,7 @@
 	}
 	list := &encoder.ReplicaList{
 		Seat:       message.Seat,
+		Epoch:      message.Epoch,
 		RequestIDs: c.replicas.Select(ofShard),
 		Outage:     c.withinRetention(c.tableOutageAt),
 		Watched:    !c.withinRetention(c.startedAt),
@@ -148,9 +149,11 @@
 	return !at.IsZero() && c.now.Sub(at) < c.options.RequestRetention
 }
 
+// onReplicaList applies a list that this entry has asked for in its present tenure. One of
+// an earlier tenure, perhaps of a former incarnation, says nothing of those since.
 func (c *Core) onReplicaList(p *peer, message *encoder.ReplicaList) {
 	shard, ok := c.coordinatorShards[message.Seat.Number]
-	if !ok || message.Seat.DataCentre != c.options.DataCentre {
+	if !ok || message.Seat.DataCentre != c.options.DataCentre || message.Epoch != shard.epoch {
 		return
 	}
 	delete(shard.pendingReplicas, p.info.EntryID)
--- a/decider/nextlife_test.go
+++ b/decider/nextlife_test.go
@@ -87,3 +87,23 @@
 	_, known := c.holderOf(shard)
 	is.True(!known)
 }
+
+// TestReplicaListOfFormerTenure guards against a request that runs twice: a list that a
+// coordinator, or its former incarnation, had asked for in an earlier tenure says that every
+// earlier attempt can be found, and is taken for the present tenure.
+func TestReplicaListOfFormerTenure(t *testing.T) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	c, _ := lifeOf(now, "call")
+	c.becomeCoordinator(1, 7)
+	shard := c.coordinatorShards[1]
+	shard.pendingReplicas["b"] = true
+	list := &encoder.ReplicaList{Seat: leaser.Shard{DataCentre: "here", Number: 1}, Epoch: 5, Watched: true, Complete: true}
+	for _, epoch := range []int64{5, 7} {
+		is := is.New(t)
+		list.Epoch = epoch
+		c.Handle(now, PeerMessage{From: "b", Incarnation: 1, Message: list})
+		is.Equal(shard.pendingReplicas["b"], epoch == 5)
+		is.Equal(shard.transferComplete, epoch == 7)
+		is.Equal(c.canFindEarlierAttempts(shard), epoch == 7)
+	}
+}
--- a/encoder/message.go
+++ b/encoder/message.go
@@ -200,7 +200,10 @@
 // ReplicaList is the reply to a ReplicaFetch. RequestIDs are the requests of
 // which the sender keeps a replica.
 type ReplicaList struct {
-	Seat       leaser.Shard
+	Seat leaser.Shard
+	// Epoch is that of the fetch. What the list proves, it proves to the coordinator
+	// of that epoch only.
+	Epoch      int64
 	RequestIDs []requester.RequestID
 	// Outage is true if the sender knows of a store outage within the retention
 	// of ended requests. Watched is true if the sender has run for longer than
