Recorder: a replica of a former incarnation isn't the next one's own

What callers could see: a call that runs twice on the product's own interface, if its first attempt comes again while the table is away and its coordinator has restarted between the two.

Cause: a member keeps a replica of a request under its coordinator's name and refuses it to another coordinator, as that would run the request again. The next incarnation of the same entry is another coordinator too: it knows nothing of what the former one ran. By its name it was taken for the same one.

Change: replicas are kept under the coordinator's incarnation.

Evidence: TestReplicaOfFormerLife failed before ("not true: !granted(2)"); passes now.

--- a/decider/coordinator.go
+++ b/decider/coordinator.go
@@ -165,7 +165,7 @@
 		c.registry.Import(ended, expires)
 	}
 	for _, id := range message.RequestIDs {
-		c.replicas.Record(id, p.info.EntryID, expires)
+		c.replicas.Record(id, p.coordinator(), expires)
 	}
 }
 
--- a/decider/nextlife_test.go
+++ b/decider/nextlife_test.go
@@ -107,3 +107,22 @@
 		is.Equal(c.canFindEarlierAttempts(shard), epoch == 7)
 	}
 }
+
+// TestReplicaOfFormerLife guards against a call that runs twice: a replica that a
+// coordinator's former incarnation has left counts as the next one's own, so that the next one
+// runs the call again.
+func TestReplicaOfFormerLife(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	c, _ := lifeOf(now, "call")
+	granted := func(incarnation int64) bool {
+		request := &encoder.ReplicateRequest{ID: 1, RequestID: "r"}
+		commands := c.Handle(now, PeerMessage{From: "b", Incarnation: incarnation, Message: request})
+		is.Equal(len(commands), 1)
+		return commands[0].(Send).Message.(*encoder.ReplicateReply).Granted
+	}
+	is.True(granted(1))
+	is.True(granted(1)) // the same coordinator renews it
+	c.Handle(now, PeerUp{Peer: encoder.PeerInfo{EntryID: "b", DataCentre: "here"}, Incarnation: 2})
+	is.True(!granted(2))
+}
--- a/decider/peers.go
+++ b/decider/peers.go
@@ -9,6 +9,7 @@
 	"kumquatstall/encoder"
 	"kumquatstall/keeper"
 	"kumquatstall/leaser"
+	"kumquatstall/recorder"
 	"kumquatstall/requester"
 )
 
@@ -380,6 +381,11 @@
 	return known.entry, true
 }
 
+// coordinator returns the peer's incarnation as a coordinator.
+func (p *peer) coordinator() recorder.Coordinator {
+	return recorder.Coordinator{Entry: p.info.EntryID, Incarnation: p.incarnation}
+}
+
 // holds reports whether the peer's last heartbeat reports the shard under epoch.
 func (p *peer) holds(shard leaser.Shard, epoch int64) bool {
 	for _, lease := range p.leases {
--- a/decider/writeahead.go
+++ b/decider/writeahead.go
@@ -176,7 +176,7 @@
 
 func (c *Core) onReplicateRequest(p *peer, message *encoder.ReplicateRequest) {
 	expires := c.now.Add(c.options.RequestRetention)
-	stored := c.replicas.Record(message.RequestID, p.info.EntryID, expires)
+	stored := c.replicas.Record(message.RequestID, p.coordinator(), expires)
 	c.tableOutageAt = c.now
 	c.emit(Send{To: p.info.EntryID, Message: &encoder.ReplicateReply{ID: message.ID, Granted: stored}})
 }
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -308,9 +308,16 @@
 	byID map[requester.RequestID]replica
 }
 
+// Coordinator is the process that replicates a write-ahead record: one incarnation of an
+// entry, as the next one knows nothing of what the former one ran.
+type Coordinator struct {
+	Entry       requester.EntryID
+	Incarnation int64
+}
+
 // replica is one replicated write-ahead record.
 type replica struct {
-	coordinator requester.EntryID
+	coordinator Coordinator
 	expires     time.Time
 }
 
@@ -319,7 +326,7 @@
 
 // Record adds a coordinator's write-ahead record, or renews it, until expires.
 // It returns false if another coordinator has recorded the request.
-func (r *Replicas) Record(id requester.RequestID, coordinator requester.EntryID, expires time.Time) bool {
+func (r *Replicas) Record(id requester.RequestID, coordinator Coordinator, expires time.Time) bool {
 	if known, ok := r.byID[id]; ok && known.coordinator != coordinator {
 		return false
 	}
