Stand-in: a worker's clock may be slow, and its leases last longer

Cause in our tests: the clock of the stand-in's worker was exact, so a run behind a cut lapsed by the true time.

Evidence: TestSlowClockLengthensLease failed with leases by the true time ("4.9s != 5s").

--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -80,10 +80,12 @@
 // leases, without a server. It has no goroutine: the exported methods that take a
 // time first advance the state to it.
 type TaskWorker struct {
-	mu          sync.Mutex
-	info        scheduler.WorkerInfo
-	room        room
-	bootedAt    time.Time
+	mu       sync.Mutex
+	info     scheduler.WorkerInfo
+	room     room
+	bootedAt time.Time
+	// clockRate is how fast the worker's clock runs, as a share of the true rate.
+	clockRate   float64
 	down        bool
 	partitioned bool
 	// crashedAt is when the last incarnation before this one crashed, and former is what
@@ -111,13 +113,13 @@
 	problem string
 }
 
-// maxLease is the longest lease that a worker accepts; it shortens a longer one.
+// maxLease is the longest lease that a worker accepts, on its clock; it shortens a longer one.
 const maxLease = 10 * time.Second
 
 // NewTaskWorker returns a worker that booted at now.
 func NewTaskWorker(info scheduler.WorkerInfo, now time.Time) *TaskWorker {
 	info.BootedAt = now.Truncate(time.Millisecond)
-	return &TaskWorker{info: info, room: room{total: info.Total}, bootedAt: info.BootedAt, staleThrough: make(map[scheduler.TaskName]scheduler.RunNumber)}
+	return &TaskWorker{info: info, room: room{total: info.Total}, bootedAt: info.BootedAt, clockRate: 1, staleThrough: make(map[scheduler.TaskName]scheduler.RunNumber)}
 }
 
 // Info returns what the list of workers contains on the worker, and whether the
@@ -233,9 +235,22 @@
 	return runs, w.problem
 }
 
+// SetClockRate sets how fast the worker's clock runs, as a share of the true rate. Set it
+// before the first order.
+func (w *TaskWorker) SetClockRate(rate float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.clockRate = rate
+}
+
 // clock returns the worker's own clock, which counts milliseconds since the boot.
 func (w *TaskWorker) clock(now time.Time) scheduler.WorkerTime {
-	return scheduler.WorkerTime(now.Sub(w.bootedAt) / time.Millisecond)
+	return scheduler.WorkerTime(float64(now.Sub(w.bootedAt)) * w.clockRate / float64(time.Millisecond))
+}
+
+// trueTime returns how long the worker's clock takes to count a time.
+func (w *TaskWorker) trueTime(counted time.Duration) time.Duration {
+	return time.Duration(float64(counted) / w.clockRate)
 }
 
 // acceptFence reports whether fence is at least the highest one that the worker
@@ -259,8 +274,8 @@
 			run.maybeRescheduled = run.maybeRescheduled || run.endNumber > 0 && !run.Acknowledged
 		}
 	}
-	expiry := w.bootedAt.Add(time.Duration(deadline) * time.Millisecond)
-	if latest := now.Add(maxLease); expiry.After(latest) {
+	expiry := w.bootedAt.Add(w.trueTime(time.Duration(deadline) * time.Millisecond))
+	if latest := now.Add(w.trueTime(maxLease)); expiry.After(latest) {
 		expiry = latest
 	}
 	if expiry.After(w.leaseDeadline) {
--- a/standin/taskworker_test.go
+++ b/standin/taskworker_test.go
@@ -150,6 +150,30 @@
 	}
 }
 
+// TestSlowClockLengthensLease guards against a stand-in whose leases end by the true time: a
+// worker's clock may be slow, and a lease lasts longer by as much.
+func TestSlowClockLengthensLease(t *testing.T) {
+	tests := []struct {
+		deadline, lapse time.Duration
+	}{
+		{4900 * time.Millisecond, 5 * time.Second},
+		{time.Hour, maxLease * 100 / 98},
+	}
+	for _, test := range tests {
+		is := is.New(t)
+		now := time.Now().Truncate(time.Millisecond)
+		w, _ := testWorkers(now)
+		w.SetClockRate(0.98)
+		long := startOrder(longTask, 1, test.deadline)
+		long.Payload = RunSpec{Millis: 60_000}.Payload(requester.Resources{MilliCores: 1})
+		is.Equal(w.Start(long, now), scheduler.OrderAccepted)
+		runs, _ := w.Runs(now.Add(time.Minute))
+		is.Equal(runs[0].EndedAt.Sub(now).Round(time.Millisecond), test.lapse.Round(time.Millisecond))
+		report, _ := w.Poll(scheduler.PollOrder{Fence: 1}, now.Add(time.Minute))
+		is.Equal(report.Clock, scheduler.WorkerTime(58_800))
+	}
+}
+
 // longTask is another task than testTask.
 var longTask = scheduler.TaskName{StepName: scheduler.StepName{Job: "fedcba9876543210"}}
 
