Router: a call names the incarnation of the endpoint that is to run it

What callers could see, on the product's own interface: an exclusive call that runs in two places at once, and an endpoint with more calls than it has slots.

Cause: a call whose connection was lost counts as ended once the endpoint says that it doesn't run it; an exclusive one is then tried again elsewhere. If the endpoint had started again, the call could still reach the next incarnation seconds later, which runs it: the former one's word was kept as a fact about the endpoint.

Change: an endpoint tells its incarnation in its status, a call names it, and any other one responds with 421 and its own. Such a call counts as not sent, as the process that received it has not run it. An endpoint that tells none gets calls as before.

A call that reaches the same incarnation late is still run; seats.md says so, and the simulation leaves it out.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -135,6 +135,9 @@
 	header.Set(router.HeaderDeadline, call.Deadline.UTC().Format(time.RFC3339Nano))
 	header.Set(router.HeaderIdempotent, strconv.FormatBool(call.Idempotent))
 	header.Set(router.HeaderExclusive, strconv.FormatBool(call.Exclusive))
+	if command.Boot != 0 {
+		header.Set(router.HeaderBoot, strconv.FormatInt(command.Boot, 10))
+	}
 	return request, nil
 }
 
@@ -149,6 +152,10 @@
 		done.Detail = "response does not carry the ID of the request"
 	case int64(len(body)) > c.options.MaxResponseBytes:
 		done.Kind, done.Detail = decider.ResultFailed, "response body exceeds the size limit"
+	case response.StatusCode == http.StatusMisdirectedRequest:
+		done.Kind, done.Detail = decider.ResultNotSent, "another incarnation of the endpoint has rejected the request"
+		// Without a number, the present incarnation stays unknown.
+		done.Boot, _ = strconv.ParseInt(response.Header.Get(router.HeaderBoot), 10, 64)
 	case response.StatusCode == http.StatusOK:
 		done.Kind, done.Payload = decider.ResultAnswered, body
 	case response.StatusCode >= 400 && response.StatusCode < 500:
--- a/decider/attempt.go
+++ b/decider/attempt.go
@@ -19,6 +19,9 @@
 		return
 	}
 	sp := c.pool(e.call.Service)
+	if event.Boot != 0 {
+		sp.pool.SetBoot(event.AttemptID, event.Boot)
+	}
 	live := c.executions[e.id] == e && e.attemptID == event.AttemptID
 	if event.Kind == ResultLost {
 		c.onConnectionLost(sp, e, event, live)
--- a/decider/events.go
+++ b/decider/events.go
@@ -100,7 +100,8 @@
 	// ResultRejected means that the endpoint rejected the request itself, as
 	// any other endpoint would.
 	ResultRejected
-	// ResultNotSent means that no byte of the request left this entry.
+	// ResultNotSent means that no byte of the request left this entry, or that another
+	// incarnation of the endpoint than it names has received and rejected it.
 	ResultNotSent
 	// ResultLost means that the request may have been sent and no complete
 	// answer to it arrived, usually because the connection was lost. The
@@ -112,8 +113,11 @@
 type AttemptDone struct {
 	AttemptID uint64
 	Kind      ResultKind
-	Payload   []byte
-	Detail    string
+	// Boot is the incarnation that has rejected the request as meant for another one; 0
+	// if none has.
+	Boot    int64
+	Payload []byte
+	Detail  string
 }
 
 // StatusDone is the result of a PollStatus.
@@ -229,9 +233,12 @@
 // SendBy, the earlier of the call's deadline and the end of the lease of the
 // endpoint's shard.
 type StartAttempt struct {
-	AttemptID   uint64
-	Endpoint    requester.HostID
-	Address     netip.AddrPort
+	AttemptID uint64
+	Endpoint  requester.HostID
+	Address   netip.AddrPort
+	// Boot is the incarnation of the endpoint that is to run the call; 0 if it has not
+	// told any.
+	Boot        int64
 	Connections int
 	Call        requester.Call
 	SendBy      time.Time
--- a/decider/run.go
+++ b/decider/run.go
@@ -310,7 +310,7 @@
 		c.reportViolation("call chart", err.Error())
 		return
 	}
-	address := sp.pool.Start(c.now, router.Attempt{
+	address, boot := sp.pool.Start(c.now, router.Attempt{
 		ID:        e.attemptID,
 		RequestID: e.call.RequestID,
 		Endpoint:  host,
@@ -326,6 +326,7 @@
 		AttemptID: e.attemptID,
 		Endpoint:  host,
 		Address:   address,
+		Boot:      boot,
 		Call:      e.call,
 		SendBy:    earlier(e.call.Deadline, c.leaser.Deadline(c.hostShards[host])),
 	})
--- a/decider/simulation_test.go
+++ b/decider/simulation_test.go
@@ -55,7 +55,7 @@
 	partitioned map[[2]int]bool
 	// workerUnreachableUntil is when a worker becomes reachable again.
 	workerUnreachableUntil map[requester.HostID]time.Time
-	lives                  workerLives
+	lives                  hostLives
 	faultKinds             []int
 	faults                 faultRates
 	faultsEnded            bool
@@ -128,8 +128,12 @@
 
 // fakeEndpoint runs calls. It runs them slowdown times as long as drawn.
 type fakeEndpoint struct {
-	host     keeper.Host
-	running  map[uint64]requester.RequestID
+	host keeper.Host
+	// boot identifies the incarnation.
+	boot    int64
+	running map[uint64]requester.RequestID
+	// atReboot has what happens to each running call when the incarnation ends.
+	atReboot map[uint64]func()
 	next     uint64
 	slowdown float64
 }
@@ -178,7 +182,7 @@
 		workerUnreachableUntil: make(map[requester.HostID]time.Time),
 	}
 	s.faultKinds = drawFaultKinds(s.random)
-	s.lives = newWorkerLives(seed)
+	s.lives = newHostLives(seed)
 	for index := range testDataCentres {
 		s.addHosts(index)
 	}
@@ -212,7 +216,8 @@
 			Connections: 60,
 		}
 		s.hosts = append(s.hosts, host)
-		s.endpoints[host.HostID] = &fakeEndpoint{host: host, running: make(map[uint64]requester.RequestID), slowdown: 1}
+		s.endpoints[host.HostID] = &fakeEndpoint{host: host, boot: s.now.UnixNano(), running: make(map[uint64]requester.RequestID), atReboot: make(map[uint64]func()), slowdown: 1}
+		s.lives.endpoints = append(s.lives.endpoints, host.HostID)
 	}
 	for i := range workersPerDataCentre {
 		host := keeper.Host{
@@ -599,14 +604,21 @@
 			s.post(n, 0, AttemptDone{AttemptID: id, Kind: ResultNotSent})
 			return
 		}
+		s.checkSender(n, endpoint)
+		if s.delayCall(n, endpoint, command) {
+			return
+		}
+		if endpoint.rejects(command) {
+			s.post(n, s.delay(), AttemptDone{AttemptID: id, Kind: ResultNotSent, Boot: endpoint.boot})
+			return
+		}
 		s.execute(n, incarnation, endpoint, command)
 	})
 }
 
-// execute runs a call at a fake endpoint and delivers the result. It fails the test
-// if another node holds the endpoint's shard, and counts calls beyond the endpoint's
-// slots.
-func (s *simulation) execute(n *node, incarnation int64, endpoint *fakeEndpoint, command StartAttempt) {
+// checkSender fails the test if another node than the sender of a call holds the
+// endpoint's shard.
+func (s *simulation) checkSender(n *node, endpoint *fakeEndpoint) {
 	for _, other := range s.nodes {
 		if other == n || other.core == nil || other.dataCentre != n.dataCentre {
 			continue
@@ -616,6 +628,11 @@
 			s.failf("%s sends a call to %s, which %s owns", n.id, endpoint.host.HostID, other.id)
 		}
 	}
+}
+
+// execute runs a call at a fake endpoint and delivers the result. It counts calls beyond
+// the endpoint's slots.
+func (s *simulation) execute(n *node, incarnation int64, endpoint *fakeEndpoint, command StartAttempt) {
 	endpoint.next++
 	serial := endpoint.next
 	call := s.originalCall(command.Call)
@@ -626,7 +643,7 @@
 	}
 	work := time.Duration(float64(1+s.random.IntN(60))*endpoint.slowdown) * time.Millisecond
 	if left := command.Call.Deadline.Sub(s.clock(n)); work > left && s.mutate != mutationSendAfterLease {
-		work = left
+		work = max(0, left)
 	}
 	execution := standin.Execution{
 		RequestID:  call.RequestID,
@@ -650,7 +667,18 @@
 	} else if s.chance(s.faults.failedCall) {
 		done = AttemptDone{AttemptID: command.AttemptID, Kind: ResultFailed}
 	}
+	index := len(s.executions) - 1
+	endpoint.atReboot[serial] = func() {
+		s.executions[index].EndedAt = s.now
+		if !lost {
+			s.deliver(n, incarnation, AttemptDone{AttemptID: command.AttemptID, Kind: ResultLost})
+		}
+	}
 	s.after(work, func() {
+		if endpoint.atReboot[serial] == nil {
+			return // it has ended with its incarnation
+		}
+		delete(endpoint.atReboot, serial)
 		delete(endpoint.running, serial)
 		if !lost {
 			s.after(s.delay(), func() { s.deliver(n, incarnation, done) })
@@ -662,7 +690,7 @@
 	incarnation := n.incarnation
 	sentAt := s.clock(n)
 	s.after(s.delay(), func() {
-		status := router.EndpointStatus{Now: s.now}
+		status := router.EndpointStatus{Now: s.now, Boot: s.endpoints[command.Endpoint.HostID].boot}
 		if s.mutate != mutationStatusEmpty {
 			for _, id := range s.endpoints[command.Endpoint.HostID].running {
 				status.Running = append(status.Running, id)
--- a/router/router.go
+++ b/router/router.go
@@ -34,12 +34,19 @@
 	HeaderDeadline   = "Execution-Deadline"
 	HeaderIdempotent = "Call-Idempotent"
 	HeaderExclusive  = "Call-Exclusive"
+	// HeaderBoot names the incarnation of the endpoint that is to run the call. Any other
+	// one responds with 421 and its own Boot in this header, and runs nothing: a call
+	// whose connection was lost may reach the endpoint seconds later, when what it had
+	// reported of its former incarnation is no longer true.
+	HeaderBoot = "Endpoint-Boot"
 )
 
 // EndpointStatus is an endpoint's response to a status request. Now is the time on
-// the endpoint's clock. Running lists the requests that it is executing.
+// the endpoint's clock. Boot identifies the incarnation of its process; 0 if it does not
+// tell. Running lists the requests that it is executing.
 type EndpointStatus struct {
 	Now     time.Time
+	Boot    int64 `json:",omitempty"`
 	Running []requester.RequestID
 }
 
@@ -98,7 +105,9 @@
 	statusRequestedAt time.Time
 	// statusAt is the time of the endpoint's last status report.
 	statusAt time.Time
-	leaving  bool
+	// boot is the incarnation that the endpoint last told; 0 if it has told none.
+	boot    int64
+	leaving bool
 }
 
 // freeSlots returns the number of executions that the endpoint has capacity
@@ -261,14 +270,21 @@
 }
 
 // Start reserves a slot of attempt.Endpoint, which must be owned, for the attempt
-// and returns the address of the endpoint.
-func (p *Pool) Start(now time.Time, attempt Attempt) netip.AddrPort {
+// and returns the address of the endpoint and the incarnation to name.
+func (p *Pool) Start(now time.Time, attempt Attempt) (address netip.AddrPort, boot int64) {
 	e := p.endpoints[attempt.Endpoint]
 	e.breaker.RecordStart()
 	attempt.StartedAt = now
 	e.attempts[attempt.ID] = &attempt
 	p.attempts[attempt.ID] = e
-	return e.info.Address
+	return e.info.Address, e.boot
+}
+
+// SetBoot records the incarnation that has rejected an attempt as meant for another one.
+func (p *Pool) SetBoot(attemptID uint64, boot int64) {
+	if e, ok := p.attempts[attemptID]; ok {
+		e.boot = boot
+	}
 }
 
 // Finish releases the slot of an attempt that has ended. failed reports whether
@@ -368,6 +384,7 @@
 	}
 	e.inherited = inherited
 	e.statusAt = now
+	e.boot = status.Boot
 	if e.machine.In("Settling") && sentAt.After(e.settlingSince.Add(p.limits.Margin)) {
 		_ = e.machine.Fire("Settled")
 	}
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -98,6 +98,8 @@
 	slots       int
 	connections int
 	executions  *ExecutionLog
+	// boot identifies the endpoint's incarnation: its start in Unix nanoseconds.
+	boot int64
 
 	mu     sync.Mutex
 	faults EndpointFaults
@@ -117,7 +119,7 @@
 // NewEndpoint starts an endpoint on loopback that records its executions in
 // executions.
 func NewEndpoint(hostID requester.HostID, slots, connections int, executions *ExecutionLog) (*Endpoint, error) {
-	e := &Endpoint{hostID: hostID, slots: slots, connections: connections, executions: executions, running: make(map[requester.RequestID]int)}
+	e := &Endpoint{hostID: hostID, slots: slots, connections: connections, executions: executions, boot: time.Now().UnixNano(), running: make(map[requester.RequestID]int)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/run", e.serveRun)
 	mux.HandleFunc("GET /v1/status", e.serveStatus)
@@ -154,7 +156,7 @@
 
 func (e *Endpoint) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	status := router.EndpointStatus{Now: time.Now()}
+	status := router.EndpointStatus{Now: time.Now(), Boot: e.boot}
 	for id := range e.running {
 		status.Running = append(status.Running, id)
 	}
@@ -189,10 +191,16 @@
 	}
 }
 
-// serveRun executes a call: it waits for the call's execution time, records the
+// serveRun executes a call, unless it is meant for another incarnation: it waits for the call's execution time, records the
 // execution and responds.
 func (e *Endpoint) serveRun(w http.ResponseWriter, r *http.Request) {
 	id := requester.RequestID(r.Header.Get(router.HeaderRequestID))
+	if named := r.Header.Get(router.HeaderBoot); named != "" && named != strconv.FormatInt(e.boot, 10) {
+		w.Header().Set(router.HeaderRequestID, string(id))
+		w.Header().Set(router.HeaderBoot, strconv.FormatInt(e.boot, 10))
+		http.Error(w, "meant for another incarnation", http.StatusMisdirectedRequest)
+		return
+	}
 	faults, count, lastID := e.startCall(id)
 	defer e.endCall(id)
 	execution := Execution{
