Placer: a worker answers only syncs that are meant for it

What callers could see, on the product's own workers: tasks that are stopped for no reason, and a worker with more of them than it has room for.

Cause: a sync went to an address. While the list of hosts still names a worker whose address another one has by now, that one answered for both: its runs were taken for the former worker's, stopped there as nobody's, and it got the starts of both.

Change: a sync names its worker, and any other one responds with 421. The response counts as a failed sync.

Evidence: TestSyncForFormerHost "false != true" before; passes now.

--- a/caller/lives_test.go
+++ b/caller/lives_test.go
@@ -7,11 +7,30 @@
 	"github.com/matryer/is"
 
 	"kumquatstall/decider"
+	"kumquatstall/placer"
 	"kumquatstall/requester"
 	"kumquatstall/router"
 	"kumquatstall/standin"
 )
 
+// TestSyncForFormerHost guards against the runs of a worker being taken for those of another
+// one that had its address before, and against orders for the other one that it carries out.
+func TestSyncForFormerHost(t *testing.T) {
+	is := is.New(t)
+	worker, err := standin.NewWorker("present", requester.Resources{MilliCores: 1000, MemoryMB: 1000})
+	is.NoErr(err)
+	defer worker.Close()
+	c := New(Options{})
+	defer c.Close()
+	for _, name := range []requester.HostID{"former", "present"} {
+		fleet := placer.New("entry", 1, time.Now(), placer.Limits{LeaseTerm: time.Minute, SyncInterval: time.Second})
+		fleet.SetWorkers(time.Now(), []placer.WorkerInfo{{HostID: name, Address: worker.Address()}})
+		syncs := fleet.Syncs(time.Now())
+		is.Equal(len(syncs), 1)
+		is.Equal(c.Sync(t.Context(), syncs[0]).Failed, name == "former")
+	}
+}
+
 // TestCallForFormerLife guards against a call that an endpoint runs although it was meant for
 // its former incarnation, of which the entry knows that it runs nothing any more.
 func TestCallForFormerLife(t *testing.T) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -126,6 +126,9 @@
 type SyncRequest struct {
 	Holder requester.EntryID
 	Epoch  int64
+	// Worker is the worker for which the request is meant. Another one that has its
+	// address by now responds with 421, as its runs are none of that worker's.
+	Worker requester.HostID
 	// Boot is the incarnation of the worker's process that is to carry out the
 	// request; 0 if the holder doesn't know it yet. Any other incarnation takes
 	// over the epoch, reports in full and does nothing else.
--- a/placer/sync.go
+++ b/placer/sync.go
@@ -50,6 +50,7 @@
 	request := SyncRequest{
 		Holder:   f.holder,
 		Epoch:    f.epoch,
+		Worker:   w.info.HostID,
 		Boot:     w.boot,
 		Number:   f.lastNumber,
 		Deadline: w.leaseDeadline,
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -152,7 +152,8 @@
 	return w.allocated().DominantShare(w.total)
 }
 
-// serveSync serves POST /v1/sync, and rejects it while the fault Down is set.
+// serveSync serves POST /v1/sync, and rejects it while the fault Down is set or if it is
+// meant for another worker.
 func (w *Worker) serveSync(rw http.ResponseWriter, r *http.Request) {
 	var request placer.SyncRequest
 	w.mu.Lock()
@@ -165,6 +166,10 @@
 	if !decodeJSON(rw, r, &request) {
 		return
 	}
+	if request.Worker != w.hostID {
+		http.Error(rw, "meant for another worker", http.StatusMisdirectedRequest)
+		return
+	}
 	encodeJSON(rw, w.Sync(request, time.Now()))
 }
 
