Placer: a sync's result counts for the record of the worker that sent it

What callers could see, on the product's own workers: a task that runs twice, or a worker with more tasks than it has room for, after a worker leaves the list for a moment.

Cause: a worker without tasks that leaves the list is forgotten, and known anew when it is back. The answer to a sync from before was matched by the worker's name: it ended the wait for the present sync, and its report of the latest changes counted as a full one, as if the worker had told all that runs there.

Change: only the result of the sync in flight counts.

Evidence: TestReportForFormerRecord failed before ("not true: !Reported"); passes now.

--- a/placer/lives_test.go
+++ b/placer/lives_test.go
@@ -179,3 +179,25 @@
 	h.exchange()
 	h.is.Equal(h.running(), 1.0)
 }
+
+// TestReportForFormerRecord guards against a worker that counts as having told all that runs
+// there after a report that holds the latest changes only: the answer to a sync from before
+// the worker left the list and came back.
+func TestReportForFormerRecord(t *testing.T) {
+	h := newLivesHarness(t, "a")
+	h.wait(time.Second)
+	former := h.fleet.Syncs(h.now)[0]
+	info := []placer.WorkerInfo{{HostID: "a", Total: livesRoom}}
+	h.fleet.SetWorkers(h.now, nil)
+	h.fleet.SetWorkers(h.now, info)
+	h.is.True(!h.fleet.Workers()[0].Reported)
+	report := h.workers["a"].Sync(former.Request, h.now)
+	present := h.fleet.Syncs(h.now)
+	h.is.Equal(len(present), 1)
+	h.fleet.OnReport(h.now, former, report)
+	h.is.True(!h.fleet.Workers()[0].Reported)
+	h.fleet.OnSyncFailed(h.now, former)
+	h.is.Equal(len(h.fleet.Syncs(h.now.Add(time.Minute))), 0) // the present one is still in flight
+	h.fleet.OnReport(h.now, present[0], h.workers["a"].Sync(present[0].Request, h.now))
+	h.is.True(h.fleet.Workers()[0].Reported)
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -257,9 +257,10 @@
 	unresponsive bool
 	// orphans holds the resources allocated to each orphaned run: an active run
 	// to which no task is bound. They stay allocated until the run has stopped.
-	orphans      map[TaskID]requester.Resources
-	syncInFlight bool
-	lastSyncAt   time.Time
+	orphans map[TaskID]requester.Resources
+	// inFlight is the number of the sync in flight; 0 if there is none.
+	inFlight   int64
+	lastSyncAt time.Time
 	// removed is true if the list of workers no longer contains the worker.
 	removed bool
 	// starts, stops, throttles and acks are to be sent with the next sync.
--- a/placer/sync.go
+++ b/placer/sync.go
@@ -32,7 +32,7 @@
 	for _, w := range f.workerList {
 		pending := !w.unresponsive && len(w.starts)+len(w.stops)+len(w.throttles)+len(w.acks) > 0
 		due := now.Sub(w.lastSyncAt) >= f.limits.SyncInterval
-		if w.syncInFlight || w.removed || !pending && !due {
+		if w.inFlight != 0 || w.removed || !pending && !due {
 			continue
 		}
 		syncs = append(syncs, f.newSync(w, now))
@@ -65,7 +65,7 @@
 	w.stops = nil
 	w.throttles = nil
 	w.acks = nil
-	w.syncInFlight = true
+	w.inFlight = request.Number
 	w.lastSyncAt = now
 	return Sync{Worker: w.info.HostID, Address: w.info.Address, Request: request, SentAt: now}
 }
@@ -74,16 +74,26 @@
 // sent again. The starts may have taken effect; the next report is a full one and
 // shows which runs there are.
 func (f *Fleet) OnSyncFailed(now time.Time, sync Sync) {
-	w, ok := f.workers[sync.Worker]
-	if !ok {
+	w := f.endSync(&sync)
+	if w == nil {
 		return
 	}
-	w.syncInFlight = false
 	w.unresponsive = true
 	w.sequence = 0
 	w.putBack(&sync.Request)
 }
 
+// endSync returns the worker of a sync that has ended, or nil if it isn't the one in flight:
+// the worker has been off the list since, and what is known of it begins anew.
+func (f *Fleet) endSync(sync *Sync) *worker {
+	w, ok := f.workers[sync.Worker]
+	if !ok || w.inFlight != sync.Request.Number {
+		return nil
+	}
+	w.inFlight = 0
+	return w
+}
+
 // putBack queues again what a request contained that may not have been carried out, but
 // no start of a task that isn't bound to the worker any more, as its lease has expired.
 func (w *worker) putBack(request *SyncRequest) {
@@ -98,11 +108,10 @@
 // OnReport applies a worker's response to a sync. It ignores the report of a
 // worker that has rejected the request, since a newer holder has taken over.
 func (f *Fleet) OnReport(now time.Time, sync Sync, report SyncReport) {
-	w, ok := f.workers[sync.Worker]
-	if !ok {
+	w := f.endSync(&sync)
+	if w == nil {
 		return
 	}
-	w.syncInFlight = false
 	if report.Fenced {
 		return
 	}
