Stand-in: orders that a cut holds up arrive, also when they are given up

Cause in our tests: a proxy discarded what came during a cut, and the stand-in dropped an order whose sender gave up while it was on its way. A call that is given up by its deadline closes its connection and doesn't reset it, so it arrives at the end of the cut, at whatever life of the worker is up by then.

Change: Proxy.SetHold holds bytes up and lets them arrive, unless the sender has reset the connection; an order on its way reaches its worker.

TestProxyHoldsBytesUp passes in 5 of 5.

--- a/standin/cellorders.go
+++ b/standin/cellorders.go
@@ -7,16 +7,11 @@
 	"kumquatstall/scheduler"
 )
 
-// deliver waits until an order reaches its worker and returns the worker. If the
-// worker is unreachable, it blocks until ctx ends and returns nil.
+// deliver waits until an order reaches its worker and returns the worker. An order on its
+// way arrives also if its sender gives up. If the worker is unreachable, deliver blocks until
+// ctx ends and returns nil.
 func (c *entryPlatform) deliver(ctx context.Context, ref scheduler.WorkerRef) *TaskWorker {
-	timer := time.NewTimer(c.Latency / 2)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-timer.C:
-	}
+	time.Sleep(c.Latency / 2)
 	w := c.Worker(ref.HostID)
 	if w == nil || !w.Reachable() {
 		<-ctx.Done()
--- a/standin/proxy.go
+++ b/standin/proxy.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,6 +29,9 @@
 	// refuse is true while new connections are closed as soon as they are
 	// accepted.
 	refuse bool
+	// held is closed when the proxy lets go of the bytes that it holds up; nil while it
+	// holds up none.
+	held chan struct{}
 }
 
 // Direction is one of the two directions of a proxied connection.
@@ -86,6 +90,7 @@
 		_ = listener.Close()
 	}
 	p.SetRefuse(true)
+	p.SetHold(false)
 	p.group.Wait()
 }
 
@@ -120,6 +125,52 @@
 	}
 }
 
+// SetHold starts or ends a time in which all bytes are held up, of open and new connections.
+// At its end they arrive, also if their sender has given up and closed the connection since,
+// but not if it has reset it.
+func (p *Proxy) SetHold(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if on && p.held == nil {
+		p.held = make(chan struct{})
+	}
+	if !on && p.held != nil {
+		close(p.held)
+		p.held = nil
+	}
+}
+
+// awaitRelease waits until bytes of source that have arrived now are let go, and reports
+// whether they are lost by then.
+func (p *Proxy) awaitRelease(source net.Conn) (lost bool) {
+	p.mu.Lock()
+	held := p.held
+	p.mu.Unlock()
+	if held == nil {
+		return false
+	}
+	<-held
+	return isReset(source)
+}
+
+// isReset reports whether the other end has reset a connection.
+func isReset(conn net.Conn) bool {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	reset := false
+	err = raw.Control(func(fd uintptr) {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		reset = errors.Is(err, syscall.ECONNRESET)
+	})
+	return reset || err != nil
+}
+
 // SetDelay holds bytes for a time before they are forwarded, in their order. Bytes
 // that arrive while others are held wait for these, so they may take twice as long.
 func (p *Proxy) SetDelay(delay time.Duration) { p.delay.Store(int64(delay)) }
@@ -211,6 +262,10 @@
 		if delay := time.Duration(p.delay.Load()); delay > 0 {
 			time.Sleep(delay)
 		}
+		if n > 0 && p.awaitRelease(source) {
+			_ = destination.Close()
+			return
+		}
 		if n > 0 && !c.silent[d].Load() {
 			if _, writeErr := destination.Write(buffer[:n]); writeErr != nil && !back.Load() {
 				err = writeErr
--- a/standin/proxy_test.go
+++ b/standin/proxy_test.go
@@ -114,3 +114,24 @@
 		is.True(time.Since(sent) >= delay)
 	}
 }
+
+// TestProxyHoldsBytesUp guards against a cut that loses what its sender has given up: bytes
+// that are held up arrive later, unless their sender has reset the connection.
+func TestProxyHoldsBytesUp(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		is := is.New(t)
+		p := newProxyPair(t)
+		client, server := p.connect()
+		p.proxy.SetHold(true)
+		is.True(!arrives(t, client, server))
+		if reset {
+			is.NoErr(client.(*net.TCPConn).SetLinger(0))
+		}
+		is.NoErr(client.Close())
+		p.proxy.SetHold(false)
+		is.NoErr(server.SetReadDeadline(time.Now().Add(arrivalTimeout)))
+		_, err := server.Read(make([]byte, 1))
+		is.Equal(err == nil, !reset)
+		p.connect() // a new connection works
+	}
+}
