Stand-in: a late start rests on the room that could be known when it was sent

Cause, in the check: a start may rest on a room that has shrunk for RoomGrace, the time for the owner to learn of it, counted from the shrinking to the moment at which the start is carried out. The worker started again, its room shrank, and its next life carried the start out up to 12 s late. No owner can prevent that: the users' rules with a time bound don't hold for orders that a minion carried out late.

Change: RoomGrace counts to the moment at which the start was sent. A start that is carried out at once is checked as before, a late one by what could be known when it was sent, together with all that runs.

Evidence: TestLateStartBeyondShrunkRoom; the first two of its cases would count as beyond the room by the moment at which they are carried out.

--- a/standin/cellorders.go
+++ b/standin/cellorders.go
@@ -89,7 +89,8 @@
 
 // Start implements dispatcher.Workers.
 func (c *entryPlatform) Start(ctx context.Context, order scheduler.StartOrder) scheduler.OrderResult {
-	if c.delayOrder(ctx, order.Worker, func(w *TaskWorker, now time.Time) { w.Start(order, now) }) {
+	sentAt := time.Now()
+	if c.delayOrder(ctx, order.Worker, func(w *TaskWorker, now time.Time) { w.startSent(order, sentAt, now) }) {
 		return scheduler.OrderUnknown
 	}
 	if w := c.deliver(ctx, order.Worker); w != nil {
--- a/standin/room_test.go
+++ b/standin/room_test.go
@@ -71,3 +71,25 @@
 		})
 	}
 }
+
+// TestLateStartBeyondShrunkRoom guards against a check that blames an owner for a start which
+// it sent before it could know that the room had shrunk, and which is carried out late.
+func TestLateStartBeyondShrunkRoom(t *testing.T) {
+	for _, test := range []struct {
+		// sent is how long after the room has shrunk the start is sent.
+		sent time.Duration
+		want bool
+	}{{-time.Second, false}, {RoomGrace - time.Millisecond, false}, {RoomGrace, true}} {
+		is := is.New(t)
+		now := time.Date(2026, 7, 10, 12, 0, 0, 0, time.UTC)
+		w := NewTaskWorker(scheduler.WorkerInfo{HostID: "worker", Total: requester.Resources{MilliCores: 8000, MemoryMB: 16000}}, now)
+		now = now.Add(time.Minute)
+		w.SetRoom(requester.Resources{MilliCores: 4000, MemoryMB: 16000}, now)
+		sentAt := now.Add(test.sent)
+		now = sentAt.Add(maxOrderDelay)
+		order := scheduler.StartOrder{Run: 1, Payload: RunSpec{Millis: 1000}.Payload(requester.Resources{MilliCores: 5000}), Deadline: w.clock(now) + 10_000}
+		is.Equal(w.startSent(order, sentAt, now), scheduler.OrderAccepted)
+		_, problem := w.Runs(now)
+		is.Equal(problem != "", test.want)
+	}
+}
