Placer: a task is stopped that the same sync starts

What callers see, on the product's own workers: a task of a job that was cancelled as soon as it was placed runs to its end. Seen by reading the order in which a sync is carried out; nobody has reported it.

Cause: the start and the stop went out in one sync, and the worker carried out stops first.

Change: a sync's starts come before its stops.

Evidence: TestCancelledBeforeItsStart "1 != 0" before; passes now.

--- a/placer/lives_test.go
+++ b/placer/lives_test.go
@@ -201,3 +201,16 @@
 	h.fleet.OnReport(h.now, present[0], h.workers["a"].Sync(present[0].Request, h.now))
 	h.is.True(h.fleet.Workers()[0].Reported)
 }
+
+// TestCancelledBeforeItsStart guards against a task of a cancelled job that runs to its end: its
+// start and the order to stop it go out together.
+func TestCancelledBeforeItsStart(t *testing.T) {
+	h := newLivesHarness(t, "a")
+	h.addJob()
+	h.is.True(h.fleet.Cancel("j", h.now))
+	h.exchange()
+	h.is.Equal(h.running(), 0.0)
+	h.wait(time.Second)
+	h.exchange()
+	h.is.Equal(h.fleet.Workers()[0].Allocated, requester.Resources{})
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -118,7 +118,8 @@
 // SyncRequest renews the lease of a worker and starts, stops, throttles and
 // acknowledges runs. A worker rejects a request whose epoch is lower than the
 // highest one that it has received. It ends its runs at Deadline unless a later
-// request extends the lease.
+// request extends the lease. It carries out the starts before the stops, as a request may
+// stop what it starts.
 //
 // A request that gets no response may be carried out seconds later, and a worker that has
 // started again knows nothing of before: no epoch, no stop and no run that has ended. So
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -173,8 +173,8 @@
 	encodeJSON(rw, w.Sync(request, time.Now()))
 }
 
-// Sync executes a request of the shard's holder: it renews the lease, removes
-// acknowledged tasks, stops, throttles and starts tasks, and reports the tasks that
+// Sync executes a request of the shard's holder: it renews the lease, starts tasks, removes
+// acknowledged ones, stops and throttles tasks, and reports the tasks that
 // have changed since request.Since, or all if that is 0. A request of an older
 // epoch changes nothing and is reported as fenced. A request for another incarnation, or
 // one that a later one has overtaken, changes nothing but the epoch and gets a full
@@ -201,12 +201,12 @@
 	if request.Deadline.After(w.leaseDeadline) {
 		w.leaseDeadline = request.Deadline
 	}
-	w.endTasks(request, now)
 	if now.Before(request.Deadline) {
 		for _, start := range request.Starts {
 			w.startTask(start, now)
 		}
 	}
+	w.endTasks(request, now)
 	return w.report(request.Since, now)
 }
 
