Simulation: an end of a link learns of its close before the next one opens

Cause, in the simulation: the state at the end has a link open between dc0-e0 and dc0-e1, and both cores take the other for not connected, since 55 s. A link's close was told 1 ms later and the next one's opening at once, so if they came together the close was told last and undid the opening. A Linker tells them in their order.

Change: both are told after 1 ms.

--- a/decider/simulation_test.go
+++ b/decider/simulation_test.go
@@ -378,13 +378,18 @@
 	}
 }
 
+// linkEventDelay is how long after a link has opened or closed its ends learn of it. It is
+// the same for both, so that an end learns that a link has closed before it learns of the next
+// one, as a Linker reports them.
+const linkEventDelay = time.Millisecond
+
 func (s *simulation) openLink(a, b *node) {
 	serial := s.now.UnixNano()
 	for _, pair := range [][2]*node{{a, b}, {b, a}} {
 		from, to := pair[0], pair[1]
 		from.links[to.index] = serial
 		info := encoder.PeerInfo{EntryID: to.id, DataCentre: to.dataCentre, Address: netip.MustParseAddrPort("127.0.0.1:2")}
-		s.post(from, 0, PeerUp{Peer: info, Incarnation: to.incarnation})
+		s.post(from, linkEventDelay, PeerUp{Peer: info, Incarnation: to.incarnation})
 	}
 }
 
@@ -393,7 +398,7 @@
 	for _, pair := range [][2]*node{{a, b}, {b, a}} {
 		if from, to := pair[0], pair[1]; from.links[to.index] != 0 {
 			from.links[to.index] = 0
-			s.post(from, time.Millisecond, PeerDown{EntryID: to.id})
+			s.post(from, linkEventDelay, PeerDown{EntryID: to.id})
 		}
 	}
 }
@@ -739,7 +744,7 @@
 			n.links[other.index] = 0
 			if other.links[n.index] != 0 && s.reachable(n, other) {
 				other.links[n.index] = 0
-				s.post(other, time.Millisecond, PeerDown{EntryID: n.id})
+				s.post(other, linkEventDelay, PeerDown{EntryID: n.id})
 			}
 		}
 	}
