--- a/decider/lives_test.go
+++ b/decider/lives_test.go
@@ -101,8 +101,8 @@
 }
 
 // rejects reports whether a call is meant for another incarnation.
-func (e *fakeEndpoint) rejects(command StartAttempt) bool {
-	return command.Boot != 0 && command.Boot != e.boot
+func (s *simulation) rejects(e *fakeEndpoint, command StartAttempt) bool {
+	return command.Boot != 0 && command.Boot != e.boot && s.mutate != mutationCallsForFormerLives
 }
 
 // delayCall decides whether a call that arrives now is late. If it is, its connection is
@@ -114,7 +114,7 @@
 	delay, boot := s.lives.delay(), endpoint.boot
 	s.post(n, time.Duration(s.lives.random.Int64N(int64(delay)+1)), AttemptDone{AttemptID: command.AttemptID, Kind: ResultLost})
 	s.after(delay, func() {
-		if endpoint.boot == boot || endpoint.rejects(command) {
+		if endpoint.boot == boot || s.rejects(endpoint, command) {
 			return
 		}
 		s.tracef("%s carries out a late call of %s", endpoint.host.HostID, n.id)
--- a/decider/mutation_test.go
+++ b/decider/mutation_test.go
@@ -51,6 +51,7 @@
 		{"calls are marked idempotent", mutationCallsMarkedIdempotent},
 		{"calls are sent after the lease expired", mutationSendAfterLease},
 		{"a lost connection counts as not sent", mutationLostConnectionNotSent},
+		{"endpoints run calls for former lives", mutationCallsForFormerLives},
 	}
 	const seeds, steps = 40, 500
 	for _, m := range mutations {
--- a/decider/simulation_test.go
+++ b/decider/simulation_test.go
@@ -83,6 +83,7 @@
 	mutationCallsMarkedIdempotent
 	mutationSendAfterLease
 	mutationLostConnectionNotSent
+	mutationCallsForFormerLives
 )
 
 // scheduledAction runs at a time; sequence orders actions with equal times.
@@ -613,7 +614,7 @@
 		if s.delayCall(n, endpoint, command) {
 			return
 		}
-		if endpoint.rejects(command) {
+		if s.rejects(endpoint, command) {
 			s.post(n, s.delay(), AttemptDone{AttemptID: id, Kind: ResultNotSent, Boot: endpoint.boot})
 			return
 		}
