--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -86,7 +86,9 @@
 
 // Workers sends orders to workers and returns their results.
 type Workers interface {
-	Start(ctx context.Context, order scheduler.StartOrder) scheduler.OrderResult
+	// Start also returns the worker's clock, read when the worker accepted the order;
+	// 0 if the worker has not shown it.
+	Start(ctx context.Context, order scheduler.StartOrder) (scheduler.WorkerTime, scheduler.OrderResult)
 	Stop(ctx context.Context, order scheduler.StopOrder) scheduler.OrderResult
 	// Pace sets the share of what a run would otherwise use that it may use.
 	Pace(ctx context.Context, order scheduler.PaceOrder) scheduler.OrderResult
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -213,13 +213,7 @@
 		})
 	}
 	for _, order := range orders.Starts {
-		s.spawn(func() {
-			result := scheduler.OrderRefused
-			if s.leaseValid() {
-				result = withTimeout(s.ctx, orderTimeout, func(ctx context.Context) scheduler.OrderResult { return d.platform.Start(ctx, order) })
-			}
-			s.post(func() { s.core.StartDone(d.clock.Now(), order, result) })
-		})
+		s.spawn(func() { s.start(order) })
 	}
 	for _, order := range orders.Paces {
 		s.spawn(func() {
@@ -232,6 +226,27 @@
 	}
 }
 
+// start sends a start, unless the owner's lease has expired, and posts the result.
+func (s *session) start(order scheduler.StartOrder) {
+	var clock scheduler.WorkerTime
+	result := scheduler.OrderRefused
+	if s.leaseValid() {
+		result = withTimeout(s.ctx, orderTimeout, func(ctx context.Context) scheduler.OrderResult {
+			shown, result := s.dispatcher.platform.Start(ctx, order)
+			clock = shown
+			return result
+		})
+	}
+	s.post(func() {
+		now := s.dispatcher.clock.Now()
+		if result == scheduler.OrderAccepted {
+			s.core.StartAccepted(now, order, clock)
+		} else {
+			s.core.StartDone(now, order, result)
+		}
+	})
+}
+
 // poll polls a worker and posts its report and the result.
 func (s *session) poll(order scheduler.PollOrder) {
 	var wait time.Duration
--- a/replayer/worker.go
+++ b/replayer/worker.go
@@ -96,7 +96,8 @@
 			return
 		}
 		w.startRun(order)
-		r.scheduleAfter(orderLatency, func() { r.core.StartDone(r.now, order, scheduler.OrderAccepted) })
+		clock := w.clock()
+		r.scheduleAfter(orderLatency, func() { r.core.StartAccepted(r.now, order, clock) })
 	})
 }
 
--- a/standin/cellorders.go
+++ b/standin/cellorders.go
@@ -88,15 +88,17 @@
 }
 
 // Start implements dispatcher.Workers.
-func (c *entryPlatform) Start(ctx context.Context, order scheduler.StartOrder) scheduler.OrderResult {
+func (c *entryPlatform) Start(ctx context.Context, order scheduler.StartOrder) (scheduler.WorkerTime, scheduler.OrderResult) {
 	sentAt := time.Now()
 	if c.delayOrder(ctx, order.Worker, func(w *TaskWorker, now time.Time) { w.startSent(order, sentAt, now) }) {
-		return scheduler.OrderUnknown
+		return 0, scheduler.OrderUnknown
 	}
 	if w := c.deliver(ctx, order.Worker); w != nil {
-		return c.respond(w.Start(order, time.Now()))
+		now := time.Now()
+		result := w.Start(order, now)
+		return w.shownClock(now), c.respond(result)
 	}
-	return scheduler.OrderUnknown
+	return 0, scheduler.OrderUnknown
 }
 
 // Stop implements dispatcher.Workers.
--- a/standin/lateorders_test.go
+++ b/standin/lateorders_test.go
@@ -41,7 +41,8 @@
 	return func(ctx context.Context) scheduler.OrderResult {
 		order := startOrder(testTask, run, time.Minute)
 		order.Worker = c.ref
-		return c.platform.Start(ctx, order)
+		_, result := c.platform.Start(ctx, order)
+		return result
 	}
 }
 
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -248,6 +248,13 @@
 	return scheduler.WorkerTime(float64(now.Sub(w.bootedAt)) * w.clockRate / float64(time.Millisecond))
 }
 
+// shownClock returns the worker's own clock for a response.
+func (w *TaskWorker) shownClock(now time.Time) scheduler.WorkerTime {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.clock(now)
+}
+
 // trueTime returns how long the worker's clock takes to count a time.
 func (w *TaskWorker) trueTime(counted time.Duration) time.Duration {
 	return time.Duration(float64(counted) / w.clockRate)
--- a/standin/taskworker_test.go
+++ b/standin/taskworker_test.go
@@ -187,7 +187,8 @@
 		ref := scheduler.WorkerRef{HostID: infos[0].HostID}
 		order := startOrder(testTask, 1, 5*time.Second)
 		order.Worker = ref
-		is.Equal(platform.Start(context.Background(), order), scheduler.OrderAccepted)
+		_, result := platform.Start(context.Background(), order)
+		is.Equal(result, scheduler.OrderAccepted)
 		report, result := platform.Poll(context.Background(), scheduler.PollOrder{Worker: ref, Fence: 1, AcknowledgedEnd: 57}, time.Second)
 		is.Equal(result, scheduler.OrderAccepted)
 		is.Equal(len(report.Ended), 1)
