--- a/scheduler/fence.go
+++ b/scheduler/fence.go
@@ -9,10 +9,14 @@
 // has received no response and whenever a new incarnation of it is observed:
 // once the worker has executed an order of the new generation, it rejects what
 // is left of earlier ones.
+//
+// It is also raised after each poll that acknowledges ends, so that every later start
+// has a higher one: an incarnation that has executed such a start, and could have an end
+// of it, rejects the poll. Starts from before it are answered first (awaitsAnswer).
 
 // generationBits is how many low bits of a fence hold the generation. The bits
 // above them are the owner's epoch.
-const generationBits = 20
+const generationBits = 30
 
 // fence returns the fence of new orders to the worker.
 func (c *Core) fence(w *worker) Fence {
--- a/scheduler/nextlife_test.go
+++ b/scheduler/nextlife_test.go
@@ -264,3 +264,40 @@
 		is.Equal(started, 1)
 	}
 }
+
+// TestLatePollForgetsEndsOfTheNextLife guards against a poll that acknowledges ends of one
+// life and is executed by the next one, which forgets an end that nobody has read.
+func TestLatePollForgetsEndsOfTheNextLife(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.add("a", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 100))
+	first := h.settle()
+	is.Equal(len(first), 1)
+	h.advance(time.Second)
+	h.endRun(first[0], EndDone)
+	h.add("b", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 100))
+	h.add("c", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 100))
+	h.commit()
+	var polls []PollOrder
+	var starts []StartOrder
+	for range 50 {
+		h.now = h.now.Add(20 * time.Millisecond)
+		h.commit()
+		orders := h.core.Tick(h.now)
+		starts = append(starts, orders.Starts...)
+		for _, poll := range orders.Polls {
+			if poll.AcknowledgedEnd > 0 {
+				polls = append(polls, poll)
+			}
+		}
+	}
+	// Nothing is answered any more, and all may be executed by the next life. It rejects a
+	// poll after a start with a higher fence, so a poll may not have as high a one as an
+	// unanswered start.
+	is.True(len(starts) > 0)
+	for _, poll := range polls {
+		for _, start := range starts {
+			is.True(poll.Fence < start.Fence)
+		}
+	}
+}
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -39,7 +39,7 @@
 	maxOrderDelay = 13 * time.Second
 	// answerTime is after what time without an answer a start is stored as open. The
 	// answer may still come.
-	answerTime = 250 * time.Millisecond
+	answerTime = 100 * time.Millisecond
 	// maxClockDifference is how much the clocks of two owners may differ.
 	maxClockDifference = 5 * time.Second
 )
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -31,9 +31,15 @@
 		if keepsEnds && c.now.Sub(w.clockAt) < commitWait {
 			continue
 		}
+		acknowledged := c.acknowledgement(w)
+		if acknowledged > 0 && c.awaitsAnswer(w) {
+			if c.now.Sub(w.clockAt) < commitWait+answerTime {
+				continue
+			}
+			acknowledged = 0
+		}
 		w.pollInFlight = true
 		c.stats.Looks++
-		acknowledged := c.acknowledgement(w)
 		c.logAcknowledged(w, acknowledged)
 		c.orders.Polls = append(c.orders.Polls, PollOrder{
 			Worker:          w.ref(),
@@ -43,9 +49,23 @@
 			LongPoll:        w.reported && !keepsEnds && w.unanswered == 0,
 			SentAt:          c.now,
 		})
+		if acknowledged > 0 {
+			c.raiseGeneration(w)
+		}
 	}
 }
 
+// awaitsAnswer reports whether a start on the worker is unanswered. An incarnation that
+// executed it late could have an end of it, which a poll sent now must not acknowledge.
+func (c *Core) awaitsAnswer(w *worker) bool {
+	for _, r := range w.runs {
+		if !r.settled {
+			return true
+		}
+	}
+	return false
+}
+
 // keepsEnds reports whether the worker has ends that a poll now would not
 // acknowledge, so that it would respond at once.
 func (w *worker) keepsEnds() bool {
@@ -70,6 +90,7 @@
 	case OrderAccepted:
 		c.applyReport(w, order, report)
 	case OrderFenced:
+		w.fencedPoll = true
 		c.rejectedByFence(w, order.Fence)
 	case OrderOtherIncarnation:
 		c.endIncarnation(w, order.Worker)
@@ -120,7 +141,7 @@
 		c.forgetSilence(w)
 		c.log(LogRecord{Worker: w.info.HostID, Event: "worker answers"})
 	}
-	w.unanswered, w.ended = 0, false
+	w.unanswered, w.ended, w.fencedPoll = 0, false, false
 	w.clock, w.clockAt = report.Clock, c.now
 	if !w.reported {
 		// A previous owner may have granted a lease of this length just now.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -85,6 +85,9 @@
 	withheld      int64
 	appliedBeyond map[int64]bool
 	pollInFlight  bool
+	// fencedPoll is true if the last poll was rejected because of its fence. The next
+	// one acknowledges nothing, so that it has the latest fence.
+	fencedPoll bool
 	// nextPollAt is the earliest time of the next poll.
 	nextPollAt time.Time
 	// unanswered counts consecutive polls and starts without a usable response;
@@ -377,7 +380,7 @@
 	w.clock, w.leaseDeadline = 0, 0
 	w.grantedTo, c.birthsDirty = time.Time{}, true
 	w.clockAt = time.Time{}
-	w.reported, w.endsListed, w.ended = false, false, false
+	w.reported, w.endsListed, w.ended, w.fencedPoll = false, false, false, false
 	w.unreportedSince = c.now
 	// A poll in flight was meant for the previous incarnation.
 	w.pollInFlight, w.nextPollAt = false, c.now
