--- a/linker/handshake.go
+++ b/linker/handshake.go
@@ -62,7 +62,7 @@
 // handshake exchanges Hello and Proof messages and returns the peer's Hello once
 // its proof is verified.
 func (l *Linker) handshake(ctx context.Context, conn *websocket.Conn) (*encoder.Hello, error) {
-	conn.SetReadLimit(maxMessageBytes)
+	conn.SetReadLimit(maxHandshakeBytes)
 	challenge := make([]byte, challengeBytes)
 	if _, err := rand.Read(challenge); err != nil {
 		return nil, errors.Wrap(err, "generate challenge")
@@ -95,6 +95,7 @@
 	if hello.EntryID == self.EntryID || hello.EntryID == "" {
 		return nil, errors.Newf("verify hello: got entry ID %q, expected one that is not empty and not this entry's", hello.EntryID)
 	}
+	conn.SetReadLimit(maxMessageBytes)
 	return hello, nil
 }
 
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -84,7 +84,10 @@
 	handshakeTimeout    = 2 * time.Second
 	queueLength         = 8192
 	maxMessageBytes     = 32 << 20
-	redialInterval      = 300 * time.Millisecond
+	// maxHandshakeBytes bounds each message of a peer that has not proved yet that it
+	// knows the shared key. Such a message has two names, an address and a challenge.
+	maxHandshakeBytes = 16 << 10
+	redialInterval    = 300 * time.Millisecond
 	// yieldPeriod is how long the entry with the higher ID waits between its
 	// attempts to dial, so that the other one dials first. A link that is younger
 	// than this may be the result of a simultaneous dial.
