--- a/cmd/kumquatstall/serve.go
+++ b/cmd/kumquatstall/serve.go
@@ -17,6 +17,7 @@
 
 	"kumquatstall/configurer"
 	"kumquatstall/dispatcher"
+	"kumquatstall/limiter"
 	"kumquatstall/linker"
 	"kumquatstall/logger"
 	"kumquatstall/platform"
@@ -88,6 +89,7 @@
 	log        zerolog.Logger
 	client     *platform.Client
 	dispatcher *dispatcher.Dispatcher
+	guard      *limiter.Guard
 	servers    []*http.Server
 	// callerServer is the element of servers that serves the API for callers.
 	callerServer *http.Server
@@ -100,6 +102,11 @@
 func (s *siteServer) start() error {
 	site := s.site
 	s.serveErrors = make(chan error, 4)
+	var err error
+	s.guard, err = limiter.New(limiter.Options{MemoryBytes: site.Limits.MemoryMB << 20, Descriptors: site.Limits.Descriptors})
+	if err != nil {
+		return err
+	}
 	s.client = platform.New(platform.Options{Store: site.Store.Address, Advice: site.Advice, Log: s.log})
 	s.dispatcher = dispatcher.Start(dispatcher.Options{
 		Self:            site.EntryID,
@@ -112,23 +119,25 @@
 	}, s.client, nil, s.log)
 	expvar.Publish("kumquatstall", jsonVar(s.dispatcher.Metrics))
 	expvar.Publish("kumquatstall_platform", jsonVar(s.client.Metrics))
+	expvar.Publish("kumquatstall_clients", expvar.Func(func() any { return s.guard.Metrics() }))
 	links := http.NewServeMux()
 	links.Handle(linker.Path, s.dispatcher.Links())
 	listeners := []struct {
-		name    string
-		address netip.AddrPort
-		handler http.Handler
+		name        string
+		address     netip.AddrPort
+		connections int
+		handler     http.Handler
 	}{
-		{"readiness checks", site.Listen.Ready, platform.NewReadinessHandler(s.dispatcher.Ready)},
-		{"links", site.Listen.Links, links},
-		{"metrics", site.Listen.Metrics, expvar.Handler()},
-		{"callers", site.Listen.Callers, platform.NewJobHandler(s.dispatcher, s.log)},
+		{"readiness checks", site.Listen.Ready, limiter.ProbeConnections, platform.NewReadinessHandler(s.dispatcher.Ready)},
+		{"links", site.Listen.Links, s.guard.LinkConnections(), links},
+		{"metrics", site.Listen.Metrics, limiter.ProbeConnections, expvar.Handler()},
+		{"callers", site.Listen.Callers, s.guard.CallerConnections(site.Limits.MaxConnections), platform.NewJobHandler(s.dispatcher, s.log)},
 	}
 	for _, l := range listeners {
 		if !l.address.IsValid() {
 			continue
 		}
-		listening, err := s.listen(l.name, l.address, l.handler)
+		listening, err := s.listen(l.name, l.address, l.connections, l.handler)
 		if err != nil {
 			return err
 		}
@@ -140,8 +149,9 @@
 	return nil
 }
 
-// listen starts an HTTP server on an address.
-func (s *siteServer) listen(name string, address netip.AddrPort, handler http.Handler) (*http.Server, error) {
+// listen starts an HTTP server on an address, with at most the given number of
+// connections.
+func (s *siteServer) listen(name string, address netip.AddrPort, connections int, handler http.Handler) (*http.Server, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s", name)
@@ -152,6 +162,8 @@
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	limiter.Attach(listening)
+	listener = s.guard.Listen(listener, connections)
 	s.servers = append(s.servers, listening)
 	go func() {
 		if err := listening.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/configurer/check.go
+++ b/configurer/check.go
@@ -123,6 +123,8 @@
 		value   int64
 		maximum int64
 	}{
+		{"MemoryMB", l.MemoryMB, maxMemoryMB},
+		{"Descriptors", int64(l.Descriptors), maxDescriptors},
 		{"MaxBodyBytes", l.MaxBodyBytes, 64 << 20},
 		{"MaxHeaderBytes", int64(l.MaxHeaderBytes), 1 << 20},
 		{"MaxConnections", int64(l.MaxConnections), 1 << 20},
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -151,8 +151,15 @@
 
 // Limits holds the limits of the HTTP listener and, in MaxAnswerBytes, of an
 // endpoint's response; 0 means the default. IdleMillis is how long an idle
-// connection is kept open.
+// connection is kept open. The listener has fewer connections than MaxConnections if
+// MemoryMB or Descriptors leave room for fewer; see package limiter.
 type Limits struct {
+	// MemoryMB is the memory that the process may use, in binary megabytes; 0 means
+	// that it is not known.
+	MemoryMB int64 `yaml:"MemoryMB,omitempty"`
+	// Descriptors is the number of descriptors that the process may have open; 0
+	// means the limit of the operating system.
+	Descriptors    int   `yaml:"Descriptors,omitempty"`
 	MaxBodyBytes   int64 `yaml:"MaxBodyBytes,omitempty"`
 	MaxHeaderBytes int   `yaml:"MaxHeaderBytes,omitempty"`
 	MaxConnections int   `yaml:"MaxConnections,omitempty"`
--- a/configurer/site.go
+++ b/configurer/site.go
@@ -1,6 +1,7 @@
 package configurer
 
 import (
+	"fmt"
 	"net/netip"
 	"os"
 	"slices"
@@ -69,6 +70,12 @@
 	// Cores is the number of processor cores available to the process; 0 means
 	// 1.
 	Cores float64 `yaml:"Cores,omitempty"`
+	// Descriptors is the number of descriptors that the process may have open; 0
+	// means the limit of the operating system.
+	Descriptors int `yaml:"Descriptors,omitempty"`
+	// MaxConnections bounds the connections of callers; 0 means as many as MemoryMB
+	// and Descriptors leave room for. It can only lower that; see package limiter.
+	MaxConnections int `yaml:"MaxConnections,omitempty"`
 }
 
 // LinksAddress returns where other entries reach this one.
@@ -112,6 +119,8 @@
 	maxRate         = 1e9
 	maxMemoryMB     = 1e9
 	maxCores        = 1e6
+	maxDescriptors  = 1 << 30
+	maxConnections  = 1 << 20
 )
 
 func (c *checker) checkSite(s *Site) {
@@ -140,6 +149,8 @@
 	c.require(s.Timing.LongestLeaseMillis >= 0 && s.Timing.LongestLeaseMillis <= maxMillis, "Timing.LongestLeaseMillis", "between 0 and 86400000")
 	c.require(s.Limits.MemoryMB >= 0 && s.Limits.MemoryMB <= maxMemoryMB, "Limits.MemoryMB", "between 0 and 1000000000")
 	c.require(s.Limits.Cores >= 0 && s.Limits.Cores <= maxCores, "Limits.Cores", "between 0 and 1000000")
+	c.require(s.Limits.Descriptors >= 0 && s.Limits.Descriptors <= maxDescriptors, "Limits.Descriptors", fmt.Sprintf("between 0 and %d", maxDescriptors))
+	c.require(s.Limits.MaxConnections >= 0 && s.Limits.MaxConnections <= maxConnections, "Limits.MaxConnections", fmt.Sprintf("between 0 and %d", maxConnections))
 	levels := []string{"", "debug", "info", "warn", "error"}
 	c.require(slices.Contains(levels, s.Log.Level), "Log.Level", "one of debug, info, warn, error")
 }
--- a/runner/publish.go
+++ b/runner/publish.go
@@ -74,6 +74,7 @@
 	e.vars.Set("LinkBytesSent", expvar.Func(func() any { return e.linker.BytesSent.Load() }))
 	e.vars.Set("LinkBytesReceived", expvar.Func(func() any { return e.linker.BytesReceived.Load() }))
 	e.vars.Set("LinkMessagesSent", expvar.Func(func() any { return e.linker.MessagesSent.Load() }))
+	e.vars.Set("Clients", expvar.Func(func() any { return e.guard.Metrics() }))
 	e.vars.Set("Core", expvar.Func(func() any { return e.View().Stats }))
 	e.vars.Set("Calls", expvar.Func(func() any { return e.View().Calls }))
 	e.vars.Set("Records", expvar.Func(func() any { return e.View().Records }))
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -28,6 +28,7 @@
 	"kumquatstall/decider"
 	"kumquatstall/encoder"
 	"kumquatstall/keeper"
+	"kumquatstall/limiter"
 	"kumquatstall/linker"
 	"kumquatstall/meter"
 	"kumquatstall/requester"
@@ -54,6 +55,7 @@
 	// lastOddHosts is the last error about odd hosts that was logged.
 	lastOddHosts atomic.Pointer[string]
 	caller       *caller.Caller
+	guard        *limiter.Guard
 	server       *server.Server
 	meter        *meter.Meter
 	vars         *expvar.Map
@@ -78,9 +80,22 @@
 	_ server.Backend = (*Entry)(nil)
 )
 
-// Start starts an entry. The entry accepts calls once its View reports that it
-// is ready.
+// Start starts the only entry of a process. The entry accepts calls once its View
+// reports that it is ready.
 func Start(settings *configurer.Settings, log zerolog.Logger) (*Entry, error) {
+	guard, err := limiter.New(limiter.Options{
+		MemoryBytes: settings.Limits.MemoryMB << 20,
+		Descriptors: settings.Limits.Descriptors,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return StartShared(settings, guard, log)
+}
+
+// StartShared starts an entry that shares its process, and the process's guard, with
+// others.
+func StartShared(settings *configurer.Settings, guard *limiter.Guard, log zerolog.Logger) (*Entry, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{
 		settings: settings,
@@ -89,6 +104,7 @@
 		hosts:    keeper.NewHostLister(settings.Platform.HostList),
 		caller:   caller.New(caller.Options{MaxResponseBytes: settings.Limits.MaxAnswerBytes}),
 		meter:    meter.New(),
+		guard:    guard,
 		vars:     new(expvar.Map).Init(),
 		ctx:      ctx,
 		cancel:   cancel,
@@ -109,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	httpServer, err := server.Listen(s, e)
+	httpServer, err := server.Listen(s, e.guard, e)
 	if err != nil {
 		return err
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
 	"net"
@@ -22,11 +23,11 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
-	"golang.org/x/net/netutil"
 
 	"kumquatstall/configurer"
 	"kumquatstall/decider"
 	"kumquatstall/encoder"
+	"kumquatstall/limiter"
 	"kumquatstall/linker"
 	"kumquatstall/meter"
 	"kumquatstall/requester"
@@ -63,15 +64,39 @@
 // headerTimeout bounds the reading of a request's headers.
 const headerTimeout = 5 * time.Second
 
-// Listen binds the listener. Requests are served only after Serve was called.
-func Listen(settings *configurer.Settings, backend Backend) (*Server, error) {
-	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(settings.Listen))
+// Listen binds the listener, which is one of the guard's. Requests are served only
+// after Serve was called.
+func Listen(settings *configurer.Settings, guard *limiter.Guard, backend Backend) (*Server, error) {
+	security, err := serverTLS(&settings.TLS)
+	if err != nil {
+		return nil, err
+	}
+	var listener net.Listener
+	listener, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(settings.Listen))
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", settings.Listen)
 	}
+	if security != nil {
+		listener = tls.NewListener(listener, security)
+	}
+	listener = guard.Listen(listener, guard.CallerConnections(settings.Limits.MaxConnections))
 	return &Server{settings: settings, backend: backend, listener: listener, done: make(chan struct{})}, nil
 }
 
+// serverTLS returns the TLS configuration of the listener; nil means plain TCP. The
+// only protocol is HTTP/1.1, in which a connection has one request at a time: package
+// limiter counts connections.
+func serverTLS(settings *configurer.TLS) (*tls.Config, error) {
+	if settings.Certificate == "" {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(settings.Certificate, settings.PrivateKey)
+	if err != nil {
+		return nil, errors.Wrap(err, "read TLS.Certificate and TLS.PrivateKey")
+	}
+	return &tls.Config{Certificates: []tls.Certificate{certificate}, NextProtos: []string{"http/1.1"}}, nil
+}
+
 // Address returns the address on which the server listens.
 func (s *Server) Address() netip.AddrPort { return linker.AddressOf(s.listener) }
 
@@ -85,14 +110,10 @@
 		IdleTimeout:       configurer.Millis(limits.IdleMillis),
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 	}
-	listener := netutil.LimitListener(s.listener, limits.MaxConnections)
+	limiter.Attach(s.http)
 	go func() {
 		defer close(s.done)
-		if s.settings.TLS.Certificate != "" {
-			_ = s.http.ServeTLS(listener, s.settings.TLS.Certificate, s.settings.TLS.PrivateKey)
-			return
-		}
-		_ = s.http.Serve(listener)
+		_ = s.http.Serve(s.listener)
 	}()
 }
 
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -18,6 +18,7 @@
 
 	"kumquatstall/configurer"
 	"kumquatstall/keeper"
+	"kumquatstall/limiter"
 	"kumquatstall/requester"
 	"kumquatstall/runner"
 	"kumquatstall/standin"
@@ -64,7 +65,9 @@
 	Workers      []*standin.Worker
 	Entries      []*runner.Entry
 	Balancer     *standin.Balancer
-	log          zerolog.Logger
+	// guard is shared by the entries of Plan, and by those that are added.
+	guard *limiter.Guard
+	log   zerolog.Logger
 }
 
 // Chikugo returns the plan of the deployment for the customer Chikugo, whose
@@ -137,7 +140,14 @@
 // start starts the platform, the hosts, the entries and the balancer, in this
 // order. If it fails, Close releases what has been started.
 func (d *Deployment) start() error {
+	entries := 0
+	for _, site := range d.Plan.Sites {
+		entries += site.Entries
+	}
 	var err error
+	if d.guard, err = limiter.New(limiter.Options{Entries: entries}); err != nil {
+		return err
+	}
 	if d.Table, err = standin.NewTable(); err != nil {
 		return err
 	}
@@ -235,7 +245,7 @@
 // StartEntry starts an entry and adds it to Entries. The balancer does not forward
 // requests to it until SetEntries includes it.
 func (d *Deployment) StartEntry(dataCentre requester.DataCentre, id requester.EntryID) (*runner.Entry, error) {
-	entry, err := runner.Start(d.Settings(dataCentre, id), d.log)
+	entry, err := runner.StartShared(d.Settings(dataCentre, id), d.guard, d.log)
 	if err != nil {
 		return nil, errors.Wrapf(err, "start entry %s", id)
 	}
