--- a/cmd/kumquatstall/entry.go
+++ b/cmd/kumquatstall/entry.go
@@ -30,6 +30,7 @@
 	if err != nil {
 		return err
 	}
+	setMemoryLimit(settings.Limits.MemoryMB)
 	entry, err := runner.Start(settings, newLog(settings.Log.Level))
 	if err != nil {
 		return err
--- a/cmd/kumquatstall/serve.go
+++ b/cmd/kumquatstall/serve.go
@@ -63,9 +63,7 @@
 	if err != nil {
 		return err
 	}
-	if site.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(site.Limits.MemoryMB<<20) * memoryShare))
-	}
+	setMemoryLimit(site.Limits.MemoryMB)
 	level, err := zerolog.ParseLevel(site.Log.Level)
 	if err != nil || level == zerolog.NoLevel {
 		level = zerolog.InfoLevel
@@ -83,6 +81,15 @@
 	return s.shutdown()
 }
 
+// setMemoryLimit sets the limit of the Go runtime for a process that may use the given
+// memory, in binary megabytes; 0 means that it is not known. The limit bounds nothing,
+// but makes the garbage collector work harder near it.
+func setMemoryLimit(memoryMB int64) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(memoryMB<<20) * memoryShare))
+	}
+}
+
 // siteServer is a running entry with its listeners.
 type siteServer struct {
 	site       *configurer.Site
@@ -103,7 +110,11 @@
 	site := s.site
 	s.serveErrors = make(chan error, 4)
 	var err error
-	s.guard, err = limiter.New(limiter.Options{MemoryBytes: site.Limits.MemoryMB << 20, Descriptors: site.Limits.Descriptors})
+	s.guard, err = limiter.New(limiter.Options{
+		MemoryBytes: site.Limits.MemoryMB << 20,
+		Descriptors: site.Limits.Descriptors,
+		HeldBytes:   site.Limits.MaxHeldBytes,
+	})
 	if err != nil {
 		return err
 	}
--- a/configurer/check.go
+++ b/configurer/check.go
@@ -1,6 +1,7 @@
 package configurer
 
 import (
+	"cmp"
 	"encoding/hex"
 	"fmt"
 	"slices"
@@ -45,6 +46,7 @@
 	c.checkSecurity(s)
 	c.checkTiming(&s.Timing)
 	c.checkLimits(&s.Limits)
+	c.checkHeldBytes(&s.Limits)
 	levels := []string{"", "debug", "info", "warn", "error"}
 	c.require(slices.Contains(levels, s.Log.Level), "Log.Level", "one of debug, info, warn, error")
 }
@@ -136,6 +138,13 @@
 	}
 }
 
+// checkHeldBytes checks that the largest body can be read.
+func (c *checker) checkHeldBytes(l *Limits) {
+	least := minHeldBodies * cmp.Or(l.MaxBodyBytes, DefaultMaxBodyBytes)
+	ok := l.MaxHeldBytes == 0 || l.MaxHeldBytes >= least && l.MaxHeldBytes <= maxHeldBytes
+	c.require(ok, "Limits.MaxHeldBytes", fmt.Sprintf("0 for the default, or between %d (%d bodies of MaxBodyBytes) and %d", least, minHeldBodies, int64(maxHeldBytes)))
+}
+
 // validName reports whether a name is a valid identifier that can be part of a
 // table key and of a URL.
 func validName(name string) bool {
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -159,8 +159,11 @@
 	MemoryMB int64 `yaml:"MemoryMB,omitempty"`
 	// Descriptors is the number of descriptors that the process may have open; 0
 	// means the limit of the operating system.
-	Descriptors    int   `yaml:"Descriptors,omitempty"`
-	MaxBodyBytes   int64 `yaml:"MaxBodyBytes,omitempty"`
+	Descriptors  int   `yaml:"Descriptors,omitempty"`
+	MaxBodyBytes int64 `yaml:"MaxBodyBytes,omitempty"`
+	// MaxHeldBytes is how much all requests together may hold beyond what each
+	// connection may.
+	MaxHeldBytes   int64 `yaml:"MaxHeldBytes,omitempty"`
 	MaxHeaderBytes int   `yaml:"MaxHeaderBytes,omitempty"`
 	MaxConnections int   `yaml:"MaxConnections,omitempty"`
 	IdleMillis     int64 `yaml:"IdleMillis,omitempty"`
@@ -179,6 +182,13 @@
 	DefaultMaxHeaderBytes = 16 << 10
 	DefaultMaxConnections = 4096
 	DefaultIdleMillis     = 60_000
+	// heldMemoryPart is the part of MemoryMB that MaxHeldBytes is by default.
+	heldMemoryPart = 8
+	// minHeldBodies is the least that MaxHeldBytes may be, in largest bodies: what one
+	// holds until it is decoded. defaultHeldBodies is the default if MemoryMB is not
+	// set.
+	minHeldBodies     = 4
+	defaultHeldBodies = 32
 	// DefaultNoticeMillis is longer than the interval between two readiness
 	// checks of a load balancer.
 	DefaultNoticeMillis = 2000
@@ -281,6 +291,13 @@
 	if l.IdleMillis == 0 {
 		l.IdleMillis = DefaultIdleMillis
 	}
+	switch {
+	case l.MaxHeldBytes > 0:
+	case l.MemoryMB > 0:
+		l.MaxHeldBytes = max(l.MemoryMB<<20/heldMemoryPart, minHeldBodies*l.MaxBodyBytes)
+	default:
+		l.MaxHeldBytes = defaultHeldBodies * l.MaxBodyBytes
+	}
 }
 
 // Key returns the decoded LinkKey; nil if it is malformed.
--- a/configurer/site.go
+++ b/configurer/site.go
@@ -76,6 +76,9 @@
 	// MaxConnections bounds the connections of callers; 0 means as many as MemoryMB
 	// and Descriptors leave room for. It can only lower that; see package limiter.
 	MaxConnections int `yaml:"MaxConnections,omitempty"`
+	// MaxHeldBytes is how much all requests together may hold beyond what each
+	// connection may; 0 means an eighth of MemoryMB.
+	MaxHeldBytes int64 `yaml:"MaxHeldBytes,omitempty"`
 }
 
 // LinksAddress returns where other entries reach this one.
@@ -121,6 +124,7 @@
 	maxCores        = 1e6
 	maxDescriptors  = 1 << 30
 	maxConnections  = 1 << 20
+	maxHeldBytes    = 1 << 40
 )
 
 func (c *checker) checkSite(s *Site) {
@@ -151,6 +155,7 @@
 	c.require(s.Limits.Cores >= 0 && s.Limits.Cores <= maxCores, "Limits.Cores", "between 0 and 1000000")
 	c.require(s.Limits.Descriptors >= 0 && s.Limits.Descriptors <= maxDescriptors, "Limits.Descriptors", fmt.Sprintf("between 0 and %d", maxDescriptors))
 	c.require(s.Limits.MaxConnections >= 0 && s.Limits.MaxConnections <= maxConnections, "Limits.MaxConnections", fmt.Sprintf("between 0 and %d", maxConnections))
+	c.require(s.Limits.MaxHeldBytes >= 0 && s.Limits.MaxHeldBytes <= maxHeldBytes, "Limits.MaxHeldBytes", fmt.Sprintf("between 0 and %d", maxHeldBytes))
 	levels := []string{"", "debug", "info", "warn", "error"}
 	c.require(slices.Contains(levels, s.Log.Level), "Log.Level", "one of debug, info, warn, error")
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -7,6 +7,12 @@
 // to. A new connection takes the place of the one that has waited longest: one that is
 // idle, or of which the request is still being read. So a crowd that stays connected
 // keeps out nobody, and the process needs no bound of time for that.
+//
+// The Guard also bounds what the requests that are read or handled hold (file
+// budget.go). Each connection has an allowance, which covers an ordinary request and is
+// part of what a connection costs. What a request holds beyond it comes from one budget,
+// and is taken before it is read (file body.go). So a crowd with large bodies can use up
+// the budget, and then large bodies are refused, but it can't keep out ordinary requests.
 package limiter
 
 import (
@@ -19,8 +25,8 @@
 
 const (
 	// connectionBytes is what a connection costs in the worst case: its goroutine,
-	// its two buffers and its entries in tables (24 KiB), what of a request it may
-	// hold by itself (16 KiB), and bytes that have arrived and are not read (64 KiB).
+	// its two buffers and its entries in tables (24 KiB), the allowance of its
+	// request (16 KiB), and bytes that have arrived and are not read (64 KiB).
 	connectionBytes = 104 << 10
 	// connectionShare is the fraction of the machine's memory for connections.
 	connectionShare = 0.25
@@ -48,6 +54,9 @@
 	// Descriptors is the number of descriptors that the process may have; 0 means
 	// the limit of the operating system. The lower of the two counts.
 	Descriptors int
+	// HeldBytes is how much all requests may hold beyond the allowances of their
+	// connections; 0 means a share of MemoryBytes, or 128 MiB if that is not known.
+	HeldBytes int64
 	// Entries is the number of entries in the process, which share it; 0 means 1.
 	Entries int
 }
@@ -56,6 +65,7 @@
 type Guard struct {
 	options     Options
 	descriptors int
+	heldLimit   int64
 
 	mu sync.Mutex
 	// changed is signalled when a connection closes or begins to wait.
@@ -69,6 +79,10 @@
 	Connections int64
 	// ConnectionsClosed counts those that were closed for a new one.
 	ConnectionsClosed int64
+	// HeldBytes is what requests hold now, beyond the allowances.
+	HeldBytes int64
+	// BodiesRefused counts the bodies that were not read for what requests held.
+	BodiesRefused int64
 }
 
 // New returns a Guard.
@@ -77,7 +91,7 @@
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
 		return nil, errors.Wrap(err, "read the limit of descriptors")
 	}
-	g := &Guard{options: options, descriptors: int(min(limit.Cur, math.MaxInt32))}
+	g := &Guard{options: options, descriptors: int(min(limit.Cur, math.MaxInt32)), heldLimit: heldLimit(options)}
 	if options.Descriptors > 0 {
 		g.descriptors = min(g.descriptors, options.Descriptors)
 	}
--- a/limiter/listener.go
+++ b/limiter/listener.go
@@ -3,7 +3,6 @@
 import (
 	"container/list"
 	"context"
-	"io"
 	"net"
 	"net/http"
 )
@@ -34,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: accepted, listener: l}
+	c := &conn{Conn: accepted, listener: l, gone: make(chan struct{})}
 	if !l.admit(c) {
 		_ = accepted.Close()
 		return nil, net.ErrClosed
@@ -84,8 +83,13 @@
 type conn struct {
 	net.Conn
 	listener *listener
+	// gone is closed when the connection no longer counts.
+	gone chan struct{}
 
 	// The fields below are guarded by the Guard's mutex.
+	//
+	// charged is what the request holds, including what its allowance covers.
+	charged  int64
 	place    *list.Element // in waiting; nil while it does not wait
 	hijacked bool
 	released bool
@@ -115,6 +119,7 @@
 	}
 	c.proceed()
 	c.released = true
+	close(c.gone)
 	c.listener.open--
 	c.listener.guard.metrics.Connections--
 	c.listener.guard.changed.Broadcast()
@@ -199,39 +204,12 @@
 			return
 		}
 		c.locked(c.wait)
-		incoming := &body{ReadCloser: r.Body, conn: c}
+		incoming := &body{ReadCloser: r.Body, conn: c, writer: w, size: r.ContentLength}
+		defer func() { incoming.giveBack(incoming.charged) }()
+		r = r.WithContext(context.WithValue(r.Context(), bodyKey{}, incoming))
 		r.Body = incoming
 		next.ServeHTTP(w, r)
-		incoming.abandon(w)
+		incoming.giveBack(incoming.charged)
+		incoming.abandon()
 	})
 }
-
-// body is the body of a request. Its connection waits until it has been read.
-type body struct {
-	io.ReadCloser
-	conn *conn
-	// ended is true once the body has been read to its end.
-	ended bool
-}
-
-// Read implements io.Reader.
-func (b *body) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.ended = true
-		b.conn.locked(b.conn.proceed)
-	}
-	return n, err
-}
-
-// abandon sends the response of a request whose body has not been read to its end, and
-// lets the connection wait. Package http reads some of the rest before it closes the
-// connection.
-func (b *body) abandon(w http.ResponseWriter) {
-	if b.ended {
-		return
-	}
-	// An error means that the connection is closed.
-	_ = http.NewResponseController(w).Flush()
-	b.conn.locked(b.conn.wait)
-}
--- a/limiter/listener_test.go
+++ b/limiter/listener_test.go
@@ -25,6 +25,12 @@
 }
 
 func newTestServer(t *testing.T, options Options, connections int) *testServer {
+	t.Helper()
+	return newTestServerWith(t, options, connections, (*testServer).serve)
+}
+
+// newTestServerWith is newTestServer with another handler.
+func newTestServerWith(t *testing.T, options Options, connections int, handler func(*testServer, http.ResponseWriter, *http.Request)) *testServer {
 	t.Helper()
 	guard, err := New(options)
 	if err != nil {
@@ -35,7 +41,7 @@
 		t.Fatal(err)
 	}
 	s := &testServer{t: t, guard: guard, address: inner.Addr().String(), started: make(chan struct{}, 100), entered: make(chan struct{}, 100), proceed: make(chan struct{})}
-	server := &http.Server{Handler: http.HandlerFunc(s.serve)}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handler(s, w, r) })}
 	Attach(server)
 	served := make(chan struct{})
 	go func() {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -86,6 +86,7 @@
 	guard, err := limiter.New(limiter.Options{
 		MemoryBytes: settings.Limits.MemoryMB << 20,
 		Descriptors: settings.Limits.Descriptors,
+		HeldBytes:   settings.Limits.MaxHeldBytes,
 	})
 	if err != nil {
 		return nil, err
--- a/server/problem.go
+++ b/server/problem.go
@@ -13,6 +13,7 @@
 
 	"kumquatstall/configurer"
 	"kumquatstall/encoder"
+	"kumquatstall/limiter"
 	"kumquatstall/requester"
 )
 
@@ -51,14 +52,19 @@
 	writeJSON(w, status, ProblemBody{Problem: problem, Current: current})
 }
 
+// tooLargeProblem says that a body is larger than the entry accepts.
+var tooLargeProblem = encoder.Problem{Code: encoder.ProblemTooLarge, Field: "body", Expected: "a smaller body"}
+
 // decodeProblem converts an error of the JSON decoder to a Problem. Its Field is
 // body if the error concerns no single field.
 func decodeProblem(err error) encoder.Problem {
 	var tooLarge *http.MaxBytesError
 	var wrongType *json.UnmarshalTypeError
 	switch {
-	case errors.As(err, &tooLarge):
-		return encoder.Problem{Code: encoder.ProblemTooLarge, Field: "body", Expected: "a smaller body"}
+	case errors.As(err, &tooLarge), errors.Is(err, limiter.ErrTooLarge):
+		return tooLargeProblem
+	case errors.Is(err, limiter.ErrBusy):
+		return encoder.Problem{Code: encoder.ProblemUnavailable, Field: "body", Expected: "a small body while the entry reads many large ones"}
 	case errors.As(err, &wrongType):
 		return encoder.Problem{Code: encoder.ProblemInvalid, Field: cmp.Or(wrongType.Field, "body"), Expected: "a value of type " + wrongType.Type.String()}
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -205,15 +205,27 @@
 	writeJSON(w, http.StatusOK, s.backend.Burn())
 }
 
+// retryAfterSeconds is when a client should send a request again whose body was not
+// read for what other requests held.
+const retryAfterSeconds = "1"
+
 // readJSON decodes a request body of at most MaxBodyBytes. If that fails, it
 // responds with a Problem and returns false.
 func (s *Server) readJSON(w http.ResponseWriter, r *http.Request, value any) bool {
+	if r.ContentLength > s.settings.Limits.MaxBodyBytes {
+		writeProblem(w, tooLargeProblem)
+		return false
+	}
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, s.settings.Limits.MaxBodyBytes))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(value)
 	if err == nil {
+		limiter.Decoded(r)
 		return true
 	}
+	if errors.Is(err, limiter.ErrBusy) {
+		w.Header().Set("Retry-After", retryAfterSeconds)
+	}
 	writeProblem(w, decodeProblem(err))
 	return false
 }
