--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -162,7 +162,7 @@
 	Descriptors  int   `yaml:"Descriptors,omitempty"`
 	MaxBodyBytes int64 `yaml:"MaxBodyBytes,omitempty"`
 	// MaxHeldBytes is how much all requests together may hold beyond what each
-	// connection may.
+	// connection may; see package limiter.
 	MaxHeldBytes   int64 `yaml:"MaxHeldBytes,omitempty"`
 	MaxHeaderBytes int   `yaml:"MaxHeaderBytes,omitempty"`
 	MaxConnections int   `yaml:"MaxConnections,omitempty"`
--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -5,7 +5,7 @@
 const (
 	// allowanceBytes is what the request of a connection may hold by itself: the
 	// headers and the body of an ordinary request. It is part of connectionBytes.
-	allowanceBytes = 16 << 10
+	allowanceBytes = 24 << 10
 	// heldShare is the fraction of the machine's memory that requests may hold
 	// beyond the allowances. The garbage collector may let the memory grow to twice
 	// what is held.
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -11,7 +11,7 @@
 // The Guard also bounds what the requests that are read or handled hold (file
 // budget.go). Each connection has an allowance, which covers an ordinary request and is
 // part of what a connection costs. What a request holds beyond it comes from one budget,
-// and is taken before it is read (file body.go). So a crowd with large bodies can use up
+// and is taken before it is read (files headers.go and body.go). So a crowd with large bodies can use up
 // the budget, and then large bodies are refused, but it can't keep out ordinary requests.
 package limiter
 
@@ -26,8 +26,8 @@
 const (
 	// connectionBytes is what a connection costs in the worst case: its goroutine,
 	// its two buffers and its entries in tables (24 KiB), the allowance of its
-	// request (16 KiB), and bytes that have arrived and are not read (64 KiB).
-	connectionBytes = 104 << 10
+	// request (24 KiB), and bytes that have arrived and are not read (64 KiB).
+	connectionBytes = 112 << 10
 	// connectionShare is the fraction of the machine's memory for connections.
 	connectionShare = 0.25
 	// fileDescriptors are left for files.
@@ -83,6 +83,9 @@
 	HeldBytes int64
 	// BodiesRefused counts the bodies that were not read for what requests held.
 	BodiesRefused int64
+	// HeadersRefused counts the connections that were closed in the middle of a
+	// request's headers for what requests held.
+	HeadersRefused int64
 }
 
 // New returns a Guard.
--- a/limiter/listener.go
+++ b/limiter/listener.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: accepted, listener: l, gone: make(chan struct{})}
+	c := &conn{Conn: accepted, listener: l, gone: make(chan struct{}), inHeaders: true}
 	if !l.admit(c) {
 		_ = accepted.Close()
 		return nil, net.ErrClosed
@@ -89,17 +89,25 @@
 	// The fields below are guarded by the Guard's mutex.
 	//
 	// charged is what the request holds, including what its allowance covers.
-	charged  int64
+	charged int64
+	// inHeaders is true while the headers of a request are expected or read, handling
+	// while its handler runs.
+	inHeaders, handling bool
+
 	place    *list.Element // in waiting; nil while it does not wait
 	hijacked bool
 	released bool
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. What a handler holds is given back when it returns.
 func (c *conn) Close() error {
-	c.listener.guard.mu.Lock()
-	c.release()
-	c.listener.guard.mu.Unlock()
+	c.locked(func() {
+		c.release()
+		c.inHeaders = false
+		if !c.handling {
+			c.giveBack(c.charged)
+		}
+	})
 	return c.Conn.Close()
 }
 
@@ -172,7 +180,10 @@
 		case state == http.StateHijacked:
 			c.locked(func() { c.hijacked = true })
 		case state == http.StateIdle: // the response has been sent
-			c.locked(c.wait)
+			c.locked(func() {
+				c.inHeaders = true
+				c.wait()
+			})
 		}
 	}
 }
@@ -188,7 +199,8 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		c.locked(c.proceed)
+		c.locked(func() { c.beginHandling(r) })
+		defer c.locked(c.endHandling)
 		if r.Header.Get("Upgrade") != "" {
 			c.locked(c.wait)
 			next.ServeHTTP(w, r)
@@ -205,7 +217,6 @@
 		}
 		c.locked(c.wait)
 		incoming := &body{ReadCloser: r.Body, conn: c, writer: w, size: r.ContentLength}
-		defer func() { incoming.giveBack(incoming.charged) }()
 		r = r.WithContext(context.WithValue(r.Context(), bodyKey{}, incoming))
 		r.Body = incoming
 		next.ServeHTTP(w, r)
