--- a/cmd/kumquatstall/dev.go
+++ b/cmd/kumquatstall/dev.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/schollz/progressbar/v3"
 
+	"kumquatstall/limiter"
 	"kumquatstall/loader"
 	"kumquatstall/reporter"
 	"kumquatstall/stager"
@@ -41,9 +42,13 @@
 	report := &reporter.DevReport{Seed: c.Seed, Seconds: c.For.Seconds()}
 	var mu sync.Mutex
 	bar := c.progress()
+	runs := c.deploymentRuns(log)
+	if err := shareGuard(runs); err != nil {
+		return err
+	}
 	var group sync.WaitGroup
 	var firstErr error
-	for _, run := range c.deploymentRuns(log) {
+	for _, run := range runs {
 		group.Go(func() {
 			verdict, deployment, err := run.execute(ctx, c.Seed, c.For)
 			mu.Lock()
@@ -71,6 +76,22 @@
 	return nil
 }
 
+// shareGuard lets the entries of all deployments share the guard of the process.
+func shareGuard(runs []*deploymentRun) error {
+	entries := 0
+	for _, run := range runs {
+		entries += run.plan.EntryCount()
+	}
+	guard, err := limiter.New(limiter.Options{Entries: entries})
+	if err != nil {
+		return err
+	}
+	for _, run := range runs {
+		run.plan.Guard = guard
+	}
+	return nil
+}
+
 // parseLevel returns the log level of that name, or info if there is none.
 func parseLevel(name string) zerolog.Level {
 	level, err := zerolog.ParseLevel(name)
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -52,6 +52,18 @@
 	Timing configurer.Timing
 	// WritesPerSecond bounds the table writes of each entry.
 	WritesPerSecond float64
+	// Guard is that of the process, which the entries share with those of other
+	// deployments; nil means that there are no others.
+	Guard *limiter.Guard
+}
+
+// EntryCount returns the number of entries of the deployment.
+func (p *Plan) EntryCount() int {
+	count := 0
+	for _, site := range p.Sites {
+		count += site.Entries
+	}
+	return count
 }
 
 // Deployment is a running deployment.
@@ -140,13 +152,11 @@
 // start starts the platform, the hosts, the entries and the balancer, in this
 // order. If it fails, Close releases what has been started.
 func (d *Deployment) start() error {
-	entries := 0
-	for _, site := range d.Plan.Sites {
-		entries += site.Entries
-	}
 	var err error
-	if d.guard, err = limiter.New(limiter.Options{Entries: entries}); err != nil {
-		return err
+	if d.guard = d.Plan.Guard; d.guard == nil {
+		if d.guard, err = limiter.New(limiter.Options{Entries: d.Plan.EntryCount()}); err != nil {
+			return err
+		}
 	}
 	if d.Table, err = standin.NewTable(); err != nil {
 		return err
