--- a/limiter/listener.go
+++ b/limiter/listener.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 )
 
 // listener is a listener with a limited number of connections.
@@ -188,6 +189,12 @@
 	}
 }
 
+// OpensLink reports whether a request is one that opens a WebSocket, which has no body.
+// A request that only has the header Upgrade is one like all others.
+func OpensLink(r *http.Request) bool {
+	return r.Method == http.MethodGet && r.ContentLength == 0 && strings.EqualFold(r.Header.Get("Upgrade"), "websocket")
+}
+
 // guarded returns a handler that keeps a connection from being closed from when its
 // request has been read until the response has been sent. A connection that is upgraded
 // waits until its handler has returned, which is after its peer has said who it is;
@@ -201,7 +208,7 @@
 		}
 		c.locked(func() { c.beginHandling(r) })
 		defer c.locked(c.endHandling)
-		if r.Header.Get("Upgrade") != "" {
+		if OpensLink(r) {
 			c.locked(c.wait)
 			next.ServeHTTP(w, r)
 			c.locked(func() {
--- a/server/bounds.go
+++ b/server/bounds.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"kumquatstall/limiter"
 )
 
 // transferTimeout bounds the reading of a request's body, and each write of a
@@ -21,7 +23,7 @@
 		controller := http.NewResponseController(w)
 		// The deadline for the last response on this connection. A writer without
 		// a connection, as in tests, has none.
-		if r.Header.Get("Upgrade") != "" || controller.SetWriteDeadline(time.Time{}) != nil {
+		if limiter.OpensLink(r) || controller.SetWriteDeadline(time.Time{}) != nil {
 			next.ServeHTTP(w, r)
 			return
 		}
