--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -52,7 +52,7 @@
 	// bounds nothing.
 	MemoryBytes int64
 	// Descriptors is the number of descriptors that the process may have; 0 means
-	// the limit of the operating system. The lower of the two counts.
+	// the limit of the operating system.
 	Descriptors int
 	// HeldBytes is how much all requests may hold beyond the allowances of their
 	// connections; 0 means a share of MemoryBytes, or 128 MiB if that is not known.
@@ -90,13 +90,13 @@
 
 // New returns a Guard.
 func New(options Options) (*Guard, error) {
-	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
-		return nil, errors.Wrap(err, "read the limit of descriptors")
-	}
-	g := &Guard{options: options, descriptors: int(min(limit.Cur, math.MaxInt32)), heldLimit: heldLimit(options)}
-	if options.Descriptors > 0 {
-		g.descriptors = min(g.descriptors, options.Descriptors)
+	g := &Guard{options: options, descriptors: options.Descriptors, heldLimit: heldLimit(options)}
+	if g.descriptors <= 0 {
+		var limit unix.Rlimit
+		if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+			return nil, errors.Wrap(err, "read the limit of descriptors")
+		}
+		g.descriptors = int(min(limit.Cur, math.MaxInt32))
 	}
 	g.options.Entries = max(1, options.Entries)
 	g.changed.L = &g.mu
