--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -188,7 +188,7 @@
 	// holds until it is decoded. defaultHeldBodies is the default if MemoryMB is not
 	// set.
 	minHeldBodies     = 4
-	defaultHeldBodies = 32
+	defaultHeldBodies = 24
 	// DefaultNoticeMillis is longer than the interval between two readiness
 	// checks of a load balancer.
 	DefaultNoticeMillis = 2000
--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -12,7 +12,7 @@
 	heldShare = 0.125
 	// defaultHeldBytes is what requests may hold beyond the allowances if neither
 	// that nor the memory of the machine is known.
-	defaultHeldBytes = 128 << 20
+	defaultHeldBytes = 96 << 20
 )
 
 var (
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -55,7 +55,7 @@
 	// the limit of the operating system.
 	Descriptors int
 	// HeldBytes is how much all requests may hold beyond the allowances of their
-	// connections; 0 means a share of MemoryBytes, or 128 MiB if that is not known.
+	// connections; 0 means a share of MemoryBytes, or 96 MiB if that is not known.
 	HeldBytes int64
 	// Entries is the number of entries in the process, which share it; 0 means 1.
 	Entries int
