--- a/cmd/kumquatstall/serve.go
+++ b/cmd/kumquatstall/serve.go
@@ -127,6 +127,7 @@
 		MaxLease:        configurer.Millis(site.Timing.LongestLeaseMillis),
 		WritesPerSecond: site.Store.WritesPerSecond * storeWriteShare,
 		RowBytes:        site.Store.RowBytes,
+		LinkBytes:       s.guard.LinkBytes(),
 	}, s.client, nil, s.log)
 	expvar.Publish("kumquatstall", jsonVar(s.dispatcher.Metrics))
 	expvar.Publish("kumquatstall_platform", jsonVar(s.client.Metrics))
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -143,6 +143,9 @@
 	// RowBytes is the most bytes that the store takes in the value of a row; default
 	// 65,536.
 	RowBytes int
+	// LinkBytes bounds what messages that are being received on links hold; 0 means
+	// the default of package linker.
+	LinkBytes int64
 	// StateRetention is how long the state of an ended job is kept; default
 	// 3 min.
 	StateRetention time.Duration
@@ -263,7 +266,7 @@
 		}))
 	}
 	self := encoder.PeerInfo{EntryID: options.Self, DataCentre: options.DataCentre, Address: options.Address}
-	d.linker = linker.New(linker.Options{Self: self, Incarnation: time.Now().UnixNano(), DialImmediately: true}, d)
+	d.linker = linker.New(linker.Options{Self: self, Incarnation: time.Now().UnixNano(), DialImmediately: true, MaxIncomingBytes: options.LinkBytes}, d)
 	for _, loop := range []func(){d.watchConfig, d.watchStates, d.acquireLoop} {
 		d.group.Go(loop)
 	}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -128,6 +128,10 @@
 // LinkConnections returns how many connections a listener for links only may have.
 func (g *Guard) LinkConnections() int { return min(maxLinkConnections, g.shareOf(linkShare)) }
 
+// LinkBytes returns what messages that are being received on links may hold, beside what
+// requests may hold; 0 if the memory of the machine is not known.
+func (g *Guard) LinkBytes() int64 { return int64(float64(g.options.MemoryBytes) * heldShare) }
+
 // shareOf returns an entry's part of a fraction of the descriptors.
 func (g *Guard) shareOf(fraction float64) int {
 	available := float64(max(0, g.descriptors-fileDescriptors)) * fraction
--- a/linker/link.go
+++ b/linker/link.go
@@ -18,7 +18,9 @@
 	errQueueFull    = errors.New("the send queue is full")
 	errDisconnected = errors.New("this entry closed the link")
 	errReplaced     = errors.New("a newer link replaces it")
-	errSilent       = errors.New("nothing was received, also no answer to a ping")
+	// errMessagesTooLarge is the reason on the link with the largest message.
+	errMessagesTooLarge = errors.New("messages that are being received hold too much")
+	errSilent           = errors.New("nothing was received, also no answer to a ping")
 )
 
 // link is an open connection whose handshake is complete.
@@ -53,14 +55,16 @@
 
 // readLoop receives messages until the link ends.
 func (l *Linker) readLoop(ctx context.Context, current *link) {
+	defer l.incoming.done(current)
 	for {
-		data, err := current.read(ctx)
+		data, err := l.read(ctx, current)
 		if err != nil {
 			current.end(err)
 			return
 		}
 		l.BytesReceived.Add(int64(len(data)))
 		message, err := encoder.Decode(data)
+		l.incoming.done(current)
 		if err != nil {
 			current.end(err)
 			return
@@ -71,29 +75,31 @@
 
 // read receives one message. Every part of it is a sign of life, so that a large
 // message over a slow network does not look like silence.
-func (c *link) read(ctx context.Context) ([]byte, error) {
+func (l *Linker) read(ctx context.Context, c *link) ([]byte, error) {
 	_, reader, err := c.conn.Reader(ctx)
 	if err != nil {
 		return nil, errors.Wrap(err, "receive message")
 	}
 	c.signs.onReceived()
 	var data bytes.Buffer
-	if _, err := io.Copy(&data, signsReader{reader, c.signs}); err != nil {
+	if _, err := io.Copy(&data, messageReader{reader, l, c}); err != nil {
 		return nil, errors.Wrap(err, "receive message")
 	}
 	return data.Bytes(), nil
 }
 
-// signsReader records that bytes are received.
-type signsReader struct {
+// messageReader records that bytes are received.
+type messageReader struct {
 	io.Reader
-	signs *lifeSigns
+	linker *Linker
+	link   *link
 }
 
-func (r signsReader) Read(buffer []byte) (int, error) {
+func (r messageReader) Read(buffer []byte) (int, error) {
 	n, err := r.Reader.Read(buffer)
 	if n > 0 {
-		r.signs.onReceived()
+		r.link.signs.onReceived()
+		r.linker.incoming.add(r.link, n)
 	}
 	return n, err
 }
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -75,6 +75,10 @@
 	// WriteTimeout bounds the write of one message; exceeding it closes the
 	// link. The default is 3 s.
 	WriteTimeout time.Duration
+	// MaxIncomingBytes bounds what messages that are being received hold, on all links
+	// together; a message counts three times. The default leaves room for two of the
+	// largest.
+	MaxIncomingBytes int64
 }
 
 // Limits and intervals of links. queueLength is the number of messages in the
@@ -104,6 +108,8 @@
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
 	done    chan struct{}
+	// incoming has a lock of its own.
+	incoming incoming
 
 	mu      sync.Mutex
 	links   map[requester.EntryID]*link
@@ -130,6 +136,9 @@
 	if options.WriteTimeout <= 0 {
 		options.WriteTimeout = defaultWriteTimeout
 	}
+	if options.MaxIncomingBytes <= 0 {
+		options.MaxIncomingBytes = 2 * messageFactor * maxMessageBytes
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Linker{
 		options: options,
@@ -141,6 +150,7 @@
 		links:   make(map[requester.EntryID]*link),
 		targets: make(map[requester.EntryID]*dialTarget),
 	}
+	l.incoming = incoming{limit: options.MaxIncomingBytes, held: make(map[*link]int64)}
 	l.group.Go(l.watchSilence)
 	return l
 }
