--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -151,9 +151,19 @@
 
 // Limits holds the limits of the HTTP listener and, in MaxAnswerBytes, of an
 // endpoint's response; 0 means the default. IdleMillis is how long an idle
-// connection is kept open.
+// connection is kept open. The listener has fewer connections than MaxConnections if
+// MemoryMB or Descriptors leave room for fewer; see package limiter.
 type Limits struct {
-	MaxBodyBytes   int64 `yaml:"MaxBodyBytes,omitempty"`
+	// MemoryMB is the memory that the process may use, in binary megabytes; 0 means
+	// that it is not known.
+	MemoryMB int64 `yaml:"MemoryMB,omitempty"`
+	// Descriptors is the number of descriptors that the process may have open; 0
+	// means the limit of the operating system.
+	Descriptors  int   `yaml:"Descriptors,omitempty"`
+	MaxBodyBytes int64 `yaml:"MaxBodyBytes,omitempty"`
+	// MaxHeldBytes is how much all requests together may hold beyond what each
+	// connection may; see package limiter.
+	MaxHeldBytes   int64 `yaml:"MaxHeldBytes,omitempty"`
 	MaxHeaderBytes int   `yaml:"MaxHeaderBytes,omitempty"`
 	MaxConnections int   `yaml:"MaxConnections,omitempty"`
 	IdleMillis     int64 `yaml:"IdleMillis,omitempty"`
@@ -172,6 +182,13 @@
 	DefaultMaxHeaderBytes = 16 << 10
 	DefaultMaxConnections = 4096
 	DefaultIdleMillis     = 60_000
+	// heldMemoryPart is the part of MemoryMB that MaxHeldBytes is by default.
+	heldMemoryPart = 8
+	// minHeldBodies is the least that MaxHeldBytes may be, in largest bodies: what one
+	// holds until it is decoded. defaultHeldBodies is the default if MemoryMB is not
+	// set.
+	minHeldBodies     = 4
+	defaultHeldBodies = 24
 	// DefaultNoticeMillis is longer than the interval between two readiness
 	// checks of a load balancer.
 	DefaultNoticeMillis = 2000
@@ -274,6 +291,13 @@
 	if l.IdleMillis == 0 {
 		l.IdleMillis = DefaultIdleMillis
 	}
+	switch {
+	case l.MaxHeldBytes > 0:
+	case l.MemoryMB > 0:
+		l.MaxHeldBytes = max(l.MemoryMB<<20/heldMemoryPart, minHeldBodies*l.MaxBodyBytes)
+	default:
+		l.MaxHeldBytes = defaultHeldBodies * l.MaxBodyBytes
+	}
 }
 
 // Key returns the decoded LinkKey; nil if it is malformed.
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -77,6 +77,10 @@
 	// WriteTimeout bounds the write of one message; exceeding it closes the
 	// link. The default is 3 s.
 	WriteTimeout time.Duration
+	// MaxIncomingBytes bounds what messages that are being received hold, on all links
+	// together; a message counts three times. The default leaves room for two of the
+	// largest.
+	MaxIncomingBytes int64
 }
 
 // Limits and intervals of links. queueLength is the number of messages in the
@@ -86,7 +90,10 @@
 	handshakeTimeout    = 2 * time.Second
 	queueLength         = 8192
 	maxMessageBytes     = 32 << 20
-	redialInterval      = 300 * time.Millisecond
+	// maxHandshakeBytes bounds each message of a peer that has not proved yet that it
+	// knows the shared key. Such a message has two names, an address and a challenge.
+	maxHandshakeBytes = 16 << 10
+	redialInterval    = 300 * time.Millisecond
 	// yieldPeriod is how long the entry with the higher ID waits between its
 	// attempts to dial, so that the other one dials first. A link that is younger
 	// than this may be the result of a simultaneous dial.
@@ -103,6 +110,8 @@
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
 	done    chan struct{}
+	// incoming has a lock of its own.
+	incoming incoming
 
 	mu      sync.Mutex
 	links   map[requester.EntryID]*link
@@ -129,6 +138,9 @@
 	if options.WriteTimeout <= 0 {
 		options.WriteTimeout = defaultWriteTimeout
 	}
+	if options.MaxIncomingBytes <= 0 {
+		options.MaxIncomingBytes = 2 * messageFactor * maxMessageBytes
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Linker{
 		options: options,
@@ -140,6 +152,7 @@
 		links:   make(map[requester.EntryID]*link),
 		targets: make(map[requester.EntryID]*dialTarget),
 	}
+	l.incoming = incoming{limit: options.MaxIncomingBytes, held: make(map[*link]int64)}
 	l.group.Go(l.watchSilence)
 	return l
 }
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -18,6 +18,7 @@
 
 	"kumquatstall/configurer"
 	"kumquatstall/keeper"
+	"kumquatstall/limiter"
 	"kumquatstall/requester"
 	"kumquatstall/runner"
 	"kumquatstall/standin"
@@ -51,6 +52,18 @@
 	Timing configurer.Timing
 	// WritesPerSecond bounds the table writes of each entry.
 	WritesPerSecond float64
+	// Guard is that of the process, which the entries share with those of other
+	// deployments; nil means that there are no others.
+	Guard *limiter.Guard
+}
+
+// EntryCount returns the number of entries of the deployment.
+func (p *Plan) EntryCount() int {
+	count := 0
+	for _, site := range p.Sites {
+		count += site.Entries
+	}
+	return count
 }
 
 // Deployment is a running deployment.
@@ -64,7 +77,9 @@
 	Workers      []*standin.Worker
 	Entries      []*runner.Entry
 	Balancer     *standin.Balancer
-	log          zerolog.Logger
+	// guard is shared by the entries of Plan, and by those that are added.
+	guard *limiter.Guard
+	log   zerolog.Logger
 }
 
 // Chikugo returns the plan of the deployment for the customer Chikugo, whose
@@ -138,6 +153,11 @@
 // order. If it fails, Close releases what has been started.
 func (d *Deployment) start() error {
 	var err error
+	if d.guard = d.Plan.Guard; d.guard == nil {
+		if d.guard, err = limiter.New(limiter.Options{Entries: d.Plan.EntryCount()}); err != nil {
+			return err
+		}
+	}
 	if d.Table, err = standin.NewTable(); err != nil {
 		return err
 	}
@@ -235,7 +255,7 @@
 // StartEntry starts an entry and adds it to Entries. The balancer does not forward
 // requests to it until SetEntries includes it.
 func (d *Deployment) StartEntry(dataCentre requester.DataCentre, id requester.EntryID) (*runner.Entry, error) {
-	entry, err := runner.Start(d.Settings(dataCentre, id), d.log)
+	entry, err := runner.StartShared(d.Settings(dataCentre, id), d.guard, d.log)
 	if err != nil {
 		return nil, errors.Wrapf(err, "start entry %s", id)
 	}
