--- a/scheduler/nextlife_test.go
+++ b/scheduler/nextlife_test.go
@@ -275,12 +275,9 @@
 	is.Equal(len(first), 1)
 	h.advance(time.Second)
 	h.endRun(first[0], EndDone)
-	h.add("b", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 100))
-	h.add("c", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 100))
-	h.commit()
 	var polls []PollOrder
 	var starts []StartOrder
-	for range 50 {
+	tick := func() {
 		h.now = h.now.Add(20 * time.Millisecond)
 		h.commit()
 		orders := h.core.Tick(h.now)
@@ -291,6 +288,14 @@
 			}
 		}
 	}
+	for range 20 {
+		tick()
+	}
+	is.Equal(len(polls), 1)
+	h.add("b", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 100))
+	for range 20 {
+		tick()
+	}
 	// Nothing is answered any more, and all may be executed by the next life. It rejects a
 	// poll after a start with a higher fence, so a poll may not have as high a one as an
 	// unanswered start.
