--- a/scheduler/bounded.go
+++ b/scheduler/bounded.go
@@ -15,8 +15,9 @@
 // That holds for the incarnation to which the orders were meant. A late order may be
 // executed by the next one, whose clock starts again from 0, and grants it a lease
 // that ends later. The row of births says which incarnation has rejected the orders
-// to earlier ones since it reported; the short bound counts for that one only, and
-// the longest one for a worker of which any other birth is known.
+// to earlier ones since it reported, so long ago that the longest lease from before ends
+// no later than one that begins with the present commit. The short bound counts for that
+// one only, and the longest one for a worker of which any other birth is known.
 
 // BirthsRow lists, for the workers that may hold leases, the incarnations that
 // have reported to an owner.
@@ -82,7 +83,10 @@
 	for _, w := range c.sortedWorkers {
 		born := w.grantedTo
 		if w.reported {
-			born = w.bootedAt
+			born = time.Time{}
+			if !c.now.Before(w.boundedFrom) {
+				born = w.bootedAt
+			}
 		}
 		if !born.IsZero() {
 			row.Births = append(row.Births, WorkerBirth{HostID: w.info.HostID, BornNanos: born.UnixNano()})
@@ -92,14 +96,24 @@
 }
 
 // noteReportedBirth has the birth of a worker's incarnation stored when that has
-// reported for the first time.
+// reported for the first time, once the longest lease that it may have been granted
+// before is within the bound.
 func (c *Core) noteReportedBirth(w *worker) {
 	if !w.grantedTo.Equal(w.bootedAt) {
-		c.birthsDirty = true
+		w.boundedFrom = c.now.Add(time.Duration(float64(c.options.MaxLease-c.options.LeaseTerm) / minClockRate))
+		c.unboundedBirths = append(c.unboundedBirths, w.boundedFrom)
 	}
 	w.grantedTo = w.bootedAt
 }
 
+// storeBoundedBirths has the births stored whose leases have come within the bound.
+func (c *Core) storeBoundedBirths() {
+	for len(c.unboundedBirths) > 0 && !c.now.Before(c.unboundedBirths[0]) {
+		c.unboundedBirths = c.unboundedBirths[1:]
+		c.birthsDirty = true
+	}
+}
+
 // checkGrantedTo handles a birth in the list. Unless it is that of the incarnation
 // that may hold leases of previous owners, another one may hold some.
 func (c *Core) checkGrantedTo(w *worker, bootedAt time.Time) {
--- a/scheduler/bounded_test.go
+++ b/scheduler/bounded_test.go
@@ -140,14 +140,21 @@
 	h.commit()
 	is.True(h.core.LeasesBounded()) // there was no owner before
 	h.core.SetWorkers(h.now, []WorkerInfo{{HostID: "w000", Service: "service", Total: workerTotal, BootedAt: h.now, Address: h.address(0)}})
+	bornAt := h.now
 	h.advance(0)
 	var row BirthsRow
-	for _, write := range h.core.TakeBatch(1000).Writes {
-		if write.Key == BirthsKey {
-			is.NoErr(DecodeRow(write.Value, &row))
+	births := func() []WorkerBirth {
+		for _, write := range h.core.TakeBatch(1000).Writes {
+			if write.Key == BirthsKey {
+				is.NoErr(DecodeRow(write.Value, &row))
+			}
 		}
+		return row.Births
 	}
-	is.Equal(row.Births, []WorkerBirth{{HostID: "w000", BornNanos: h.now.UnixNano()}})
+	is.Equal(len(births()), 0) // a lease from before its report may be longer than the bound
+	h.now = h.now.Add(h.core.options.MaxLease - DefaultLeaseTerm + 100*time.Millisecond)
+	h.core.Tick(h.now)
+	is.Equal(births(), []WorkerBirth{{HostID: "w000", BornNanos: bornAt.UnixNano()}})
 
 	// The next incarnation, which has not reported, may execute orders to this one.
 	h.core.SetWorkers(h.now, []WorkerInfo{{HostID: "w000", Service: "service", Total: workerTotal, BootedAt: h.now.Add(time.Second), Address: h.address(0)}})
@@ -156,3 +163,35 @@
 	is.NoErr(DecodeRow(writes[0].Value, &row))
 	is.Equal(len(row.Births), 0)
 }
+
+// TestBirthNotedUnderALongerLease guards against a row of births that lists a life at its
+// first report, while an order that was meant for its former life may have granted it the
+// longest lease: a successor would count the shorter one from the last commit.
+func TestBirthNotedUnderALongerLease(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.core.Renewed(h.now)
+	h.reborn()
+	h.now = h.now.Add(time.Second)
+	reportedAt := h.now
+	poll := pollOf(t, h.core.Tick(h.now))
+	h.core.PollDone(h.now, poll, &Report{Clock: 1000, BootedAt: poll.Worker.BootedAt}, OrderAccepted)
+	longest := reportedAt.Add(h.core.options.MaxLease * 100 / 98)
+	listed := false
+	for range 50 {
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.core.Renewed(h.now)
+		h.core.Tick(h.now)
+		for _, birth := range h.core.birthsRow().Births {
+			listed = true
+			successor := New(Options{Epoch: 2, PreviousOwnerTerm: time.Second, PreviousLeaseTerm: DefaultLeaseTerm, PreviousCommitAt: h.now}, h.now)
+			successor.RestoreLeasedWorkers(LeasedWorkersRow{Workers: []LeasedWorker{{HostID: birth.HostID, Address: h.address(0)}}})
+			successor.RestoreBirths(BirthsRow{Births: []WorkerBirth{birth}})
+			is.True(!successor.workers[birth.HostID].leaseExpiry(successor).Before(longest))
+		}
+		h.commit()
+	}
+	is.True(listed)              // in the end its birth is listed
+	is.True(!h.core.birthsDirty) // and the row is written
+	is.True(h.core.workers["w000"] != nil)
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -120,8 +120,10 @@
 	leasedWorkersDirty bool
 	// birthsDirty is true if the row of births has to be written, birthsStored if
 	// this owner or one whose leases are bounded has written it.
-	birthsDirty  bool
-	birthsStored bool
+	birthsDirty bool
+	// unboundedBirths are the times from which births may be stored, earliest first.
+	unboundedBirths []time.Time
+	birthsStored    bool
 	// leasesInherited is true if some worker may hold a lease of a previous owner.
 	leasesInherited bool
 	// unknownLeases is true if workers that this owner does not know of may
@@ -236,6 +238,7 @@
 func (c *Core) Tick(now time.Time) Orders {
 	c.now = now
 	c.expireLeases()
+	c.storeBoundedBirths()
 	c.storeUnanswered()
 	c.closeStarts()
 	c.learnStarts()
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -23,6 +23,9 @@
 	// grantedTo is the birth of the incarnation that alone may hold leases of
 	// previous owners; zero if it is unknown.
 	grantedTo time.Time
+	// boundedFrom is from when on no lease of the current incarnation, whoever granted it,
+	// ends later than one that begins then.
+	boundedFrom time.Time
 	// reported is true if the worker's current incarnation has responded to a
 	// poll of this owner.
 	reported bool
