--- a/scheduler/displace.go
+++ b/scheduler/displace.go
@@ -25,7 +25,7 @@
 		return
 	}
 	s.displaceAfter = c.now.Add(displaceInterval)
-	wanted := s.waiting
+	wanted := c.startable(s)
 	var found []*worker
 	for _, w := range c.allowedWorkers(s) {
 		switch {
@@ -54,6 +54,17 @@
 	}
 }
 
+// startable counts the waiting tasks of a step that lack only a worker.
+func (c *Core) startable(s *step) int {
+	count := 0
+	for _, t := range s.tasks {
+		if !t.done && t.run == nil && c.holds(t) == WaitNothing {
+			count++
+		}
+	}
+	return count
+}
+
 // displaceable reports whether a worker could run a task of the step but for
 // its best-effort runs.
 func (c *Core) displaceable(s *step, w *worker) bool {
--- a/scheduler/ends.go
+++ b/scheduler/ends.go
@@ -59,8 +59,8 @@
 	}
 	t := c.findTask(ended.Task)
 	r := w.runs[key]
+	c.settleEnded(r, ended)
 	if r != nil {
-		c.settle(r)
 		// The end is certain, so no stop is needed.
 		r.phase, r.barredAt = runStopping, c.now
 	}
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -81,17 +81,36 @@
 }
 
 // settleStart settles the start of an order that has been answered, also if its run has
-// been released since.
-func (c *Core) settleStart(r *run, order StartOrder) {
-	if r != nil {
+// been released since. A released run that was accepted after all goes on: it is certain
+// what has become of it once the worker has answered a poll from now on.
+func (c *Core) settleStart(r *run, order StartOrder, result OrderResult) {
+	switch t := c.openTask(order.Task, order.Run); {
+	case r != nil:
 		c.settle(r)
-		return
+	case t != nil && result == OrderAccepted:
+		t.open.Until = c.now
+	case t != nil:
+		c.closeStart(t)
 	}
-	if t := c.findTask(order.Task); t != nil && t.open != nil && t.open.Run == order.Run {
+}
+
+// settleEnded settles the start of a run whose end a worker has reported.
+func (c *Core) settleEnded(r *run, ended EndedRun) {
+	if r != nil {
+		c.settle(r)
+	} else if t := c.openTask(ended.Task, ended.Run); t != nil {
 		c.closeStart(t)
 	}
 }
 
+// openTask returns the task with that open start, or nil.
+func (c *Core) openTask(name TaskName, number RunNumber) *task {
+	if t := c.findTask(name); t != nil && t.open != nil && t.open.Run == number {
+		return t
+	}
+	return nil
+}
+
 // StartAccepted handles the acceptance of a start by a worker whose clock showed that
 // time then. The clock of each incarnation begins anew: one that shows more than has
 // passed since the present incarnation was known to be alive is that one's.
@@ -101,28 +120,53 @@
 	if !ok || !w.reported || !c.addressesCurrent(w, order.Fence) {
 		return
 	}
-	if r := w.runs[runKey{order.Task, order.Run}]; r != nil && clock > WorkerTime(now.Sub(w.answeredPollAt)/time.Millisecond) {
+	r := w.runs[runKey{order.Task, order.Run}]
+	switch {
+	case r == nil || r.reported:
+	case clock > WorkerTime(now.Sub(w.answeredPollAt)/time.Millisecond):
 		r.confirmed = true
+	default:
+		// A successor must not count on the leases of the known life either.
+		c.setOpen(r, now)
 	}
 }
 
 // openStart records that the start of a run is open, unless it is settled.
 func (c *Core) openStart(r *run) {
 	t := r.task
-	if r.settled || t == nil || t.done || !c.now.Before(r.actsUntil()) || t.open != nil && t.open.Run == r.number {
+	if r.settled || t == nil || !c.now.Before(r.actsUntil()) || t.open != nil && t.open.Run == r.number {
 		return
 	}
 	c.stats.OpenStarts++
-	t.open = &openStart{Run: r.number, Worker: r.worker.info.HostID, Until: r.actsUntil()}
-	c.openTasks = append(c.openTasks, t)
-	c.markDirty(t.step.job())
+	c.setOpen(r, r.actsUntil())
+}
+
+// setOpen records that the start of a run may be executed until a time.
+func (c *Core) setOpen(r *run, until time.Time) {
+	t := r.task
+	if t == nil {
+		return
+	}
+	if t.open == nil {
+		c.openTasks = append(c.openTasks, t)
+	}
+	t.open = &openStart{Run: r.number, Worker: r.worker.info.HostID, Until: until}
+	c.storeOpen(t)
+}
+
+// storeOpen has the open start of a task stored, or that there is none, unless nobody
+// would start the task again.
+func (c *Core) storeOpen(t *task) {
+	if !t.done && !t.step.job().state.Ended() {
+		c.markDirty(t.step.job())
+	}
 }
 
 // storeUnanswered has the starts stored as open that have no answer after answerTime: if
 // the owner is lost before it gives them up, its successor must know of them.
 func (c *Core) storeUnanswered() {
 	for len(c.sentRuns) > 0 && c.now.Sub(c.sentRuns[0].startedAt) >= answerTime {
-		if r := c.sentRuns[0]; r.phase == runStarting && r.worker.runs[runKey{r.name, r.number}] == r {
+		if r := c.sentRuns[0]; r.worker.runs[runKey{r.name, r.number}] == r {
 			c.openStart(r)
 		}
 		c.sentRuns = c.sentRuns[1:]
@@ -136,16 +180,14 @@
 	// No worker is freed by this, so a scan of freed workers would not find one.
 	t.step.scannedAt = time.Time{}
 	c.placementPending = true
-	if !t.done && !t.step.job().state.Ended() {
-		c.markDirty(t.step.job())
-	}
+	c.storeOpen(t)
 }
 
-// closeStarts closes the open starts that cannot act any more, and forgets those of
-// tasks that have ended.
+// closeStarts closes the open starts that cannot act any more. Those of tasks that have
+// ended keep their room until then.
 func (c *Core) closeStarts() {
 	for _, t := range slices.Clone(c.openTasks) {
-		if t.done || t.step.job().state.Ended() || !c.mayAct(t.open) {
+		if !c.mayAct(t.open) {
 			c.closeStart(t)
 		}
 	}
@@ -157,7 +199,7 @@
 		w.reservedForOpen = requester.Resources{}
 	}
 	for _, t := range c.openTasks {
-		if w := c.workers[t.open.Worker]; w != nil && t.run == nil {
+		if w := c.workers[t.open.Worker]; w != nil && (t.run == nil || t.run.number != t.open.Run) {
 			w.reservedForOpen = w.reservedForOpen.Add(t.step.def.allocation())
 		}
 	}
@@ -170,10 +212,22 @@
 	if c.now.Before(until) {
 		return true
 	}
-	if w := c.workers[open.Worker]; w != nil && !w.answeredPollAt.Before(until) {
-		return false
+	last := until
+	if w := c.workers[open.Worker]; w != nil {
+		if w.answeredPollAt.After(until) {
+			return false
+		}
+		// A late order that was sent since extends the lease of the life that has the run.
+		if late := w.grantedAt.Add(maxOrderDelay); late.After(last) {
+			last = late
+		}
 	}
-	return c.now.Before(c.nextLifeExpiry(until))
+	return c.now.Before(c.nextLifeExpiry(last))
+}
+
+// namedByOpenStart reports whether some start on the worker is open.
+func (c *Core) namedByOpenStart(w *worker) bool {
+	return slices.ContainsFunc(c.openTasks, func(t *task) bool { return t.open.Worker == w.info.HostID })
 }
 
 // latestExecution returns the time until which an open start may be executed, by this
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -158,7 +158,7 @@
 		}
 	}
 	c.reconcileRuns(w, order, report)
-	if !report.Partial {
+	if !report.Partial && !report.More {
 		w.answeredPollAt = order.SentAt
 	}
 	c.noteEndsListed(w, report)
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -149,7 +149,7 @@
 	}
 	r, ok := w.runs[runKey{order.Task, order.Run}]
 	if result != OrderUnknown {
-		c.settleStart(r, order)
+		c.settleStart(r, order, result)
 	}
 	if ok && result == OrderUnsent {
 		c.startUnsent(r, order)
@@ -254,10 +254,10 @@
 	t.run = nil
 	c.forgetNote(t)
 	t.step.job().activeRuns--
+	c.openStart(r)
 	if t.done {
 		return
 	}
-	c.openStart(r)
 	t.step.waiting++
 	if r.checkpoint != "" && t.step.def.Checkpointing {
 		c.setCheckpoint(t, r.checkpoint)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -328,7 +328,7 @@
 // leaving worker unchanged, so LeavesAt stays as it was computed when the
 // notice was first observed.
 func (w *worker) setInfo(info WorkerInfo) {
-	if previous := w.info; previous.Leaving && info.Leaving && !previous.LeavesAt.IsZero() && previous.LeavesAt.Before(info.LeavesAt) {
+	if previous := w.info; previous.Leaving && info.Leaving && previous.BootedAt.Equal(info.BootedAt) && !previous.LeavesAt.IsZero() && previous.LeavesAt.Before(info.LeavesAt) {
 		info.LeavesAt = previous.LeavesAt
 	}
 	w.info = info
@@ -341,12 +341,12 @@
 	return "ready"
 }
 
-// removeUnlistedWorkers removes the workers that are not listed, have no run
-// and no poll in flight, and whose leases have expired.
+// removeUnlistedWorkers removes the workers that are not listed, have no run, no open
+// start and no poll in flight, and whose leases have expired.
 func (c *Core) removeUnlistedWorkers() {
 	kept := c.sortedWorkers[:0]
 	for _, w := range c.sortedWorkers {
-		if !w.listed && len(w.runs) == 0 && !w.pollInFlight && !c.now.Before(w.leaseExpiry(c)) {
+		if !w.listed && len(w.runs) == 0 && !w.pollInFlight && !c.now.Before(w.leaseExpiry(c)) && !c.namedByOpenStart(w) {
 			delete(c.workers, w.info.HostID)
 			c.leasedWorkersDirty = true
 			continue
