Operate: one function reads the file of an item or a job

The commands put and submit each had the reading of a YAML file and its conversion to JSON.

go test ./cmd/kumquatstall ok kumquatstall/cmd/kumquatstall (cached)

--- a/cmd/kumquatstall/operate.go
+++ b/cmd/kumquatstall/operate.go
@@ -112,15 +112,24 @@
 
 // Run creates or replaces an item from a file.
 func (c *itemPutCommand) Run() error {
-	text, err := os.ReadFile(c.File)
+	body, err := readBody(c.File)
 	if err != nil {
-		return errors.Wrap(err, "read file")
+		return err
+	}
+	return changeItem(&c.remote, http.MethodPut, "/v1/"+c.path+"/"+url.PathEscape(c.Name), c.Revision, body)
+}
+
+// readBody reads a YAML or JSON file as the JSON body of a request.
+func readBody(file string) (json.RawMessage, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read file")
 	}
 	data, err := yaml.YAMLToJSON(text)
 	if err != nil {
-		return errors.Wrapf(err, "%s: expected YAML", c.File)
+		return nil, errors.Wrapf(err, "%s: expected YAML", file)
 	}
-	return changeItem(&c.remote, http.MethodPut, "/v1/"+c.path+"/"+url.PathEscape(c.Name), c.Revision, json.RawMessage(data))
+	return data, nil
 }
 
 // changeItem sends a change of an item and prints the item as accepted. If
@@ -227,15 +236,11 @@
 
 // Run submits a job.
 func (c *jobSubmitCommand) Run() error {
-	text, err := os.ReadFile(c.File)
+	body, err := readBody(c.File)
 	if err != nil {
-		return errors.Wrap(err, "read file")
-	}
-	data, err := yaml.YAMLToJSON(text)
-	if err != nil {
-		return errors.Wrapf(err, "%s: expected YAML", c.File)
+		return err
 	}
-	return c.requestJob(http.MethodPost, "/v1/jobs", json.RawMessage(data))
+	return c.requestJob(http.MethodPost, "/v1/jobs", body)
 }
 
 // requestJob sends a request about one job and prints the status of the job from
