Leaser: the rows it writes and the end of a lease stand once each

The rows of acquisitions and renewals differed by their epoch only, the two deletions of a member row by the member. A lease that expires and one that is lost are dropped in the same way. The fair share was computed twice, once for what to acquire and once for what to give up.

go test ./leaser ./decider ok kumquatstall/leaser 0.004s ok kumquatstall/decider 6.537s

--- a/leaser/acquire.go
+++ b/leaser/acquire.go
@@ -57,7 +57,7 @@
 // has its fair share of shards waits another term.
 func (l *Leaser) acquisitions(now time.Time, peers []Peer) []TableOperation {
 	candidates := l.candidates(peers)
-	fairShare := (len(l.shards) + len(candidates) - 1) / len(candidates)
+	fairShare := l.fairShare(candidates)
 	held := l.heldOrAcquiring()
 	var operations []TableOperation
 	for number, shard := range l.shards {
@@ -103,6 +103,11 @@
 	return candidates
 }
 
+// fairShare returns the number of shards per candidate, rounded up.
+func (l *Leaser) fairShare(candidates []requester.EntryID) int {
+	return (len(l.shards) + len(candidates) - 1) / len(candidates)
+}
+
 // acquireRank returns the rank of self, from 0, in the order in which the
 // candidates acquire a vacant shard.
 func acquireRank(self requester.EntryID, number int, candidates []requester.EntryID) int {
@@ -186,14 +191,7 @@
 	_ = shard.machine.Fire("Claim")
 	shard.acquireUnresolved = true
 	shard.previousHolder = shard.row.Holder
-	row := ShardRow{
-		Holder:          l.options.Self,
-		Incarnation:     l.options.Incarnation,
-		Address:         l.options.Address,
-		Epoch:           max(shard.row.Epoch, shard.grantGiven.epoch) + 1,
-		Deadline:        now.Add(l.options.Term),
-		MembersRevision: l.membersRevision,
-	}
+	row := l.ownRow(now, max(shard.row.Epoch, shard.grantGiven.epoch)+1)
 	key := l.shardKey(number)
 	return TableOperation{
 		Purpose: PurposeAcquire,
--- a/leaser/decide.go
+++ b/leaser/decide.go
@@ -91,10 +91,7 @@
 func (l *Leaser) expireLeases(now time.Time) {
 	for _, shard := range l.shards {
 		if shard.machine.In("Held", "Extended", "Releasing") && !now.Before(shard.deadline) {
-			_ = shard.machine.Fire("Lapse")
-			shard.deadline = time.Time{}
-			shard.grantsReceived = nil
-			shard.takenOver = false
+			shard.dropLease("Lapse")
 		}
 	}
 }
@@ -130,14 +127,7 @@
 		if !shard.machine.In("Held", "Extended", "Releasing") {
 			continue
 		}
-		row := ShardRow{
-			Holder:          l.options.Self,
-			Incarnation:     l.options.Incarnation,
-			Address:         l.options.Address,
-			Epoch:           shard.ownEpoch,
-			Deadline:        now.Add(l.options.Term),
-			MembersRevision: l.membersRevision,
-		}
+		row := l.ownRow(now, shard.ownEpoch)
 		key := l.shardKey(number)
 		operation.Transaction.Conditions = append(operation.Transaction.Conditions, keeper.Condition{Key: key, Revision: shard.rowRevision})
 		operation.Transaction.Writes = append(operation.Transaction.Writes, keeper.Write{Key: key, Value: mustMarshal(row)})
@@ -152,6 +142,19 @@
 	return operation, true
 }
 
+// ownRow returns the row of a shard that this entry holds under the epoch by a
+// lease that starts at now.
+func (l *Leaser) ownRow(now time.Time, epoch int64) ShardRow {
+	return ShardRow{
+		Holder:          l.options.Self,
+		Incarnation:     l.options.Incarnation,
+		Address:         l.options.Address,
+		Epoch:           epoch,
+		Deadline:        now.Add(l.options.Term),
+		MembersRevision: l.membersRevision,
+	}
+}
+
 // OnResult applies the result of an operation. If err is not nil, there is no
 // result: the transaction has not committed and never will if resolved is true,
 // and may have committed or still commit otherwise.
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -411,14 +411,18 @@
 // loseLease drops the lease of a shard that another entry has acquired or may
 // acquire, and abandons an acquisition in progress.
 func (l *Leaser) loseLease(shard *shardState) {
-	event := charter.Event("Lost")
-	if !shard.machine.Can(event) {
-		return
+	if shard.machine.Can("Lost") {
+		shard.dropLease("Lost")
 	}
-	_ = shard.machine.Fire(event)
-	shard.deadline = time.Time{}
-	shard.grantsReceived = nil
-	shard.takenOver = false
+}
+
+// dropLease ends the lease of a shard, or an acquisition in progress, by an
+// event that its chart allows.
+func (s *shardState) dropLease(event charter.Event) {
+	_ = s.machine.Fire(event)
+	s.deadline = time.Time{}
+	s.grantsReceived = nil
+	s.takenOver = false
 }
 
 func later(a, b time.Time) time.Time {
--- a/leaser/release.go
+++ b/leaser/release.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"kumquatstall/keeper"
+	"kumquatstall/requester"
 )
 
 // Drain starts a graceful shutdown: no more shards are acquired.
@@ -58,16 +59,7 @@
 	if l.registeredRevision == 0 {
 		return TableOperation{}, false
 	}
-	key := l.memberKey(l.options.Self)
-	operation := TableOperation{
-		Purpose: PurposeUnregister,
-		Transaction: keeper.Transaction{
-			Conditions: []keeper.Condition{{Key: key, Revision: l.registeredRevision}},
-			Writes:     []keeper.Write{{Key: key, Delete: true}},
-		},
-		SentAt:   now,
-		Deadline: now.Add(l.options.Term),
-	}
+	operation := l.unregistration(l.options.Self, l.registeredRevision, now)
 	l.registeredRevision = 0
 	return operation, true
 }
@@ -78,7 +70,7 @@
 // worst, and none for which it ranks first.
 func (l *Leaser) Surplus(now time.Time, peers []Peer) int {
 	candidates := l.candidates(peers)
-	fairShare := (len(l.shards) + len(candidates) - 1) / len(candidates)
+	fairShare := l.fairShare(candidates)
 	held := 0
 	worst, worstRank := -1, 0
 	for number := range l.shards {
@@ -114,11 +106,17 @@
 // RemoveMember returns the transaction that removes a dead entry from the
 // member list.
 func (l *Leaser) RemoveMember(member Member, now time.Time) TableOperation {
-	key := l.memberKey(member.EntryID)
+	return l.unregistration(member.EntryID, member.Revision, now)
+}
+
+// unregistration returns the transaction that deletes a member row, if it still
+// has the revision.
+func (l *Leaser) unregistration(id requester.EntryID, revision int64, now time.Time) TableOperation {
+	key := l.memberKey(id)
 	return TableOperation{
 		Purpose: PurposeUnregister,
 		Transaction: keeper.Transaction{
-			Conditions: []keeper.Condition{{Key: key, Revision: member.Revision}},
+			Conditions: []keeper.Condition{{Key: key, Revision: revision}},
 			Writes:     []keeper.Write{{Key: key, Delete: true}},
 		},
 		SentAt:   now,
