Router: slots are released, and counted, in one place

Three functions took an attempt out of the same two maps, three counted the executions of an endpoint, and contains was slices.Contains.

--- a/router/router.go
+++ b/router/router.go
@@ -18,6 +18,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sort"
 	"time"
 
@@ -104,10 +105,15 @@
 // freeSlots returns the number of executions that the endpoint has capacity
 // for. It is negative while attempts and inherited executions exceed the capacity.
 func (e *endpoint) freeSlots() int {
-	limit := min(e.info.Slots, e.info.Connections)
-	return limit - len(e.attempts) - e.inherited
+	return e.capacity() - e.running()
 }
 
+// capacity returns how many calls the endpoint may execute at a time.
+func (e *endpoint) capacity() int { return min(e.info.Slots, e.info.Connections) }
+
+// running returns how many executions occupy a slot, the inherited ones included.
+func (e *endpoint) running() int { return len(e.attempts) + e.inherited }
+
 // Pool holds the endpoints of one service that the entry owns.
 type Pool struct {
 	chart     *charter.Chart
@@ -217,7 +223,7 @@
 		if fallback == nil || e.freeSlots() > fallback.freeSlots() {
 			fallback = e
 		}
-		if contains(tried, e.info.HostID) {
+		if slices.Contains(tried, e.info.HostID) {
 			continue
 		}
 		if best == nil || e.freeSlots() > best.freeSlots() {
@@ -239,7 +245,7 @@
 func (p *Pool) pickRandom(now time.Time, tried []requester.HostID) (requester.HostID, bool) {
 	var candidates []requester.HostID
 	for _, e := range p.order {
-		if e.freeSlots() > 0 && e.usable(now) && !contains(tried, e.info.HostID) {
+		if e.freeSlots() > 0 && e.usable(now) && !slices.Contains(tried, e.info.HostID) {
 			candidates = append(candidates, e.info.HostID)
 		}
 	}
@@ -251,15 +257,6 @@
 	return candidates[(p.draws*multiplier>>32)%uint64(len(candidates))], true
 }
 
-func contains(ids []requester.HostID, id requester.HostID) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
-
 // Start reserves a slot of attempt.Endpoint, which must be owned, for the attempt
 // and returns the address of the endpoint.
 func (p *Pool) Start(now time.Time, attempt Attempt) netip.AddrPort {
@@ -278,8 +275,7 @@
 	if !ok {
 		return
 	}
-	delete(e.attempts, id)
-	delete(p.attempts, id)
+	p.releaseSlot(e, id)
 	if failed {
 		e.breaker.RecordFailure(now, p.limits.Breaker)
 	} else {
@@ -287,6 +283,11 @@
 	}
 }
 
+func (p *Pool) releaseSlot(e *endpoint, attemptID uint64) {
+	delete(e.attempts, attemptID)
+	delete(p.attempts, attemptID)
+}
+
 // MarkConnectionLost records that the connection of an attempt was lost, which
 // counts as a failure of the endpoint. The slot stays occupied.
 func (p *Pool) MarkConnectionLost(now time.Time, id uint64) {
@@ -362,8 +363,7 @@
 		conclusive := !attempt.connectionLostAt.IsZero() && sentAt.After(attempt.connectionLostAt.Add(p.limits.Margin))
 		if conclusive && !reported[attempt.RequestID] {
 			ended = append(ended, *attempt)
-			delete(e.attempts, attemptID)
-			delete(p.attempts, attemptID)
+			p.releaseSlot(e, attemptID)
 		}
 	}
 	e.inherited = inherited
@@ -386,8 +386,7 @@
 			continue
 		}
 		ended = append(ended, *attempt)
-		delete(e.attempts, id)
-		delete(p.attempts, id)
+		p.releaseSlot(e, id)
 	}
 	for _, e := range p.order {
 		if now.Before(e.settlingSince.Add(p.limits.SettleTimeout)) {
@@ -407,7 +406,7 @@
 // and inherited executions. It is meant for tests.
 func (p *Pool) OccupiedSlots(id requester.HostID) int {
 	if e, ok := p.endpoints[id]; ok {
-		return len(e.attempts) + e.inherited
+		return e.running()
 	}
 	return 0
 }
@@ -417,7 +416,7 @@
 // if there is none.
 func (p *Pool) OverCommitted() (id requester.HostID, over bool) {
 	for _, e := range p.order {
-		if len(e.attempts) > min(e.info.Slots, e.info.Connections) {
+		if len(e.attempts) > e.capacity() {
 			return e.info.HostID, true
 		}
 	}
@@ -444,7 +443,7 @@
 			State:   string(e.machine.State()),
 			Breaker: string(e.breaker.State()),
 			Slots:   e.info.Slots,
-			Running: len(e.attempts) + e.inherited,
+			Running: e.running(),
 			Leaving: e.leaving,
 		})
 	}
