--- a/decider/core.go
+++ b/decider/core.go
@@ -140,6 +140,16 @@
 	return o
 }
 
+// dataCentre returns the data centre with a name; false if there is none.
+func (o *Options) dataCentre(name requester.DataCentre) (DataCentreInfo, bool) {
+	for _, info := range o.DataCentres {
+		if info.Name == name {
+			return info, true
+		}
+	}
+	return DataCentreInfo{}, false
+}
+
 // Core is the decision core of one entry.
 type Core struct {
 	options Options
@@ -269,12 +279,7 @@
 // configuration.
 func New(options Options, now time.Time) *Core {
 	options = options.withDefaults()
-	shards := 0
-	for _, dataCentre := range options.DataCentres {
-		if dataCentre.Name == options.DataCentre {
-			shards = dataCentre.Shards
-		}
-	}
+	own, _ := options.dataCentre(options.DataCentre)
 	return &Core{
 		options: options,
 		now:     now,
@@ -283,7 +288,7 @@
 			Incarnation: options.Incarnation,
 			Address:     options.Address,
 			DataCentre:  options.DataCentre,
-			Shards:      shards,
+			Shards:      own.Shards,
 			Term:        options.ShardLeaseTerm,
 			Margin:      options.Margin,
 		}, now),
--- a/decider/receive.go
+++ b/decider/receive.go
@@ -103,12 +103,8 @@
 }
 
 func (c *Core) knowsDataCentre(name requester.DataCentre) bool {
-	for _, info := range c.options.DataCentres {
-		if info.Name == name {
-			return true
-		}
-	}
-	return false
+	_, ok := c.options.dataCentre(name)
+	return ok
 }
 
 // coordinatorShardOf returns the shard whose holder coordinates the request.
--- a/decider/shards.go
+++ b/decider/shards.go
@@ -100,12 +100,11 @@
 // shardOf returns the call shard of a data centre to which a HostID or RequestID
 // is assigned, by rendezvous hashing. For an unknown data centre the number is 0.
 func (c *Core) shardOf(dataCentre requester.DataCentre, name string) leaser.Shard {
-	for _, info := range c.options.DataCentres {
-		if info.Name == dataCentre {
-			return leaser.ShardOf(dataCentre, info.Shards, name)
-		}
+	info, ok := c.options.dataCentre(dataCentre)
+	if !ok {
+		return leaser.Shard{DataCentre: dataCentre}
 	}
-	return leaser.Shard{DataCentre: dataCentre}
+	return leaser.ShardOf(dataCentre, info.Shards, name)
 }
 
 // tickShards executes the leaser's decisions: it runs transactions, sends grant
@@ -362,12 +361,8 @@
 // shardCount returns the number of shards of the own data centre, the placement
 // shard included.
 func (c *Core) shardCount() int {
-	for _, info := range c.options.DataCentres {
-		if info.Name == c.options.DataCentre {
-			return info.Shards
-		}
-	}
-	return 0
+	own, _ := c.options.dataCentre(c.options.DataCentre)
+	return own.Shards
 }
 
 // removeStaleMembers deletes the registrations of entries that are proven dead. An
