Decider: the row of a write-ahead record is made in one place

A row that is written before its call and one that is written after an outage of the table were encoded by the same eight lines.

go test ./decider ok kumquatstall/decider 6.813s

--- a/decider/writeahead.go
+++ b/decider/writeahead.go
@@ -55,21 +55,30 @@
 		c.continueWithoutTable(record)
 		return
 	}
-	row, err := json.Marshal(writeAheadRow{RequestID: id, Home: c.options.Self, At: c.now})
-	if err != nil {
-		c.reportViolation("write-ahead record", err.Error())
+	var transaction keeper.Transaction
+	if !c.addWriteAheadRow(&transaction, id) {
 		return
 	}
-	key := c.writeAheadKey(id)
-	transaction := keeper.Transaction{
-		Conditions: []keeper.Condition{{Key: key}},
-		Writes:     []keeper.Write{{Key: key, Value: row}},
-	}
 	c.transact(transaction, earlier(record.call.Deadline, c.now.Add(writeAheadTimeout)), func(result keeper.TransactResult, failure TableFailure) {
 		c.onWriteAheadRow(record, result, failure)
 	})
 }
 
+// addWriteAheadRow adds to a transaction that it writes the row of a write-ahead
+// record, which must not exist. It reports false, after a violation, if the row
+// can't be encoded.
+func (c *Core) addWriteAheadRow(transaction *keeper.Transaction, id requester.RequestID) bool {
+	row, err := json.Marshal(writeAheadRow{RequestID: id, Home: c.options.Self, At: c.now})
+	if err != nil {
+		c.reportViolation("write-ahead record", err.Error())
+		return false
+	}
+	key := c.writeAheadKey(id)
+	transaction.Conditions = append(transaction.Conditions, keeper.Condition{Key: key})
+	transaction.Writes = append(transaction.Writes, keeper.Write{Key: key, Value: row})
+	return true
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -235,14 +244,9 @@
 	}
 	var transaction keeper.Transaction
 	for _, id := range ids {
-		row, err := json.Marshal(writeAheadRow{RequestID: id, Home: c.options.Self, At: c.now})
-		if err != nil {
-			c.reportViolation("write-ahead record", err.Error())
+		if !c.addWriteAheadRow(&transaction, id) {
 			return
 		}
-		key := c.writeAheadKey(id)
-		transaction.Conditions = append(transaction.Conditions, keeper.Condition{Key: key})
-		transaction.Writes = append(transaction.Writes, keeper.Write{Key: key, Value: row})
 	}
 	c.storingWriteAheads = true
 	c.transact(transaction, c.now.Add(c.options.ShardLeaseTerm), func(result keeper.TransactResult, failure TableFailure) {
