Decider: one function turns an outcome that proves too much into Unknown

A call that is refused, cancelled or not run has that outcome only if nothing of it was sent; three functions said so in their own words.

go test ./decider ok kumquatstall/decider 6.486s

--- a/decider/attempt.go
+++ b/decider/attempt.go
@@ -87,7 +87,7 @@
 		c.enqueue(sp, e)
 		return
 	}
-	c.endExecution(e, c.notRunOutcome(e), requester.ReasonEndpointFailed, detail)
+	c.endExecution(e, e.unlessSent(requester.OutcomeNotRun), requester.ReasonEndpointFailed, detail)
 }
 
 // onStatus frees the slots of lost attempts that the endpoint no longer runs.
--- a/decider/run.go
+++ b/decider/run.go
@@ -162,11 +162,7 @@
 	sp := c.pool(call.Service)
 	e := &execution{id: c.newID(), call: call, origin: origin, machine: callChart.Start(), sent: sent}
 	if reason := c.refusalReason(sp, &call); reason != requester.ReasonNone {
-		outcome := requester.OutcomeRefused
-		if sent {
-			outcome = requester.OutcomeUnknown
-		}
-		c.endExecution(e, outcome, reason, "")
+		c.endExecution(e, e.unlessSent(requester.OutcomeRefused), reason, "")
 		return
 	}
 	c.budgets.Deposit(call.Trade, sp.profile.RetryBudget)
@@ -281,7 +277,7 @@
 // lease of the shard expires, since another entry may own the endpoint after that.
 func (c *Core) dispatch(sp *servicePool, e *execution) {
 	if c.missesDeadline(sp, e) {
-		c.endExecution(e, c.notRunOutcome(e), requester.ReasonDeadline, "")
+		c.endExecution(e, e.unlessSent(requester.OutcomeNotRun), requester.ReasonDeadline, "")
 		return
 	}
 	host, ok := sp.pool.Pick(c.now, e.tried)
@@ -347,13 +343,13 @@
 	return true
 }
 
-// notRunOutcome returns NotRun if no byte of the call can have reached an
-// endpoint, else Unknown.
-func (c *Core) notRunOutcome(e *execution) requester.Outcome {
+// unlessSent returns the outcome given, which proves that the call did not run, if
+// no byte of the call can have reached an endpoint, else Unknown.
+func (e *execution) unlessSent(outcome requester.Outcome) requester.Outcome {
 	if e.sent {
 		return requester.OutcomeUnknown
 	}
-	return requester.OutcomeNotRun
+	return outcome
 }
 
 // onExecutionDeadline ends a call at its deadline, queued or running. An attempt
@@ -363,7 +359,7 @@
 		return
 	}
 	c.pool(e.call.Service).queue.Remove(e.id)
-	c.endExecution(e, c.notRunOutcome(e), requester.ReasonDeadline, "")
+	c.endExecution(e, e.unlessSent(requester.OutcomeNotRun), requester.ReasonDeadline, "")
 }
 
 // cancelExecution cancels a queued call. A call that has been dispatched continues;
@@ -372,11 +368,7 @@
 	if !c.pool(e.call.Service).queue.Remove(e.id) {
 		return
 	}
-	outcome := requester.OutcomeCancelled
-	if e.sent {
-		outcome = requester.OutcomeUnknown
-	}
-	c.endExecution(e, outcome, requester.ReasonNone, "")
+	c.endExecution(e, e.unlessSent(requester.OutcomeCancelled), requester.ReasonNone, "")
 }
 
 func (c *Core) removeExecution(e *execution) {
