--- a/decider/jobs.go
+++ b/decider/jobs.go
@@ -78,9 +78,8 @@
 func (c *Core) startFleet(epoch int64, rows []keeper.Row) {
 	c.fleet = placer.New(c.options.Self, epoch, c.now, c.placerLimits())
 	for _, row := range rows {
-		jobRow, err := placer.DecodeJobRow(row.Value)
-		if err != nil {
-			c.reportViolation("job row", row.Key+": "+err.Error())
+		jobRow, ok := c.decodeJobRow(row)
+		if !ok {
 			c.fleet.Exclude(requester.JobID(strings.TrimPrefix(row.Key, c.jobKey(""))))
 			continue
 		}
@@ -89,6 +88,17 @@
 	c.setWorkers()
 }
 
+// decodeJobRow decodes a job row. It reports false, after a violation, if the row
+// can't be decoded.
+func (c *Core) decodeJobRow(row keeper.Row) (placer.JobRow, bool) {
+	jobRow, err := placer.DecodeJobRow(row.Value)
+	if err != nil {
+		c.reportViolation("job row", row.Key+": "+err.Error())
+		return placer.JobRow{}, false
+	}
+	return jobRow, true
+}
+
 // placerLimits returns the limits of placement under the default profile and the
 // configured trades.
 func (c *Core) placerLimits() placer.Limits {
@@ -210,12 +220,9 @@
 		case failure == TableOK && result.Committed:
 			fleet.WriteCommitted(write, result.Revision)
 		case failure == TableOK && conflicted:
-			jobRow, err := placer.DecodeJobRow(row.Value)
-			if err != nil {
-				c.reportViolation("job row", row.Key+": "+err.Error())
-				continue
+			if jobRow, ok := c.decodeJobRow(row); ok {
+				fleet.WriteConflicted(write, jobRow, row.Revision)
 			}
-			fleet.WriteConflicted(write, jobRow, row.Revision)
 		default:
 			fleet.WriteFailed(write)
 		}
@@ -414,9 +421,8 @@
 // has written, and answers this submission as a repeated one.
 func (c *Core) onSubmitConflict(job requester.Job, conflicts []keeper.Row, reply func(encoder.JobReply)) {
 	for _, row := range conflicts {
-		jobRow, err := placer.DecodeJobRow(row.Value)
-		if err != nil {
-			c.reportViolation("job row", row.Key+": "+err.Error())
+		jobRow, ok := c.decodeJobRow(row)
+		if !ok {
 			break
 		}
 		c.fleet.Add(jobRow, row.Revision, false)
