--- a/stager/api_test.go
+++ b/stager/api_test.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"kumquatstall/configurer"
+	"kumquatstall/standin"
 )
 
 // testTimeout bounds a whole test; tests that start processes have twice as long.
@@ -49,6 +50,16 @@
 	return deployment
 }
 
+// deploymentWithoutEntries returns a deployment of testPlan that has stand-ins but no
+// entries; the test starts and closes it.
+func deploymentWithoutEntries() *Deployment {
+	plan := testPlan()
+	for i := range plan.Sites {
+		plan.Sites[i].Entries = 0
+	}
+	return &Deployment{Plan: plan, ExecutionLog: &standin.ExecutionLog{}, log: zerolog.New(io.Discard)}
+}
+
 // example is a request in docs/API.md with the expected status and response body.
 type example struct {
 	method string
--- a/stager/process_test.go
+++ b/stager/process_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -21,7 +20,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
 	"github.com/matryer/is"
-	"github.com/rs/zerolog"
 
 	"kumquatstall/auditor"
 	"kumquatstall/decider"
@@ -96,17 +94,14 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*testTimeout)
 	t.Cleanup(cancel)
-	plan := testPlan()
-	for i := range plan.Sites {
-		plan.Sites[i].Entries = 0
-	}
-	standIns := &Deployment{Plan: plan, ExecutionLog: &standin.ExecutionLog{}, log: zerolog.New(io.Discard)}
+	standIns := deploymentWithoutEntries()
 	c := &processCluster{t: t, ctx: ctx, standIns: standIns, audit: auditor.New()}
 	t.Cleanup(c.close)
 	c.must(standIns.start())
 	var addresses []netip.AddrPort
 	for i := range clusterEntries {
-		site := plan.Sites[i%len(plan.Sites)].Name
+		sites := standIns.Plan.Sites
+		site := sites[i%len(sites)].Name
 		p := c.configure(site, requester.EntryID(fmt.Sprintf("%s-entry-%d", site, i)))
 		c.launch(p)
 		addresses = append(addresses, p.address)
@@ -209,6 +204,16 @@
 	return &view
 }
 
+// everyView reports whether every entry reports a view and holds is true for each.
+func (c *processCluster) everyView(holds func(*decider.View) bool) bool {
+	for _, p := range c.processes {
+		if view := c.status(p); view == nil || !holds(view) {
+			return false
+		}
+	}
+	return true
+}
+
 // fetch sends a request, decodes the response into answer and returns the status,
 // or 0 if no valid response was received.
 func (c *processCluster) fetch(ctx context.Context, method, url string, body, answer any) int {
@@ -258,9 +263,12 @@
 }
 
 // heldShards returns how many shards the running entries hold by their own views.
-func (c *processCluster) heldShards() int {
+func (c *processCluster) heldShards() int { return c.shardsHeldBy(c.processes) }
+
+// shardsHeldBy returns the same for some of the entries.
+func (c *processCluster) shardsHeldBy(processes []*process) int {
 	held := 0
-	for _, p := range c.processes {
+	for _, p := range processes {
 		if p.running == nil {
 			continue
 		}
@@ -396,16 +404,7 @@
 	c := newProcessCluster(t)
 	c.startLoad()
 	c.processes[0].running.Signal(syscall.SIGSTOP)
-	heldByOthers := func() int {
-		held := 0
-		for _, p := range c.processes[1:] {
-			if view := c.status(p); view != nil {
-				held += len(view.Seats)
-			}
-		}
-		return held
-	}
-	c.await("shards acquired by the other entries", func() bool { return heldByOthers() == c.totalShards() })
+	c.await("shards acquired by the other entries", func() bool { return c.shardsHeldBy(c.processes[1:]) == c.totalShards() })
 	c.awaitCalls(50)
 	c.processes[0].running.Signal(syscall.SIGCONT)
 	c.await("cluster converged again", c.converged)
@@ -463,12 +462,7 @@
 	c.standIns.Table.SetFaults(standin.TableFaults{})
 	c.await("change accepted", func() bool { return c.fetch(c.ctx, http.MethodPut, url, profile, &item) == http.StatusOK })
 	c.await("change applied by all entries", func() bool {
-		for _, p := range c.processes {
-			if view := c.status(p); view == nil || view.ConfigRevision < item.Revision {
-				return false
-			}
-		}
-		return true
+		return c.everyView(func(view *decider.View) bool { return view.ConfigRevision >= item.Revision })
 	})
 	c.checkNoLoss(c.stopAndAudit())
 }
@@ -513,12 +507,7 @@
 	c.awaitAnswered(100)
 	c.standIns.Table.SetFaults(standin.TableFaults{})
 	c.await("last change applied by all entries", func() bool {
-		for _, p := range c.processes {
-			if view := c.status(p); view == nil || view.ConfigRevision != last.Revision {
-				return false
-			}
-		}
-		return true
+		return c.everyView(func(view *decider.View) bool { return view.ConfigRevision == last.Revision })
 	})
 	is.Equal(last.Revision, int64(6)) // each change was committed once
 	c.checkNoLoss(c.stopAndAudit())
--- a/stager/tls_test.go
+++ b/stager/tls_test.go
@@ -22,7 +22,6 @@
 	"kumquatstall/configurer"
 	"kumquatstall/requester"
 	"kumquatstall/runner"
-	"kumquatstall/standin"
 )
 
 // writeCertificate writes a self-signed certificate for 127.0.0.1 and its key to
@@ -62,16 +61,12 @@
 	is := is.New(t)
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
-	plan := testPlan()
-	for i := range plan.Sites {
-		plan.Sites[i].Entries = 0
-	}
-	d := &Deployment{Plan: plan, ExecutionLog: &standin.ExecutionLog{}, log: zerolog.New(io.Discard)}
+	d := deploymentWithoutEntries()
 	t.Cleanup(d.Close)
 	is.NoErr(d.start())
 	files := writeCertificate(t)
 	start := func(id requester.EntryID, key string) *runner.Entry {
-		settings := d.Settings(plan.Sites[0].Name, id)
+		settings := d.Settings(d.Plan.Sites[0].Name, id)
 		settings.LinkKey = key
 		settings.TLS = files
 		entry, err := runner.Start(settings, zerolog.New(io.Discard))
