Experimenter: the two plots begin alike in one place

Axes and title of both plots are set by one function, sorted keys come from the standard library, and class stands beside its only user, the report.

go test ./experimenter ./cmd/kumquatload ? kumquatstall/experimenter [no test files] ? kumquatstall/cmd/kumquatload [no test files]

--- a/experimenter/plot.go
+++ b/experimenter/plot.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -12,8 +13,6 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
-
-	"kumquatstall/auditor"
 )
 
 // plotWidth and plotHeight are the size of a plot. bucketWidth is the time over
@@ -42,13 +41,19 @@
 	return nil
 }
 
+// timePlot returns an empty plot of values in unit over the seconds of a run.
+func timePlot(title, unit string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = "s"
+	p.Y.Label.Text = unit
+	return p
+}
+
 // plotWaits plots the 99th percentile of the waits of each kind of call, per
 // bucket of bucketWidth.
 func (r *Run) plotWaits(path string) error {
-	p := plot.New()
-	p.Title.Text = "wait p99, policy " + r.Policy
-	p.X.Label.Text = "s"
-	p.Y.Label.Text = "ms"
+	p := timePlot("wait p99, policy "+r.Policy, "ms")
 	buckets := make(map[string]map[int][]time.Duration)
 	for _, sample := range r.WaitSamples {
 		kind := string(sample.Class.Kind)
@@ -58,13 +63,8 @@
 		bucket := int(sample.SentAt.Sub(r.StartedAt) / bucketWidth)
 		buckets[kind][bucket] = append(buckets[kind][bucket], sample.Wait)
 	}
-	kinds := make([]string, 0, len(buckets))
-	for kind := range buckets {
-		kinds = append(kinds, kind)
-	}
-	slices.Sort(kinds)
 	var lines []any
-	for _, kind := range kinds {
+	for _, kind := range slices.Sorted(maps.Keys(buckets)) {
 		lines = append(lines, kind, percentiles(buckets[kind]))
 	}
 	if err := plotutil.AddLines(p, lines...); err != nil {
@@ -77,13 +77,8 @@
 // of time. The keys are the numbers of the buckets.
 func percentiles(buckets map[int][]time.Duration) plotter.XYs {
 	const quantile = 0.99
-	numbers := make([]int, 0, len(buckets))
-	for number := range buckets {
-		numbers = append(numbers, number)
-	}
-	slices.Sort(numbers)
 	var points plotter.XYs
-	for _, number := range numbers {
+	for _, number := range slices.Sorted(maps.Keys(buckets)) {
 		waits := buckets[number]
 		slices.Sort(waits)
 		wait := waits[int(quantile*float64(len(waits)-1))]
@@ -97,10 +92,7 @@
 
 // plotPacking plots the packing samples.
 func (r *Run) plotPacking(path string) error {
-	p := plot.New()
-	p.Title.Text = "packing, policy " + r.Policy
-	p.X.Label.Text = "s"
-	p.Y.Label.Text = "share"
+	p := timePlot("packing, policy "+r.Policy, "share")
 	var points plotter.XYs
 	for _, sample := range r.PackingSamples {
 		points = append(points, plotter.XY{X: sample.At.Sub(r.StartedAt).Seconds(), Y: sample.Packing})
@@ -110,13 +102,3 @@
 	}
 	return errors.Wrap(p.Save(plotWidth, plotHeight, path), "write plot")
 }
-
-// class returns the result of one class of calls, if the run has it.
-func (r *Run) class(key auditor.ClassKey) (auditor.Class, bool) {
-	for _, class := range r.Classes {
-		if class.Trade == key.Trade && class.Kind == key.Kind {
-			return class, true
-		}
-	}
-	return auditor.Class{}, false
-}
--- a/experimenter/report.go
+++ b/experimenter/report.go
@@ -85,3 +85,13 @@
 	}
 	return true
 }
+
+// class returns the result of one class of calls, if the run has it.
+func (r *Run) class(key auditor.ClassKey) (auditor.Class, bool) {
+	for _, class := range r.Classes {
+		if class.Trade == key.Trade && class.Kind == key.Kind {
+			return class, true
+		}
+	}
+	return auditor.Class{}, false
+}
