Loader: calls and jobs are drawn from their streams alike

newJob stands beside newCall, and both draw the data centre by one function. The order of the random draws is the one of before: Go evaluates the calls in a literal in their order, the payload first.

go test ./loader ./stager ? kumquatstall/loader [no test files] ok kumquatstall/stager 46.567s

--- a/loader/loader.go
+++ b/loader/loader.go
@@ -210,7 +210,7 @@
 	if err != nil {
 		panic(err)
 	}
-	call := requester.Call{
+	return requester.Call{
 		Trade:      s.Trade,
 		Service:    s.Service,
 		Kind:       s.Kind,
@@ -220,11 +220,16 @@
 		Attempt:    1,
 		Payload:    payload,
 		Deadline:   time.Now().Add(time.Duration(s.DeadlineMillis) * time.Millisecond),
+		DataCentre: drawDataCentre(s.DataCentres, random),
 	}
-	if len(s.DataCentres) > 0 {
-		call.DataCentre = s.DataCentres[random.IntN(len(s.DataCentres))]
+}
+
+// drawDataCentre returns one of the data centres at random, or "" if there are none.
+func drawDataCentre(dataCentres []requester.DataCentre, random *rand.Rand) requester.DataCentre {
+	if len(dataCentres) == 0 {
+		return ""
 	}
-	return call
+	return dataCentres[random.IntN(len(dataCentres))]
 }
 
 // sendWithRetries sends a call and records each attempt. It retries while the
@@ -303,24 +308,27 @@
 // runJobStream generates the jobs of one stream.
 func (l *Loader) runJobStream(arrivalCtx, ctx context.Context, index int, stream JobStream, random *rand.Rand, until time.Time) {
 	generateArrivals(arrivalCtx, stream.RatePerSecond, random, time.Now(), until, func(n int) {
-		job := requester.Job{
-			JobID:     requester.JobID(fmt.Sprintf("%s-%s-%d-%d", l.prefix, stream.Kind, index, n)),
-			Trade:     stream.Trade,
-			Kind:      stream.Kind,
-			Shape:     stream.Shape,
-			Urgency:   stream.Urgency,
-			Tasks:     stream.Tasks,
-			Need:      stream.Need,
-			RunMillis: stream.RunMillis,
-			Payload:   stream.payload(random),
-		}
-		if len(stream.DataCentres) > 0 {
-			job.DataCentre = stream.DataCentres[random.IntN(len(stream.DataCentres))]
-		}
+		job := stream.newJob(random)
+		job.JobID = requester.JobID(fmt.Sprintf("%s-%s-%d-%d", l.prefix, stream.Kind, index, n))
 		l.inFlight.Go(func() { l.submit(ctx, job) })
 	})
 }
 
+// newJob returns a new job of the stream, without a job ID.
+func (s *JobStream) newJob(random *rand.Rand) requester.Job {
+	return requester.Job{
+		Trade:      s.Trade,
+		Kind:       s.Kind,
+		Shape:      s.Shape,
+		Urgency:    s.Urgency,
+		Tasks:      s.Tasks,
+		Need:       s.Need,
+		RunMillis:  s.RunMillis,
+		Payload:    s.payload(random),
+		DataCentre: drawDataCentre(s.DataCentres, random),
+	}
+}
+
 // submitTimeout is the timeout of the submission of a job.
 const submitTimeout = 10 * time.Second
 
