Meter: burns are ordered by one function

Report and Merge sorted by the same two fields.

go test ./meter ./server ? kumquatstall/meter [no test files] ok kumquatstall/server 2.420s

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -141,12 +141,15 @@
 	for k, s := range m.series {
 		burns = append(burns, s.burn(k, now))
 	}
-	slices.SortFunc(burns, func(a, b Burn) int {
-		return cmp.Or(cmp.Compare(a.Trade, b.Trade), cmp.Compare(a.Kind, b.Kind))
-	})
+	slices.SortFunc(burns, compareBurns)
 	return burns
 }
 
+// compareBurns orders by trade, then by kind.
+func compareBurns(a, b Burn) int {
+	return cmp.Or(cmp.Compare(a.Trade, b.Trade), cmp.Compare(a.Kind, b.Kind))
+}
+
 func (s *series) burn(k key, now time.Time) Burn {
 	burn := Burn{Trade: k.trade, Kind: k.kind, Share: s.targetShare}
 	for _, span := range Windows {
@@ -208,9 +211,7 @@
 	for _, sum := range merged {
 		sums = append(sums, *sum)
 	}
-	slices.SortFunc(sums, func(a, b Burn) int {
-		return cmp.Or(cmp.Compare(a.Trade, b.Trade), cmp.Compare(a.Kind, b.Kind))
-	})
+	slices.SortFunc(sums, compareBurns)
 	return sums
 }
 
