Decider: the table and the graceful shutdown in files of their own

The code was moved as it stands, and the package comment names the parts.

go test ./decider ok kumquatstall/decider 8.132s

--- a/decider/core.go
+++ b/decider/core.go
@@ -40,7 +40,9 @@
 // There is a file for each part:
 //
 //   - peers: the other entries, their loads, clock offsets and shards
+//   - table: reads and transactions, also those that a peer runs for this entry
 //   - shards: the shards that this entry holds, acquires and releases
+//   - drain: graceful shutdown
 //   - receive: routing and forwarding of calls
 //   - coordinator: deduplication of attempts
 //   - writeahead: the write-ahead records of requests
@@ -342,22 +344,6 @@
 	c.emit(Violation{Name: name, Detail: detail})
 }
 
-// transact issues a transaction on the table; done may be nil.
-func (c *Core) transact(transaction keeper.Transaction, deadline time.Time, done func(keeper.TransactResult, TableFailure)) {
-	id := c.newID()
-	if done != nil {
-		c.transactCallbacks[id] = done
-	}
-	c.emit(Transact{ID: id, Transaction: transaction, Deadline: deadline})
-}
-
-// read issues a read of the table; done must not be nil.
-func (c *Core) read(request keeper.ReadRequest, deadline time.Time, done func(keeper.ReadResult, bool)) {
-	id := c.newID()
-	c.readCallbacks[id] = done
-	c.emit(Read{ID: id, Request: request, Deadline: deadline})
-}
-
 // routerLimits returns the limits of an endpoint pool under a profile.
 func routerLimits(profile tuner.Profile, options Options) router.Limits {
 	return router.Limits{
--- a/decider/shards.go
+++ b/decider/shards.go
@@ -3,66 +3,14 @@
 import (
 	"strconv"
 	"strings"
-	"time"
 
 	"kumquatstall/encoder"
 	"kumquatstall/keeper"
 	"kumquatstall/leaser"
 	"kumquatstall/requester"
 	"kumquatstall/router"
-	"kumquatstall/tuner"
 )
 
-// relay is a table transaction that was sent to a peer, which runs it on behalf
-// of this entry and returns the result.
-type relay struct {
-	peer requester.EntryID
-	done func(keeper.TransactResult, TableFailure)
-}
-
-// readsPerTerm is how many times per lease term the shard rows are read.
-const readsPerTerm = 4
-
-// readTable reads the shard rows of the data centre, the member rows of all data
-// centres and the head of the configuration, when a read is due.
-func (c *Core) readTable() {
-	if c.readInFlight || c.now.Sub(c.readSentAt) < c.options.ShardLeaseTerm/readsPerTerm {
-		return
-	}
-	c.readInFlight = true
-	c.readSentAt = c.now
-	request := c.leaser.ReadRequest()
-	request.Keys = []string{tuner.HeadKey}
-	request.Prefixes = []string{leaser.RowPrefix(c.options.DataCentre), "member/"}
-	c.read(request, c.now.Add(c.options.ShardLeaseTerm), func(result keeper.ReadResult, failed bool) {
-		c.readInFlight = false
-		c.tableRequestFailed = failed
-		if failed {
-			c.tableOutageAt = c.now
-			return
-		}
-		c.onTableRead(result)
-	})
-}
-
-// onTableRead passes the rows to the leaser, adds newly registered entries as
-// peers and reads the configuration if its head has advanced. It records the
-// time if the data centre lost a member, since the replicas of write-ahead
-// records held there are lost with it.
-func (c *Core) onTableRead(result keeper.ReadResult) {
-	members := len(c.leaser.Members())
-	if err := c.leaser.OnRows(c.now, result); err != nil {
-		c.reportViolation("table row", err.Error())
-		return
-	}
-	if len(c.leaser.Members()) < members {
-		c.memberLostAt = c.now
-	}
-	c.hasReadTable = true
-	c.applyMemberRows(result.Rows)
-	c.checkConfigHead(result.Rows)
-}
-
 // listHosts requests the platform's host list when a read is due.
 func (c *Core) listHosts() {
 	if c.hostListInFlight || c.now.Sub(c.hostListRequestedAt) < c.options.HostListInterval {
@@ -162,63 +110,6 @@
 
 var errNoTableResult error = noTableResultError{}
 
-// relayOperation sends a renewal to the first connected peer that reports the table
-// as available. If the peer has no result, the outcome of the direct transaction
-// decides.
-func (c *Core) relayOperation(operation leaser.TableOperation) {
-	for _, p := range c.peerOrder {
-		if !p.connected || p.storeDown {
-			continue
-		}
-		id := c.newID()
-		c.relays[id] = &relay{peer: p.info.EntryID, done: func(result keeper.TransactResult, failure TableFailure) {
-			if failure == TableOK {
-				c.leaser.OnResult(c.now, operation, result, nil, true)
-			}
-		}}
-		c.emit(Send{To: p.info.EntryID, Message: &encoder.RelayRequest{
-			ID:             id,
-			Transaction:    operation.Transaction,
-			DeadlineMicros: operation.Deadline.Sub(c.now).Microseconds(),
-		}})
-		return
-	}
-}
-
-// onRelayRequest runs a peer's transaction and returns the result. The message carries
-// the remaining time and not a deadline, since clocks differ; it is limited to one
-// lease term.
-func (c *Core) onRelayRequest(p *peer, message *encoder.RelayRequest) {
-	to := p.info.EntryID
-	deadline := c.now.Add(min(time.Duration(message.DeadlineMicros)*time.Microsecond, c.options.ShardLeaseTerm))
-	c.transact(message.Transaction, deadline, func(result keeper.TransactResult, failure TableFailure) {
-		c.emit(Send{To: to, Message: &encoder.RelayReply{ID: message.ID, Result: result, Failed: failure != TableOK}})
-	})
-}
-
-func (c *Core) onRelayReply(message *encoder.RelayReply) {
-	known, ok := c.relays[message.ID]
-	if !ok {
-		return
-	}
-	delete(c.relays, message.ID)
-	failure := TableOK
-	if message.Failed {
-		failure = TableUnresolved
-	}
-	known.done(message.Result, failure)
-}
-
-// dropRelays discards the relays through a peer that has disconnected; their
-// results stay unknown.
-func (c *Core) dropRelays(id requester.EntryID) {
-	for relayID, known := range c.relays {
-		if known.peer == id {
-			delete(c.relays, relayID)
-		}
-	}
-}
-
 // onGrantRequest decides which shards to grant to a peer and replies. A request
 // in the name of another holder is ignored.
 func (c *Core) onGrantRequest(p *peer, message *encoder.GrantRequest) {
@@ -381,59 +272,3 @@
 		c.runOperation(c.leaser.RemoveMember(member, c.now))
 	}
 }
-
-// drain starts a graceful shutdown: the entry acquires no more shards.
-func (c *Core) drain() {
-	c.draining = true
-	c.drainStartedAt = c.now
-	c.leaser.Drain()
-	c.sendHeartbeats()
-}
-
-// transferWaitTerms is how many lease terms a draining entry waits for a connected
-// peer to become able to acquire its shards.
-const transferWaitTerms = 4
-
-// mayTransferShards reports whether a draining entry may release its shards: a
-// connected peer of the data centre may acquire them at once, all such peers are
-// draining, or the wait has timed out. A newly started peer may not acquire shards at first; until
-// it may, this entry continues to serve them.
-func (c *Core) mayTransferShards() bool {
-	successorPending := false
-	for _, p := range c.leaserPeers() {
-		if p.Connected && p.MayAcquire {
-			return true
-		}
-		successorPending = successorPending || p.Connected && !p.Draining
-	}
-	return !successorPending || c.now.Sub(c.drainStartedAt) > transferWaitTerms*c.options.ShardLeaseTerm
-}
-
-// tickDrain advances a graceful shutdown: it releases the shards, waits until all
-// calls here have ended, and removes the registration last.
-func (c *Core) tickDrain() {
-	if !c.draining || c.stopped {
-		return
-	}
-	if !c.releasingAll && !c.mayTransferShards() {
-		return
-	}
-	c.releasingAll = true
-	busy := len(c.executions)+len(c.forwards)+len(c.waitingCallers) > 0
-	for number := range c.shardCount() {
-		if _, held := c.leaser.Holds(number, c.now); held {
-			c.releaseShard(number)
-		}
-		busy = busy || c.leaser.Owns(number, c.now)
-	}
-	if busy {
-		return
-	}
-	c.stopped = true
-	operation, ok := c.leaser.Unregister(c.now)
-	if !ok {
-		c.emit(Stopped{})
-		return
-	}
-	c.transact(operation.Transaction, operation.Deadline, func(keeper.TransactResult, TableFailure) { c.emit(Stopped{}) })
-}
