--- a/decider/core.go
+++ b/decider/core.go
@@ -46,7 +46,8 @@
 //   - receive: routing and forwarding of calls
 //   - coordinator: deduplication of attempts
 //   - writeahead: the write-ahead records of requests
-//   - run: execution of calls at endpoints that this entry owns
+//   - pools: the endpoints that this entry owns, and the load on them
+//   - run, attempt: execution of calls at these endpoints
 //   - demand: slots kept free for more urgent calls
 //   - config: changes and propagation of the configuration
 //   - jobs: tasks on the workers of the data centre
@@ -73,7 +74,6 @@
 	"kumquatstall/recorder"
 	"kumquatstall/requester"
 	"kumquatstall/retrier"
-	"kumquatstall/router"
 	"kumquatstall/tuner"
 )
 
@@ -343,13 +343,3 @@
 	c.stats.Violations++
 	c.emit(Violation{Name: name, Detail: detail})
 }
-
-// routerLimits returns the limits of an endpoint pool under a profile.
-func routerLimits(profile tuner.Profile, options Options) router.Limits {
-	return router.Limits{
-		Breaker:       breakerLimits(profile),
-		Random:        profile.EndpointChoice == tuner.ChooseRandom,
-		SettleTimeout: options.MaxCallLifetime,
-		Margin:        options.Margin,
-	}
-}
--- a/decider/shards.go
+++ b/decider/shards.go
@@ -8,7 +8,6 @@
 	"kumquatstall/keeper"
 	"kumquatstall/leaser"
 	"kumquatstall/requester"
-	"kumquatstall/router"
 )
 
 // listHosts requests the platform's host list when a read is due.
@@ -160,48 +159,6 @@
 	return key.String()
 }
 
-// updatePools sets the endpoints, limits and queue policy of each pool to the
-// owned endpoints and the profile in force.
-func (c *Core) updatePools() {
-	owned := make(map[requester.Service][]router.OwnedEndpoint)
-	for _, host := range c.hosts {
-		if host.Role != keeper.RoleEndpoint || !c.ownsEndpoint(host.HostID) {
-			continue
-		}
-		owned[host.Service] = append(owned[host.Service], router.OwnedEndpoint{
-			EndpointInfo: router.EndpointInfo{
-				HostID:      host.HostID,
-				Service:     host.Service,
-				Address:     host.Address,
-				Slots:       host.Slots,
-				Connections: host.Connections,
-			},
-			Leaving: host.Leaving || c.config.Leaving(host.HostID),
-		})
-	}
-	c.updateHostViews()
-	for service := range owned {
-		c.pool(service)
-	}
-	for service, sp := range c.pools {
-		profile := c.config.ServiceProfile(service)
-		sp.profile = profile
-		sp.pool.SetLimits(routerLimits(profile, c.options))
-		sp.queue.SetPolicy(c.queuePolicy(profile))
-		sp.pool.SetEndpoints(c.now, owned[service])
-	}
-}
-
-// ownsEndpoint reports whether this entry holds the shard of an endpoint.
-func (c *Core) ownsEndpoint(id requester.HostID) bool {
-	number, ok := c.hostShards[id]
-	if !ok {
-		return false
-	}
-	_, held := c.leaser.Holds(number, c.now)
-	return held
-}
-
 // releaseShard starts to release a shard. No new work is started under it;
 // finishReleases completes the release once the work in progress has ended.
 func (c *Core) releaseShard(number int) {
