Decider: forwards in a file of their own

receive.go is what comes in and goes out: calls, cancellations, answers. How a call finds the entry that handles it is another concept.

--- a/decider/core.go
+++ b/decider/core.go
@@ -43,7 +43,8 @@
 //   - table: reads and transactions, also those that a peer runs for this entry
 //   - shards: the shards that this entry holds, acquires and releases
 //   - drain: graceful shutdown
-//   - receive: routing and forwarding of calls
+//   - receive: calls from callers and peers, and the answers to them
+//   - forward: routing of calls to other entries
 //   - coordinator: deduplication of attempts
 //   - writeahead: the write-ahead records of requests
 //   - pools: the endpoints that this entry owns, and the load on them
