--- a/decider/core.go
+++ b/decider/core.go
@@ -51,7 +51,8 @@
 //   - run, attempt: execution of calls at these endpoints
 //   - demand: slots kept free for more urgent calls
 //   - config: changes and propagation of the configuration
-//   - jobs: tasks on the workers of the data centre
+//   - fleet: tasks on the workers of the data centre
+//   - jobs: requests of callers and operators about jobs and workers
 //   - view: the snapshot that operators see
 //
 // # Invariants
