Leaser: hashing and the rows of the table in files of their own

leaser.go is the state of the leases and what is asked of it. The code was moved as it stands.

go test ./leaser ./decider ok kumquatstall/leaser 0.003s ok kumquatstall/decider 6.757s

--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -52,17 +52,11 @@
 package leaser
 
 import (
-	"encoding/json"
 	"net/netip"
 	"sort"
-	"strconv"
-	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"kumquatstall/charter"
-	"kumquatstall/keeper"
 	"kumquatstall/requester"
 )
 
@@ -92,34 +86,6 @@
 	Margin time.Duration
 }
 
-// ShardRow is the value of a shard's row.
-type ShardRow struct {
-	Holder      requester.EntryID
-	Incarnation int64
-	Address     netip.AddrPort
-	Epoch       int64
-	// Deadline is by the holder's clock. It is shown to operators and decides
-	// nothing.
-	Deadline time.Time
-	// MembersRevision is the table revision of the member list that the
-	// holder had read when it wrote the row.
-	MembersRevision int64
-}
-
-// MemberRow is the value of a member's row.
-type MemberRow struct {
-	EntryID     requester.EntryID
-	Incarnation int64
-	Address     netip.AddrPort
-}
-
-// Member is a registered entry of the data centre.
-type Member struct {
-	MemberRow
-	// Revision is the table revision of the registration.
-	Revision int64
-}
-
 // ShardLease is a shard and the epoch at which the sender of a message holds
 // it or requests to hold it.
 type ShardLease struct {
@@ -208,51 +174,6 @@
 	return l
 }
 
-// RowPrefix returns the prefix of the keys of a data centre's shard rows.
-func RowPrefix(dataCentre requester.DataCentre) string { return "seat/" + string(dataCentre) + "/" }
-
-// MemberPrefix returns the prefix of the keys of a data centre's member rows.
-func MemberPrefix(dataCentre requester.DataCentre) string {
-	return "member/" + string(dataCentre) + "/"
-}
-
-func (l *Leaser) shardKey(number int) string {
-	return RowPrefix(l.options.DataCentre) + strconv.Itoa(number)
-}
-
-func (l *Leaser) memberKey(id requester.EntryID) string {
-	return MemberPrefix(l.options.DataCentre) + string(id)
-}
-
-// ReadRequest returns the table read whose result OnRows expects.
-func (l *Leaser) ReadRequest() keeper.ReadRequest {
-	return keeper.ReadRequest{Prefixes: []string{RowPrefix(l.options.DataCentre), MemberPrefix(l.options.DataCentre)}}
-}
-
-// ShardOf returns the call shard to which a name is assigned by rendezvous
-// hashing, in a data centre with the given number of shards.
-func ShardOf(dataCentre requester.DataCentre, shards int, name string) Shard {
-	best, bestScore := 1, uint64(0)
-	nameHash := xxhash.Sum64String(name)
-	for number := 1; number < shards; number++ {
-		score := mix(nameHash, uint64(number))
-		if score > bestScore {
-			best, bestScore = number, score
-		}
-	}
-	return Shard{DataCentre: dataCentre, Number: best}
-}
-
-// mix hashes two numbers into one that is evenly distributed.
-func mix(a, b uint64) uint64 {
-	x := a ^ (b+1)*0x9E3779B97F4A7C15
-	x ^= x >> 30
-	x *= 0xBF58476D1CE4E5B9
-	x ^= x >> 27
-	x *= 0x94D049BB133111EB
-	return x ^ x>>31
-}
-
 // Holds reports whether the entry holds the shard at now and is not releasing
 // it, and returns the epoch.
 func (l *Leaser) Holds(number int, now time.Time) (epoch int64, ok bool) {
@@ -328,86 +249,6 @@
 	return known && !listed
 }
 
-// OnRows applies the result of ReadRequest. Its member list is ignored if a
-// newer one is known. The error is a *RowError.
-func (l *Leaser) OnRows(now time.Time, result keeper.ReadResult) error {
-	l.lastReadAt = now
-	if result.Revision >= l.membersRevision {
-		l.members = make(map[requester.EntryID]Member)
-		l.membersRevision = result.Revision
-	}
-	seen := make(map[int]bool)
-	for _, row := range result.Rows {
-		if strings.HasPrefix(row.Key, MemberPrefix(l.options.DataCentre)) {
-			var member MemberRow
-			if err := json.Unmarshal(row.Value, &member); err != nil {
-				return &RowError{Key: row.Key, Cause: err}
-			}
-			if result.Revision >= l.membersRevision {
-				l.members[member.EntryID] = Member{MemberRow: member, Revision: row.Revision}
-			}
-			continue
-		}
-		number, err := strconv.Atoi(strings.TrimPrefix(row.Key, RowPrefix(l.options.DataCentre)))
-		if err != nil || number < 0 || number >= len(l.shards) {
-			continue
-		}
-		seen[number] = true
-		if err := l.onShardRow(now, number, row); err != nil {
-			return err
-		}
-	}
-	own, ok := l.members[l.options.Self]
-	if ok && own.Incarnation == l.options.Incarnation {
-		l.registeredRevision = own.Revision
-	} else if !l.registerInFlight {
-		l.registeredRevision = 0
-	}
-	return nil
-}
-
-// RowError reports a row whose value can't be decoded.
-type RowError struct {
-	Key   string
-	Cause error
-}
-
-func (e *RowError) Error() string { return "decode row " + e.Key + ": " + e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *RowError) Unwrap() error { return e.Cause }
-
-// onShardRow applies a shard's row. A row no newer than the known one is
-// ignored.
-func (l *Leaser) onShardRow(now time.Time, number int, row keeper.Row) error {
-	shard := l.shards[number]
-	if row.Revision <= shard.rowRevision {
-		return nil
-	}
-	var value ShardRow
-	if err := json.Unmarshal(row.Value, &value); err != nil {
-		return &RowError{Key: row.Key, Cause: err}
-	}
-	shard.row = value
-	shard.rowRevision = row.Revision
-	shard.rowReadAt = now
-	if !l.namesSelf(value) {
-		l.loseLease(shard)
-	}
-	if !shard.machine.In("Claiming") {
-		// An unresolved acquisition is conditional on an older revision and
-		// can no longer commit.
-		shard.acquireUnresolved = false
-	}
-	return nil
-}
-
-// namesSelf reports whether a row names this entry, in this incarnation, as
-// holder.
-func (l *Leaser) namesSelf(row ShardRow) bool {
-	return row.Holder == l.options.Self && row.Incarnation == l.options.Incarnation
-}
-
 // loseLease drops the lease of a shard that another entry has acquired or may
 // acquire, and abandons an acquisition in progress.
 func (l *Leaser) loseLease(shard *shardState) {
@@ -431,17 +272,3 @@
 	}
 	return b
 }
-
-// Choose returns the name to which a key is assigned by rendezvous hashing:
-// adding or removing a name moves only the keys assigned to that name.
-func Choose(names []string, key string) string {
-	best, bestScore := "", uint64(0)
-	keyHash := xxhash.Sum64String(key)
-	for _, name := range names {
-		score := mix(keyHash, xxhash.Sum64String(name))
-		if best == "" || score > bestScore || score == bestScore && name < best {
-			best, bestScore = name, score
-		}
-	}
-	return best
-}
