Router: endpoints, and slots freed by status, in files of their own

router.go is the pool: which endpoints it has, which of them gets a call, and the slots of calls that end as usual. The code was moved as it stands.

go test ./router ./decider ok kumquatstall/router 0.003s ok kumquatstall/decider 7.181s

--- a/router/router.go
+++ b/router/router.go
@@ -37,23 +37,6 @@
 	HeaderExclusive  = "Call-Exclusive"
 )
 
-// EndpointStatus is an endpoint's response to a status request. Now is the time on
-// the endpoint's clock. Running lists the requests that it is executing.
-type EndpointStatus struct {
-	Now     time.Time
-	Running []requester.RequestID
-}
-
-// EndpointInfo describes an endpoint. It executes at most Slots calls at a time,
-// each over one of at most Connections connections.
-type EndpointInfo struct {
-	HostID      requester.HostID
-	Service     requester.Service
-	Address     netip.AddrPort
-	Slots       int
-	Connections int
-}
-
 // Limits configures a Pool according to the settings and the profile in force.
 type Limits struct {
 	// Breaker configures the breaker of each endpoint.
@@ -70,50 +53,6 @@
 	Margin time.Duration
 }
 
-// Attempt is one execution of a call on an endpoint, as the owner of the
-// endpoint sees it.
-type Attempt struct {
-	ID        uint64
-	RequestID requester.RequestID
-	Endpoint  requester.HostID
-	StartedAt time.Time
-	// Deadline is the time at which the endpoint ends the execution.
-	Deadline time.Time
-	// connectionLostAt is the time at which the connection was lost; zero if
-	// it is intact.
-	connectionLostAt time.Time
-}
-
-// endpoint is the owner's view of an endpoint.
-type endpoint struct {
-	info     EndpointInfo
-	machine  charter.Machine
-	attempts map[uint64]*Attempt
-	// inherited is the number of executions that the last status report contained
-	// beyond the known attempts; a previous owner dispatched them.
-	inherited int
-	breaker   breaker.Breaker
-	// settlingSince is the time at which the endpoint was first owned or last
-	// returned from leaving.
-	settlingSince     time.Time
-	statusRequestedAt time.Time
-	// statusAt is the time of the endpoint's last status report.
-	statusAt time.Time
-	leaving  bool
-}
-
-// freeSlots returns the number of executions that the endpoint has capacity
-// for. It is negative while attempts and inherited executions exceed the capacity.
-func (e *endpoint) freeSlots() int {
-	return e.capacity() - e.running()
-}
-
-// capacity returns how many calls the endpoint may execute at a time.
-func (e *endpoint) capacity() int { return min(e.info.Slots, e.info.Connections) }
-
-// running returns how many executions occupy a slot, the inherited ones included.
-func (e *endpoint) running() int { return len(e.attempts) + e.inherited }
-
 // Pool holds the endpoints of one service that the entry owns.
 type Pool struct {
 	chart     *charter.Chart
@@ -173,20 +112,6 @@
 	sort.Slice(p.order, func(i, j int) bool { return p.order[i].info.HostID < p.order[j].info.HostID })
 }
 
-// setLeaving starts or ends draining. An endpoint that returns settles again.
-func (e *endpoint) setLeaving(now time.Time, leaving bool) {
-	if leaving == e.leaving {
-		return
-	}
-	e.leaving = leaving
-	if leaving {
-		_ = e.machine.Fire("Leave")
-		return
-	}
-	_ = e.machine.Fire("Return")
-	e.settlingSince = now
-}
-
 // Slots returns the number of slots of all endpoints that are not leaving, and
 // how many of them are free on usable endpoints.
 func (p *Pool) Slots(now time.Time) (slots, free int) {
@@ -202,12 +127,6 @@
 	return slots, free
 }
 
-// usable reports whether the endpoint may get calls, regardless of whether it has
-// a free slot.
-func (e *endpoint) usable(now time.Time) bool {
-	return e.machine.In("Serving") && e.breaker.Allows(now)
-}
-
 // Pick returns the usable endpoint with the most free slots, at least one. It
 // returns one of tried only if there is no other, and under Limits.Random never.
 // ok is false if there is none.
@@ -299,109 +218,6 @@
 	e.breaker.RecordFailure(now, p.limits.Breaker)
 }
 
-// statusInterval is the minimum interval between status requests to an endpoint.
-const statusInterval = 250 * time.Millisecond
-
-// StatusDue returns the endpoints whose status is to be requested now: those that
-// are settling, have inherited executions or have attempts whose connection was
-// lost.
-func (p *Pool) StatusDue(now time.Time) []EndpointInfo {
-	var found []EndpointInfo
-	for _, e := range p.order {
-		if !e.needsStatus() || now.Sub(e.statusRequestedAt) < statusInterval {
-			continue
-		}
-		e.statusRequestedAt = now
-		found = append(found, e.info)
-	}
-	return found
-}
-
-// needsStatus reports whether the endpoint may be running executions whose end
-// the pool cannot learn from the response of a call.
-func (e *endpoint) needsStatus() bool {
-	if e.machine.In("Settling") || e.inherited > 0 {
-		return true
-	}
-	for _, attempt := range e.attempts {
-		if !attempt.connectionLostAt.IsZero() {
-			return true
-		}
-	}
-	return false
-}
-
-// OnStatus handles an endpoint's response to a status request that was sent at
-// sentAt. It releases the slots of attempts whose connection was lost and which
-// are now known to have ended, and returns these attempts. Executions in excess
-// of the known attempts of a request count as inherited. A response ends the
-// settling if its request was sent more than Margin after the settling began, when
-// no request of a previous owner is in flight any more.
-func (p *Pool) OnStatus(now, sentAt time.Time, id requester.HostID, status EndpointStatus) []Attempt {
-	e, ok := p.endpoints[id]
-	if !ok {
-		return nil
-	}
-	reported := make(map[requester.RequestID]bool)
-	running := make(map[requester.RequestID]int)
-	for _, requestID := range status.Running {
-		reported[requestID] = true
-		running[requestID]++
-	}
-	for _, attempt := range e.attempts {
-		running[attempt.RequestID]--
-	}
-	inherited := 0
-	for _, count := range running {
-		inherited += max(0, count)
-	}
-	var ended []Attempt
-	for attemptID, attempt := range e.attempts {
-		// The margin allows for a request that is still in flight. If another
-		// attempt of the same request may be running, the report does not show
-		// whether this one has ended.
-		conclusive := !attempt.connectionLostAt.IsZero() && sentAt.After(attempt.connectionLostAt.Add(p.limits.Margin))
-		if conclusive && !reported[attempt.RequestID] {
-			ended = append(ended, *attempt)
-			p.releaseSlot(e, attemptID)
-		}
-	}
-	e.inherited = inherited
-	e.statusAt = now
-	if e.machine.In("Settling") && sentAt.After(e.settlingSince.Add(p.limits.Margin)) {
-		_ = e.machine.Fire("Settled")
-	}
-	return ended
-}
-
-// Expire releases the slots of attempts whose connection was lost and whose
-// deadline and margin have passed, and returns these attempts. It also ends the
-// settling of endpoints after SettleTimeout, and from then on drops inherited
-// executions that were last reported longer than SettleTimeout ago.
-func (p *Pool) Expire(now time.Time) []Attempt {
-	var ended []Attempt
-	for id, e := range p.attempts {
-		attempt := e.attempts[id]
-		if attempt.connectionLostAt.IsZero() || now.Before(attempt.Deadline.Add(p.limits.Margin)) {
-			continue
-		}
-		ended = append(ended, *attempt)
-		p.releaseSlot(e, id)
-	}
-	for _, e := range p.order {
-		if now.Before(e.settlingSince.Add(p.limits.SettleTimeout)) {
-			continue
-		}
-		if e.machine.In("Settling") {
-			_ = e.machine.Fire("Settled")
-		}
-		if e.inherited > 0 && now.Sub(e.statusAt) > p.limits.SettleTimeout {
-			e.inherited = 0
-		}
-	}
-	return ended
-}
-
 // OccupiedSlots returns how many slots of an endpoint are occupied by attempts
 // and inherited executions. It is meant for tests.
 func (p *Pool) OccupiedSlots(id requester.HostID) int {
