Leaser: provenDead takes the process that it is about

It took a row of a shard, and three callers made up a row that names a member as holder of no shard. It takes the entry and its incarnation now.

go test ./leaser ./decider ok kumquatstall/leaser 0.004s ok kumquatstall/decider 7.236s

--- a/leaser/acquire.go
+++ b/leaser/acquire.go
@@ -44,7 +44,7 @@
 		if id == l.options.Self || contacted[id] {
 			continue
 		}
-		if !l.provenDead(ShardRow{Holder: id, Incarnation: member.Incarnation}, peers) {
+		if !l.provenDead(id, member.Incarnation, peers) {
 			return false
 		}
 	}
@@ -160,25 +160,31 @@
 	if l.registeredRevision <= shard.row.MembersRevision {
 		return true
 	}
-	return l.provenDead(shard.row, peers)
+	return l.holderProvenDead(shard, peers)
 }
 
-// provenDead reports whether the process that a row names can't be running: a
-// newer incarnation of its entry is known, the host list no longer names the
-// entry, or its address refuses connections.
-func (l *Leaser) provenDead(row ShardRow, peers []Peer) bool {
-	if row.Holder == l.options.Self {
-		return row.Incarnation != l.options.Incarnation
+// holderProvenDead reports whether the process that a shard's row names as holder
+// can't be running.
+func (l *Leaser) holderProvenDead(shard *shardState, peers []Peer) bool {
+	return l.provenDead(shard.row.Holder, shard.row.Incarnation, peers)
+}
+
+// provenDead reports whether an incarnation of an entry, which is one process, can't
+// be running: a newer incarnation of the entry is known, the host list no longer names
+// the entry, or its address refuses connections.
+func (l *Leaser) provenDead(id requester.EntryID, incarnation int64, peers []Peer) bool {
+	if id == l.options.Self {
+		return incarnation != l.options.Incarnation
 	}
-	if member, ok := l.members[row.Holder]; ok && member.Incarnation > row.Incarnation {
+	if member, ok := l.members[id]; ok && member.Incarnation > incarnation {
 		return true
 	}
-	if l.delisted(row.Holder) {
+	if l.delisted(id) {
 		return true
 	}
 	for _, peer := range peers {
-		if peer.EntryID == row.Holder {
-			return peer.Refused || peer.Incarnation > row.Incarnation
+		if peer.EntryID == id {
+			return peer.Refused || peer.Incarnation > incarnation
 		}
 	}
 	return false
--- a/leaser/grant.go
+++ b/leaser/grant.go
@@ -82,7 +82,7 @@
 	if now.Before(l.vacantAt(shard)) || now.Before(shard.grantGiven.expires) || now.Sub(shard.roundAt) < l.options.Term/6 {
 		return false
 	}
-	if shard.row.Holder != "" && !l.provenDead(shard.row, peers) {
+	if shard.row.Holder != "" && !l.holderProvenDead(shard, peers) {
 		return false
 	}
 	if l.registeredRevision > l.membersRevision || l.membersRevision < shard.row.MembersRevision {
@@ -148,7 +148,7 @@
 	if !l.StoreDown(now) || epoch != shard.row.Epoch+1 || now.Before(l.vacantAt(shard)) {
 		return false
 	}
-	return shard.row.Holder == "" || l.provenDead(shard.row, peers)
+	return shard.row.Holder == "" || l.holderProvenDead(shard, peers)
 }
 
 // OnGrantReply applies a peer's reply to the request sent. A reply to an
@@ -207,8 +207,7 @@
 		if id == l.options.Self || shard.grantsReceived[id] {
 			continue
 		}
-		row := ShardRow{Holder: id, Incarnation: member.Incarnation}
-		if takeOver && !l.absent(id, peers) || !takeOver && !l.provenDead(row, peers) {
+		if takeOver && !l.absent(id, peers) || !takeOver && !l.provenDead(id, member.Incarnation, peers) {
 			return false
 		}
 	}
--- a/leaser/release.go
+++ b/leaser/release.go
@@ -95,7 +95,7 @@
 func (l *Leaser) StaleMembers(peers []Peer) []Member {
 	var stale []Member
 	for _, member := range l.members {
-		if member.EntryID != l.options.Self && l.provenDead(ShardRow{Holder: member.EntryID, Incarnation: member.Incarnation}, peers) {
+		if member.EntryID != l.options.Self && l.provenDead(member.EntryID, member.Incarnation, peers) {
 			stale = append(stale, member)
 		}
 	}
