Leaser: old names are explained, and two tests say grant

A newcomer meets seats in the fields of messages, and Claim, Granted and Adopt as events of the chart, where the package says shard, acquire and take over. Two tests were named for promises, which are called grants; they check the same.

--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -87,7 +87,9 @@
 }
 
 // ShardLease is a shard and the epoch at which the sender of a message holds
-// it or requests to hold it.
+// it or requests to hold it. Messages, row keys, settings and metrics have an
+// older name for shards, seats, which stays for the sake of stored data and of
+// entries of other versions.
 type ShardLease struct {
 	Seat  Shard
 	Epoch int64
@@ -95,6 +97,10 @@
 
 // shardState is the state of one shard of the own data centre.
 type shardState struct {
+	// machine follows the chart "seat", whose events have names of their own.
+	// Claim starts an acquisition, which Granted ends, unless it is Lost: Granted
+	// is by the table and has nothing to do with grants. Adopt is a takeover and
+	// Lapse the expiry of a lease.
 	machine charter.Machine
 	row     ShardRow
 	// rowRevision is 0 while the row is absent.
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -108,10 +108,10 @@
 	return nil
 }
 
-// TestExtensionNeedsThisRoundsPromises checks that a lease is extended only by
+// TestExtensionNeedsThisRoundsGrants checks that a lease is extended only by
 // grants given in the current round. A grant of an earlier round may expire
 // before the lease that it would extend.
-func TestExtensionNeedsThisRoundsPromises(t *testing.T) {
+func TestExtensionNeedsThisRoundsGrants(t *testing.T) {
 	is := is.New(t)
 	l := newHolder(t)
 	peers := []Peer{{EntryID: "other", Connected: true, Incarnation: 1, HeartbeatReceived: true, MayAcquire: true}}
@@ -130,9 +130,9 @@
 	is.True(l.Extended(1))
 }
 
-// TestPromiseBinds checks that an entry that has granted a shard neither
+// TestGrantBinds checks that an entry that has granted a shard neither
 // acquires it nor grants it to another entry until the grant expires.
-func TestPromiseBinds(t *testing.T) {
+func TestGrantBinds(t *testing.T) {
 	is := is.New(t)
 	l := newLeaser("other", 1)
 	row := shardRow("1", ShardRow{Holder: "holder", Incarnation: 1, Epoch: 1, MembersRevision: 2}, 3)
