Auditor, experimenter: sums that stood twice; a run in progress is no trial

What counts as a violation of a verdict was summed by two packages, and the counters of an entry that ends in two places. trial was the name of a run in progress; in the scheduler a trial is something else.

go test ./auditor ./reporter ./experimenter ./cmd/kumquatload ./cmd/kumquatstall ? kumquatstall/auditor [no test files] ? kumquatstall/reporter [no test files] ? kumquatstall/experimenter [no test files] ? kumquatstall/cmd/kumquatload [no test files] ok kumquatstall/cmd/kumquatstall (cached)

--- a/auditor/auditor.go
+++ b/auditor/auditor.go
@@ -211,6 +211,10 @@
 	return verdict
 }
 
+// Violations returns how many requests and calls count as FalselyNotRun, Wrong or
+// Late. Doubled is not among them.
+func (v *Verdict) Violations() int64 { return v.FalselyNotRun + v.Wrong + v.Late }
+
 func (v *Verdict) addFinding(finding Finding) { v.Findings = append(v.Findings, finding) }
 
 // checkRequest adds the findings on one request to the verdict and counts it in
--- a/experimenter/inject.go
+++ b/experimenter/inject.go
@@ -15,7 +15,7 @@
 
 // injectFaults injects each fault of the scenario at its time and returns once
 // all of them have ended. It returns the first error.
-func (r *trial) injectFaults(ctx context.Context) error {
+func (r *activeRun) injectFaults(ctx context.Context) error {
 	var group sync.WaitGroup
 	errs := make(chan error, len(r.scenario.Faults))
 	for _, fault := range r.scenario.Faults {
@@ -51,7 +51,7 @@
 }
 
 // injectFault injects one fault now and returns when it has ended.
-func (r *trial) injectFault(ctx context.Context, fault Fault) error {
+func (r *activeRun) injectFault(ctx context.Context, fault Fault) error {
 	end := time.Now().Add(time.Duration(fault.ForMillis) * time.Millisecond)
 	switch fault.Kind {
 	case FaultStoreDown:
@@ -95,14 +95,14 @@
 }
 
 // setWorkers sets the faults of the first count workers.
-func (r *trial) setWorkers(count int64, faults standin.WorkerFaults) {
+func (r *activeRun) setWorkers(count int64, faults standin.WorkerFaults) {
 	for _, worker := range r.deployment.Workers[:min(int(count), len(r.deployment.Workers))] {
 		worker.SetFaults(faults)
 	}
 }
 
 // setEndpoints sets the faults of the first count endpoints.
-func (r *trial) setEndpoints(count int64, faults standin.EndpointFaults) {
+func (r *activeRun) setEndpoints(count int64, faults standin.EndpointFaults) {
 	for _, endpoint := range r.deployment.Endpoints[:min(int(count), len(r.deployment.Endpoints))] {
 		endpoint.SetFaults(faults)
 	}
@@ -110,12 +110,9 @@
 
 // removeEntry removes the first entry from the deployment, stops it by calling
 // end, and then removes it from the balancer.
-func (r *trial) removeEntry(end func(*runner.Entry) error) {
+func (r *activeRun) removeEntry(end func(*runner.Entry) error) {
 	entry := r.deployment.Entries[0]
-	stats := entry.View().Stats
-	r.entryTotals.violations += stats.Violations
-	r.entryTotals.placed += stats.TasksPlaced
-	r.entryTotals.expired += stats.TasksLapsed
+	r.entryTotals.add(entry.View().Stats)
 	r.deployment.Entries = r.deployment.Entries[1:]
 	_ = end(entry)
 	r.refreshBalancer()
@@ -123,7 +120,7 @@
 
 // replaceEntries shuts count entries down gracefully, one after the other, and
 // starts a new entry in the data centre of each.
-func (r *trial) replaceEntries(ctx context.Context, count int64) error {
+func (r *activeRun) replaceEntries(ctx context.Context, count int64) error {
 	for range count {
 		dataCentre := r.deployment.Entries[0].View().DataCentre
 		r.removeEntry(func(entry *runner.Entry) error { return entry.Shutdown(ctx) })
@@ -139,7 +136,7 @@
 
 // cancelJobs cancels all jobs accepted so far. It ignores errors, because a job
 // may have ended.
-func (r *trial) cancelJobs(ctx context.Context) {
+func (r *activeRun) cancelJobs(ctx context.Context) {
 	for _, status := range r.load.Jobs() {
 		var ended requester.JobStatus
 		_ = r.deployment.DoJSON(ctx, http.MethodDelete, "/v1/jobs/"+string(status.JobID)+"?DataCentre="+string(status.DataCentre), nil, &ended)
--- a/experimenter/run.go
+++ b/experimenter/run.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"kumquatstall/auditor"
+	"kumquatstall/decider"
 	"kumquatstall/loader"
 	"kumquatstall/requester"
 	"kumquatstall/stager"
@@ -27,8 +28,8 @@
 	// Overloaded counts how often the capacity of an endpoint or worker was
 	// exceeded.
 	Overloaded int64
-	// Violations counts the invariant violations that entries detected, and the
-	// requests and calls that the verdict counts as FalselyNotRun, Wrong or Late.
+	// Violations counts the invariant violations that entries detected, and those
+	// that the verdict counts.
 	Violations int64
 	Findings   []auditor.Finding
 	Jobs       JobResult
@@ -89,8 +90,8 @@
 	sampleInterval = 100 * time.Millisecond
 )
 
-// trial is one run in progress.
-type trial struct {
+// activeRun is a run in progress.
+type activeRun struct {
 	scenario     *Scenario
 	policy       Policy
 	deployment   *stager.Deployment
@@ -109,6 +110,12 @@
 	expired    int64
 }
 
+func (e *entryCounters) add(stats decider.Stats) {
+	e.violations += stats.Violations
+	e.placed += stats.TasksPlaced
+	e.expired += stats.TasksLapsed
+}
+
 // Execute runs a scenario under a policy on a new deployment, which it closes.
 func Execute(ctx context.Context, scenario *Scenario, policy Policy, seed uint64, log zerolog.Logger) (Run, error) {
 	deployment, err := stager.Start(scenario.plan(), log)
@@ -121,7 +128,7 @@
 	if err := deployment.AwaitReady(readyCtx); err != nil {
 		return Run{}, err
 	}
-	r := &trial{scenario: scenario, policy: policy, deployment: deployment, audit: auditor.New()}
+	r := &activeRun{scenario: scenario, policy: policy, deployment: deployment, audit: auditor.New()}
 	if err := r.setPolicy(ctx); err != nil {
 		return Run{}, err
 	}
@@ -130,7 +137,7 @@
 
 // setPolicy stores the policy's profile as the default profile and waits until
 // it is in force on every entry.
-func (r *trial) setPolicy(ctx context.Context) error {
+func (r *activeRun) setPolicy(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	profile := r.policy.Profile
@@ -143,7 +150,7 @@
 }
 
 // run generates the load, injects the faults and returns the result.
-func (r *trial) run(ctx context.Context, seed uint64) (Run, error) {
+func (r *activeRun) run(ctx context.Context, seed uint64) (Run, error) {
 	result := Run{Policy: r.policy.Name, StartedAt: time.Now()}
 	r.startedAt = result.StartedAt
 	r.load = loader.New(r.deployment.Balancer.Address(), r.audit, r.scenario.Name)
@@ -174,12 +181,9 @@
 
 // shutdownAndAudit shuts the deployment down gracefully, audits the run and
 // completes the result. Seconds is how long the load lasted.
-func (r *trial) shutdownAndAudit(ctx context.Context, result *Run, seconds float64) error {
+func (r *activeRun) shutdownAndAudit(ctx context.Context, result *Run, seconds float64) error {
 	for _, entry := range r.deployment.Entries {
-		stats := entry.View().Stats
-		r.entryTotals.violations += stats.Violations
-		r.entryTotals.placed += stats.TasksPlaced
-		r.entryTotals.expired += stats.TasksLapsed
+		r.entryTotals.add(entry.View().Stats)
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
 	defer cancel()
@@ -190,7 +194,7 @@
 	result.Classes = verdict.Classes
 	result.Findings = verdict.Findings
 	result.Overloaded = r.deployment.CapacityViolations()
-	result.Violations = r.entryTotals.violations + verdict.FalselyNotRun + verdict.Wrong + verdict.Late
+	result.Violations = r.entryTotals.violations + verdict.Violations()
 	result.Jobs.TasksPlaced = r.entryTotals.placed
 	result.Jobs.TasksLapsed = r.entryTotals.expired
 	result.WaitSamples = r.audit.WaitSamples()
@@ -209,7 +213,7 @@
 }
 
 // samplePacking samples the packing over all data centres until ctx ends.
-func (r *trial) samplePacking(ctx context.Context) []PackingSample {
+func (r *activeRun) samplePacking(ctx context.Context) []PackingSample {
 	var samples []PackingSample
 	for {
 		now := time.Now()
@@ -228,7 +232,7 @@
 
 // countJobs waits until all jobs but services have ended, for at most
 // jobsTimeout, and counts the jobs by outcome.
-func (r *trial) countJobs(ctx context.Context) JobResult {
+func (r *activeRun) countJobs(ctx context.Context) JobResult {
 	result := JobResult{Submitted: len(r.load.Jobs())}
 	ctx, cancel := context.WithTimeout(ctx, jobsTimeout)
 	defer cancel()
@@ -265,7 +269,7 @@
 }
 
 // refreshBalancer sets the balancer's entries to those of the deployment.
-func (r *trial) refreshBalancer() {
+func (r *activeRun) refreshBalancer() {
 	addresses := make([]netip.AddrPort, 0, len(r.deployment.Entries))
 	for _, entry := range r.deployment.Entries {
 		addresses = append(addresses, entry.Address())
--- a/reporter/dev.go
+++ b/reporter/dev.go
@@ -39,8 +39,8 @@
 	// Overloaded counts how often the capacity of an endpoint or worker was
 	// exceeded.
 	Overloaded int64
-	// Violations counts the invariant violations that entries detected, and the
-	// requests and calls that a verdict counts as FalselyNotRun, Wrong or Late.
+	// Violations counts the invariant violations that entries detected, and those
+	// that the verdicts count.
 	Violations  int64
 	Trades      []auditor.Class
 	Deployments []DeploymentResult
@@ -83,7 +83,7 @@
 		d.Lost += class.Lost
 	}
 	d.Doubled += verdict.Doubled
-	d.Violations += verdict.FalselyNotRun + verdict.Wrong + verdict.Late
+	d.Violations += verdict.Violations()
 	d.Trades = append(d.Trades, verdict.Classes...)
 	d.Findings = append(d.Findings, verdict.Findings...)
 }
