--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -88,8 +88,8 @@
 
 // ShardLease is a shard and the epoch at which the sender of a message holds
 // it or requests to hold it. Messages, row keys, settings and metrics have an
-// older name for shards, seats, which stays for the sake of stored data and of
-// entries of other versions.
+// older name for shards, seats. It stays, since a renamed field is another field
+// to whoever reads a message or a row.
 type ShardLease struct {
 	Seat  Shard
 	Epoch int64
