--- a/experimenter/inject.go
+++ b/experimenter/inject.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"kumquatstall/requester"
@@ -55,30 +54,18 @@
 	end := time.Now().Add(time.Duration(fault.ForMillis) * time.Millisecond)
 	switch fault.Kind {
 	case FaultStoreDown:
-		r.deployment.Table.SetFaults(standin.TableFaults{Down: true})
-		sleepUntil(ctx, end)
-		r.deployment.Table.SetFaults(standin.TableFaults{})
+		r.disturbTable(ctx, end, standin.TableFaults{Down: true})
 	case FaultStoreSlow:
-		r.deployment.Table.SetFaults(standin.TableFaults{DelayMillis: fault.Value})
-		sleepUntil(ctx, end)
-		r.deployment.Table.SetFaults(standin.TableFaults{})
+		r.disturbTable(ctx, end, standin.TableFaults{DelayMillis: fault.Value})
 	case FaultLostAnswers:
-		r.deployment.Table.SetFaults(standin.TableFaults{LoseEvery: fault.Value})
-		sleepUntil(ctx, end)
-		r.deployment.Table.SetFaults(standin.TableFaults{})
+		r.disturbTable(ctx, end, standin.TableFaults{LoseEvery: fault.Value})
 	case FaultBlackHoleWorkers:
-		r.setWorkers(fault.Value, standin.WorkerFaults{FailAll: true})
-		sleepUntil(ctx, end)
-		r.setWorkers(fault.Value, standin.WorkerFaults{})
+		r.disturbWorkers(ctx, end, fault.Value, standin.WorkerFaults{FailAll: true})
 	case FaultFailingEndpoints:
-		r.setEndpoints(fault.Value, standin.EndpointFaults{FailEvery: 1})
-		sleepUntil(ctx, end)
-		r.setEndpoints(fault.Value, standin.EndpointFaults{})
+		r.disturbEndpoints(ctx, end, fault.Value, standin.EndpointFaults{FailEvery: 1})
 	case FaultSlowEndpoints:
 		const factor = 10
-		r.setEndpoints(fault.Value, standin.EndpointFaults{SlowFactor: factor})
-		sleepUntil(ctx, end)
-		r.setEndpoints(fault.Value, standin.EndpointFaults{})
+		r.disturbEndpoints(ctx, end, fault.Value, standin.EndpointFaults{SlowFactor: factor})
 	case FaultKillEntries:
 		for range fault.Value {
 			r.removeEntry(func(entry *runner.Entry) error {
@@ -94,18 +81,35 @@
 	return nil
 }
 
-// setWorkers sets the faults of the first count workers.
-func (r *activeRun) setWorkers(count int64, faults standin.WorkerFaults) {
-	for _, worker := range r.deployment.Workers[:min(int(count), len(r.deployment.Workers))] {
+// disturbTable gives the table faults until end, or until ctx ends.
+func (r *activeRun) disturbTable(ctx context.Context, end time.Time, faults standin.TableFaults) {
+	r.deployment.Table.SetFaults(faults)
+	sleepUntil(ctx, end)
+	r.deployment.Table.SetFaults(standin.TableFaults{})
+}
+
+// disturbWorkers gives the first count workers faults until end, or until ctx ends.
+func (r *activeRun) disturbWorkers(ctx context.Context, end time.Time, count int64, faults standin.WorkerFaults) {
+	disturbed := r.deployment.Workers[:min(int(count), len(r.deployment.Workers))]
+	for _, worker := range disturbed {
 		worker.SetFaults(faults)
 	}
+	sleepUntil(ctx, end)
+	for _, worker := range disturbed {
+		worker.SetFaults(standin.WorkerFaults{})
+	}
 }
 
-// setEndpoints sets the faults of the first count endpoints.
-func (r *activeRun) setEndpoints(count int64, faults standin.EndpointFaults) {
-	for _, endpoint := range r.deployment.Endpoints[:min(int(count), len(r.deployment.Endpoints))] {
+// disturbEndpoints gives the first count endpoints faults until end, or until ctx ends.
+func (r *activeRun) disturbEndpoints(ctx context.Context, end time.Time, count int64, faults standin.EndpointFaults) {
+	disturbed := r.deployment.Endpoints[:min(int(count), len(r.deployment.Endpoints))]
+	for _, endpoint := range disturbed {
 		endpoint.SetFaults(faults)
 	}
+	sleepUntil(ctx, end)
+	for _, endpoint := range disturbed {
+		endpoint.SetFaults(standin.EndpointFaults{})
+	}
 }
 
 // removeEntry removes the first entry from the deployment, stops it by calling
@@ -142,12 +146,3 @@
 		_ = r.deployment.DoJSON(ctx, http.MethodDelete, "/v1/jobs/"+string(status.JobID)+"?DataCentre="+string(status.DataCentre), nil, &ended)
 	}
 }
-
-// cpuTime returns the processor time that this process has used so far.
-func cpuTime() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
--- a/experimenter/run.go
+++ b/experimenter/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -276,3 +277,12 @@
 	}
 	r.deployment.Balancer.SetEntries(addresses)
 }
+
+// cpuTime returns the processor time that this process has used so far.
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
