Tuner: the prefix of the history has one name, RowPrefix goes

historyPrefix and HistoryPrefix were the same; RowPrefix was used nowhere.

go test ./tuner ./decider ./server ? kumquatstall/tuner [no test files] ok kumquatstall/decider 7.040s ok kumquatstall/server 2.421s

--- a/tuner/tuner.go
+++ b/tuner/tuner.go
@@ -111,15 +111,12 @@
 
 // Keys of the table rows that hold the configuration.
 const (
-	RowPrefix     = "config/"
-	HeadKey       = "config/head"
-	itemPrefix    = "config/item/"
-	historyPrefix = "config/history/"
+	HeadKey    = "config/head"
+	itemPrefix = "config/item/"
+	// HistoryPrefix is the prefix of the keys of the history rows.
+	HistoryPrefix = "config/history/"
 )
 
-// HistoryPrefix is the prefix of the keys of the history rows.
-const HistoryPrefix = historyPrefix
-
 // headRow is the value of the row HeadKey.
 type headRow struct {
 	Revision int64
@@ -277,7 +274,7 @@
 	item.RowRevision = 0
 	change := Change{Revision: item.Revision, ChangeID: changeID, At: now, By: by, Item: item}
 	rowKey := itemPrefix + item.Kind.String() + "/" + item.Name
-	historyKey := historyPrefix + revisionKey(item.Revision)
+	historyKey := HistoryPrefix + revisionKey(item.Revision)
 	return keeper.Transaction{
 		Conditions: []keeper.Condition{
 			{Key: HeadKey, Revision: s.headRowRevision},
