--- a/decider/events.go
+++ b/decider/events.go
@@ -227,12 +227,11 @@
 // SendBy, the earlier of the call's deadline and the end of the lease of the
 // endpoint's shard.
 type StartAttempt struct {
-	AttemptID   uint64
-	Endpoint    requester.HostID
-	Address     netip.AddrPort
-	Connections int
-	Call        requester.Call
-	SendBy      time.Time
+	AttemptID uint64
+	Endpoint  requester.HostID
+	Address   netip.AddrPort
+	Call      requester.Call
+	SendBy    time.Time
 }
 
 // PollStatus requests from an endpoint the list of the requests that it runs.
--- a/decider/simulation_test.go
+++ b/decider/simulation_test.go
@@ -41,7 +41,6 @@
 	answered    int
 	accepted    []tuner.Item
 	jobs        map[requester.JobID]requester.Job
-	refused     map[requester.JobID]bool
 	// partitioned holds the pairs of nodes that can't reach each other. Their
 	// links stay open but deliver no message.
 	partitioned map[[2]int]bool
@@ -107,7 +106,6 @@
 		audit:       auditor.New(),
 		pending:     make(map[uint64]*pendingCall),
 		jobs:        make(map[requester.JobID]requester.Job),
-		refused:     make(map[requester.JobID]bool),
 		partitioned: make(map[[2]int]bool),
 
 		workerUnreachableUntil: make(map[requester.HostID]time.Time),
