--- a/decider/randomised_test.go
+++ b/decider/randomised_test.go
@@ -86,13 +86,31 @@
 	}
 }
 
-// faultKindCount is the number of kinds of faults.
-const faultKindCount = 10
+// faultKind is a kind of fault. Seeds depend on the order of the kinds.
+type faultKind int
+
+const (
+	faultCrash faultKind = iota
+	faultWorkerIsolated
+	faultPause
+	faultTableDown
+	faultTableUnreachable
+	faultPartition
+	faultDataCentreIsolated
+	// faultRequests makes single requests fail, at the rates drawn.
+	faultRequests
+	faultSlowEndpoint
+	faultDrain
+	faultKindCount
+)
 
 // drawFaultKinds draws the kinds of faults of a run: all of them, or a few, since
 // one kind can mask a failure that another would expose.
-func drawFaultKinds(random *rand.Rand) []int {
-	kinds := random.Perm(faultKindCount)
+func drawFaultKinds(random *rand.Rand) []faultKind {
+	var kinds []faultKind
+	for _, kind := range random.Perm(int(faultKindCount)) {
+		kinds = append(kinds, faultKind(kind))
+	}
 	if random.IntN(3) == 0 {
 		return kinds
 	}
@@ -104,31 +122,31 @@
 	n := s.nodes[s.random.IntN(len(s.nodes))]
 	length := time.Duration(200+s.random.IntN(8000)) * time.Millisecond
 	switch s.faultKinds[s.random.IntN(len(s.faultKinds))] {
-	case 0:
+	case faultCrash:
 		s.crash(n, length)
-	case 1:
+	case faultWorkerIsolated:
 		s.isolateWorker(length)
-	case 2:
+	case faultPause:
 		if n.core != nil {
 			n.pausedUntil = s.now.Add(length)
 			s.tracef("%s pauses for %s", n.id, length)
 		}
-	case 3:
+	case faultTableDown:
 		s.tableDown = true
 		s.tracef("table is unavailable for %s", length)
 		s.after(length, func() {
 			s.tableDown = false
 			s.tracef("table is available")
 		})
-	case 4:
+	case faultTableUnreachable:
 		n.tableUnreachable = true
 		s.tracef("%s can't reach the table for %s", n.id, length)
 		s.after(length, func() { n.tableUnreachable = false })
-	case 5:
+	case faultPartition:
 		s.partitionPair(n, s.nodes[s.random.IntN(len(s.nodes))], length)
-	case 6:
+	case faultDataCentreIsolated:
 		s.isolateDataCentre(n.dataCentre, length)
-	case 7:
+	case faultRequests:
 		s.faults = faultRates{
 			lostResponse:   s.random.Float64() * 0.3,
 			lostConnection: s.random.Float64() * 0.2,
@@ -137,9 +155,9 @@
 		}
 		s.tracef("fault rates %+v for %s", s.faults, length)
 		s.after(length, func() { s.faults = faultRates{} })
-	case 8:
+	case faultSlowEndpoint:
 		s.slowEndpoint(length)
-	case 9:
+	case faultDrain:
 		s.drainNode(n, length)
 	}
 }
--- a/decider/simulation_test.go
+++ b/decider/simulation_test.go
@@ -46,7 +46,7 @@
 	partitioned map[[2]int]bool
 	// workerUnreachableUntil is when a worker becomes reachable again.
 	workerUnreachableUntil map[requester.HostID]time.Time
-	faultKinds             []int
+	faultKinds             []faultKind
 	faults                 faultRates
 	faultsEnded            bool
 	mutate                 mutation
