--- a/decider/simulation_test.go
+++ b/decider/simulation_test.go
@@ -52,14 +52,6 @@
 	mutate                 mutation
 }
 
-// faultRates are the probabilities of faults that affect single requests.
-type faultRates struct {
-	lostResponse   float64
-	lostConnection float64
-	failedCall     float64
-	notSent        float64
-}
-
 // mutation breaks a rule in the fakes, to show that the checks detect it.
 type mutation int
 
