--- a/decider/peers.go
+++ b/decider/peers.go
@@ -9,6 +9,7 @@
 	"kumquatstall/encoder"
 	"kumquatstall/keeper"
 	"kumquatstall/leaser"
+	"kumquatstall/recorder"
 	"kumquatstall/requester"
 )
 
@@ -40,8 +41,8 @@
 	mayAcquire bool
 	// lastSentAt is the SentAt of the last heartbeat received.
 	lastSentAt time.Time
-	// heartbeatReceived is true once the peer has sent a heartbeat; it stays
-	// true after the link has closed.
+	// heartbeatReceived is true once this incarnation of the peer has sent a
+	// heartbeat; it stays true after the link has closed.
 	heartbeatReceived bool
 	// roundTrip is the smoothed round-trip time of heartbeats, and offset the
 	// peer's clock minus the own one.
@@ -90,6 +91,7 @@
 	}
 	if known.incarnation != 0 && event.Incarnation > known.incarnation {
 		c.recordMemberLoss(known)
+		known.forgetHeartbeats()
 	}
 	known.info = event.Peer
 	known.incarnation = event.Incarnation
@@ -103,6 +105,11 @@
 	c.fetchPendingReplicas(event.Peer.EntryID)
 }
 
+// forgetHeartbeats drops what an incarnation of the peer has told in its heartbeats.
+func (p *peer) forgetHeartbeats() {
+	p.heartbeatReceived, p.mayAcquire, p.storeDown, p.leases = false, false, false, nil
+}
+
 // recordMemberLoss records when a peer's process has ended, if the peer is in the
 // own data centre: the replicas of write-ahead records in its memory are lost.
 func (c *Core) recordMemberLoss(p *peer) {
@@ -310,9 +317,11 @@
 	}
 }
 
+// onPeerMessage handles a message of the connected incarnation of a peer. What a former
+// one has sent says nothing of the present one, and concerns requests that it has not made.
 func (c *Core) onPeerMessage(event PeerMessage) {
 	p, ok := c.peers[event.From]
-	if !ok || !p.connected {
+	if !ok || !p.connected || event.Incarnation != p.incarnation {
 		return
 	}
 	switch message := event.Message.(type) {
@@ -372,6 +381,11 @@
 	return known.entry, true
 }
 
+// coordinator returns the peer's incarnation as a coordinator.
+func (p *peer) coordinator() recorder.Coordinator {
+	return recorder.Coordinator{Entry: p.info.EntryID, Incarnation: p.incarnation}
+}
+
 // holds reports whether the peer's last heartbeat reports the shard under epoch.
 func (p *peer) holds(shard leaser.Shard, epoch int64) bool {
 	for _, lease := range p.leases {
--- a/decider/simhosts_test.go
+++ b/decider/simhosts_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"kumquatstall/keeper"
+	"kumquatstall/placer"
 	"kumquatstall/requester"
 	"kumquatstall/router"
 	"kumquatstall/standin"
@@ -48,6 +49,7 @@
 		}
 		s.hosts = append(s.hosts, host)
 		s.workers[host.HostID] = standin.NewRuntime(host.HostID, host.Total, s.now)
+		s.lives.names = append(s.lives.names, host.HostID)
 	}
 }
 
@@ -164,16 +166,11 @@
 	sync := command.Sync
 	s.after(s.delay(), func() {
 		done := SyncDone{Sync: sync}
-		if s.now.Before(s.workerUnreachableUntil[sync.Worker]) {
+		if s.now.Before(s.workerUnreachableUntil[sync.Worker]) || s.delaySync(n, sync) {
 			s.after(500*time.Millisecond, func() { s.deliver(n, incarnation, SyncDone{Sync: sync, Failed: true}) })
 			return
 		}
-		request := sync.Request
-		request.Deadline = request.Deadline.Add(-n.clockSkew)
-		if s.mutate == mutationWorkersKeepExpiredTasks {
-			request.Deadline = request.Deadline.Add(time.Hour)
-		}
-		done.Report = s.workers[sync.Worker].Sync(request, s.now)
+		done.Report = s.carryOut(n, sync)
 		if s.chance(s.faults.lostResponse) {
 			s.after(time.Second, func() { s.deliver(n, incarnation, SyncDone{Sync: sync, Failed: true}) })
 			return
@@ -181,3 +178,13 @@
 		s.after(s.delay(), func() { s.deliver(n, incarnation, done) })
 	})
 }
+
+// carryOut carries out a sync at its worker.
+func (s *simulation) carryOut(n *node, sync placer.Sync) placer.SyncReport {
+	request := sync.Request
+	request.Deadline = request.Deadline.Add(-n.clockSkew)
+	if s.mutate == mutationWorkersKeepExpiredTasks {
+		request.Deadline = request.Deadline.Add(time.Hour)
+	}
+	return s.workers[sync.Worker].Sync(request, s.now)
+}
--- a/decider/simulation_test.go
+++ b/decider/simulation_test.go
@@ -46,6 +46,7 @@
 	partitioned map[[2]int]bool
 	// workerUnreachableUntil is when a worker becomes reachable again.
 	workerUnreachableUntil map[requester.HostID]time.Time
+	lives                  workerLives
 	faultKinds             []faultKind
 	faults                 faultRates
 	faultsEnded            bool
@@ -103,6 +104,7 @@
 		workerUnreachableUntil: make(map[requester.HostID]time.Time),
 	}
 	s.faultKinds = drawFaultKinds(s.random)
+	s.lives = newWorkerLives(seed)
 	for index := range testDataCentres {
 		s.addHosts(index)
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -119,9 +119,20 @@
 // acknowledges runs. A worker rejects a request whose epoch is lower than the
 // highest one that it has received. It ends its runs at Deadline unless a later
 // request extends the lease.
+//
+// A request that gets no response may be carried out seconds later, and a worker that has
+// started again knows nothing of before: no epoch, no stop and no run that has ended. So
+// a request names the incarnation for which it is meant, and no other one carries it out.
 type SyncRequest struct {
 	Holder requester.EntryID
 	Epoch  int64
+	// Boot is the incarnation of the worker's process that is to carry out the
+	// request; 0 if the holder doesn't know it yet. Any other incarnation takes
+	// over the epoch, reports in full and does nothing else.
+	Boot int64
+	// Number rises with each request of an epoch. An incarnation that has carried
+	// out a later request of the epoch doesn't carry out this one.
+	Number int64
 	// Deadline is the end of the lease on the worker's clock.
 	Deadline time.Time
 	// Since is the sequence number after which changes are reported; 0
@@ -163,8 +174,13 @@
 	// Fenced is true if the worker rejected the request because it has received
 	// one with a higher epoch.
 	Fenced bool `json:",omitempty"`
-	// Boot identifies the incarnation of the worker's process.
+	// Boot identifies the incarnation of the worker's process. If the request names
+	// another one, it was not carried out, and the report is a full one.
 	Boot int64
+	// Overtaken is true if the request was not carried out because a later one of
+	// the same epoch had been, whose Number is given. The report is a full one.
+	Overtaken bool  `json:",omitempty"`
+	Number    int64 `json:",omitempty"`
 	// Sequence is the sequence number of the last change reported.
 	Sequence int64
 	// Tasks lists the runs that have changed after SyncRequest.Since. In a full
@@ -228,7 +244,7 @@
 	// ExpireLeases has not removed its tasks and orphans since.
 	reported bool
 	// boot is the incarnation of the worker's process that sent the last
-	// report.
+	// report; 0 before the first.
 	boot int64
 	// sequence is the sequence number of the last change reported; 0 requests
 	// a full report.
@@ -326,6 +342,8 @@
 	holder     requester.EntryID
 	epoch      int64
 	tookOverAt time.Time
+	// lastNumber is the number of the last sync.
+	lastNumber int64
 	workers    map[requester.HostID]*worker
 	workerList []*worker
 	// free holds, for each worker of workerList, its allocatable resources less
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -86,6 +86,12 @@
 	bootedAt    time.Time
 	down        bool
 	partitioned bool
+	// crashedAt is when the last incarnation before this one crashed, and former is what
+	// its row in the list of workers contains. Zero if there was none.
+	crashedAt time.Time
+	former    scheduler.WorkerInfo
+	// ordersLate is the share of the orders that are late.
+	ordersLate float64
 	// fence is the highest fence received by this incarnation.
 	fence         scheduler.Fence
 	leaseDeadline time.Time
@@ -122,6 +128,31 @@
 	return w.info, !w.down
 }
 
+// missedBeats is after how many heartbeats of silence a worker's row expires.
+const missedBeats = 3
+
+// Listed returns what the list of workers contains on the worker, and whether it is on the
+// list, if it writes its row once per heartbeat. So the row of an incarnation that crashed
+// stays until the next one writes its first, or until it expires. With heartbeat 0 it is
+// Info.
+func (w *TaskWorker) Listed(now time.Time, heartbeat time.Duration) (scheduler.WorkerInfo, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.down && !now.Before(w.bootedAt.Add(firstBeat(w.bootedAt, heartbeat))) {
+		return w.info, true
+	}
+	return w.former, now.Before(w.crashedAt.Add(missedBeats * heartbeat))
+}
+
+// firstBeat returns how long after its start an incarnation first writes its row: at most
+// a heartbeat, which depends on nothing but the time of its start.
+func firstBeat(bootedAt time.Time, heartbeat time.Duration) time.Duration {
+	if heartbeat < time.Millisecond {
+		return 0
+	}
+	return time.Duration(bootedAt.UnixMilli()%heartbeat.Milliseconds()) * time.Millisecond
+}
+
 // Reachable reports whether orders reach the worker: it is up and not
 // partitioned.
 func (w *TaskWorker) Reachable() bool {
@@ -130,12 +161,19 @@
 	return !w.down && !w.partitioned
 }
 
-// knows reports whether the incarnation that booted at sentTo is still up, or the
-// present one has received a fence.
-func (w *TaskWorker) knows(sentTo time.Time) bool {
+// SetOrdersLate sets the share, from 0 to 1, of the orders to this worker that are late,
+// as CellFaults.OrdersLate does for all workers.
+func (w *TaskWorker) SetOrdersLate(share float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ordersLate = share
+}
+
+// orderLateness returns the share of the orders that are late.
+func (w *TaskWorker) orderLateness() float64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.bootedAt.Equal(sentTo) || w.fence > 0
+	return w.ordersLate
 }
 
 // SetPartitioned starts or ends a network partition, during which the worker's
@@ -162,6 +200,9 @@
 	for _, run := range w.running {
 		run.EndedAt, run.Kind = now, scheduler.EndUnknown
 	}
+	if !w.down {
+		w.crashedAt, w.former = now, w.info
+	}
 	w.down, w.running, w.unacknowledgedEnds = true, nil, nil
 }
 
@@ -228,7 +269,8 @@
 }
 
 // Start executes an order to start a run. A repeated order for a run that is
-// running is accepted without effect. A run that does not fit the free capacity is
+// running is accepted without effect but on the lease, which an order that is rejected as
+// stale extends as well. A run that does not fit the free capacity is
 // started nevertheless and recorded as a violation.
 func (w *TaskWorker) Start(order scheduler.StartOrder, now time.Time) scheduler.OrderResult {
 	w.mu.Lock()
@@ -237,18 +279,16 @@
 	if !w.acceptFence(order.Fence) {
 		return scheduler.OrderFenced
 	}
-	for _, run := range w.running {
-		if run.Task == order.Task && run.Run == order.Run {
-			return scheduler.OrderAccepted
-		}
+	if order.Deadline <= w.clock(now) {
+		return w.startExpired(order)
+	}
+	w.renewLease(order.Deadline, now)
+	if w.isRunning(order.Task, order.Run) {
+		return scheduler.OrderAccepted
 	}
 	if order.Run <= w.staleThrough[order.Task] {
 		return scheduler.OrderStaleRun
 	}
-	if order.Deadline <= w.clock(now) {
-		return scheduler.OrderExpired
-	}
-	w.renewLease(order.Deadline, now)
 	spec, need := parsePayload(order.Payload)
 	run := &RunRecord{Worker: w.info.HostID, Task: order.Task, Run: order.Run, Need: need, StartedAt: now, Pace: 100, incarnation: w.bootedAt, EndsAt: now.Add(time.Duration(spec.Millis) * time.Millisecond), fails: spec.Fails}
 	w.running = append(w.running, run)
@@ -263,6 +303,22 @@
 	return scheduler.OrderAccepted
 }
 
+// startExpired returns the result of an order to start a run whose deadline has passed.
+func (w *TaskWorker) startExpired(order scheduler.StartOrder) scheduler.OrderResult {
+	switch {
+	case w.isRunning(order.Task, order.Run):
+		return scheduler.OrderAccepted
+	case order.Run <= w.staleThrough[order.Task]:
+		return scheduler.OrderStaleRun
+	}
+	return scheduler.OrderExpired
+}
+
+// isRunning reports whether a run is running.
+func (w *TaskWorker) isRunning(task scheduler.TaskName, number scheduler.RunNumber) bool {
+	return slices.ContainsFunc(w.running, func(run *RunRecord) bool { return run.Task == task && run.Run == number })
+}
+
 // Pace executes an order to set the pace of a run. It is recorded, and changes nothing else.
 func (w *TaskWorker) Pace(order scheduler.PaceOrder, now time.Time) scheduler.OrderResult {
 	w.mu.Lock()
