--- a/decider/core.go
+++ b/decider/core.go
@@ -40,14 +40,19 @@
 // There is a file for each part:
 //
 //   - peers: the other entries, their loads, clock offsets and shards
+//   - table: reads and transactions, also those that a peer runs for this entry
 //   - shards: the shards that this entry holds, acquires and releases
-//   - receive: routing and forwarding of calls
+//   - drain: graceful shutdown
+//   - receive: calls from callers and peers, and the answers to them
+//   - forward: routing of calls to other entries
 //   - coordinator: deduplication of attempts
 //   - writeahead: the write-ahead records of requests
-//   - run: execution of calls at endpoints that this entry owns
+//   - pools: the endpoints that this entry owns, and the load on them
+//   - run, attempt: execution of calls at these endpoints
 //   - demand: slots kept free for more urgent calls
 //   - config: changes and propagation of the configuration
-//   - jobs: tasks on the workers of the data centre
+//   - fleet: tasks on the workers of the data centre
+//   - jobs: requests of callers and operators about jobs and workers
 //   - view: the snapshot that operators see
 //
 // # Invariants
@@ -62,8 +67,6 @@
 package decider
 
 import (
-	"container/heap"
-	"net/netip"
 	"time"
 
 	"kumquatstall/estimator"
@@ -73,73 +76,9 @@
 	"kumquatstall/recorder"
 	"kumquatstall/requester"
 	"kumquatstall/retrier"
-	"kumquatstall/router"
 	"kumquatstall/tuner"
 )
 
-// DataCentreInfo is a data centre and its number of shards, the placement
-// shard included.
-type DataCentreInfo struct {
-	Name   requester.DataCentre
-	Shards int
-}
-
-// Options configures a Core. Self, Incarnation, Address, DataCentre and
-// DataCentres must be set; a duration that is not positive means its default.
-type Options struct {
-	Self        requester.EntryID
-	Incarnation int64
-	Address     netip.AddrPort
-	DataCentre  requester.DataCentre
-	DataCentres []DataCentreInfo
-	// ShardLeaseTerm is how long a lease of a shard lasts; default 3 s.
-	ShardLeaseTerm time.Duration
-	// WorkerLeaseTerm is how long a lease of a worker lasts; default 6 s.
-	WorkerLeaseTerm time.Duration
-	// Margin is the safety margin between the end of a lease, or the deadline
-	// of a lost attempt, and the reuse of its shard, tasks or slot. It covers
-	// differing clock rates and messages in flight; default 300 ms.
-	Margin time.Duration
-	// HeartbeatInterval is the time between heartbeats; default 500 ms.
-	HeartbeatInterval time.Duration
-	// SyncInterval is the time between syncs of an idle worker; default 1 s.
-	SyncInterval time.Duration
-	// HostListInterval is the time between reads of the host list; default
-	// 2 s.
-	HostListInterval time.Duration
-	// RequestRetention is how long the record of an ended request and its
-	// write-ahead record are kept; default 2 min.
-	RequestRetention time.Duration
-	// MaxCallLifetime bounds how far in the future a call's deadline may be;
-	// default 1 min.
-	MaxCallLifetime time.Duration
-	// JobRetention is how long an ended job is kept; default 10 min.
-	JobRetention time.Duration
-}
-
-func (o Options) withDefaults() Options {
-	defaults := []struct {
-		value    *time.Duration
-		standard time.Duration
-	}{
-		{&o.ShardLeaseTerm, 3 * time.Second},
-		{&o.WorkerLeaseTerm, 6 * time.Second},
-		{&o.Margin, 300 * time.Millisecond},
-		{&o.HeartbeatInterval, 500 * time.Millisecond},
-		{&o.SyncInterval, time.Second},
-		{&o.HostListInterval, 2 * time.Second},
-		{&o.RequestRetention, 2 * time.Minute},
-		{&o.MaxCallLifetime, time.Minute},
-		{&o.JobRetention, 10 * time.Minute},
-	}
-	for _, d := range defaults {
-		if *d.value <= 0 {
-			*d.value = d.standard
-		}
-	}
-	return o
-}
-
 // Core is the decision core of one entry.
 type Core struct {
 	options Options
@@ -272,12 +211,7 @@
 // configuration.
 func New(options Options, now time.Time) *Core {
 	options = options.withDefaults()
-	shards := 0
-	for _, dataCentre := range options.DataCentres {
-		if dataCentre.Name == options.DataCentre {
-			shards = dataCentre.Shards
-		}
-	}
+	own, _ := options.dataCentre(options.DataCentre)
 	return &Core{
 		options: options,
 		now:     now,
@@ -286,7 +220,7 @@
 			Incarnation: options.Incarnation,
 			Address:     options.Address,
 			DataCentre:  options.DataCentre,
-			Shards:      shards,
+			Shards:      own.Shards,
 			Term:        options.ShardLeaseTerm,
 			Margin:      options.Margin,
 		}, now),
@@ -415,65 +349,3 @@
 	c.stats.Violations++
 	c.emit(Violation{Name: name, Detail: detail})
 }
-
-// timer is a function that runAt has scheduled.
-type timer struct {
-	at time.Time
-	do func()
-}
-
-// timers is a heap of timers, the earliest first.
-type timers []timer
-
-func (t timers) Len() int           { return len(t) }
-func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
-func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-
-// Push implements heap.Interface.
-func (t *timers) Push(x any) { *t = append(*t, x.(timer)) }
-
-// Pop implements heap.Interface.
-func (t *timers) Pop() any {
-	old := *t
-	last := old[len(old)-1]
-	old[len(old)-1] = timer{}
-	*t = old[:len(old)-1]
-	return last
-}
-
-// runAt runs do when the first event at or after the time is handled, before
-// the event itself.
-func (c *Core) runAt(at time.Time, do func()) { heap.Push(&c.timers, timer{at: at, do: do}) }
-
-func (c *Core) runTimers() {
-	for len(c.timers) > 0 && !c.now.Before(c.timers[0].at) {
-		next, _ := heap.Pop(&c.timers).(timer)
-		next.do()
-	}
-}
-
-// transact issues a transaction on the table; done may be nil.
-func (c *Core) transact(transaction keeper.Transaction, deadline time.Time, done func(keeper.TransactResult, TableFailure)) {
-	id := c.newID()
-	if done != nil {
-		c.transactCallbacks[id] = done
-	}
-	c.emit(Transact{ID: id, Transaction: transaction, Deadline: deadline})
-}
-
-// read issues a read of the table; done must not be nil.
-func (c *Core) read(request keeper.ReadRequest, deadline time.Time, done func(keeper.ReadResult, bool)) {
-	id := c.newID()
-	c.readCallbacks[id] = done
-	c.emit(Read{ID: id, Request: request, Deadline: deadline})
-}
-
-// routerLimits returns the limits of an endpoint pool under a profile.
-func routerLimits(profile tuner.Profile, options Options) router.Limits {
-	return router.Limits{
-		Breaker:       breakerLimits(profile),
-		Random:        profile.EndpointChoice == tuner.ChooseRandom,
-		SettleTimeout: options.MaxCallLifetime,
-		Margin:        options.Margin,
-	}
-}
--- a/experimenter/inject.go
+++ b/experimenter/inject.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"kumquatstall/requester"
@@ -15,7 +14,7 @@
 
 // injectFaults injects each fault of the scenario at its time and returns once
 // all of them have ended. It returns the first error.
-func (r *trial) injectFaults(ctx context.Context) error {
+func (r *activeRun) injectFaults(ctx context.Context) error {
 	var group sync.WaitGroup
 	errs := make(chan error, len(r.scenario.Faults))
 	for _, fault := range r.scenario.Faults {
@@ -51,34 +50,22 @@
 }
 
 // injectFault injects one fault now and returns when it has ended.
-func (r *trial) injectFault(ctx context.Context, fault Fault) error {
+func (r *activeRun) injectFault(ctx context.Context, fault Fault) error {
 	end := time.Now().Add(time.Duration(fault.ForMillis) * time.Millisecond)
 	switch fault.Kind {
 	case FaultStoreDown:
-		r.deployment.Table.SetFaults(standin.TableFaults{Down: true})
-		sleepUntil(ctx, end)
-		r.deployment.Table.SetFaults(standin.TableFaults{})
+		r.disturbTable(ctx, end, standin.TableFaults{Down: true})
 	case FaultStoreSlow:
-		r.deployment.Table.SetFaults(standin.TableFaults{DelayMillis: fault.Value})
-		sleepUntil(ctx, end)
-		r.deployment.Table.SetFaults(standin.TableFaults{})
+		r.disturbTable(ctx, end, standin.TableFaults{DelayMillis: fault.Value})
 	case FaultLostAnswers:
-		r.deployment.Table.SetFaults(standin.TableFaults{LoseEvery: fault.Value})
-		sleepUntil(ctx, end)
-		r.deployment.Table.SetFaults(standin.TableFaults{})
+		r.disturbTable(ctx, end, standin.TableFaults{LoseEvery: fault.Value})
 	case FaultBlackHoleWorkers:
-		r.setWorkers(fault.Value, standin.WorkerFaults{FailAll: true})
-		sleepUntil(ctx, end)
-		r.setWorkers(fault.Value, standin.WorkerFaults{})
+		r.disturbWorkers(ctx, end, fault.Value, standin.WorkerFaults{FailAll: true})
 	case FaultFailingEndpoints:
-		r.setEndpoints(fault.Value, standin.EndpointFaults{FailEvery: 1})
-		sleepUntil(ctx, end)
-		r.setEndpoints(fault.Value, standin.EndpointFaults{})
+		r.disturbEndpoints(ctx, end, fault.Value, standin.EndpointFaults{FailEvery: 1})
 	case FaultSlowEndpoints:
 		const factor = 10
-		r.setEndpoints(fault.Value, standin.EndpointFaults{SlowFactor: factor})
-		sleepUntil(ctx, end)
-		r.setEndpoints(fault.Value, standin.EndpointFaults{})
+		r.disturbEndpoints(ctx, end, fault.Value, standin.EndpointFaults{SlowFactor: factor})
 	case FaultKillEntries:
 		for range fault.Value {
 			r.removeEntry(func(entry *runner.Entry) error {
@@ -94,28 +81,42 @@
 	return nil
 }
 
-// setWorkers sets the faults of the first count workers.
-func (r *trial) setWorkers(count int64, faults standin.WorkerFaults) {
-	for _, worker := range r.deployment.Workers[:min(int(count), len(r.deployment.Workers))] {
+// disturbTable gives the table faults until end, or until ctx ends.
+func (r *activeRun) disturbTable(ctx context.Context, end time.Time, faults standin.TableFaults) {
+	r.deployment.Table.SetFaults(faults)
+	sleepUntil(ctx, end)
+	r.deployment.Table.SetFaults(standin.TableFaults{})
+}
+
+// disturbWorkers gives the first count workers faults until end, or until ctx ends.
+func (r *activeRun) disturbWorkers(ctx context.Context, end time.Time, count int64, faults standin.WorkerFaults) {
+	disturbed := r.deployment.Workers[:min(int(count), len(r.deployment.Workers))]
+	for _, worker := range disturbed {
 		worker.SetFaults(faults)
 	}
+	sleepUntil(ctx, end)
+	for _, worker := range disturbed {
+		worker.SetFaults(standin.WorkerFaults{})
+	}
 }
 
-// setEndpoints sets the faults of the first count endpoints.
-func (r *trial) setEndpoints(count int64, faults standin.EndpointFaults) {
-	for _, endpoint := range r.deployment.Endpoints[:min(int(count), len(r.deployment.Endpoints))] {
+// disturbEndpoints gives the first count endpoints faults until end, or until ctx ends.
+func (r *activeRun) disturbEndpoints(ctx context.Context, end time.Time, count int64, faults standin.EndpointFaults) {
+	disturbed := r.deployment.Endpoints[:min(int(count), len(r.deployment.Endpoints))]
+	for _, endpoint := range disturbed {
 		endpoint.SetFaults(faults)
 	}
+	sleepUntil(ctx, end)
+	for _, endpoint := range disturbed {
+		endpoint.SetFaults(standin.EndpointFaults{})
+	}
 }
 
 // removeEntry removes the first entry from the deployment, stops it by calling
 // end, and then removes it from the balancer.
-func (r *trial) removeEntry(end func(*runner.Entry) error) {
+func (r *activeRun) removeEntry(end func(*runner.Entry) error) {
 	entry := r.deployment.Entries[0]
-	stats := entry.View().Stats
-	r.entryTotals.violations += stats.Violations
-	r.entryTotals.placed += stats.TasksPlaced
-	r.entryTotals.expired += stats.TasksLapsed
+	r.entryTotals.add(entry.View().Stats)
 	r.deployment.Entries = r.deployment.Entries[1:]
 	_ = end(entry)
 	r.refreshBalancer()
@@ -123,7 +124,7 @@
 
 // replaceEntries shuts count entries down gracefully, one after the other, and
 // starts a new entry in the data centre of each.
-func (r *trial) replaceEntries(ctx context.Context, count int64) error {
+func (r *activeRun) replaceEntries(ctx context.Context, count int64) error {
 	for range count {
 		dataCentre := r.deployment.Entries[0].View().DataCentre
 		r.removeEntry(func(entry *runner.Entry) error { return entry.Shutdown(ctx) })
@@ -139,18 +140,9 @@
 
 // cancelJobs cancels all jobs accepted so far. It ignores errors, because a job
 // may have ended.
-func (r *trial) cancelJobs(ctx context.Context) {
+func (r *activeRun) cancelJobs(ctx context.Context) {
 	for _, status := range r.load.Jobs() {
 		var ended requester.JobStatus
 		_ = r.deployment.DoJSON(ctx, http.MethodDelete, "/v1/jobs/"+string(status.JobID)+"?DataCentre="+string(status.DataCentre), nil, &ended)
 	}
 }
-
-// cpuTime returns the processor time that this process has used so far.
-func cpuTime() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
--- a/leaser/acquire.go
+++ b/leaser/acquire.go
@@ -48,7 +48,7 @@
 		if id == l.options.Self || heard && incarnation >= member.Incarnation {
 			continue
 		}
-		if !l.provenDead(ShardRow{Holder: id, Incarnation: member.Incarnation}, peers) {
+		if !l.provenDead(id, member.Incarnation, peers) {
 			return false
 		}
 	}
@@ -61,7 +61,7 @@
 // has its fair share of shards waits another term.
 func (l *Leaser) acquisitions(now time.Time, peers []Peer) []TableOperation {
 	candidates := l.candidates(peers)
-	fairShare := (len(l.shards) + len(candidates) - 1) / len(candidates)
+	fairShare := l.fairShare(candidates)
 	held := l.heldOrAcquiring()
 	var operations []TableOperation
 	for number, shard := range l.shards {
@@ -107,6 +107,11 @@
 	return candidates
 }
 
+// fairShare returns the number of shards per candidate, rounded up.
+func (l *Leaser) fairShare(candidates []requester.EntryID) int {
+	return (len(l.shards) + len(candidates) - 1) / len(candidates)
+}
+
 // acquireRank returns the rank of self, from 0, in the order in which the
 // candidates acquire a vacant shard.
 func acquireRank(self requester.EntryID, number int, candidates []requester.EntryID) int {
@@ -159,25 +164,31 @@
 	if l.registeredRevision <= shard.row.MembersRevision {
 		return true
 	}
-	return l.provenDead(shard.row, peers)
+	return l.holderProvenDead(shard, peers)
 }
 
-// provenDead reports whether the process that a row names can't be running: a
-// newer incarnation of its entry is known, the host list no longer names the
-// entry, or its address refuses connections.
-func (l *Leaser) provenDead(row ShardRow, peers []Peer) bool {
-	if row.Holder == l.options.Self {
-		return row.Incarnation != l.options.Incarnation
+// holderProvenDead reports whether the process that a shard's row names as holder
+// can't be running.
+func (l *Leaser) holderProvenDead(shard *shardState, peers []Peer) bool {
+	return l.provenDead(shard.row.Holder, shard.row.Incarnation, peers)
+}
+
+// provenDead reports whether an incarnation of an entry, which is one process, can't
+// be running: a newer incarnation of the entry is known, the host list no longer names
+// the entry, or its address refuses connections.
+func (l *Leaser) provenDead(id requester.EntryID, incarnation int64, peers []Peer) bool {
+	if id == l.options.Self {
+		return incarnation != l.options.Incarnation
 	}
-	if member, ok := l.members[row.Holder]; ok && member.Incarnation > row.Incarnation {
+	if member, ok := l.members[id]; ok && member.Incarnation > incarnation {
 		return true
 	}
-	if l.delisted(row.Holder) {
+	if l.delisted(id) {
 		return true
 	}
 	for _, peer := range peers {
-		if peer.EntryID == row.Holder {
-			return peer.Refused || peer.Incarnation > row.Incarnation
+		if peer.EntryID == id {
+			return peer.Refused || peer.Incarnation > incarnation
 		}
 	}
 	return false
@@ -190,14 +201,7 @@
 	_ = shard.machine.Fire("Claim")
 	shard.acquireUnresolved = true
 	shard.previousHolder = shard.row.Holder
-	row := ShardRow{
-		Holder:          l.options.Self,
-		Incarnation:     l.options.Incarnation,
-		Address:         l.options.Address,
-		Epoch:           max(shard.row.Epoch, shard.grantGiven.epoch) + 1,
-		Deadline:        now.Add(l.options.Term),
-		MembersRevision: l.membersRevision,
-	}
+	row := l.ownRow(now, max(shard.row.Epoch, shard.grantGiven.epoch)+1)
 	key := l.shardKey(number)
 	return TableOperation{
 		Purpose: PurposeAcquire,
