--- a/decider/events.go
+++ b/decider/events.go
@@ -238,10 +238,9 @@
 	Address   netip.AddrPort
 	// Boot is the incarnation of the endpoint that is to run the call; 0 if it has not
 	// told any.
-	Boot        int64
-	Connections int
-	Call        requester.Call
-	SendBy      time.Time
+	Boot   int64
+	Call   requester.Call
+	SendBy time.Time
 }
 
 // PollStatus requests from an endpoint the list of the requests that it runs.
