--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -230,6 +230,14 @@
 	return slices.ContainsFunc(c.openTasks, func(t *task) bool { return t.open.Worker == w.info.HostID })
 }
 
+// inheritsOpenStart reports whether some start of an earlier owner may still be executed
+// by the worker.
+func (c *Core) inheritsOpenStart(w *worker) bool {
+	return slices.ContainsFunc(c.openTasks, func(t *task) bool {
+		return t.open.Worker == w.info.HostID && t.open.Run < c.firstRun() && c.now.Before(c.latestExecution(t.open))
+	})
+}
+
 // latestExecution returns the time until which an open start may be executed, by this
 // owner's clock. That of a previous owner may have differed, but it issued no order
 // after the end of its term.
--- a/scheduler/openstart_test.go
+++ b/scheduler/openstart_test.go
@@ -483,3 +483,56 @@
 		h.core.PollDone(h.now, poll, report, OrderAccepted)
 	}
 }
+
+// TestLatePollForgetsEndsOfAnEarlierOwnersStart guards against a new owner whose late poll
+// makes the next life of a worker forget an end of a start of the former owner.
+func TestLatePollForgetsEndsOfAnEarlierOwnersStart(t *testing.T) {
+	h := newHarness(2)
+	start := h.unanswered(t)
+	sentAt := h.now
+	h.advanceSilent(start.Worker, answerTime)
+	rows := JobRows{Job: jobOf("j", stepOf(1, 8000))}
+	for _, write := range h.core.TakeBatch(100).Writes {
+		if write.Key == ProgressKey("j") {
+			rows.Progress = write.Value
+		}
+	}
+	infos := []WorkerInfo{h.core.sortedWorkers[0].info, h.core.sortedWorkers[1].info}
+	if err := h.takeOver(Options{Epoch: 2, PreviousOwnerTerm: time.Second}, rows); err != nil {
+		t.Fatal(err)
+	}
+	h.core.SetWorkers(h.now, infos)
+	h.core.Add(h.now, jobOf("k", stepOf(1, 100)))
+	ended := TaskName{StepName: StepName{Job: "k"}}
+	acknowledged := make(map[requester.HostID]time.Duration)
+	for h.now.Sub(sentAt) < 20*time.Second {
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.commit()
+		orders := h.core.Tick(h.now)
+		for _, again := range orders.Starts {
+			h.core.StartDone(h.now, again, OrderNoCapacity)
+		}
+		for _, poll := range orders.Polls {
+			host := poll.Worker.HostID
+			if poll.AcknowledgedEnd > 0 && acknowledged[host] == 0 {
+				acknowledged[host] = h.now.Sub(sentAt)
+			}
+			report := &Report{Clock: h.clock(poll.Worker), BootedAt: poll.Worker.BootedAt}
+			if poll.AcknowledgedEnd == 0 && acknowledged[host] == 0 {
+				report.Ended = []EndedRun{{Number: 1, Task: ended, Run: 1, Kind: EndDone}}
+			}
+			h.core.PollDone(h.now, poll, report, OrderAccepted)
+		}
+	}
+	for host, at := range acknowledged {
+		if host == start.Worker.HostID && at < maxOrderDelay {
+			t.Errorf("an end of %s is acknowledged %v after a start of the former owner was sent", host, at)
+		}
+		if host != start.Worker.HostID && at > 3*time.Second {
+			t.Errorf("an end of %s, where no start is open, is acknowledged after %v only", host, at)
+		}
+	}
+	if len(acknowledged) != 2 {
+		t.Errorf("acknowledged: %v, want ends of two workers", acknowledged)
+	}
+}
