--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -19,7 +19,9 @@
 // has to pass as well, since the run may go on behind a cut.
 //
 // A start is settled, and not open, once it has been answered, whatever the answer, or a
-// worker has reported the run: an order is executed at most once.
+// worker has reported the run: an order is executed at most once. An acceptance says that
+// the run has begun, but not in which life, unless the clock in it does: until a report
+// has the run, it may be that of a life of which the owner knows nothing.
 //
 // The owner stores the open starts with the details of their tasks, so that its
 // successor waits for them too.
