--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -37,8 +37,11 @@
 
 const (
 	// maxOrderDelay is how long after it was issued an order without an answer may
-	// still be executed.
-	maxOrderDelay = 13 * time.Second
+	// still be executed: the longest delay, and the time that sending it takes.
+	maxOrderDelay = 12*time.Second + 300*time.Millisecond
+	// closingPolls is the interval between polls of a worker on which a start is open
+	// whose time has passed, or will have by the end of a long poll.
+	closingPolls = 100 * time.Millisecond
 	// answerTime is after what time without an answer a start is stored as open. The
 	// answer may still come.
 	answerTime = 100 * time.Millisecond
@@ -232,6 +235,14 @@
 	return slices.ContainsFunc(c.openTasks, func(t *task) bool { return t.open.Worker == w.info.HostID })
 }
 
+// closesSoon reports whether a start is open on the worker of which the answer to a poll
+// from now on is to show what has become.
+func (c *Core) closesSoon(w *worker) bool {
+	return slices.ContainsFunc(c.openTasks, func(t *task) bool {
+		return t.open.Worker == w.info.HostID && c.latestExecution(t.open).Sub(c.now) < longPollTime
+	})
+}
+
 // inheritsOpenStart reports whether some start of an earlier owner may still be executed
 // by the worker.
 func (c *Core) inheritsOpenStart(w *worker) bool {
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -16,6 +16,8 @@
 	// worker is delayed unless these are to be acknowledged earlier: a poll
 	// before that would only return them again.
 	commitWait = 150 * time.Millisecond
+	// longPollTime is for how long the answer to a long poll may wait.
+	longPollTime = time.Second
 	// freshnessWindow is how long after its last report a worker may get new
 	// tasks.
 	freshnessWindow = 2500 * time.Millisecond
@@ -38,6 +40,10 @@
 			}
 			acknowledged = 0
 		}
+		closing := w.reported && w.unanswered == 0 && c.closesSoon(w)
+		if closing && c.now.Sub(w.clockAt) < closingPolls {
+			continue
+		}
 		w.pollInFlight = true
 		c.stats.Looks++
 		c.logAcknowledged(w, acknowledged)
@@ -46,7 +52,7 @@
 			Fence:           c.fence(w),
 			AcknowledgedEnd: acknowledged,
 			Deadline:        c.grantLease(w),
-			LongPoll:        w.reported && !keepsEnds && w.unanswered == 0,
+			LongPoll:        w.reported && !keepsEnds && w.unanswered == 0 && !closing,
 			SentAt:          c.now,
 		})
 		if acknowledged > 0 {
@@ -108,8 +114,9 @@
 }
 
 // endIncarnation releases the runs of an incarnation that has provably ended,
-// because another one responded to an order at its address, and with it the
-// leases that any owner has granted it. It does nothing if the worker is at
+// because another host ID responded to an order at its address, and with it the
+// leases that any owner has granted it and the starts that are open on it: what is sent
+// to the address is for the other host ID. It does nothing if the worker is at
 // another address by now.
 func (c *Core) endIncarnation(w *worker, addressed WorkerRef) {
 	if addressed.Address != w.info.Address {
@@ -121,10 +128,15 @@
 	w.nextPollAt = c.now.Add(pollRetryInterval)
 	for _, r := range w.sortedRuns() {
 		c.stats.Lapsed++
-		c.settle(r) // what is sent to the address is for another host ID
+		c.settle(r)
 		c.releaseLost(r, "its worker's incarnation ended")
 	}
 	w.ended = true
+	for _, t := range slices.Clone(c.openTasks) {
+		if t.open.Worker == w.info.HostID {
+			c.closeStart(t)
+		}
+	}
 }
 
 // applyReport applies a worker's report. A report of an earlier incarnation is
