--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -238,7 +238,7 @@
 // closesSoon reports whether a start is open on the worker of which the answer to a poll
 // from now on is to show what has become.
 func (c *Core) closesSoon(w *worker) bool {
-	return slices.ContainsFunc(c.openTasks, func(t *task) bool {
+	return w.reported && w.unanswered == 0 && slices.ContainsFunc(c.openTasks, func(t *task) bool {
 		return t.open.Worker == w.info.HostID && c.latestExecution(t.open).Sub(c.now) < longPollTime
 	})
 }
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -29,38 +29,44 @@
 		if w.pollInFlight || c.now.Before(w.nextPollAt) || !w.info.Address.IsValid() {
 			continue
 		}
-		keepsEnds := w.keepsEnds()
-		if keepsEnds && c.now.Sub(w.clockAt) < commitWait {
-			continue
-		}
-		acknowledged := c.acknowledgement(w)
-		if acknowledged > 0 && c.awaitsAnswer(w) {
-			if c.now.Sub(w.clockAt) < commitWait+answerTime {
-				continue
-			}
-			acknowledged = 0
-		}
-		closing := w.reported && w.unanswered == 0 && c.closesSoon(w)
-		if closing && c.now.Sub(w.clockAt) < closingPolls {
-			continue
-		}
-		w.pollInFlight = true
-		c.stats.Looks++
-		c.logAcknowledged(w, acknowledged)
-		c.orders.Polls = append(c.orders.Polls, PollOrder{
-			Worker:          w.ref(),
-			Fence:           c.fence(w),
-			AcknowledgedEnd: acknowledged,
-			Deadline:        c.grantLease(w),
-			LongPoll:        w.reported && !keepsEnds && w.unanswered == 0 && !closing,
-			SentAt:          c.now,
-		})
-		if acknowledged > 0 {
-			c.raiseGeneration(w)
+		if acknowledged, due := c.pollDue(w); due {
+			c.sendPoll(w, acknowledged)
 		}
 	}
 }
 
+// pollDue returns the number up to which a poll now acknowledges a worker's ends, and
+// whether it is better sent now than after what would soon make it of more use.
+func (c *Core) pollDue(w *worker) (acknowledged int64, due bool) {
+	sinceReport := c.now.Sub(w.clockAt)
+	if w.keepsEnds() && sinceReport < commitWait || c.closesSoon(w) && sinceReport < closingPolls {
+		return 0, false
+	}
+	acknowledged = c.acknowledgement(w)
+	if acknowledged == 0 || !c.awaitsAnswer(w) {
+		return acknowledged, true
+	}
+	return 0, sinceReport >= commitWait+answerTime
+}
+
+// sendPoll issues a poll order for a worker.
+func (c *Core) sendPoll(w *worker, acknowledged int64) {
+	w.pollInFlight = true
+	c.stats.Looks++
+	c.logAcknowledged(w, acknowledged)
+	c.orders.Polls = append(c.orders.Polls, PollOrder{
+		Worker:          w.ref(),
+		Fence:           c.fence(w),
+		AcknowledgedEnd: acknowledged,
+		Deadline:        c.grantLease(w),
+		LongPoll:        w.reported && !w.keepsEnds() && w.unanswered == 0 && !c.closesSoon(w),
+		SentAt:          c.now,
+	})
+	if acknowledged > 0 {
+		c.raiseGeneration(w)
+	}
+}
+
 // awaitsAnswer reports whether a start on the worker is unanswered. An incarnation that
 // executed it late could have an end of it, which a poll sent now must not acknowledge.
 func (c *Core) awaitsAnswer(w *worker) bool {
