--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -45,6 +45,8 @@
 	// answerTime is after what time without an answer a start is stored as open. The
 	// answer may still come.
 	answerTime = 100 * time.Millisecond
+	// answerWait is longer than a start may take to be answered or given up.
+	answerWait = time.Second
 	// maxClockDifference is how much the clocks of two owners may differ.
 	maxClockDifference = 5 * time.Second
 )
--- a/scheduler/openstart_test.go
+++ b/scheduler/openstart_test.go
@@ -536,3 +536,25 @@
 		t.Errorf("acknowledged: %v, want ends of two workers", acknowledged)
 	}
 }
+
+// TestGivenUpStartHoldsAcknowledgementsBack guards against a worker with more ends than a
+// report holds that never gets them acknowledged, as its reports can't show what has become
+// of a start without an answer.
+func TestGivenUpStartHoldsAcknowledgementsBack(t *testing.T) {
+	h := newHarness(1)
+	start := h.unanswered(t)
+	h.core.StartDone(h.now, start, OrderUnknown)
+	h.core.Add(h.now, jobOf("k", stepOf(1, 100)))
+	ended := []EndedRun{{Number: 1, Task: TaskName{StepName: StepName{Job: "k"}}, Run: 1, Kind: EndDone}}
+	for range 30 {
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.commit()
+		for _, poll := range h.core.Tick(h.now).Polls {
+			if poll.AcknowledgedEnd > 0 {
+				return
+			}
+			h.core.PollDone(h.now, poll, &Report{Clock: h.clock(poll.Worker), BootedAt: poll.Worker.BootedAt, Ended: ended, Partial: true, More: true}, OrderAccepted)
+		}
+	}
+	t.Error("no end is acknowledged within 3 s")
+}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -67,11 +67,13 @@
 	}
 }
 
-// awaitsAnswer reports whether a start on the worker is unanswered. An incarnation that
-// executed it late could have an end of it, which a poll sent now must not acknowledge.
+// awaitsAnswer reports whether a start on the worker may still be answered. An incarnation
+// that executed it late could have an end of it, which a poll sent now must not
+// acknowledge. Once the start is given up, acknowledgements go on: a worker that has more
+// ends than a report holds shows what has become of the run only after them.
 func (c *Core) awaitsAnswer(w *worker) bool {
 	for _, r := range w.runs {
-		if !r.settled {
+		if !r.settled && c.now.Sub(r.startedAt) < answerWait {
 			return true
 		}
 	}
