--- a/scheduler/openstart_test.go
+++ b/scheduler/openstart_test.go
@@ -558,3 +558,36 @@
 	}
 	t.Error("no end is acknowledged within 3 s")
 }
+
+// TestInheritedOpenStartHidesEnds guards against a new owner that learns of none of a
+// worker's ends beyond the first report, as a start of the former owner is open there, and
+// starts the tasks again.
+func TestInheritedOpenStartHidesEnds(t *testing.T) {
+	h := newHarness(1)
+	start := h.unanswered(t)
+	h.advanceSilent(start.Worker, answerTime)
+	rows := JobRows{Job: jobOf("j", stepOf(1, 8000))}
+	for _, write := range h.core.TakeBatch(100).Writes {
+		if write.Key == ProgressKey("j") {
+			rows.Progress = write.Value
+		}
+	}
+	infos := []WorkerInfo{h.core.sortedWorkers[0].info}
+	if err := h.takeOver(Options{Epoch: 2, PreviousOwnerTerm: time.Second}, rows); err != nil {
+		t.Fatal(err)
+	}
+	h.core.SetWorkers(h.now, infos)
+	h.core.Add(h.now, jobOf("k", stepOf(1, 100)))
+	ended := []EndedRun{{Number: 1, Task: TaskName{StepName: StepName{Job: "k"}}, Run: 1, Kind: EndDone}}
+	for range 20 {
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.commit()
+		for _, poll := range h.core.Tick(h.now).Polls {
+			if poll.AcknowledgedEnd > 0 {
+				return
+			}
+			h.core.PollDone(h.now, poll, &Report{Clock: h.clock(poll.Worker), BootedAt: poll.Worker.BootedAt, Ended: ended, Partial: true, More: true}, OrderAccepted)
+		}
+	}
+	t.Error("no end is acknowledged within 2 s, so the worker lists no others")
+}
