--- a/scheduler/acknowledge.go
+++ b/scheduler/acknowledge.go
@@ -129,8 +129,9 @@
 // acknowledgement returns the number up to which a poll acknowledges a worker's
 // ends. It is 0 if a response has confirmed them already, if the last poll was
 // rejected because of its fence, if a start of an earlier owner, whose fence is lower, is
-// open on a worker that has listed all of its ends, or if the worker has not answered lately: its next incarnation, which may be there already or execute
-// the poll late, would forget its own ends up to that number.
+// open on a worker that has listed all of its ends, or if the worker has not answered
+// lately: its next incarnation, which may be there already or execute the poll late, would
+// forget its own ends up to that number.
 func (c *Core) acknowledgement(w *worker) int64 {
 	number := c.verifyAcknowledgement(w)
 	if number <= w.confirmedEnd || w.unanswered > 0 || w.fencedPoll || w.endsListed && c.inheritsOpenStart(w) {
--- a/scheduler/candidate.go
+++ b/scheduler/candidate.go
@@ -251,7 +251,7 @@
 		}
 	}
 	for _, t := range s.tasks {
-		if t.run == nil && t.open != nil && t.open.Worker == w.info.HostID {
+		if t.openOn(w.info.HostID) {
 			count++
 		}
 	}
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -33,6 +34,8 @@
 	Run    RunNumber
 	Worker requester.HostID
 	Until  time.Time
+	// address is where the start was sent; it is not stored, and unknown to a successor.
+	address netip.AddrPort
 }
 
 const (
@@ -157,7 +160,7 @@
 	if t.open == nil {
 		c.openTasks = append(c.openTasks, t)
 	}
-	t.open = &openStart{Run: r.number, Worker: r.worker.info.HostID, Until: until}
+	t.open = &openStart{Run: r.number, Worker: r.worker.info.HostID, Until: until, address: r.address}
 	c.storeOpen(t)
 }
 
@@ -200,13 +203,19 @@
 	}
 }
 
+// openOn reports whether a start of the task is open on the worker whose run the owner
+// doesn't have there.
+func (t *task) openOn(id requester.HostID) bool {
+	return t.open != nil && t.open.Worker == id && (t.run == nil || t.run.number != t.open.Run)
+}
+
 // reserveForOpen adds up what the open starts need on each worker.
 func (c *Core) reserveForOpen() {
 	for _, w := range c.sortedWorkers {
 		w.reservedForOpen = requester.Resources{}
 	}
 	for _, t := range c.openTasks {
-		if w := c.workers[t.open.Worker]; w != nil && (t.run == nil || t.run.number != t.open.Run) {
+		if w := c.workers[t.open.Worker]; w != nil && t.openOn(t.open.Worker) {
 			w.reservedForOpen = w.reservedForOpen.Add(t.step.def.allocation())
 		}
 	}
--- a/scheduler/openstart_test.go
+++ b/scheduler/openstart_test.go
@@ -591,3 +591,29 @@
 	}
 	t.Error("no end is acknowledged within 2 s, so the worker lists no others")
 }
+
+// TestStartToAnEarlierAddressIsClosed guards against a start that counts as one for another
+// host ID, as that one answers at the worker's present address, though the start was sent
+// to the one before.
+func TestStartToAnEarlierAddressIsClosed(t *testing.T) {
+	for _, released := range []bool{false, true} {
+		h := newHarness(2)
+		start := h.unanswered(t)
+		sentAt := h.now
+		h.core.StartDone(h.now, start, OrderUnknown)
+		if released {
+			h.advanceAnswered(400 * time.Millisecond)
+		}
+		w := h.core.workers[start.Worker.HostID]
+		h.now = h.now.Add(100 * time.Millisecond)
+		moved := w.info
+		moved.Address, moved.BootedAt = h.address(77), h.now
+		h.core.SetWorkers(h.now, []WorkerInfo{moved, h.core.sortedWorkers[1].info})
+		h.core.PollDone(h.now, PollOrder{Worker: w.ref(), Fence: h.core.fence(w), SentAt: h.now}, nil, OrderOtherIncarnation)
+		for h.now.Sub(sentAt) < 12*time.Second {
+			if starts := h.advanceSilent(start.Worker, 100*time.Millisecond); len(starts) > 0 {
+				t.Fatalf("released %v: the task starts again %v after the first start, which a later life at the former address may execute", released, h.now.Sub(sentAt))
+			}
+		}
+	}
+}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -123,8 +123,8 @@
 
 // endIncarnation releases the runs of an incarnation that has provably ended,
 // because another host ID responded to an order at its address, and with it the
-// leases that any owner has granted it and the starts that are open on it: what is sent
-// to the address is for the other host ID. It does nothing if the worker is at
+// leases that any owner has granted it. What was sent to the address is for the other host
+// ID; a start that was sent to an earlier address of the worker stays open. It does nothing if the worker is at
 // another address by now.
 func (c *Core) endIncarnation(w *worker, addressed WorkerRef) {
 	if addressed.Address != w.info.Address {
@@ -136,12 +136,14 @@
 	w.nextPollAt = c.now.Add(pollRetryInterval)
 	for _, r := range w.sortedRuns() {
 		c.stats.Lapsed++
-		c.settle(r)
+		if r.address == addressed.Address {
+			c.settle(r)
+		}
 		c.releaseLost(r, "its worker's incarnation ended")
 	}
 	w.ended = true
 	for _, t := range slices.Clone(c.openTasks) {
-		if t.open.Worker == w.info.HostID {
+		if t.open.Worker == w.info.HostID && t.open.address == addressed.Address {
 			c.closeStart(t)
 		}
 	}
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"net/netip"
 	"slices"
 	"strconv"
 	"time"
@@ -45,6 +46,9 @@
 	// has reported the run.
 	startFence Fence
 	reported   bool
+	// address is where the start was sent; it is not known of runs that were first known
+	// from a report.
+	address netip.AddrPort
 	// settled is true once no incarnation of the worker executes the start any more:
 	// it was answered, or the run was reported.
 	settled bool
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -264,8 +264,7 @@
 // The results of orders.
 const (
 	// OrderUnknown means that no response was received although something may have
-	// been sent. The worker may have
-	// executed the order, or may still do so.
+	// been sent. The worker may have executed the order, or may still do so.
 	OrderUnknown OrderResult = iota
 	OrderAccepted
 	// OrderFenced means that the worker has seen a higher fence.
--- a/scheduler/start.go
+++ b/scheduler/start.go
@@ -21,6 +21,7 @@
 		name:        t.name(),
 		number:      number,
 		worker:      w,
+		address:     w.info.Address,
 		need:        need,
 		startedAt:   c.now,
 		startFence:  c.fence(w),
--- a/scheduler/stats.go
+++ b/scheduler/stats.go
@@ -63,8 +63,8 @@
 	// LongWaits counts how often tasks of a step waited for one reason for
 	// longWait, leaving out waits for room while half of it is in use.
 	LongWaits int64
-	// OpenStarts counts the starts without an answer that may still be executed
-	// when they were given up.
+	// OpenStarts counts the starts that had no answer after answerTime, or when their
+	// run was released, and may still be executed.
 	OpenStarts int64
 	// Resurfaced counts runs that a worker reported after they had been released
 	// without a reported end. ForeignRuns counts runs of earlier owners that an
