Simulation: orders that are held up on their way arrive later

Three of ten arrive now, 1 to 11 s later, in the kinds with late orders; their draws are of their own, so that kept seeds play what they were kept for. The tests of open starts take the rows of a job, and acknowledgements beside more ends, from one function each.

--- a/scheduler/nextlife_test.go
+++ b/scheduler/nextlife_test.go
@@ -244,13 +244,7 @@
 		}
 		h.now = h.now.Add(answerTime)
 		h.core.Tick(h.now)
-		batch := h.core.TakeBatch(100)
-		rows := JobRows{Job: jobOf("j", stepOf(1, 8000))}
-		for _, write := range batch.Writes {
-			if write.Key == ProgressKey("j") {
-				rows.Progress = write.Value
-			}
-		}
+		rows := h.takeRows()
 		infos := []WorkerInfo{h.core.sortedWorkers[0].info, h.core.sortedWorkers[1].info}
 		is.NoErr(h.takeOver(Options{Epoch: 2, PreviousOwnerTerm: time.Second}, rows))
 		h.core.SetWorkers(h.now, infos)
--- a/scheduler/openstart_test.go
+++ b/scheduler/openstart_test.go
@@ -491,12 +491,7 @@
 	start := h.unanswered(t)
 	sentAt := h.now
 	h.advanceSilent(start.Worker, answerTime)
-	rows := JobRows{Job: jobOf("j", stepOf(1, 8000))}
-	for _, write := range h.core.TakeBatch(100).Writes {
-		if write.Key == ProgressKey("j") {
-			rows.Progress = write.Value
-		}
-	}
+	rows := h.takeRows()
 	infos := []WorkerInfo{h.core.sortedWorkers[0].info, h.core.sortedWorkers[1].info}
 	if err := h.takeOver(Options{Epoch: 2, PreviousOwnerTerm: time.Second}, rows); err != nil {
 		t.Fatal(err)
@@ -545,18 +540,26 @@
 	start := h.unanswered(t)
 	h.core.StartDone(h.now, start, OrderUnknown)
 	h.core.Add(h.now, jobOf("k", stepOf(1, 100)))
+	if !h.acknowledgesMore(30) {
+		t.Error("no end is acknowledged within 3 s")
+	}
+}
+
+// acknowledgesMore reports whether within so many ticks of 100 ms a poll acknowledges an end
+// of a worker that has more than it lists.
+func (h *harness) acknowledgesMore(ticks int) bool {
 	ended := []EndedRun{{Number: 1, Task: TaskName{StepName: StepName{Job: "k"}}, Run: 1, Kind: EndDone}}
-	for range 30 {
+	for range ticks {
 		h.now = h.now.Add(100 * time.Millisecond)
 		h.commit()
 		for _, poll := range h.core.Tick(h.now).Polls {
 			if poll.AcknowledgedEnd > 0 {
-				return
+				return true
 			}
 			h.core.PollDone(h.now, poll, &Report{Clock: h.clock(poll.Worker), BootedAt: poll.Worker.BootedAt, Ended: ended, Partial: true, More: true}, OrderAccepted)
 		}
 	}
-	t.Error("no end is acknowledged within 3 s")
+	return false
 }
 
 // TestInheritedOpenStartHidesEnds guards against a new owner that learns of none of a
@@ -566,30 +569,16 @@
 	h := newHarness(1)
 	start := h.unanswered(t)
 	h.advanceSilent(start.Worker, answerTime)
-	rows := JobRows{Job: jobOf("j", stepOf(1, 8000))}
-	for _, write := range h.core.TakeBatch(100).Writes {
-		if write.Key == ProgressKey("j") {
-			rows.Progress = write.Value
-		}
-	}
+	rows := h.takeRows()
 	infos := []WorkerInfo{h.core.sortedWorkers[0].info}
 	if err := h.takeOver(Options{Epoch: 2, PreviousOwnerTerm: time.Second}, rows); err != nil {
 		t.Fatal(err)
 	}
 	h.core.SetWorkers(h.now, infos)
 	h.core.Add(h.now, jobOf("k", stepOf(1, 100)))
-	ended := []EndedRun{{Number: 1, Task: TaskName{StepName: StepName{Job: "k"}}, Run: 1, Kind: EndDone}}
-	for range 20 {
-		h.now = h.now.Add(100 * time.Millisecond)
-		h.commit()
-		for _, poll := range h.core.Tick(h.now).Polls {
-			if poll.AcknowledgedEnd > 0 {
-				return
-			}
-			h.core.PollDone(h.now, poll, &Report{Clock: h.clock(poll.Worker), BootedAt: poll.Worker.BootedAt, Ended: ended, Partial: true, More: true}, OrderAccepted)
-		}
+	if !h.acknowledgesMore(20) {
+		t.Error("no end is acknowledged within 2 s, so the worker lists no others")
 	}
-	t.Error("no end is acknowledged within 2 s, so the worker lists no others")
 }
 
 // TestStartToAnEarlierAddressIsClosed guards against a start that counts as one for another
@@ -617,3 +606,14 @@
 		}
 	}
 }
+
+// takeRows returns the rows of the job j as the next batch writes them.
+func (h *harness) takeRows() JobRows {
+	rows := JobRows{Job: jobOf("j", stepOf(1, 8000))}
+	for _, write := range h.core.TakeBatch(100).Writes {
+		if write.Key == ProgressKey("j") {
+			rows.Progress = write.Value
+		}
+	}
+	return rows
+}
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -14,7 +14,10 @@
 // protocol, over a network that loses responses and delays orders. It checks
 // the invariants from the point of view of the workers.
 type simulation struct {
-	random     *rand.Rand
+	random *rand.Rand
+	// held draws which orders are held up on their way, so that the other draws of a seed
+	// stay as they were.
+	held       *rand.Rand
 	options    simulationOptions
 	now        time.Time
 	core       *Core
@@ -99,6 +102,10 @@
 	return 4000
 }
 
+// heldShare is the share of the orders to a worker that is down, or can't be reached, which
+// arrive later.
+const heldShare = 0.3
+
 // simulationTick is how far time advances at once.
 const simulationTick = 10 * time.Millisecond
 
@@ -172,6 +179,7 @@
 func newSimulation(seed uint64, options simulationOptions) *simulation {
 	sim := &simulation{
 		random:       rand.New(rand.NewPCG(seed, 1)),
+		held:         rand.New(rand.NewPCG(seed, 2)),
 		options:      options,
 		now:          time.Date(2026, 7, 10, 12, 0, 0, 0, time.UTC),
 		rows:         make(map[string][]byte),
@@ -488,6 +496,14 @@
 			return
 		}
 		if f.crashed || f.hides(core) {
+			if late > 0 && sim.held.Float64() < heldShare && sim.now.Before(sim.lateUntil) {
+				// It is held up on its way, and arrives at whatever incarnation is there.
+				sim.after(time.Duration(1000+sim.held.IntN(10000))*time.Millisecond, func() {
+					if !f.crashed {
+						do(f)
+					}
+				})
+			}
 			sim.after(700*time.Millisecond, func() { respond(noAnswer) })
 			return
 		}
