--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http/httptest"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,10 +28,13 @@
 
 // site is a simulation in virtual time of entries that share one cell.
 type site struct {
-	t       *testing.T
-	cell    *standin.Cell
+	t    *testing.T
+	cell *standin.Cell
+	jobs []requester.JobID
+
+	// mu guards entries, as some tests replace one beside others that use it.
+	mu      sync.Mutex
 	entries []*dispatcher.Dispatcher
-	jobs    []requester.JobID
 }
 
 var workerCapacity = requester.Resources{MilliCores: 8000, MemoryMB: 16000}
@@ -60,6 +64,8 @@
 // been closed.
 func (s *site) start(i int) {
 	d := dispatcher.Start(dispatcher.Options{Self: entryName(i), DataCentre: "here"}, s.cell.PlatformFor(entryName(i)), virtualClock{}, zerolog.New(io.Discard))
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if i < len(s.entries) {
 		s.entries[i] = d
 	} else {
@@ -67,6 +73,13 @@
 	}
 }
 
+// entry returns entry i.
+func (s *site) entry(i int) *dispatcher.Dispatcher {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries[i]
+}
+
 func (s *site) close() {
 	for _, d := range s.entries {
 		d.Close()
@@ -99,6 +112,8 @@
 
 // owner returns the entry that owns the cell, or -1.
 func (s *site) owner() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for i, d := range s.entries {
 		if d.Owns() {
 			return i
--- a/dispatcher/nextlife_test.go
+++ b/dispatcher/nextlife_test.go
@@ -98,7 +98,7 @@
 		millis = 1000 + s.random.Int64N(longRunMillis-1000)
 	}
 	job := s.job(millis)
-	if s.entries[s.random.IntN(len(s.entries))].Submit(s.t.Context(), job) == dispatcher.OutcomeDone {
+	if s.entry(s.random.IntN(len(s.entries))).Submit(s.t.Context(), job) == dispatcher.OutcomeDone {
 		s.jobs = append(s.jobs, job.JobID)
 	}
 }
@@ -143,7 +143,7 @@
 	s.losing <- struct{}{}
 	defer func() { <-s.losing }()
 	if owner := s.owner(); owner >= 0 {
-		s.entries[owner].Close()
+		s.entry(owner).Close()
 		s.start(owner)
 	}
 }
--- a/keeper/hedge_test.go
+++ b/keeper/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,12 +19,23 @@
 	delays []time.Duration
 	// err is the error that attempts with a response return; nil for none.
 	err  error
-	sent int
+	sent atomic.Int64
+}
+
+// nextDelay returns the response time of the next attempt.
+func (t *slowTable) nextDelay() time.Duration {
+	attempt := int(t.sent.Add(1))
+	return t.delays[min(attempt, len(t.delays))-1]
+}
+
+func (t *fakeTable) size() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.rows)
 }
 
 func (t *slowTable) Transact(ctx context.Context, transaction Transaction) (TransactResult, error) {
-	wait := t.delays[min(t.sent, len(t.delays)-1)]
-	t.sent++
+	wait := t.nextDelay()
 	result, err := t.fakeTable.Transact(ctx, transaction)
 	if wait == 0 {
 		<-ctx.Done()
@@ -68,10 +80,10 @@
 				start := time.Now()
 				result, err := NewHedged(table).Transact(ctx, insert("a", "x"))
 				is.Equal(time.Since(start), test.took)
-				is.Equal(table.sent, test.sent)
+				is.Equal(int(table.sent.Load()), test.sent)
 				is.Equal(result.Resent, test.resent)
 				is.Equal(errors.Is(err, ErrNotApplied), test.notApplied)
-				is.Equal(len(table.rows), 1)
+				is.Equal(table.size(), 1)
 				cancel()
 				time.Sleep(2 * slow) // wait for the other attempts to end
 			})
