--- a/standin/run.go
+++ b/standin/run.go
@@ -58,14 +58,14 @@
 	fails            bool
 }
 
-// String returns where, when and how the run ran, for messages.
+// String returns where, in which life, when and how the run ran, for messages.
 func (r *RunRecord) String() string {
 	const clock = "15:04:05.000"
 	end := "now"
 	if !r.EndedAt.IsZero() {
 		end = fmt.Sprintf("%s %v", r.EndedAt.Format(clock), r.Kind)
 	}
-	return fmt.Sprintf("run %d on %s, %s to %s", r.Run, r.Worker, r.StartedAt.Format(clock), end)
+	return fmt.Sprintf("run %d on %s born %s, %s to %s", r.Run, r.Worker, r.incarnation.Format(clock), r.StartedAt.Format(clock), end)
 }
 
 // percent returns the percentage of the run's execution time that has passed.
