--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"kumquatstall/keeper"
 	"kumquatstall/requester"
 	"kumquatstall/scheduler"
@@ -299,29 +301,59 @@
 
 // writeLogRecords writes the core's log records to the log.
 func (s *session) writeLogRecords() {
-	d := s.dispatcher
 	for _, record := range s.core.TakeLogRecords() {
-		event := d.log.Info()
-		if record.Violation {
-			event = d.log.Error()
-		}
-		event = event.Str("Event", record.Event).Int64("Epoch", s.row.Epoch)
-		if record.Job != "" {
-			event = event.Str("Job", string(record.Job))
-		}
-		if record.Task.Job != "" {
-			event = event.Int64("Occurrence", record.Task.Occurrence).Int("Step", record.Task.Step).Int("Task", record.Task.Index).Int64("Run", int64(record.Run))
-		}
-		if record.Worker != "" {
-			event = event.Str("Worker", string(record.Worker))
-		}
-		if record.Waited != 0 {
-			event = event.Dur("WaitedMillis", record.Waited).Int("Tier", record.Tier)
-		}
-		if record.Why != "" {
-			event = event.Str("Why", record.Why)
-		}
-		event.Send()
+		s.writeLogRecord(&record)
+	}
+}
+
+func (s *session) writeLogRecord(record *scheduler.LogRecord) {
+	event := s.dispatcher.log.Info()
+	switch {
+	case record.Violation:
+		event = s.dispatcher.log.Error()
+	case record.Warning:
+		event = s.dispatcher.log.Warn()
+	}
+	event = event.Str("Event", record.Event).Int64("Epoch", s.row.Epoch)
+	if record.Job != "" {
+		event = event.Str("Job", string(record.Job))
+	}
+	if record.Task.Job != "" {
+		event = event.Int64("Occurrence", record.Task.Occurrence).Int("Step", record.Task.Step).Int("Task", record.Task.Index).Int64("Run", int64(record.Run))
+	}
+	if record.Worker != "" {
+		event = event.Str("Worker", string(record.Worker))
+	}
+	logLife(event, record)
+	if record.Waited != 0 {
+		event = event.Dur("WaitedMillis", record.Waited).Int("Tier", record.Tier)
+	}
+	if record.Why != "" {
+		event = event.Str("Why", record.Why)
+	}
+	event.Send()
+}
+
+// logLife adds to a line what the core knows of the worker's incarnation and its lease.
+func logLife(event *zerolog.Event, record *scheduler.LogRecord) {
+	if record.Address.IsValid() {
+		event.Str("Address", record.Address.String())
+	}
+	if !record.BootedAt.IsZero() {
+		event.Int64("BootedMS", record.BootedAt.UnixMilli())
+	}
+	if !record.FormerBootedAt.IsZero() {
+		event.Int64("FormerBootedMS", record.FormerBootedAt.UnixMilli())
+	}
+	lease := &record.Lease
+	if lease.Deadline != 0 {
+		event.Int64("Deadline", int64(lease.Deadline))
+	}
+	if lease.Clock != 0 {
+		event.Int64("Clock", int64(lease.Clock)).Dur("ClockAgeMillis", lease.ClockAge)
+	}
+	if lease.GrantAge != 0 {
+		event.Dur("GrantAgeMillis", lease.GrantAge)
 	}
 }
 
@@ -339,6 +371,6 @@
 		Int("Workers", load.Workers).Int("Silent", load.Silent).Int("Asking", len(s.adviser.pending)).Int("Advisers", len(s.adviser.relays)).Int("AdvisersLate", s.adviser.relays.suspects()).
 		Dict("Waits", waits(&load)).Int64("UsedMilliCores", load.Used.MilliCores).Int64("MilliCores", load.Total.MilliCores).
 		Int("Suspects", load.Suspects).Int("Trials", load.Trials).Int64("FreeMilliCores", load.FreeMilliCores).Int64("WantedMilliCores", load.WantedMilliCores).
-		Int64("Starts", stats.Starts).Int64("Done", stats.Done).Int64("Failed", stats.Failed).Int64("Lapsed", stats.Lapsed).Int64("Acknowledged", stats.Acknowledged).Int64("Vanished", stats.Vanished).Int64("Resurfaced", stats.Resurfaced).Int64("ForeignRuns", stats.ForeignRuns).Int64("EndsMissing", stats.EndsMissing).Int64("DoubtfulAcks", stats.DoubtfulAcks).Int64("MisdirectedAcks", stats.MisdirectedAcks).Int64("UnknownLives", stats.UnknownLives).Int64("AdviceAsked", stats.AdviceAsked).Int64("AdviceFailed", s.dispatcher.counters.adviceFailed.Load()).Dur("StoreMillis", s.dispatcher.store.Latency()).
+		Int64("Starts", stats.Starts).Int64("Done", stats.Done).Int64("Failed", stats.Failed).Int64("Lapsed", stats.Lapsed).Int64("Acknowledged", stats.Acknowledged).Int64("Vanished", stats.Vanished).Int64("Resurfaced", stats.Resurfaced).Int64("ReleasedActive", stats.ReleasedActive).Int64("ForeignRuns", stats.ForeignRuns).Int64("EndsMissing", stats.EndsMissing).Int64("DoubtfulAcks", stats.DoubtfulAcks).Int64("MisdirectedAcks", stats.MisdirectedAcks).Int64("UnknownLives", stats.UnknownLives).Int64("AdviceAsked", stats.AdviceAsked).Int64("AdviceFailed", s.dispatcher.counters.adviceFailed.Load()).Dur("StoreMillis", s.dispatcher.store.Latency()).
 		Send()
 }
--- a/scheduler/birth.go
+++ b/scheduler/birth.go
@@ -32,6 +32,7 @@
 // observeReportedBirth handles the birth in a report. It returns false if the
 // report is of an earlier incarnation.
 func (c *Core) observeReportedBirth(w *worker, order PollOrder, bootedAt time.Time) bool {
+	w.reportedBirth = bootedAt
 	if bootedAt.IsZero() || bootedAt.Equal(w.bootedAt) {
 		return true
 	}
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -204,9 +204,10 @@
 	h := t.appendCrash(found)
 	c.markDirty(j)
 	h.version = j.version
+	bootedAt, proof := c.proofOfEnd(c.workers[found.Worker])
 	c.log(LogRecord{
-		Job: j.name(), Task: t.name(), Run: found.Run, Worker: found.Worker, Event: "worker crashed under a run",
-		Why: fmt.Sprintf("crash %d under the task, within %v of the start; by chance: %.2g", len(h.crashes), found.age(), t.chance()),
+		Job: j.name(), Task: t.name(), Run: found.Run, Worker: found.Worker, Event: "worker crashed under a run", BootedAt: bootedAt,
+		Why: fmt.Sprintf("crash %d under the task, within %v of the start; by chance: %.2g%s", len(h.crashes), found.age(), t.chance(), proof),
 	})
 	c.judge(t)
 }
--- a/scheduler/ends.go
+++ b/scheduler/ends.go
@@ -54,9 +54,7 @@
 		Why: ended.Kind.String() + ", end " + strconv.FormatInt(ended.Number, 10),
 	})
 	key := runKey{ended.Task, ended.Run}
-	if ended.Kind != EndExpired {
-		c.noteResurfaced(w, key)
-	}
+	c.noteResurfaced(w, key, ended.Kind.String())
 	t := c.findTask(ended.Task)
 	r := w.runs[key]
 	c.settleEnded(r, ended)
--- a/scheduler/intended.go
+++ b/scheduler/intended.go
@@ -257,18 +257,20 @@
 	c.prolongTrial(r)
 	c.sentRuns = append(c.sentRuns, r)
 	c.stats.Starts++
+	deadline := c.startDeadline(w)
 	c.orders.Starts = append(c.orders.Starts, StartOrder{
 		Worker:     w.ref(),
 		Task:       r.name,
 		Run:        r.number,
 		Payload:    s.job().spec.Payload,
-		Deadline:   c.startDeadline(w),
+		Deadline:   deadline,
 		Fence:      r.startFence,
 		Checkpoint: t.checkpoint,
 		Ticket:     r.ticket,
 	})
 	c.log(LogRecord{
 		Job: s.job().name(), Task: r.name, Run: r.number, Worker: w.info.HostID, Event: "start",
+		Address: r.address, BootedAt: w.bootedAt, Lease: LeaseCount{Deadline: deadline},
 		Waited: c.now.Sub(s.occurrence.dueAt), Tier: s.rank.tier,
 		Why: "intended " + strconv.FormatInt(waited.Milliseconds(), 10) + "ms before",
 	})
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -122,7 +122,7 @@
 	if addressed.Address != w.info.Address {
 		return
 	}
-	c.log(LogRecord{Worker: w.info.HostID, Event: "worker's incarnation ended", Why: "another incarnation responded at its address"})
+	c.noteEndedAt(w, addressed.Address)
 	c.withdrawFrom(w, "its worker's incarnation ended")
 	c.recordCrash(w)
 	w.unanswered++
@@ -258,7 +258,7 @@
 // and it is stopped.
 func (c *Core) trackReportedRun(w *worker, running RunningTask) *run {
 	key := runKey{running.Task, running.Run}
-	c.noteResurfaced(w, key)
+	c.noteResurfaced(w, key, stillActive)
 	c.noteForeignRun(w, key)
 	t := c.findTask(running.Task)
 	r := &run{name: running.Task, number: running.Run, worker: w, phase: runAcknowledged, startedAt: c.now, acknowledgedAt: c.now, startFence: c.fence(w)}
--- a/scheduler/released.go
+++ b/scheduler/released.go
@@ -15,16 +15,20 @@
 // late and a lease lasts together.
 const releasedMemory = 40 * time.Second
 
-// releasedRun is a run that was released without a reported end.
+// releasedRun is a run that was released without a reported end, and what had been
+// counted then.
 type releasedRun struct {
-	at       time.Time
-	bootedAt time.Time
-	why      string
+	at      time.Time
+	life    lifeCount
+	shownBy string
+	why     string
+	// lapsed is true if the worker's lease counted as expired.
+	lapsed bool
 }
 
 // noteReleased remembers that a run is released without a reported end.
 func (c *Core) noteReleased(r *run, why string) {
-	c.released[runKey{r.name, r.number}] = releasedRun{at: c.now, bootedAt: r.worker.bootedAt, why: why}
+	c.released[runKey{r.name, r.number}] = releasedRun{at: c.now, life: c.countLifeOf(r), shownBy: r.shownBy(), why: why, lapsed: why == leaseExpired}
 	if c.now.Sub(c.releasedPrunedAt) < releasedMemory {
 		return
 	}
@@ -36,23 +40,55 @@
 	}
 }
 
-// noteResurfaced logs and counts a run that a worker reports as running or ended
-// after it was released.
-func (c *Core) noteResurfaced(w *worker, key runKey) {
+// leaseExpired is why a run is released whose worker's lease counts as expired.
+const leaseExpired = "its lease expired"
+
+// stillActive is the state of a released run that a worker reports as running.
+const stillActive = "Active"
+
+// noteResurfaced logs and counts a run that a worker reports after it was released, as
+// active or with the kind of its end. That it has lapsed in the incarnation whose lease was
+// waited for is as it should be.
+func (c *Core) noteResurfaced(w *worker, key runKey, state string) {
 	released, found := c.released[key]
-	if !found {
+	if !found || state == EndExpired.String() && released.lapsed && released.life.bootedAt.Equal(w.bootedAt) {
 		return
 	}
 	delete(c.released, key)
+	record := LogRecord{
+		Job: key.name.Job, Task: key.name, Run: key.number, Worker: w.info.HostID, Event: "released run resurfaced",
+		Address: released.life.address, BootedAt: w.bootedAt, FormerBootedAt: released.life.bootedAt, Lease: released.life.lease,
+		Why: state + ": " + released.describe(w.bootedAt, c.now) + "; its clock shows " + strconv.FormatInt(int64(w.clock), 10),
+	}
+	c.stats.Resurfaced++
+	if state == stillActive {
+		c.stats.ReleasedActive++
+		record.Event, record.Warning = "released run is active", true
+		record.Why += c.describeRunBeside(key)
+	}
+	c.log(record)
+}
+
+// describe says which incarnation has the run, how long after its release, and why it
+// had been released.
+func (released *releasedRun) describe(bootedAt, now time.Time) string {
 	life := "the same incarnation"
-	if !released.bootedAt.Equal(w.bootedAt) {
+	switch released.life.bootedAt.Compare(bootedAt) {
+	case -1:
 		life = "a later incarnation"
+	case 1:
+		life = "an earlier incarnation"
 	}
-	c.stats.Resurfaced++
-	c.log(LogRecord{
-		Job: key.name.Job, Task: key.name, Run: key.number, Worker: w.info.HostID, Event: "released run resurfaced",
-		Why: life + " of its worker has it " + strconv.FormatInt(c.now.Sub(released.at).Milliseconds(), 10) + "ms after the release: " + released.why,
-	})
+	return life + " of its worker has it " + strconv.FormatInt(now.Sub(released.at).Milliseconds(), 10) + "ms after the release: " + released.shownBy + ", " + released.why
+}
+
+// describeRunBeside says which run the task of a released run has by now.
+func (c *Core) describeRunBeside(key runKey) string {
+	t := c.findTask(key.name)
+	if t == nil || t.run == nil {
+		return "; its task has no other run"
+	}
+	return "; its task has run " + strconv.FormatInt(int64(t.run.number), 10) + " on " + string(t.run.worker.info.HostID)
 }
 
 // noteForeignRun logs and counts a run of an earlier owner that a worker's incarnation
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -359,8 +359,8 @@
 				continue
 			}
 			c.stats.Lapsed++
-			c.log(LogRecord{Job: r.name.Job, Task: r.name, Run: r.number, Worker: w.info.HostID, Event: "lease lapsed"})
-			c.releaseLost(r, "its lease expired")
+			c.noteLapsed(r)
+			c.releaseLost(r, leaseExpired)
 		}
 	}
 }
--- a/scheduler/stats.go
+++ b/scheduler/stats.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"net/netip"
 	"time"
 
 	"kumquatstall/requester"
@@ -69,12 +70,13 @@
 	// Withdrawn counts the starts that were intended and not sent.
 	Withdrawn int64
 	// Resurfaced counts runs that a worker reported after they had been released
-	// without a reported end. ForeignRuns counts runs of earlier owners that an
+	// without a reported end, ReleasedActive those among them that were active. ForeignRuns counts runs of earlier owners that an
 	// incarnation of a worker has which began after the takeover, EndsMissing ends
 	// that an incarnation has forgotten before anybody read them.
-	Resurfaced  int64
-	ForeignRuns int64
-	EndsMissing int64
+	Resurfaced     int64
+	ReleasedActive int64
+	ForeignRuns    int64
+	EndsMissing    int64
 	// DoubtfulAcks counts acknowledgements without an answer, MisdirectedAcks those that
 	// another incarnation answered than they were meant for, UnknownLives the starts that
 	// were accepted by an incarnation that may be another than the known one.
@@ -110,12 +112,21 @@
 	// start; Tier is the tier of its step's rank. Both are set for starts only.
 	Waited time.Duration
 	Tier   int
+	// Address is that of the worker to which the event refers, BootedAt the birth of the
+	// incarnation, FormerBootedAt that of the one before, or of the one that had the run.
+	// Lease is what was counted of the lease. Each may be empty.
+	Address        netip.AddrPort
+	BootedAt       time.Time
+	FormerBootedAt time.Time
+	Lease          LeaseCount
 	// Event is what happened, Why the reason.
 	Event string
 	Why   string
 	// Violation is true if an order was withheld because it would have violated
-	// an invariant.
+	// an invariant. Warning is true if what has happened must not happen, although no
+	// order is at fault by what the owner could know.
 	Violation bool
+	Warning   bool
 }
 
 // Stats returns the core's counters.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -42,6 +42,10 @@
 	// birth that the list has shown.
 	birthSeenAt time.Time
 	listedBirth time.Time
+	// reportedBirth is the birth in the latest report, former what was counted of the
+	// incarnation that ended last. Both are for the log only.
+	reportedBirth time.Time
+	former        lifeCount
 	// generation is part of the fence of new orders. bornFence is the fence
 	// from which orders were meant for the worker's current incarnation.
 	generation int64
@@ -310,7 +314,7 @@
 			c.leasedWorkersDirty = true
 		}
 		if !w.listed || w.info.Leaving != info.Leaving {
-			c.log(LogRecord{Worker: info.HostID, Event: "worker listed", Why: leavingText(info.Leaving)})
+			c.log(LogRecord{Worker: info.HostID, Event: "worker listed", Address: info.Address, BootedAt: info.BootedAt, Why: leavingText(info.Leaving)})
 			c.markFreed(w)
 			w.nextPollAt = now
 		}
@@ -325,7 +329,7 @@
 	for _, w := range c.sortedWorkers {
 		if w.listed && !listed[w.info.HostID] {
 			w.listed = false
-			c.log(LogRecord{Worker: w.info.HostID, Event: "worker not listed any more"})
+			c.log(LogRecord{Worker: w.info.HostID, Event: "worker not listed any more", Address: w.info.Address, BootedAt: w.bootedAt})
 		}
 	}
 	c.removeUnlistedWorkers()
@@ -391,8 +395,8 @@
 
 // reborn records that a worker is in another incarnation than before.
 func (c *Core) reborn(w *worker, bootedAt time.Time) {
+	c.noteReborn(w, bootedAt)
 	w.bootedAt, w.birthSeenAt, w.followed = bootedAt, c.now, true
-	c.log(LogRecord{Worker: w.info.HostID, Event: "worker reborn"})
 	c.withdrawFrom(w, "its worker restarted")
 	c.recordCrash(w)
 	c.observeBirth(w)
