--- a/scheduler/explain_test.go
+++ b/scheduler/explain_test.go
@@ -244,3 +244,42 @@
 	is.Equal(unlisted.Address, info.Address)
 	is.Equal(unlisted.BootedAt, info.BootedAt)
 }
+
+// TestUnsentStartThatRunsIsExplained checks that the log tells a run whose start counted as
+// never sent.
+func TestUnsentStartThatRunsIsExplained(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(2)
+	start := h.unanswered(t)
+	h.core.StartDone(h.now, start, OrderUnsent)
+	h.core.TakeLogRecords()
+	h.now = h.now.Add(50 * time.Millisecond)
+	h.answerAs(start, start.Worker.BootedAt, Report{Running: []RunningTask{{Task: start.Task, Run: start.Run}}})
+	active := only(t, h.core.TakeLogRecords(), "released run is active")
+	is.True(strings.HasPrefix(active.Why, "Active: the same incarnation of its worker has it 50ms after the release: open, its start was not sent; "))
+	is.Equal(h.core.Stats().ReleasedActive, int64(1))
+}
+
+// TestRunAtAnotherAddressIsExplained checks that the log tells a run that was given up
+// because another ID answered at an address where its start had not been sent.
+func TestRunAtAnotherAddressIsExplained(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.add("j", Policy{Stretch: 9}, stepOf(1, 8000))
+	starts := h.settle()
+	is.Equal(len(starts), 1)
+	h.advance(time.Second)
+	info := h.core.sortedWorkers[0].info
+	outdated := info
+	outdated.Address = h.address(7)
+	h.core.SetWorkers(h.now, []WorkerInfo{outdated})
+	h.core.endIncarnation(h.core.sortedWorkers[0], h.core.sortedWorkers[0].ref())
+	ended := only(t, h.core.TakeLogRecords(), "worker's incarnation ended")
+	is.Equal(ended.Address, outdated.Address)
+	is.True(strings.HasSuffix(ended.Why, "runs started there 0, elsewhere 1, unknown where 0"))
+	h.core.SetWorkers(h.now, []WorkerInfo{info})
+	h.answerAs(starts[0], info.BootedAt, Report{Running: []RunningTask{{Task: starts[0].Task, Run: starts[0].Run}}})
+	active := only(t, h.core.TakeLogRecords(), "released run is active")
+	is.Equal(active.Address, info.Address) // where its start was sent
+	is.True(strings.HasPrefix(active.Why, "Active: the same incarnation of its worker has it 0ms after the release: reported, its worker's incarnation ended; "))
+}
