--- a/scheduler/explain_test.go
+++ b/scheduler/explain_test.go
@@ -283,3 +283,21 @@
 	is.Equal(active.Address, info.Address) // where its start was sent
 	is.True(strings.HasPrefix(active.Why, "Active: the same incarnation of its worker has it 0ms after the release: reported, its worker's incarnation ended; "))
 }
+
+// TestLapseInALifeThatWasGivenUpIsExplained checks that the log tells a run that lapsed in a
+// life which the list had shown as over: it had not been waited for.
+func TestLapseInALifeThatWasGivenUpIsExplained(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.add("j", Policy{Stretch: 9}, stepOf(1, 8000))
+	starts := h.settle()
+	is.Equal(len(starts), 1)
+	h.advance(time.Second)
+	h.reborn()
+	h.now = h.now.Add(time.Second)
+	h.answerAs(starts[0], starts[0].Worker.BootedAt, Report{})
+	h.answerAs(starts[0], starts[0].Worker.BootedAt, Report{Ended: []EndedRun{{Number: 1, Task: starts[0].Task, Run: starts[0].Run, Kind: EndExpired}}})
+	resurfaced := only(t, h.core.TakeLogRecords(), "released run resurfaced")
+	is.True(strings.HasPrefix(resurfaced.Why, "Lapsed: the same incarnation of its worker has it 1000ms after the release: reported, its worker restarted; "))
+	is.Equal(h.core.Stats().ReleasedActive, int64(0))
+}
