--- a/scheduler/inherited.go
+++ b/scheduler/inherited.go
@@ -46,16 +46,17 @@
 }
 
 func (c *Core) restoreStart(stored IntendedStart) {
-	if c.excluded[stored.Job] {
-		c.written = append(c.written, &writtenStart{stored: stored, taken: true, committed: true})
-		return
+	if stored.Run >= c.firstRun() || !c.mayAct(stored.open()) {
+		return // no previous owner has sent it, or its time is over
 	}
 	t := c.findTask(stored.name())
-	if t == nil || stored.Run >= c.firstRun() {
-		return // no previous owner has sent it
+	if t == nil || t.done || t.step.job().state.Ended() {
+		// The task doesn't start again, but the start needs its room.
+		c.written = append(c.written, &writtenStart{stored: stored, taken: true, committed: true})
+		return
 	}
 	failed := slices.Contains(t.failedRuns, stored.Run) || t.step.def.Gang && slices.Contains(t.step.failedRuns, stored.Run)
-	if t.done || failed || t.step.job().state.Ended() || t.open != nil && t.open.Run >= stored.Run || !c.mayAct(stored.open()) {
+	if failed || t.open != nil && t.open.Run >= stored.Run {
 		return
 	}
 	if t.open == nil {
--- a/scheduler/intended.go
+++ b/scheduler/intended.go
@@ -49,7 +49,7 @@
 }
 
 // writtenStart is a start in the list of intended starts. run is nil if a previous owner
-// intended it, task if that of an excluded job.
+// intended it, task as well if that task is done or its job has ended or is excluded.
 type writtenStart struct {
 	stored IntendedStart
 	task   *task
@@ -304,6 +304,9 @@
 	}
 	j := s.task.step.job()
 	if open := s.task.open; open != nil && open.Run == s.stored.Run {
+		if !s.task.mayBeStored() {
+			return c.mayAct(open)
+		}
 		if s.openVersion == 0 {
 			s.openVersion = j.version
 		}
@@ -312,16 +315,41 @@
 	switch {
 	case r == nil || r.settled:
 		return false
-	case s.task.done || j.state.Ended():
-		return j.committedVersion < j.version
+	case !s.task.mayBeStored() && j.committedVersion < j.version:
+		return true
 	}
 	return c.now.Before(r.actsUntil())
 }
 
+// mayBeStored reports whether the rows of the job have an open start of the task. They have
+// none of a task that doesn't start again.
+func (t *task) mayBeStored() bool { return !t.done && !t.step.job().state.Ended() }
+
+// listEnded adds to the list of intended starts the open ones that the rows of their jobs don't
+// have any more, as their tasks don't start again: a successor must keep their room.
+func (c *Core) listEnded() {
+	for _, t := range c.openTasks {
+		listed := func(s *writtenStart) bool { return s.task == t && s.stored.Run == t.open.Run }
+		if t.mayBeStored() || slices.ContainsFunc(c.written, listed) {
+			continue
+		}
+		c.written = append(c.written, &writtenStart{task: t, stored: t.open.intended(t.name())})
+	}
+}
+
+// intended returns the open start of a task as one in the list of intended starts.
+func (o *openStart) intended(name TaskName) IntendedStart {
+	return IntendedStart{
+		Job: name.Job, Occurrence: name.Occurrence, Step: name.Step, Index: name.Index,
+		Run: o.Run, Worker: o.Worker, IntendedNanos: o.Until.Add(-maxIntendedTime - maxOrderDelay).UnixNano(),
+	}
+}
+
 // addStarts adds the list of intended starts to a batch, if there are any that no batch
 // names, or if it has been longer than it is for a while. New starts beyond half of the room
 // wait for the next batch.
 func (c *Core) addStarts(batch *Batch, room batchRoom) {
+	c.listEnded()
 	c.written = slices.DeleteFunc(c.written, func(s *writtenStart) bool { return !c.mustBeWritten(s) })
 	if c.now.Before(c.startsHeldUntil) || c.startsUnreadable || !c.startsUnwritten() && !c.unknownOutdated() && !c.startsShorter() {
 		return
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -198,7 +198,7 @@
 // storeOpen has the open start of a task stored, or that there is none, unless nobody
 // would start the task again.
 func (c *Core) storeOpen(t *task) {
-	if !t.done && !t.step.job().state.Ended() {
+	if t.mayBeStored() {
 		c.markDirty(t.step.job())
 	}
 }
@@ -259,6 +259,20 @@
 			w.reservedForOpen = w.reservedForOpen.Add(t.step.def.allocation())
 		}
 	}
+	for _, s := range c.written {
+		if w := c.workers[s.stored.Worker]; w != nil && s.task == nil && c.mayAct(s.stored.open()) {
+			w.reservedForOpen = w.reservedForOpen.Add(c.allocationOf(&s.stored, w))
+		}
+	}
+}
+
+// allocationOf returns what a start needs whose task this owner doesn't schedule: the whole
+// worker if its job isn't known any more.
+func (c *Core) allocationOf(stored *IntendedStart, w *worker) requester.Resources {
+	if j := c.jobs[stored.Job]; j != nil && stored.Step >= 0 && stored.Step < len(j.spec.Steps) {
+		return j.spec.Steps[stored.Step].allocation()
+	}
+	return w.info.Total
 }
 
 // mayAct reports whether the start may be executed, or a run of it may be active of
--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -17,6 +17,8 @@
 type harness struct {
 	core *Core
 	now  time.Time
+	// stored has the values of the committed rows; nil for those that were removed.
+	stored map[string][]byte
 	// running lists the accepted starts whose runs have not ended.
 	running []StartOrder
 	// startedAt is when each task last started.
@@ -34,7 +36,7 @@
 var workerTotal = requester.Resources{MilliCores: 8000, MemoryMB: 16000}
 
 func newHarness(workers int) *harness {
-	h := &harness{now: time.Date(2026, 7, 10, 12, 0, 0, 0, time.UTC), startedAt: make(map[TaskName]time.Time), stalled: make(map[TaskName]bool), stalledPercent: make(map[TaskName]int), slowdown: 1, lastEnds: make(map[requester.HostID]int64)}
+	h := &harness{now: time.Date(2026, 7, 10, 12, 0, 0, 0, time.UTC), stored: make(map[string][]byte), startedAt: make(map[TaskName]time.Time), stalled: make(map[TaskName]bool), stalledPercent: make(map[TaskName]int), slowdown: 1, lastEnds: make(map[requester.HostID]int64)}
 	h.core = New(Options{Epoch: 1}, h.now)
 	var infos []WorkerInfo
 	for i := range workers {
@@ -109,9 +111,14 @@
 }
 
 func (h *harness) commit() {
-	if batch := h.core.TakeBatch(1000); !batch.Empty() {
-		h.core.Committed(h.now, batch)
+	batch := h.core.TakeBatch(1000)
+	if batch.Empty() {
+		return
 	}
+	for _, write := range batch.Writes {
+		h.stored[write.Key] = write.Value
+	}
+	h.core.Committed(h.now, batch)
 }
 
 // endRun reports that the run of a task has ended, and commits the result.
--- a/scheduler/review39_test.go
+++ b/scheduler/review39_test.go
@@ -115,10 +115,12 @@
 	h.now = h.now.Add(OrderTimeout)
 	h.commit()
 	h.core.Cancel(h.now, "j")
-	rows := h.takeRows()
-	rows.Cancelled = true
+	h.commit()
 	infos := []WorkerInfo{h.core.sortedWorkers[0].info}
-	if err := h.takeOver(Options{Epoch: 2, PreviousOwnerTerm: time.Second}, rows); err != nil {
+	if err := h.takeOver(Options{Epoch: 2, PreviousOwnerTerm: time.Second}, JobRows{Job: jobOf("j", stepOf(1, 8000)), Progress: h.stored[ProgressKey("j")], Cancelled: true}); err != nil {
+		t.Fatal(err)
+	}
+	if err := restoreIntended(h.core, h.stored); err != nil {
 		t.Fatal(err)
 	}
 	h.core.SetWorkers(h.now, infos)
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -262,7 +262,7 @@
 // restoreIntended tells a new owner of the starts that its predecessor intended.
 func restoreIntended(core *Core, rows map[string][]byte) error {
 	for _, key := range sortedKeys(rows) {
-		if !IsListKey(key, StartsKey) {
+		if !IsListKey(key, StartsKey) || rows[key] == nil {
 			continue
 		}
 		var row StartsRow
