--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -104,13 +104,17 @@
 	current := p.byAddress[address]
 	if current == nil {
 		p.sweep(now)
-		current = &pool{client: &http.Client{Transport: p.newTransport()}, startedAt: now}
+		current = &pool{client: &http.Client{Transport: p.newTransport(), CheckRedirect: useRedirect}, startedAt: now}
 		p.byAddress[address] = current
 	}
 	current.usedAt = now
 	return current.client
 }
 
+// useRedirect makes a redirect the response to a request: what another host answers is no
+// answer of the one to which the request was sent.
+func useRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 func (p *Pooler) newTransport() *http.Transport {
 	return &http.Transport{
 		DialContext:         p.dialer.DialContext,
