--- a/caller/caller.go
+++ b/caller/caller.go
@@ -183,7 +183,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.options.SyncTimeout)
 	defer cancel()
 	request := sync.Request
-	request.Deadline = request.Deadline.Add(c.clockOffset(sync.Worker))
+	request.Deadline = c.workerDeadline(sync)
 	sentAt := time.Now()
 	err := c.requestJSON(ctx, http.MethodPost, sync.Address, "/v1/sync", request, &done.Report)
 	if err != nil {
@@ -194,10 +194,11 @@
 	return done
 }
 
-func (c *Caller) clockOffset(id requester.HostID) time.Duration {
+// workerDeadline returns the deadline of a sync on the worker's clock.
+func (c *Caller) workerDeadline(sync placer.Sync) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.clockOffsets[id]
+	return sync.Request.Deadline.Add(c.clockOffsets[sync.Worker])
 }
 
 // updateClockOffset records how far a worker's clock is ahead. The worker read
