--- a/caller/caller.go
+++ b/caller/caller.go
@@ -58,10 +58,14 @@
 	pools   *pooler.Pooler
 
 	mu sync.Mutex
-	// clockOffsets holds how far each worker's clock is ahead of this process's.
-	clockOffsets map[requester.HostID]time.Duration
+	// workerClocks holds the last reading of each worker's clock.
+	workerClocks map[requester.HostID]clockReading
 }
 
+// clockReading is a time by a worker's clock, and the same moment by this process's. The
+// time of day of this process may be set, so its times are compared with each other only.
+type clockReading struct{ shown, at time.Time }
+
 // New returns a Caller.
 func New(options Options) *Caller {
 	if options.MaxResponseBytes <= 0 {
@@ -76,7 +80,7 @@
 	return &Caller{
 		options:      options,
 		pools:        pooler.New(pooler.Options{Connections: options.Connections, IdleTimeout: idleTimeout}),
-		clockOffsets: make(map[requester.HostID]time.Duration),
+		workerClocks: make(map[requester.HostID]clockReading),
 	}
 }
 
@@ -190,7 +194,7 @@
 		done.Failed = true
 		return done
 	}
-	c.updateClockOffset(sync.Worker, sentAt, time.Now(), done.Report.Now)
+	c.readWorkerClock(sync.Worker, sentAt, time.Now(), done.Report.Now)
 	return done
 }
 
@@ -198,23 +202,26 @@
 func (c *Caller) workerDeadline(sync placer.Sync) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return sync.Request.Deadline.Add(c.clockOffsets[sync.Worker])
+	reading, ok := c.workerClocks[sync.Worker]
+	if !ok {
+		// No request names the incarnation of a worker that has never answered, so it
+		// grants nothing.
+		return sync.Request.Deadline
+	}
+	return reading.shown.Add(sync.Request.Deadline.Sub(reading.at))
 }
 
-// updateClockOffset records how far a worker's clock is ahead. The worker read
-// its clock between sentAt and receivedAt, which bounds the offset on both sides.
-// The lower bound is recorded, so that the worker's lease expires no later than
-// the holder assumes.
-func (c *Caller) updateClockOffset(id requester.HostID, sentAt, receivedAt, workerNow time.Time) {
+// readWorkerClock records what a worker's clock has shown between sentAt and receivedAt. It
+// counts as read at receivedAt, so that the worker's lease expires no later than the
+// holder assumes.
+func (c *Caller) readWorkerClock(id requester.HostID, sentAt, receivedAt, workerNow time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	offset := workerNow.Sub(receivedAt)
-	if maxOffset := workerNow.Sub(sentAt); offset <= 0 && maxOffset >= 0 {
-		// The bounds include 0, so the round trip shows no difference between
-		// the clocks.
-		offset = 0
+	if !workerNow.Before(sentAt) && !workerNow.After(receivedAt) {
+		// The round trip shows no difference between the clocks.
+		workerNow = receivedAt.Round(0)
 	}
-	c.clockOffsets[id] = offset
+	c.workerClocks[id] = clockReading{shown: workerNow, at: receivedAt}
 }
 
 // requestJSON sends a request, with body as JSON unless it is nil, and decodes
--- a/caller/clock_test.go
+++ b/caller/clock_test.go
@@ -29,7 +29,7 @@
 	const ahead = time.Hour
 	sentAt := time.Now()
 	receivedAt := sentAt.Add(10 * time.Millisecond)
-	c.updateClockOffset("worker", sentAt, receivedAt, sentAt.Add(5*time.Millisecond+ahead).Round(0))
+	c.readWorkerClock("worker", sentAt, receivedAt, sentAt.Add(5*time.Millisecond+ahead).Round(0))
 
 	now := setForward(receivedAt.Add(time.Second), 10)
 	is.Equal(now.Sub(receivedAt), time.Second)
@@ -41,7 +41,7 @@
 	is.True(granted > 5900*time.Millisecond)
 
 	// A worker whose clock shows no difference: its lease isn't shortened by the round trip.
-	c.updateClockOffset("same", sentAt, receivedAt, sentAt.Add(5*time.Millisecond).Round(0))
+	c.readWorkerClock("same", sentAt, receivedAt, sentAt.Add(5*time.Millisecond).Round(0))
 	for _, at := range []time.Time{receivedAt.Add(time.Second), now} {
 		deadline := c.workerDeadline(placer.Sync{Worker: "same", Request: placer.SyncRequest{Deadline: at.Add(6 * time.Second)}})
 		is.Equal(deadline, receivedAt.Add(7*time.Second).Round(0))
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -137,7 +137,8 @@
 	// Number rises with each request of an epoch. An incarnation that has carried
 	// out a later request of the epoch doesn't carry out this one.
 	Number int64
-	// Deadline is the end of the lease on the worker's clock.
+	// Deadline is the end of the lease on the worker's clock, which nobody may set: it
+	// has to rise steadily within an incarnation.
 	Deadline time.Time
 	// Since is the sequence number after which changes are reported; 0
 	// requests a full report.
