--- a/placer/lives_test.go
+++ b/placer/lives_test.go
@@ -214,3 +214,24 @@
 	h.exchange()
 	h.is.Equal(h.fleet.Workers()[0].Allocated, requester.Resources{})
 }
+
+// TestRunOnAnUnlistedWorker guards against a task that runs twice: an earlier holder has
+// started it on a worker that is cut off, and that the list doesn't name when the next
+// holder takes over.
+func TestRunOnAnUnlistedWorker(t *testing.T) {
+	h := newLivesHarness(t, "cut off")
+	h.addJob()
+	h.exchange()
+	h.is.Equal(h.running(), 1.0)
+	h.wait(time.Second)
+
+	h.workers["other"] = standin.NewRuntime("other", livesRoom, h.now)
+	h.fleet = placer.New("next", 2, h.now, livesLimits)
+	h.fleet.Add(livesJob(), 1, true)
+	h.fleet.SetWorkers(h.now, []placer.WorkerInfo{{HostID: "other", Total: livesRoom}})
+	h.exchange()
+	h.is.Equal(h.running(), 1.0) // the worker that is cut off has it
+	h.wait(livesLimits.LeaseTerm + livesLimits.Margin)
+	h.exchange()
+	h.is.Equal(h.running(), 1.0) // the lease is over, and the other one has it
+}
