--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -199,7 +199,7 @@
 }
 
 // sendOrders sends orders on goroutines of their own, which post the results.
-// A start is not sent once the owner's lease has expired.
+// A start or a poll is not sent once the owner's lease has expired.
 func (s *session) sendOrders(orders scheduler.Orders) {
 	d := s.dispatcher
 	for _, order := range orders.Stops {
@@ -243,18 +243,22 @@
 	})
 }
 
-// poll polls a worker and posts its report and the result.
+// poll polls a worker, unless the owner's lease has expired, and posts its report and the
+// result. A poll grants a lease, for which a successor waits only if it is sent in time.
 func (s *session) poll(order scheduler.PollOrder) {
 	var wait time.Duration
 	if order.LongPoll {
 		wait = scheduler.PollWait
 	}
 	var report *scheduler.Report
-	result := withTimeout(s.ctx, wait+scheduler.PollTimeout, func(ctx context.Context) scheduler.OrderResult {
-		received, result := s.dispatcher.platform.Poll(ctx, order, wait)
-		report = received
-		return result
-	})
+	result := scheduler.OrderUnsent
+	if s.leaseValid() {
+		result = withTimeout(s.ctx, wait+scheduler.PollTimeout, func(ctx context.Context) scheduler.OrderResult {
+			received, result := s.dispatcher.platform.Poll(ctx, order, wait)
+			report = received
+			return result
+		})
+	}
 	s.post(func() { s.core.PollDone(s.dispatcher.clock.Now(), order, report, result) })
 }
 
@@ -264,8 +268,8 @@
 	return do(ctx)
 }
 
-// leaseValid reports whether the owner's lease has not expired, so that a start
-// may be sent.
+// leaseValid reports whether the owner's lease has not expired, so that a start or a
+// poll may be sent.
 func (s *session) leaseValid() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
