--- a/stager/stager.go
+++ b/stager/stager.go
@@ -86,33 +86,32 @@
 // service is the fold planner. scale is the share of the full number of endpoints
 // and workers.
 func Chikugo(scale float64) Plan {
-	return Plan{
-		Name:           "chikugo",
-		Service:        "fold-planner",
-		Sites:          sites([]requester.DataCentre{"yame", "kurume"}, scale),
-		Slots:          8,
-		Connections:    60,
-		WorkerCapacity: requester.Resources{MilliCores: 32_000, MemoryMB: 128 << 10},
-		RackSize:       6,
-		HostListLag:    time.Second,
-		Shards:         8,
-	}
+	plan := newPlan("chikugo", "fold-planner", []requester.DataCentre{"yame", "kurume"}, scale)
+	plan.WorkerCapacity = requester.Resources{MilliCores: 32_000, MemoryMB: 128 << 10}
+	plan.RackSize = 6
+	return plan
 }
 
 // Brennan returns the plan of the deployment for the customer Brennan, whose
 // service is the kiosk. scale is the share of the full number of endpoints and
 // workers.
 func Brennan(scale float64) Plan {
+	plan := newPlan("brennan", "kiosk", []requester.DataCentre{"galway", "limerick"}, scale)
+	plan.WorkerCapacity = requester.Resources{MilliCores: 16_000, MemoryMB: 32 << 10}
+	plan.RackSize = 8
+	return plan
+}
+
+// newPlan returns the plan of a customer's deployment without its workers.
+func newPlan(name string, service requester.Service, dataCentres []requester.DataCentre, scale float64) Plan {
 	return Plan{
-		Name:           "brennan",
-		Service:        "kiosk",
-		Sites:          sites([]requester.DataCentre{"galway", "limerick"}, scale),
-		Slots:          8,
-		Connections:    60,
-		WorkerCapacity: requester.Resources{MilliCores: 16_000, MemoryMB: 32 << 10},
-		RackSize:       8,
-		HostListLag:    time.Second,
-		Shards:         8,
+		Name:        name,
+		Service:     service,
+		Sites:       sites(dataCentres, scale),
+		Slots:       8,
+		Connections: 60,
+		HostListLag: time.Second,
+		Shards:      8,
 	}
 }
 
