--- a/scheduler/acknowledge_test.go
+++ b/scheduler/acknowledge_test.go
@@ -21,7 +21,7 @@
 		for _, order := range orders.Polls {
 			id := order.Worker.HostID
 			acknowledged[id] = max(acknowledged[id], order.AcknowledgedEnd)
-			report := &Report{Clock: WorkerTime(h.now.Sub(order.Worker.BootedAt).Milliseconds()), BootedAt: order.Worker.BootedAt}
+			report := &Report{Clock: h.clock(order.Worker), BootedAt: order.Worker.BootedAt}
 			over := make(map[TaskName]bool)
 			for _, ended := range ends[id] {
 				over[ended.Task] = true
--- a/scheduler/bounded.go
+++ b/scheduler/bounded.go
@@ -13,7 +13,7 @@
 // the earliest when it was sent, and counts from then.
 //
 // That holds for the incarnation to which the orders were meant. A late order may be
-// executed by the next one, whose clock starts again from 0, and grants it a lease
+// executed by the next one, whose clock begins anew, and may grant it a lease
 // that ends later. The row of births says which incarnation has rejected the orders
 // to earlier ones since it reported, so long ago that the longest lease from before ends
 // no later than one that begins with the present commit. The short bound counts for that
--- a/scheduler/callpairs_test.go
+++ b/scheduler/callpairs_test.go
@@ -195,7 +195,7 @@
 		d.slowAnswers[r.IntN(int(duelCalls))] = millis(0, 690)
 	}
 	c := d.livesCase()
-	c.seed = seed
+	c.seed, c.clocksFromZero = seed, seed%2 == 0
 	return c
 }
 
@@ -216,7 +216,7 @@
 		d.lostAt, d.lands, d.lingers = listed+millis(-200, 1000), r.IntN(2) == 0, r.IntN(3) == 0
 	}
 	c := d.livesCase()
-	c.seed = seed
+	c.seed, c.clocksFromZero = seed, seed%2 == 0
 	return c
 }
 
@@ -396,7 +396,7 @@
 			for _, w := range c.sortedWorkers {
 				for _, r := range w.runs {
 					if !r.acknowledgedAt.IsZero() && r.task != nil {
-						r.confirmed = true
+						r.reported = true
 						c.settle(r)
 					}
 				}
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -235,7 +235,7 @@
 		case dead:
 			h.core.PollDone(h.now, order, nil, OrderOtherIncarnation)
 		default:
-			report := &Report{Clock: WorkerTime(h.now.Sub(order.Worker.BootedAt).Milliseconds()), BootedAt: order.Worker.BootedAt}
+			report := &Report{Clock: h.clock(order.Worker), BootedAt: order.Worker.BootedAt}
 			for _, start := range h.running {
 				if start.Worker.HostID == order.Worker.HostID {
 					report.Running = append(report.Running, h.report(start))
@@ -526,7 +526,7 @@
 			orders := h.core.Tick(h.now)
 			sent = len(orders.Starts)
 			for _, order := range orders.Polls {
-				h.core.PollDone(h.now, order, &Report{Clock: WorkerTime(h.now.Sub(order.Worker.BootedAt).Milliseconds()), BootedAt: h.infos[0].BootedAt}, OrderAccepted)
+				h.core.PollDone(h.now, order, &Report{Clock: h.clock(order.Worker), BootedAt: h.infos[0].BootedAt}, OrderAccepted)
 			}
 		}
 		is.Equal(len(task().crashes.crashes), 1) // that of the first start, which was not noted
--- a/scheduler/fence.go
+++ b/scheduler/fence.go
@@ -2,7 +2,7 @@
 
 // An order without a response may be executed seconds later, after newer ones,
 // and also by the worker's next incarnation: one that crashes and starts again
-// under the same host ID numbers its ends from 1 and its clock from 0 again. A
+// under the same host ID numbers its ends from 1 again and begins its clock anew. A
 // late order would acknowledge ends that nobody has read, grant leases that
 // nobody knows of, or start a run that counts as never started. So the fence of
 // an order also has a generation. It is raised whenever an order to the worker
--- a/scheduler/kept_test.go
+++ b/scheduler/kept_test.go
@@ -38,7 +38,7 @@
 			}
 			reported := kept[id][:min(len(kept[id]), mostReported)]
 			h.core.PollDone(h.now, poll, &Report{
-				Clock: WorkerTime(h.now.Sub(poll.Worker.BootedAt).Milliseconds()), BootedAt: poll.Worker.BootedAt,
+				Clock: h.clock(poll.Worker), BootedAt: poll.Worker.BootedAt,
 				Ended: reported, Partial: len(reported) == mostReported,
 			}, OrderAccepted)
 		}
--- a/scheduler/lives_search_test.go
+++ b/scheduler/lives_search_test.go
@@ -167,6 +167,8 @@
 	// plain is an owner without bounded leases, slow a store that is slow, so that owners
 	// start eagerly.
 	plain, slow bool
+	// clocksFromZero makes the clock of each life begin from 0, and not from any time.
+	clocksFromZero bool
 	// slowClocks makes the clocks of the workers run at the lowest rate.
 	slowClocks bool
 	// pastEnds is how many ends each worker has listed before.
@@ -264,7 +266,9 @@
 	worker *livesWorker
 	number int
 	born   time.Time
-	fence  Fence
+	// clockAtBirth is what its clock showed then.
+	clockAtBirth WorkerTime
+	fence        Fence
 	// lease is the deadline of the lease on the life's clock, grantedBy the call that set it.
 	lease     WorkerTime
 	grantedBy *livesCall
@@ -342,6 +346,9 @@
 func (w *livesWorker) begin() {
 	w.lives++
 	w.life = &life{worker: w, number: w.lives, born: w.info.BootedAt, runs: make(map[runKey]*lifeRun), barred: make(map[TaskName]RunNumber)}
+	if !w.m.clocksFromZero {
+		w.life.clockAtBirth = clockAtBirth(w.info.BootedAt)
+	}
 }
 
 // schedule schedules the jobs and the faults.
@@ -914,12 +921,12 @@
 }
 
 func (l *life) clock() WorkerTime {
-	return WorkerTime(float64(l.worker.m.now.Sub(l.born).Milliseconds()) * l.worker.rate)
+	return l.clockAtBirth + WorkerTime(float64(l.worker.m.now.Sub(l.born).Milliseconds())*l.worker.rate)
 }
 
 // leaseEnd returns when the life's lease expires.
 func (l *life) leaseEnd() time.Time {
-	return l.born.Add(time.Duration(float64(l.lease) / l.worker.rate * float64(time.Millisecond)))
+	return l.born.Add(time.Duration(float64(l.lease-l.clockAtBirth) / l.worker.rate * float64(time.Millisecond)))
 }
 
 // extend extends the lease up to a deadline, by at most the longest lease.
@@ -1259,7 +1266,7 @@
 	r := rand.New(rand.NewPCG(seed, 39))
 	d := livesDraw{r, livesCase{
 		seed: seed, workers: 2 + r.IntN(2), step: []time.Duration{20, 50, 100}[r.IntN(3)] * time.Millisecond,
-		plain: r.IntN(6) == 0, slow: r.IntN(5) == 0, slowClocks: r.IntN(2) == 0, pastEnds: int64(r.IntN(2) * 3),
+		plain: r.IntN(6) == 0, slow: r.IntN(5) == 0, slowClocks: r.IntN(2) == 0, pastEnds: int64(r.IntN(2) * 3), clocksFromZero: seed%2 == 0,
 	}}
 	moment := d.millis(1500, 4000)
 	for range 1 + r.IntN(3) {
--- a/scheduler/moreends_test.go
+++ b/scheduler/moreends_test.go
@@ -161,7 +161,7 @@
 		orders := h.issue()
 		for _, poll := range orders.Polls {
 			h.core.PollDone(h.now, poll, &Report{
-				Clock: WorkerTime(h.now.Sub(poll.Worker.BootedAt).Milliseconds()), BootedAt: poll.Worker.BootedAt, Partial: true, More: true, Withheld: 1,
+				Clock: h.clock(poll.Worker), BootedAt: poll.Worker.BootedAt, Partial: true, More: true, Withheld: 1,
 			}, OrderAccepted)
 		}
 		if len(orders.Starts) > 0 {
--- a/scheduler/mutation_test.go
+++ b/scheduler/mutation_test.go
@@ -193,7 +193,7 @@
 			})
 		}},
 	}
-	const seeds = 12
+	const seeds = 30
 	for _, mutation := range mutations {
 		t.Run(mutation.name, func(t *testing.T) {
 			for seed := range uint64(seeds) {
--- a/scheduler/nextlife_test.go
+++ b/scheduler/nextlife_test.go
@@ -185,11 +185,11 @@
 func TestStartAnsweredByTheNextLife(t *testing.T) {
 	cases := []struct {
 		name  string
-		clock WorkerTime
+		known bool
 		wait  time.Duration
 	}{
-		{"by the life that is known", 25_000, 8 * time.Second},
-		{"by another one", 5, 10 * time.Second},
+		{"by the life that is known", true, 8 * time.Second},
+		{"by another one", false, 10 * time.Second},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -197,11 +197,15 @@
 			h := newHarness(2)
 			start := h.unanswered(t)
 			sentAt := h.now
-			h.core.StartAccepted(h.now, start, c.clock)
+			clock := WorkerTime(5)
+			if c.known {
+				clock = h.clock(start.Worker)
+			}
+			h.core.StartAccepted(h.now, start, clock)
 			for h.now.Sub(sentAt) < c.wait {
 				is.Equal(len(h.advanceSilent(start.Worker, 100*time.Millisecond)), 0)
 			}
-			if c.clock < 1000 {
+			if !c.known {
 				return
 			}
 			started := 0
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -11,8 +11,8 @@
 
 // A start without an answer may be executed seconds later, and not only by the
 // incarnation of the worker for which it was meant: the next one under the same host ID
-// knows of no fence, no stop and no run of before, and its clock begins anew, so that no
-// deadline has passed either. What one incarnation has shown, such as a report without
+// knows of no fence, no stop and no run of before, and its clock begins anew, so that a
+// deadline may not have passed either. What one incarnation has shown, such as a report without
 // the run, says nothing about the next. So such a start is open, whatever has become of
 // the run, and its task starts again nowhere, also not on the same worker, until nothing
 // of the start can act any more. That is so once the latest time at which an order
@@ -22,8 +22,9 @@
 //
 // A start is settled, and not open, once it has been answered, whatever the answer, or a
 // worker has reported the run: an order is executed at most once. An acceptance says that
-// the run has begun, but not in which life, unless the clock in it does: until the worker has
-// answered a poll sent after it, it may be that of a life of which the owner knows nothing.
+// the run has begun, but not in which life: until the worker has answered a poll sent after it,
+// that may be one of which the owner knows nothing. The clock in the acceptance tells as long as no
+// later life is seen.
 //
 // The owner stores the open starts with the details of their tasks, so that its
 // successor waits for them too.
@@ -151,8 +152,7 @@
 }
 
 // StartAccepted handles the acceptance of a start by a worker whose clock showed that
-// time then. The clock of each incarnation begins anew: one that shows more than has
-// passed since the present incarnation was known to be alive is that one's.
+// time then.
 func (c *Core) StartAccepted(now time.Time, order StartOrder, clock WorkerTime) {
 	c.StartDone(now, order, OrderAccepted)
 	w, ok := c.workers[order.Worker.HostID]
@@ -162,7 +162,7 @@
 	r := w.runs[runKey{order.Task, order.Run}]
 	switch {
 	case r == nil || r.reported:
-	case w.reported && c.addressesCurrent(w, order.Fence) && clock > WorkerTime(now.Sub(w.answeredPollAt)/time.Millisecond):
+	case w.reported && c.addressesCurrent(w, order.Fence) && w.showsKnownClock(clock, r.startedAt, now):
 		r.confirmed = true
 	default:
 		c.stats.UnknownLives++
@@ -172,6 +172,21 @@
 	}
 }
 
+// showsKnownClock reports whether a clock is that of the known incarnation, by its last reading.
+// The clock was read after sentAt and before now, the last reading while its poll was answered.
+// The clock of each incarnation begins anew: from 0, and then it shows less than has passed since
+// the known one was alive, or from any other time, and then it agrees by chance at most. So
+// a run that is confirmed by a clock is released as long as no later incarnation has been seen, and
+// not any more then.
+func (w *worker) showsKnownClock(clock WorkerTime, sentAt, now time.Time) bool {
+	earliest, latest := sentAt.Sub(w.clockAt), now.Sub(w.answeredAt)
+	if earliest > 0 {
+		earliest = time.Duration(float64(earliest) * minClockRate)
+	}
+	passed := time.Duration(clock-w.clock) * time.Millisecond
+	return passed > earliest-time.Millisecond && passed < latest+time.Millisecond && clock > WorkerTime(now.Sub(w.answeredPollAt)/time.Millisecond)
+}
+
 // openStart records that the start of a run is open, unless it is settled.
 func (c *Core) openStart(r *run) {
 	t := r.task
--- a/scheduler/pace_test.go
+++ b/scheduler/pace_test.go
@@ -18,7 +18,7 @@
 			h.core.PollDone(h.now, poll, nil, OrderUnknown)
 			continue
 		}
-		report := &Report{Clock: WorkerTime(h.now.Sub(poll.Worker.BootedAt).Milliseconds()), BootedAt: poll.Worker.BootedAt}
+		report := &Report{Clock: h.clock(poll.Worker), BootedAt: poll.Worker.BootedAt}
 		for _, start := range h.running {
 			if start.Worker.HostID == poll.Worker.HostID {
 				report.Running = append(report.Running, h.report(start))
--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -58,7 +58,7 @@
 	h.commit()
 	orders := h.issue()
 	for _, order := range orders.Polls {
-		report := &Report{Clock: WorkerTime(h.now.Sub(order.Worker.BootedAt).Milliseconds()), BootedAt: order.Worker.BootedAt}
+		report := &Report{Clock: h.clock(order.Worker), BootedAt: order.Worker.BootedAt}
 		for _, start := range h.running {
 			if start.Worker.HostID == order.Worker.HostID {
 				report.Running = append(report.Running, h.report(start))
@@ -126,7 +126,7 @@
 	host := start.Worker.HostID
 	h.lastEnds[host]++
 	report := &Report{
-		Clock: WorkerTime(h.now.Sub(start.Worker.BootedAt).Milliseconds()), BootedAt: start.Worker.BootedAt,
+		Clock: h.clock(start.Worker), BootedAt: start.Worker.BootedAt,
 		Ended: []EndedRun{{Number: h.lastEnds[host], Task: start.Task, Run: start.Run, Kind: kind}},
 	}
 	kept := h.running[:0]
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -17,8 +17,11 @@
 	random *rand.Rand
 	// held draws which orders are held up on their way, so that the other draws of a seed
 	// stay as they were.
-	held       *rand.Rand
-	options    simulationOptions
+	held    *rand.Rand
+	options simulationOptions
+	// clocksFromZero makes the clock of each life begin from 0.
+	clocksFromZero bool
+
 	now        time.Time
 	core       *Core
 	epoch      int64
@@ -178,17 +181,18 @@
 
 func newSimulation(seed uint64, options simulationOptions) *simulation {
 	sim := &simulation{
-		random:       rand.New(rand.NewPCG(seed, 1)),
-		held:         rand.New(rand.NewPCG(seed, 2)),
-		options:      options,
-		now:          time.Date(2026, 7, 10, 12, 0, 0, 0, time.UTC),
-		rows:         make(map[string][]byte),
-		accepted:     make(map[requester.JobID]Job),
-		cancelled:    make(map[requester.JobID]bool),
-		acknowledged: make(map[TaskName]bool),
-		finished:     make(map[TaskName]bool),
-		startedAt:    make(map[TaskName]time.Time),
-		failedRuns:   make(map[TaskName]map[RunNumber]bool),
+		random:         rand.New(rand.NewPCG(seed, 1)),
+		held:           rand.New(rand.NewPCG(seed, 2)),
+		options:        options,
+		clocksFromZero: seed%2 == 0,
+		now:            time.Date(2026, 7, 10, 12, 0, 0, 0, time.UTC),
+		rows:           make(map[string][]byte),
+		accepted:       make(map[requester.JobID]Job),
+		cancelled:      make(map[requester.JobID]bool),
+		acknowledged:   make(map[TaskName]bool),
+		finished:       make(map[TaskName]bool),
+		startedAt:      make(map[TaskName]time.Time),
+		failedRuns:     make(map[TaskName]map[RunNumber]bool),
 	}
 	for i := range options.workers {
 		sim.workers = append(sim.workers, &fakeWorker{
@@ -538,9 +542,21 @@
 }
 
 func (f *fakeWorker) clock() WorkerTime {
-	return WorkerTime(float64(f.sim.now.Sub(f.bootedAt).Milliseconds()) * f.clockRate)
+	passed := WorkerTime(float64(f.sim.now.Sub(f.bootedAt).Milliseconds()) * f.clockRate)
+	if f.sim.clocksFromZero {
+		return passed
+	}
+	return clockAtBirth(f.bootedAt) + passed
 }
 
+// clockAtBirth returns what the clock of a life shows when it begins, which may be any time.
+func clockAtBirth(bootedAt time.Time) WorkerTime {
+	return WorkerTime(rand.New(rand.NewPCG(uint64(bootedAt.UnixMilli()), 42)).Int64N(longestClock.Milliseconds()))
+}
+
+// longestClock bounds what a clock shows when a life begins.
+const longestClock = 3 * time.Hour
+
 // leaseEnd converts a deadline on the worker's clock to simulated time. The
 // worker grants at most 10 s.
 func (f *fakeWorker) leaseEnd(deadline WorkerTime) time.Time {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -413,11 +413,15 @@
 	w.health = health{}
 	w.speedAt = time.Time{}
 	for _, r := range w.sortedRuns() {
-		if r.reported || r.confirmed {
+		if r.reported {
 			c.stats.Lapsed++
 			c.releaseLost(r, "its worker restarted")
 			continue
 		}
+		if r.confirmed {
+			r.confirmed = false
+			c.setOpen(r, c.now)
+		}
 		if r.phase != runStopping {
 			r.phase = runUnacknowledged
 		}
