--- a/scheduler/lives_search_test.go
+++ b/scheduler/lives_search_test.go
@@ -169,6 +169,8 @@
 	plain, slow bool
 	// slowClocks makes the clocks of the workers run at the lowest rate.
 	slowClocks bool
+	// kills is how long after its lease has expired a run ends.
+	kills time.Duration
 	// pastEnds is how many ends each worker has listed before.
 	pastEnds int64
 	// endsPerReport is the most ends that a report lists.
@@ -285,7 +287,9 @@
 	at      time.Time
 	endsAt  time.Time
 	stopsAt time.Time
-	gang    bool
+	// killed is true once its lease has expired.
+	killed bool
+	gang   bool
 }
 
 // livesEnd is an end that a life lists.
@@ -1147,12 +1151,15 @@
 	slices.SortStableFunc(runs, func(a, b *lifeRun) int { return a.over().Compare(b.over()) })
 	for _, r := range runs {
 		over := r.over()
-		if r.gang && r.stopsAt.IsZero() || !over.Before(leaseEnd) || over.After(m.now) {
+		if r.gang && r.stopsAt.IsZero() || !over.Before(leaseEnd) && !r.killed || over.After(m.now) {
 			continue
 		}
-		if r.stopsAt.IsZero() {
+		switch {
+		case r.killed:
+			l.end(r, EndExpired, over)
+		case r.stopsAt.IsZero():
 			l.end(r, EndDone, over)
-		} else {
+		default:
 			l.end(r, EndStopped, over)
 		}
 	}
@@ -1161,7 +1168,7 @@
 	}
 	l.lapsedEnd = l.lastEnd
 	for _, r := range l.sortedRuns() {
-		l.end(r, EndExpired, leaseEnd)
+		l.kill(r, leaseEnd)
 	}
 }
 
@@ -1373,11 +1380,12 @@
 			func(c *livesCase) { c.slow = false },
 			func(c *livesCase) { c.endsPerReport = 0 },
 			func(c *livesCase) { c.slowClocks = false },
+			func(c *livesCase) { c.kills = 0 },
 			func(c *livesCase) { c.pastEnds = 0 },
 		} {
 			next := c
 			simpler(&next)
-			if next.slow != c.slow || next.endsPerReport != c.endsPerReport || next.slowClocks != c.slowClocks || next.pastEnds != c.pastEnds {
+			if next.slow != c.slow || next.endsPerReport != c.endsPerReport || next.slowClocks != c.slowClocks || next.pastEnds != c.pastEnds || next.kills != c.kills {
 				again = same(next) || again
 			}
 		}
@@ -1387,7 +1395,7 @@
 
 // describe returns the parts of a case.
 func (c livesCase) describe() string {
-	text := fmt.Sprintf("seed %d, %d workers, step %v, plain %v, slow store %v, slow clocks %v, past ends %d, ends per report %d", c.seed, c.workers, c.step, c.plain, c.slow, c.slowClocks, c.pastEnds, c.endsPerReport)
+	text := fmt.Sprintf("seed %d, %d workers, step %v, plain %v, slow store %v, slow clocks %v, kills %v, past ends %d, ends per report %d", c.seed, c.workers, c.step, c.plain, c.slow, c.slowClocks, c.kills, c.pastEnds, c.endsPerReport)
 	for _, f := range c.faults {
 		text += fmt.Sprintf("\n  fault %v w%d at %.3f for %v, listed after %v, unlisted %v, refuses %v", f.kind, f.worker, f.at.Seconds(), f.length, f.listedAfter, f.unlisted, f.refuses)
 	}
@@ -1447,6 +1455,8 @@
 		{"duels, owners lost at any moment", drawDuel, func(*livesCase) {}},
 		{"two quick rebirths, one owner", drawQuickDuel, oneOwner},
 		{"two quick rebirths, owners lost once their starts are stored", drawQuickDuel, storeStartsFirst},
+		{"slow kills, one owner", drawKills, oneOwner},
+		{"slow kills, owners lost once their starts are stored", drawKills, storeStartsFirst},
 	}
 	first, count := livesSeedsToPlay(t)
 	for _, kind := range kinds {
--- a/scheduler/randomised_test.go
+++ b/scheduler/randomised_test.go
@@ -207,6 +207,9 @@
 		{"bounded leases, takeovers, partitions", simulationOptions{takeovers: 3, partitions: 5, ownerFaults: ownerFaults{bounded: true, overlap: true}}},
 		{"bounded leases, slow store, takeovers, permanent crashes", simulationOptions{takeovers: 4, crashes: 1.5, permanent: 0.8, partitions: 3, ownerFaults: ownerFaults{bounded: true, slowStore: 4, overlap: true}}},
 		{"bounded leases, reborn workers, late orders, takeovers, partitions", simulationOptions{crashes: 3, takeovers: 3, partitions: 4, delayedOrders: 0.04, ownerFaults: ownerFaults{bounded: true, latePolls: 0.04, quickRebirths: true, overlap: true}}},
+		{"slow kills, partitions", simulationOptions{partitions: 1.5, kills: livesLongestKill}},
+		{"slow kills, bounded leases, reborn workers, takeovers, partitions", simulationOptions{crashes: 2, takeovers: 1, partitions: 1.5, kills: livesLongestKill, ownerFaults: ownerFaults{bounded: true, quickRebirths: true, overlap: true}}},
+		{"slow kills, reborn workers, late orders, partitions", simulationOptions{crashes: 2, partitions: 1.5, delayedOrders: 0.04, kills: livesLongestKill, ownerFaults: ownerFaults{latePolls: 0.04, quickRebirths: true}}},
 	}
 	for _, kind := range kinds {
 		for _, seed := range seedsOf(t, kind.name) {
@@ -214,7 +217,7 @@
 				options := kind.options
 				options.workers, options.jobs = 9, 60
 				steps := 6000
-				if options.slowed() {
+				if options.slowed() || options.kills > 0 {
 					steps = 12000
 				}
 				sim := newSimulation(seed, options)
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -89,6 +89,9 @@
 	silent bool
 	// endsPerReport is the most ends that a report lists; 0 for all.
 	endsPerReport int
+	// kills is how long after its lease has expired a run ends. If it is not 0, several
+	// workers are cut off at once.
+	kills time.Duration
 	// mutate breaks a rule of the core before each tick, if it is set.
 	mutate func(*Core)
 }
@@ -155,8 +158,10 @@
 	startedAt time.Time
 	endsAt    time.Time
 	stopsAt   time.Time
-	willFail  bool
-	gang      bool
+	// killed is true once its lease has expired.
+	killed   bool
+	willFail bool
+	gang     bool
 	// gangEndsAt is when the last member of its gang has done its work.
 	gangEndsAt time.Time
 	// gangStarted is true once all members of its gang were present.
@@ -385,6 +390,7 @@
 		f.crash()
 	case draw < o.crashes+o.partitions:
 		f.partitionedUntil = sim.now.Add(time.Duration(r.IntN(14000)) * time.Millisecond)
+		sim.cutMore(f.partitionedUntil)
 	case draw < o.crashes+o.partitions+o.takeovers:
 		if !sim.storeAway() {
 			sim.takeOver()
@@ -581,7 +587,7 @@
 	job := sim.accepted[order.Task.Job]
 	step := &job.Steps[order.Task.Step]
 	sim.checkStart(f, order, step)
-	length := time.Duration(sim.random.IntN(int(step.EstimateMillis*2))) * time.Millisecond
+	length := time.Duration(sim.random.IntN(int(step.EstimateMillis*2)))*time.Millisecond + sim.longer()
 	f.runs[key] = &fakeRun{key: key, need: step.Need, gang: step.Gang, startedAt: sim.now, endsAt: sim.now.Add(length), willFail: sim.random.Float64() < sim.options.failures}
 	f.afterStart(key)
 	return OrderAccepted
@@ -652,9 +658,13 @@
 			r.startedAt, r.endsAt = r.startedAt.Add(simulationTick), r.endsAt.Add(simulationTick)
 		}
 		gang := sim.accepted[key.name.Job].Steps[key.name.Step].Gang
+		if !sim.now.Before(f.lease) {
+			f.kill(r)
+		}
 		switch {
-		case !sim.now.Before(f.lease):
+		case r.killed && !sim.now.Before(r.stopsAt):
 			f.endRun(r, EndExpired)
+		case r.killed:
 		case !r.stopsAt.IsZero() && !sim.now.Before(r.stopsAt):
 			f.endRun(r, EndStopped)
 		case !sim.now.Before(r.endsAt) && r.stopsAt.IsZero() && !gang:
