--- a/cmd/kumquatstall/serve.go
+++ b/cmd/kumquatstall/serve.go
@@ -125,6 +125,7 @@
 		Address:         site.LinksAddress(),
 		Cores:           site.Limits.Cores,
 		MaxLease:        configurer.Millis(site.Timing.LongestLeaseMillis),
+		LongestStop:     configurer.Millis(site.Timing.LongestStopMillis),
 		WritesPerSecond: site.Store.WritesPerSecond * storeWriteShare,
 		RowBytes:        site.Store.RowBytes,
 		LinkBytes:       s.guard.LinkBytes(),
--- a/configurer/odd_test.go
+++ b/configurer/odd_test.go
@@ -63,6 +63,7 @@
 		{"GraceSeconds: 6", "GraceSeconds: .nan", "Timing.GraceSeconds"},
 		{"GraceSeconds: 6", "GraceSeconds: 1e300", "Timing.GraceSeconds"},
 		{"LongestLeaseMillis: 10000", "LongestLeaseMillis: 9223372036854775807", "Timing.LongestLeaseMillis"},
+		{"LongestStopMillis: 900", "LongestStopMillis: 9223372036854775807", "Timing.LongestStopMillis"},
 		{"MemoryMB: 284", "MemoryMB: 9223372036854775807", "Limits.MemoryMB"},
 		{"MemoryMB: 284", "MemoryMB: -1", "Limits.MemoryMB"},
 		{"Cores: 0.4", "Cores: .nan", "Limits.Cores"},
--- a/configurer/site.go
+++ b/configurer/site.go
@@ -60,6 +60,8 @@
 	GraceSeconds float64 `yaml:"GraceSeconds,omitempty"`
 	// LongestLeaseMillis is the longest lease that a worker grants.
 	LongestLeaseMillis int64 `yaml:"LongestLeaseMillis,omitempty"`
+	// LongestStopMillis is how long a worker may take to end a run.
+	LongestStopMillis int64 `yaml:"LongestStopMillis,omitempty"`
 }
 
 // SiteLimits holds the resources of its host that an entry may use.
@@ -151,6 +153,7 @@
 	c.require(s.Store.RowBytes == 0 || s.Store.RowBytes >= minRowBytes && s.Store.RowBytes <= maxRowBytes, "Store.RowBytes", "0, or between 4096 and 1000000000")
 	c.require(s.Timing.GraceSeconds >= 0 && s.Timing.GraceSeconds <= maxGraceSeconds, "Timing.GraceSeconds", "between 0 and 3600")
 	c.require(s.Timing.LongestLeaseMillis >= 0 && s.Timing.LongestLeaseMillis <= maxMillis, "Timing.LongestLeaseMillis", "between 0 and 86400000")
+	c.require(s.Timing.LongestStopMillis >= 0 && s.Timing.LongestStopMillis <= maxMillis, "Timing.LongestStopMillis", "between 0 and 86400000")
 	c.require(s.Limits.MemoryMB >= 0 && s.Limits.MemoryMB <= maxMemoryMB, "Limits.MemoryMB", "between 0 and 1000000000")
 	c.require(s.Limits.Cores >= 0 && s.Limits.Cores <= maxCores, "Limits.Cores", "between 0 and 1000000")
 	c.require(s.Limits.Descriptors >= 0 && s.Limits.Descriptors <= maxDescriptors, "Limits.Descriptors", fmt.Sprintf("between 0 and %d", maxDescriptors))
--- a/configurer/site_test.go
+++ b/configurer/site_test.go
@@ -23,6 +23,7 @@
 Timing:
   GraceSeconds: 6
   LongestLeaseMillis: 10000
+  LongestStopMillis: 900
 Limits:
   MemoryMB: 284
   Cores: 0.4
@@ -51,6 +52,7 @@
 		{"rows of no given size", "WritesPerSecond: 600", "RowBytes:", ""},
 		{"negative grace", "GraceSeconds: 6", "GraceSeconds: -6", "Timing.GraceSeconds"},
 		{"negative lease", "LongestLeaseMillis: 10000", "LongestLeaseMillis: -1", "Timing.LongestLeaseMillis"},
+		{"negative stop", "LongestStopMillis: 900", "LongestStopMillis: -1", "Timing.LongestStopMillis"},
 		{"negative memory", "MemoryMB: 284", "MemoryMB: -284", "Limits.MemoryMB"},
 		{"negative descriptors", "Cores: 0.4", "Descriptors: -1", "Limits.Descriptors"},
 		{"too many descriptors", "Cores: 0.4", "Descriptors: 2000000000", "Limits.Descriptors"},
@@ -70,6 +72,7 @@
 				is.NoErr(err)
 				is.Equal(site.Limits.Cores, 0.4)
 				is.Equal(Millis(site.Timing.LongestLeaseMillis), 10*time.Second)
+				is.Equal(Millis(site.Timing.LongestStopMillis), 900*time.Millisecond)
 				return
 			}
 			var problems *ProblemsError
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -139,6 +139,8 @@
 	// MaxLease is the longest lease that any owner may grant to a worker;
 	// default 10 s.
 	MaxLease time.Duration
+	// LongestStop is how long a worker may take to end a run; default 0.9 s.
+	LongestStop time.Duration
 	// WritesPerSecond bounds the transactions with which this entry stores
 	// jobs and cancellations; default 60.
 	WritesPerSecond float64
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -114,6 +114,7 @@
 		core: scheduler.New(scheduler.Options{
 			Epoch:              row.Epoch,
 			MaxLease:           d.options.MaxLease,
+			LongestStop:        d.options.LongestStop,
 			RowBytes:           d.options.RowBytes,
 			PreviousOwnerEager: previous.row.Eager,
 			PreviousOwnerTerm:  previous.row.term() + ownerSafetyMargin,
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -149,7 +149,7 @@
 		e.logFile = filepath.Join(dir, e.name+".log")
 		must(os.WriteFile(e.settings, []byte(render(string(template), map[string]any{
 			"node": e.name, "zone": zone, "ip": e.ip, "listen.front": e.front, "listen.ready": e.ready, "port_range.0": base + 2,
-			"platform.addr": e.storeAddress, "platform.writes_per_s": writesPerS, "bounds.grace_s": 6, "bounds.hold_max_ms": 10000,
+			"platform.addr": e.storeAddress, "platform.writes_per_s": writesPerS, "bounds.grace_s": 6, "bounds.hold_max_ms": 10000, "bounds.stop_ms": 900,
 			"advice": advice, "limits.memory_mb": 284, "limits.cpu_share": 0.4,
 		})), 0o600))
 		in.entries = append(in.entries, e)
--- a/scheduler/bounded.go
+++ b/scheduler/bounded.go
@@ -47,9 +47,9 @@
 }
 
 // previousLeasesEnd returns the time by which every lease that a previous owner
-// granted under PreviousLeaseTerm has expired by the slowest clock.
+// granted under PreviousLeaseTerm has expired, and what had one has ended.
 func (c *Core) previousLeasesEnd() time.Time {
-	return c.options.PreviousCommitAt.Add(time.Duration(float64(c.options.PreviousLeaseTerm)/minClockRate) + expiryMargin)
+	return c.options.PreviousCommitAt.Add(c.endedAfter(c.options.PreviousLeaseTerm))
 }
 
 // RestoreBirths restores the births of the workers that may hold leases. It is
@@ -131,5 +131,5 @@
 	if !c.birthsStored {
 		return false
 	}
-	return c.options.PreviousLeaseTerm > 0 || !c.leasesInherited || !c.now.Before(c.tookOverAt.Add(c.longestUnreported()))
+	return c.options.PreviousLeaseTerm > 0 || !c.leasesInherited || !c.now.Before(c.tookOverAt.Add(c.longestUnreported()-c.options.LongestStop))
 }
--- a/scheduler/callpairs_test.go
+++ b/scheduler/callpairs_test.go
@@ -392,6 +392,7 @@
 				}
 			}
 		}},
+		{"workers end at once what has no lease", drawKills, "two runs at once", func(c *Core) { c.options.LongestStop = 0 }},
 		{"what an acceptance says counts for the present life", drawDuel, "two runs at once", func(c *Core) {
 			for _, w := range c.sortedWorkers {
 				for _, r := range w.runs {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -13,9 +13,12 @@
 	// orders.
 	Epoch int64
 	// LeaseTerm is how long a lease lasts from when the owner sent its last commit;
-	// default 8.2 s: longer than most partitions last, and short enough for what a
+	// default 7.3 s: longer than most partitions last, and short enough for what a
 	// worker ran to start again within 9 s of the worker's loss.
 	LeaseTerm time.Duration
+	// LongestStop is how long a worker may take to end a run that it was told to stop,
+	// or whose lease has expired; default 0.9 s.
+	LongestStop time.Duration
 	// MaxLease is the longest lease that any owner may have granted; default
 	// 10 s.
 	MaxLease time.Duration
@@ -45,6 +48,9 @@
 	if o.MaxLease <= 0 {
 		o.MaxLease = 10 * time.Second
 	}
+	if o.LongestStop <= 0 {
+		o.LongestStop = 900 * time.Millisecond
+	}
 	if o.PreviousOwnerTerm <= 0 {
 		o.PreviousOwnerTerm = 3 * time.Second
 	}
@@ -58,16 +64,22 @@
 }
 
 // DefaultLeaseTerm is the default of Options.LeaseTerm.
-const DefaultLeaseTerm = 8200 * time.Millisecond
+const DefaultLeaseTerm = 7300 * time.Millisecond
 
 // minClockRate is the lowest rate at which a worker's clock is assumed to run,
 // relative to the owner's clock.
 const minClockRate = 0.98
 
-// expiryMargin is added to the time at which a lease expires, because of
+// expiryMargin is added to the time at which what had a lease has ended, because of
 // messages in flight.
 const expiryMargin = 200 * time.Millisecond
 
+// endedAfter returns by how long after it was granted a lease has expired by the slowest
+// clock, and what had it has ended: a worker needs time for that.
+func (c *Core) endedAfter(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)/minClockRate) + c.options.LongestStop + expiryMargin
+}
+
 // runsPerEpoch is how many run numbers each epoch has, so that the runs of
 // different owners have different numbers.
 const runsPerEpoch = 1 << 20
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -87,11 +87,12 @@
 	}
 }
 
-// nextLifeExpiry returns the time by which every lease has expired that an incarnation
-// of the worker of which this owner hears nothing can have been granted. Orders to an
-// earlier one grant it some: the deadlines in them lie far ahead of its clock.
+// nextLifeExpiry returns the time by which every lease has expired, and what had one has
+// ended, that an incarnation of the worker of which this owner hears nothing can have been
+// granted. Orders to an earlier one grant it some: the deadlines in them lie far ahead of
+// its clock.
 func (c *Core) nextLifeExpiry(until time.Time) time.Time {
-	return until.Add(time.Duration(float64(c.options.MaxLease)/minClockRate) + expiryMargin)
+	return until.Add(c.endedAfter(c.options.MaxLease))
 }
 
 // runExpiry returns the time by which a run on a worker that doesn't answer has ended.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -192,8 +192,8 @@
 	return w.clock + WorkerTime(now.Sub(w.clockAt)/time.Millisecond)
 }
 
-// leaseExpiry returns the time by which every lease that the worker can hold
-// has expired; zero if it has ended. As long as the worker has not reported,
+// leaseExpiry returns the time by which every lease that the worker can hold has
+// expired, and what had one has ended; zero if its incarnation has ended. As long as the worker has not reported,
 // leases may have been granted up to PreviousOwnerTerm after unreportedSince, each
 // for at most MaxLease, unless a shorter bound is known.
 func (w *worker) leaseExpiry(c *Core) time.Time {
@@ -208,13 +208,13 @@
 		return expiry
 	}
 	left := time.Duration(w.leaseDeadline-w.clock) * time.Millisecond
-	return w.clockAt.Add(time.Duration(float64(left)/minClockRate) + expiryMargin)
+	return w.clockAt.Add(c.endedAfter(left))
 }
 
-// longestUnreported returns for how long a worker that has not reported may hold
-// a lease of a previous owner.
+// longestUnreported returns for how long a worker that has not reported may run
+// something under a lease of a previous owner.
 func (c *Core) longestUnreported() time.Duration {
-	return c.options.PreviousOwnerTerm + time.Duration(float64(c.options.MaxLease)/minClockRate) + expiryMargin
+	return c.options.PreviousOwnerTerm + c.endedAfter(c.options.MaxLease)
 }
 
 // AssumeUnknownLeases is called instead of RestoreLeasedWorkers if a row of
