--- a/scheduler/lives_search_test.go
+++ b/scheduler/lives_search_test.go
@@ -75,6 +75,8 @@
 	// meant is the birth of the life for which it was meant.
 	meant time.Time
 	fate  livesFate
+	// stood is for how long the owner stood still before it was sent.
+	stood time.Duration
 }
 
 // callKey identifies a call across plays of a case.
@@ -112,9 +114,12 @@
 	faultRebirth faultKind = iota
 	faultCut
 	faultOwnerLost
+	faultFreeze
 )
 
-func (k faultKind) String() string { return [...]string{"rebirth", "cut", "owner lost"}[k] }
+func (k faultKind) String() string {
+	return [...]string{"rebirth", "cut", "owner lost", "owner stands still"}[k]
+}
 
 // livesFault is a scheduled fault.
 type livesFault struct {
@@ -241,7 +246,8 @@
 	// unansweredStarts are the starts of the owner that have had no answer.
 	unansweredStarts map[callKey]*livesCall
 	calmFrom         time.Time
-	listReadAt       time.Time
+	livesFreezes
+	listReadAt time.Time
 }
 
 // livesWorker is a worker and its lives.
@@ -471,6 +477,8 @@
 		w.hide(f)
 	case faultOwnerLost:
 		m.loseOwner(f)
+	case faultFreeze:
+		m.freezeAtCall(f.length)
 	}
 }
 
@@ -618,7 +626,7 @@
 
 // tick lets the owner commit and issue orders, as dispatcher does.
 func (m *livesModel) tick() {
-	if m.lost && !m.lingers {
+	if m.lost && !m.lingers || m.frozen() {
 		return
 	}
 	if !m.lost && m.now.Sub(m.listReadAt) >= livesListEvery {
@@ -667,19 +675,27 @@
 			return
 		}
 		m.store(batch, eager)
-		m.inFlight, m.sentAt = nil, sentAt
-		if !m.plain {
-			core.Renewed(sentAt)
-		}
-		core.Committed(m.now, batch)
-		core.StoreReached(sentAt, m.revision)
-		core.JobsKnown(m.revision)
-		if eager && m.slow {
-			core.SetEager(true)
-		}
+		m.awake(func() { m.committed(core, batch, sentAt, eager) })
 	})
 }
 
+// committed tells the core that a batch is committed.
+func (m *livesModel) committed(core *Core, batch *Batch, sentAt time.Time, eager bool) {
+	if core != m.core || m.lost {
+		return
+	}
+	m.inFlight, m.sentAt = nil, sentAt
+	if !m.plain {
+		core.Renewed(sentAt)
+	}
+	core.Committed(m.now, batch)
+	core.StoreReached(sentAt, m.revision)
+	core.JobsKnown(m.revision)
+	if eager && m.slow {
+		core.SetEager(true)
+	}
+}
+
 func (m *livesModel) commitTime() time.Duration {
 	r := m.draw(uint64(m.now.Sub(m.base)))
 	if m.slow {
@@ -772,6 +788,7 @@
 // send sends a call to its fate. The caller gives it up after the timeout.
 func (m *livesModel) send(c *livesCall, timeout time.Duration, execute func(*life, func(func())), fail func(OrderResult)) {
 	c.fate = m.fateOf(c)
+	m.beginFreeze(c)
 	if c.fate.kind != fateAnswered || c.fate.slow+c.fate.back > 0 {
 		m.outcome.unanswered = append(m.outcome.unanswered, c)
 	}
@@ -782,14 +799,14 @@
 	finish := func(do func()) {
 		if !done && core == m.core && (!m.lost || m.lingers) {
 			done = true
-			do()
+			m.awake(do)
 		}
 	}
 	if c.kind == callStart {
 		m.unansweredStarts[c.key()] = c
 	}
 	w := m.workers[c.worker]
-	m.after(timeout, func() { finish(func() { fail(OrderUnknown) }) })
+	m.afterAwake(timeout, func() { finish(func() { fail(OrderUnknown) }) })
 	respond := func(reply func()) {
 		if c.fate.kind != fateAnswered {
 			return
@@ -807,6 +824,10 @@
 
 // arrive lets a call arrive at a worker, or wait for it.
 func (m *livesModel) arrive(w *livesWorker, c *livesCall, execute func(*life, func(func())), respond func(func()), unsent func()) {
+	if m.notSent(c) {
+		m.after(m.frozenUntil.Add(5*time.Millisecond).Sub(m.now), func() { m.arrive(w, c, execute, respond, unsent) })
+		return
+	}
 	cut := m.now.Before(w.cutUntil)
 	if !cut && w.life != nil {
 		m.carryOut(w, c, execute, respond)
@@ -823,7 +844,7 @@
 		until = w.cutUntil
 	}
 	until = until.Add(20 * time.Millisecond)
-	if !c.fate.held || until.After(m.base.Add(c.at+livesHeldTime)) {
+	if !c.fate.held || until.After(m.base.Add(c.at+c.stood+livesHeldTime)) {
 		m.heldCalls--
 		return
 	}
@@ -836,7 +857,7 @@
 	case fateNever:
 		m.heldCalls--
 	case fateLate:
-		delay := min(c.fate.delay, m.base.Add(c.at+livesHeldTime).Sub(m.now))
+		delay := min(c.fate.delay, m.base.Add(c.at+c.stood+livesHeldTime).Sub(m.now))
 		m.after(delay, func() {
 			m.heldCalls--
 			m.advance()
@@ -1456,6 +1477,7 @@
 		{"two quick rebirths, one owner", drawQuickDuel, oneOwner},
 		{"two quick rebirths, owners lost once their starts are stored", drawQuickDuel, storeStartsFirst},
 		{"slow kills, one owner", drawKills, oneOwner},
+		{"an owner that stands still", drawFreezes, oneOwner},
 		{"slow kills, owners lost once their starts are stored", drawKills, storeStartsFirst},
 	}
 	first, count := livesSeedsToPlay(t)
