--- a/scheduler/intended.go
+++ b/scheduler/intended.go
@@ -313,7 +313,7 @@
 	case s.task.done || j.state.Ended():
 		return j.committedVersion < j.version
 	}
-	return c.now.Before(r.actsUntil())
+	return c.now.Before(c.actsUntil(r))
 }
 
 // addStarts adds the list of intended starts to a batch, if there are any that no batch
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -60,12 +60,14 @@
 )
 
 // actsUntil returns the time until which an incarnation of the worker may execute the
-// start of a run that is not settled.
-func (r *run) actsUntil() time.Time {
-	if r.givenUpAt.IsZero() {
-		return r.startedAt.Add(maxOrderDelay)
+// start of a run that is not settled. If the entry stood still, one that it hasn't given up
+// yet may be older than OrderTimeout, and arrive only now.
+func (c *Core) actsUntil(r *run) time.Time {
+	givenUpAt := r.givenUpAt
+	if givenUpAt.IsZero() {
+		givenUpAt = c.now
 	}
-	return latest(r.startedAt.Add(maxOrderDelay), r.givenUpAt.Add(arrivalMargin+longestDelay))
+	return latest(r.startedAt.Add(maxOrderDelay), givenUpAt.Add(arrivalMargin+longestDelay))
 }
 
 // giveUpStart records that a start is given up now. That may be later than OrderTimeout after
@@ -102,7 +104,7 @@
 	if r.reported || r.confirmed || r.worker.ended {
 		return expiry
 	}
-	last := r.actsUntil()
+	last := c.actsUntil(r)
 	if late := r.worker.grantedAt.Add(maxPollDelay); late.After(last) {
 		last = late
 	}
@@ -176,11 +178,11 @@
 // openStart records that the start of a run is open, unless it is settled.
 func (c *Core) openStart(r *run) {
 	t := r.task
-	if r.settled || t == nil || !c.now.Before(r.actsUntil()) || t.open != nil && t.open.Run == r.number {
+	if r.settled || t == nil || !c.now.Before(c.actsUntil(r)) || t.open != nil && t.open.Run == r.number {
 		return
 	}
 	c.stats.OpenStarts++
-	c.setOpen(r, r.actsUntil())
+	c.setOpen(r, c.actsUntil(r))
 }
 
 // setOpen records that the start of a run may be executed until a time.
--- a/scheduler/unread.go
+++ b/scheduler/unread.go
@@ -28,7 +28,7 @@
 // the known incarnation doesn't list.
 func (c *Core) mayHaveUnreadEnd(w *worker) bool {
 	for _, r := range w.runs {
-		if !r.settled && r.task.mayStartAgain() && !w.answeredAt.After(r.actsUntil()) {
+		if !r.settled && r.task.mayStartAgain() && !w.answeredAt.After(c.actsUntil(r)) {
 			return true
 		}
 	}
