--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -80,6 +80,11 @@
 	if !ok {
 		return
 	}
+	if result == OrderUnknown && order.Deadline > 0 {
+		// If the entry stood still, it may have been sent later than it was issued. Whichever
+		// life it was meant for, another one may execute it.
+		w.grantedAt = latest(w.grantedAt, c.now.Add(-PollWait-PollTimeout))
+	}
 	if !c.addressesCurrent(w, order.Fence) {
 		if result == OrderAccepted {
 			c.observeReportedBirth(w, order, report.BootedAt)
@@ -87,10 +92,6 @@
 		return
 	}
 	w.pollInFlight = false
-	if result == OrderUnknown && order.Deadline > 0 {
-		// If the entry stood still, it may have been sent later than it was issued.
-		w.grantedAt = latest(w.grantedAt, c.now.Add(-PollWait-PollTimeout))
-	}
 	switch result {
 	case OrderAccepted:
 		c.applyReport(w, order, report)
