--- a/scheduler/bounded_test.go
+++ b/scheduler/bounded_test.go
@@ -195,3 +195,18 @@
 	is.True(!h.core.birthsDirty) // and the row is written
 	is.True(h.core.workers["w000"] != nil)
 }
+
+// TestGrantByAnOutdatedClock guards against a lease that ends later than the term after the
+// last commit, as the owner takes the worker's clock, which is slow and of which it has heard
+// nothing for a while, for exact.
+func TestGrantByAnOutdatedClock(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.advanceSlow(20*time.Second, minClockRate, WorkerRef{}, true)
+	h.now = h.now.Add(10 * time.Second) // the owner has stood still
+	h.core.Renewed(h.now)
+	poll := pollOf(t, h.issue())
+	shows := WorkerTime(float64(h.clock(poll.Worker)) * minClockRate)
+	is.True(poll.Deadline > 0)
+	is.True(poll.Deadline <= shows+WorkerTime(DefaultLeaseTerm/time.Millisecond))
+}
--- a/scheduler/lives_search_test.go
+++ b/scheduler/lives_search_test.go
@@ -1478,6 +1478,7 @@
 		{"two quick rebirths, owners lost once their starts are stored", drawQuickDuel, storeStartsFirst},
 		{"slow kills, one owner", drawKills, oneOwner},
 		{"an owner that stands still", drawFreezes, oneOwner},
+		{"starts right after a takeover", drawTakeovers, storeStartsFirst},
 		{"slow kills, owners lost once their starts are stored", drawKills, storeStartsFirst},
 	}
 	first, count := livesSeedsToPlay(t)
