--- a/scheduler/bounded.go
+++ b/scheduler/bounded.go
@@ -43,7 +43,7 @@
 	if !c.renewedAt.IsZero() && c.renewedAt.Before(from) {
 		from = c.renewedAt
 	}
-	return w.clockEstimate(from) + WorkerTime(c.options.LeaseTerm/time.Millisecond)
+	return w.leastClock(from) + WorkerTime(c.options.LeaseTerm/time.Millisecond)
 }
 
 // previousLeasesEnd returns the time by which every lease that a previous owner
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -192,6 +192,16 @@
 	return w.clock + WorkerTime(now.Sub(w.clockAt)/time.Millisecond)
 }
 
+// leastClock returns the least that the worker's clock can show at a time, by its last
+// reading.
+func (w *worker) leastClock(at time.Time) WorkerTime {
+	since := at.Sub(w.clockAt)
+	if since > 0 {
+		since = time.Duration(float64(since) * minClockRate)
+	}
+	return w.clock + WorkerTime(since/time.Millisecond)
+}
+
 // leaseExpiry returns the time by which every lease that the worker can hold has
 // expired, and what had one has ended; zero if its incarnation has ended. As long as the worker has not reported,
 // leases may have been granted up to PreviousOwnerTerm after unreportedSince, each
