--- a/standin/run.go
+++ b/standin/run.go
@@ -56,6 +56,8 @@
 	// acknowledged, so that an owner may have started the task again elsewhere.
 	maybeRescheduled bool
 	fails            bool
+	// killedAt is when the run ends because its lease has expired; zero before that.
+	killedAt time.Time
 }
 
 // String returns where, when and how the run ran, for messages.
--- a/standin/taskorders.go
+++ b/standin/taskorders.go
@@ -176,8 +176,11 @@
 func (w *TaskWorker) advance(now time.Time) {
 	for _, run := range slices.Clone(w.running) {
 		switch {
+		case !run.killedAt.IsZero():
+			w.endKilled(run, now)
 		case run.EndsAt.After(w.leaseDeadline) && !now.Before(w.leaseDeadline):
-			w.end(run, scheduler.EndExpired, w.leaseDeadline)
+			run.killedAt = w.leaseDeadline.Add(w.killTime)
+			w.endKilled(run, now)
 		case !now.Before(run.EndsAt) && run.fails:
 			w.end(run, scheduler.EndFailed, run.EndsAt)
 		case !now.Before(run.EndsAt):
@@ -186,6 +189,13 @@
 	}
 }
 
+// endKilled ends a run whose lease has expired, once that has taken its time.
+func (w *TaskWorker) endKilled(run *RunRecord, now time.Time) {
+	if !now.Before(run.killedAt) {
+		w.end(run, scheduler.EndExpired, run.killedAt)
+	}
+}
+
 // end records the end of a run and queues it for the next poll.
 func (w *TaskWorker) end(run *RunRecord, kind scheduler.EndKind, at time.Time) {
 	run.Kind, run.EndedAt = kind, at
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -19,7 +19,9 @@
 	admissionCheck bool
 	bootedAt       time.Time
 	// clockRate is how fast the worker's clock runs, as a share of the true rate.
-	clockRate   float64
+	clockRate float64
+	// killTime is how long after its lease has expired a run ends.
+	killTime    time.Duration
 	down        bool
 	partitioned bool
 	// former are the incarnations that crashed, oldest first.
@@ -116,6 +118,13 @@
 	w.ordersLate = share
 }
 
+// SetKillTime sets how long after its lease has expired a run ends.
+func (w *TaskWorker) SetKillTime(killTime time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.killTime = killTime
+}
+
 // SetAdmissionCheck sets whether the worker rejects starts that don't fit its present room.
 // A start that exceeds what its owner could know of is a violation all the same.
 func (w *TaskWorker) SetAdmissionCheck(on bool) {
--- a/standin/taskworker_test.go
+++ b/standin/taskworker_test.go
@@ -209,6 +209,27 @@
 	}
 }
 
+// TestSlowKill guards against a stand-in whose runs end in the instant at which their lease
+// expires, or go on if it is renewed while they are being ended.
+func TestSlowKill(t *testing.T) {
+	is := is.New(t)
+	now := time.Now().Truncate(time.Millisecond)
+	w, _ := testWorkers(now)
+	w.SetKillTime(900 * time.Millisecond)
+	long := startOrder(longTask, 1, 2*time.Second)
+	long.Payload = RunSpec{Millis: 2500}.Payload(requester.Resources{MilliCores: 1})
+	is.Equal(w.Start(long, now), scheduler.OrderAccepted)
+	report, _ := w.Poll(scheduler.PollOrder{Fence: 1, Deadline: 9000}, now.Add(2100*time.Millisecond))
+	is.Equal(len(report.Running), 1)
+	report, _ = w.Poll(scheduler.PollOrder{Fence: 1}, now.Add(2800*time.Millisecond))
+	is.Equal(len(report.Running), 1) // it isn't done either
+	report, _ = w.Poll(scheduler.PollOrder{Fence: 1}, now.Add(2900*time.Millisecond))
+	is.Equal(len(report.Ended), 1)
+	is.Equal(report.Ended[0].Kind, scheduler.EndExpired)
+	runs, _ := w.Runs(now.Add(time.Minute))
+	is.Equal(runs[0].EndedAt.Sub(now), 2900*time.Millisecond)
+}
+
 // longTask is another task than testTask.
 var longTask = scheduler.TaskName{StepName: scheduler.StepName{Job: "fedcba9876543210"}}
 
