--- a/scheduler/intended.go
+++ b/scheduler/intended.go
@@ -318,7 +318,7 @@
 	case !s.task.mayBeStored() && j.committedVersion < j.version:
 		return true
 	}
-	return c.now.Before(r.actsUntil())
+	return c.now.Before(c.actsUntil(r))
 }
 
 // mayBeStored reports whether the rows of the job have an open start of the task. They have
--- a/scheduler/lives_search_test.go
+++ b/scheduler/lives_search_test.go
@@ -75,6 +75,8 @@
 	// meant is the birth of the life for which it was meant.
 	meant time.Time
 	fate  livesFate
+	// stood is for how long the owner stood still before it was sent.
+	stood time.Duration
 }
 
 // callKey identifies a call across plays of a case.
@@ -112,9 +114,12 @@
 	faultRebirth faultKind = iota
 	faultCut
 	faultOwnerLost
+	faultFreeze
 )
 
-func (k faultKind) String() string { return [...]string{"rebirth", "cut", "owner lost"}[k] }
+func (k faultKind) String() string {
+	return [...]string{"rebirth", "cut", "owner lost", "owner stands still"}[k]
+}
 
 // livesFault is a scheduled fault.
 type livesFault struct {
@@ -171,6 +176,8 @@
 	clocksFromZero bool
 	// slowClocks makes the clocks of the workers run at the lowest rate.
 	slowClocks bool
+	// kills is how long after its lease has expired a run ends.
+	kills time.Duration
 	// pastEnds is how many ends each worker has listed before.
 	pastEnds int64
 	// endsPerReport is the most ends that a report lists.
@@ -241,7 +248,8 @@
 	// unansweredStarts are the starts of the owner that have had no answer.
 	unansweredStarts map[callKey]*livesCall
 	calmFrom         time.Time
-	listReadAt       time.Time
+	livesFreezes
+	listReadAt time.Time
 }
 
 // livesWorker is a worker and its lives.
@@ -289,7 +297,9 @@
 	at      time.Time
 	endsAt  time.Time
 	stopsAt time.Time
-	gang    bool
+	// killed is true once its lease has expired.
+	killed bool
+	gang   bool
 }
 
 // livesEnd is an end that a life lists.
@@ -474,6 +484,8 @@
 		w.hide(f)
 	case faultOwnerLost:
 		m.loseOwner(f)
+	case faultFreeze:
+		m.freezeAtCall(f.length)
 	}
 }
 
@@ -621,7 +633,7 @@
 
 // tick lets the owner commit and issue orders, as dispatcher does.
 func (m *livesModel) tick() {
-	if m.lost && !m.lingers {
+	if m.lost && !m.lingers || m.frozen() {
 		return
 	}
 	if !m.lost && m.now.Sub(m.listReadAt) >= livesListEvery {
@@ -670,19 +682,27 @@
 			return
 		}
 		m.store(batch, eager)
-		m.inFlight, m.sentAt = nil, sentAt
-		if !m.plain {
-			core.Renewed(sentAt)
-		}
-		core.Committed(m.now, batch)
-		core.StoreReached(sentAt, m.revision)
-		core.JobsKnown(m.revision)
-		if eager && m.slow {
-			core.SetEager(true)
-		}
+		m.awake(func() { m.committed(core, batch, sentAt, eager) })
 	})
 }
 
+// committed tells the core that a batch is committed.
+func (m *livesModel) committed(core *Core, batch *Batch, sentAt time.Time, eager bool) {
+	if core != m.core || m.lost {
+		return
+	}
+	m.inFlight, m.sentAt = nil, sentAt
+	if !m.plain {
+		core.Renewed(sentAt)
+	}
+	core.Committed(m.now, batch)
+	core.StoreReached(sentAt, m.revision)
+	core.JobsKnown(m.revision)
+	if eager && m.slow {
+		core.SetEager(true)
+	}
+}
+
 func (m *livesModel) commitTime() time.Duration {
 	r := m.draw(uint64(m.now.Sub(m.base)))
 	if m.slow {
@@ -775,6 +795,7 @@
 // send sends a call to its fate. The caller gives it up after the timeout.
 func (m *livesModel) send(c *livesCall, timeout time.Duration, execute func(*life, func(func())), fail func(OrderResult)) {
 	c.fate = m.fateOf(c)
+	m.beginFreeze(c)
 	if c.fate.kind != fateAnswered || c.fate.slow+c.fate.back > 0 {
 		m.outcome.unanswered = append(m.outcome.unanswered, c)
 	}
@@ -785,14 +806,14 @@
 	finish := func(do func()) {
 		if !done && core == m.core && (!m.lost || m.lingers) {
 			done = true
-			do()
+			m.awake(do)
 		}
 	}
 	if c.kind == callStart {
 		m.unansweredStarts[c.key()] = c
 	}
 	w := m.workers[c.worker]
-	m.after(timeout, func() { finish(func() { fail(OrderUnknown) }) })
+	m.afterAwake(timeout, func() { finish(func() { fail(OrderUnknown) }) })
 	respond := func(reply func()) {
 		if c.fate.kind != fateAnswered {
 			return
@@ -810,6 +831,10 @@
 
 // arrive lets a call arrive at a worker, or wait for it.
 func (m *livesModel) arrive(w *livesWorker, c *livesCall, execute func(*life, func(func())), respond func(func()), unsent func()) {
+	if m.notSent(c) {
+		m.after(m.frozenUntil.Add(5*time.Millisecond).Sub(m.now), func() { m.arrive(w, c, execute, respond, unsent) })
+		return
+	}
 	cut := m.now.Before(w.cutUntil)
 	if !cut && w.life != nil {
 		m.carryOut(w, c, execute, respond)
@@ -826,7 +851,7 @@
 		until = w.cutUntil
 	}
 	until = until.Add(20 * time.Millisecond)
-	if !c.fate.held || until.After(m.base.Add(c.at+livesHeldTime)) {
+	if !c.fate.held || until.After(m.base.Add(c.at+c.stood+livesHeldTime)) {
 		m.heldCalls--
 		return
 	}
@@ -839,7 +864,7 @@
 	case fateNever:
 		m.heldCalls--
 	case fateLate:
-		delay := min(c.fate.delay, m.base.Add(c.at+livesHeldTime).Sub(m.now))
+		delay := min(c.fate.delay, m.base.Add(c.at+c.stood+livesHeldTime).Sub(m.now))
 		m.after(delay, func() {
 			m.heldCalls--
 			m.advance()
@@ -1154,12 +1179,15 @@
 	slices.SortStableFunc(runs, func(a, b *lifeRun) int { return a.over().Compare(b.over()) })
 	for _, r := range runs {
 		over := r.over()
-		if r.gang && r.stopsAt.IsZero() || !over.Before(leaseEnd) || over.After(m.now) {
+		if r.gang && r.stopsAt.IsZero() || !over.Before(leaseEnd) && !r.killed || over.After(m.now) {
 			continue
 		}
-		if r.stopsAt.IsZero() {
+		switch {
+		case r.killed:
+			l.end(r, EndExpired, over)
+		case r.stopsAt.IsZero():
 			l.end(r, EndDone, over)
-		} else {
+		default:
 			l.end(r, EndStopped, over)
 		}
 	}
@@ -1168,7 +1196,7 @@
 	}
 	l.lapsedEnd = l.lastEnd
 	for _, r := range l.sortedRuns() {
-		l.end(r, EndExpired, leaseEnd)
+		l.kill(r, leaseEnd)
 	}
 }
 
@@ -1380,11 +1408,12 @@
 			func(c *livesCase) { c.slow = false },
 			func(c *livesCase) { c.endsPerReport = 0 },
 			func(c *livesCase) { c.slowClocks = false },
+			func(c *livesCase) { c.kills = 0 },
 			func(c *livesCase) { c.pastEnds = 0 },
 		} {
 			next := c
 			simpler(&next)
-			if next.slow != c.slow || next.endsPerReport != c.endsPerReport || next.slowClocks != c.slowClocks || next.pastEnds != c.pastEnds {
+			if next.slow != c.slow || next.endsPerReport != c.endsPerReport || next.slowClocks != c.slowClocks || next.pastEnds != c.pastEnds || next.kills != c.kills {
 				again = same(next) || again
 			}
 		}
@@ -1394,7 +1423,7 @@
 
 // describe returns the parts of a case.
 func (c livesCase) describe() string {
-	text := fmt.Sprintf("seed %d, %d workers, step %v, plain %v, slow store %v, slow clocks %v, past ends %d, ends per report %d", c.seed, c.workers, c.step, c.plain, c.slow, c.slowClocks, c.pastEnds, c.endsPerReport)
+	text := fmt.Sprintf("seed %d, %d workers, step %v, plain %v, slow store %v, slow clocks %v, kills %v, past ends %d, ends per report %d", c.seed, c.workers, c.step, c.plain, c.slow, c.slowClocks, c.kills, c.pastEnds, c.endsPerReport)
 	for _, f := range c.faults {
 		text += fmt.Sprintf("\n  fault %v w%d at %.3f for %v, listed after %v, unlisted %v, refuses %v", f.kind, f.worker, f.at.Seconds(), f.length, f.listedAfter, f.unlisted, f.refuses)
 	}
@@ -1454,6 +1483,10 @@
 		{"duels, owners lost at any moment", drawDuel, func(*livesCase) {}},
 		{"two quick rebirths, one owner", drawQuickDuel, oneOwner},
 		{"two quick rebirths, owners lost once their starts are stored", drawQuickDuel, storeStartsFirst},
+		{"slow kills, one owner", drawKills, oneOwner},
+		{"an owner that stands still", drawFreezes, oneOwner},
+		{"starts right after a takeover", drawTakeovers, storeStartsFirst},
+		{"slow kills, owners lost once their starts are stored", drawKills, storeStartsFirst},
 	}
 	first, count := livesSeedsToPlay(t)
 	for _, kind := range kinds {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -196,8 +196,18 @@
 	return w.clock + WorkerTime(now.Sub(w.clockAt)/time.Millisecond)
 }
 
-// leaseExpiry returns the time by which every lease that the worker can hold
-// has expired; zero if it has ended. As long as the worker has not reported,
+// leastClock returns the least that the worker's clock can show at a time, by its last
+// reading.
+func (w *worker) leastClock(at time.Time) WorkerTime {
+	since := at.Sub(w.clockAt)
+	if since > 0 {
+		since = time.Duration(float64(since) * minClockRate)
+	}
+	return w.clock + WorkerTime(since/time.Millisecond)
+}
+
+// leaseExpiry returns the time by which every lease that the worker can hold has
+// expired, and what had one has ended; zero if its incarnation has ended. As long as the worker has not reported,
 // leases may have been granted up to PreviousOwnerTerm after unreportedSince, each
 // for at most MaxLease, unless a shorter bound is known.
 func (w *worker) leaseExpiry(c *Core) time.Time {
@@ -212,13 +222,13 @@
 		return expiry
 	}
 	left := time.Duration(w.leaseDeadline-w.clock) * time.Millisecond
-	return w.clockAt.Add(time.Duration(float64(left)/minClockRate) + expiryMargin)
+	return w.clockAt.Add(c.endedAfter(left))
 }
 
-// longestUnreported returns for how long a worker that has not reported may hold
-// a lease of a previous owner.
+// longestUnreported returns for how long a worker that has not reported may run
+// something under a lease of a previous owner.
 func (c *Core) longestUnreported() time.Duration {
-	return c.options.PreviousOwnerTerm + time.Duration(float64(c.options.MaxLease)/minClockRate) + expiryMargin
+	return c.options.PreviousOwnerTerm + c.endedAfter(c.options.MaxLease)
 }
 
 // AssumeUnknownLeases is called instead of RestoreLeasedWorkers if a row of
