--- a/standin/cellorders.go
+++ b/standin/cellorders.go
@@ -149,9 +149,9 @@
 		return nil, scheduler.OrderUnknown
 	}
 	until := time.Now().Add(wait)
-	initial, _ := w.Info()
+	initial := w.trueBirth()
 	for {
-		if info, up := w.Info(); !up || !info.BootedAt.Equal(initial.BootedAt) {
+		if _, up := w.Info(); !up || !w.trueBirth().Equal(initial) {
 			// A connection ends with the incarnation that accepted it.
 			return nil, scheduler.OrderUnknown
 		}
--- a/standin/checkruns.go
+++ b/standin/checkruns.go
@@ -62,18 +62,26 @@
 			byTask[run.Task] = append(byTask[run.Task], run)
 		}
 	}
-	for task, runs := range byTask {
-		slices.SortFunc(runs, func(a, b RunRecord) int { return a.StartedAt.Compare(b.StartedAt) })
-		for i := 1; i < len(runs); i++ {
-			previous := runs[i-1]
-			if previous.EndedAt.IsZero() || previous.EndedAt.After(runs[i].StartedAt) {
-				problems = append(problems, fmt.Sprintf("%v: runs %d and %d overlap (%v; %v)", task, previous.Run, runs[i].Run, &previous, &runs[i]))
+	for _, runs := range byTask {
+		problems = append(problems, checkTask(runs)...)
+	}
+	slices.SortFunc(problems, strings.Compare)
+	return problems
+}
+
+// checkTask checks each pair of runs of one task.
+func checkTask(runs []RunRecord) []string {
+	slices.SortFunc(runs, func(a, b RunRecord) int { return a.StartedAt.Compare(b.StartedAt) })
+	var problems []string
+	for i, run := range runs {
+		for _, previous := range runs[:i] {
+			if previous.EndedAt.IsZero() || previous.EndedAt.After(run.StartedAt) {
+				problems = append(problems, fmt.Sprintf("%v: runs %d and %d overlap (%v; %v)", run.Task, previous.Run, run.Run, &previous, &run))
 			}
 			if previous.Kind == scheduler.EndDone && previous.Acknowledged {
-				problems = append(problems, fmt.Sprintf("%v: run %d started after run %d was acknowledged as done (%v; %v)", task, runs[i].Run, previous.Run, &previous, &runs[i]))
+				problems = append(problems, fmt.Sprintf("%v: run %d started after run %d was acknowledged as done (%v; %v)", run.Task, run.Run, previous.Run, &previous, &run))
 			}
 		}
 	}
-	slices.SortFunc(problems, strings.Compare)
 	return problems
 }
--- a/standin/run.go
+++ b/standin/run.go
@@ -44,6 +44,8 @@
 	// Pace is the pace of the run in percent.
 	Pace int
 	Kind scheduler.EndKind
+	// killedAt is when the lease expired; zero if it hasn't in the run's time.
+	killedAt time.Time
 	// Acknowledged is true if an owner acknowledged the end before the lease
 	// expired.
 	Acknowledged bool
@@ -68,7 +70,19 @@
 	return fmt.Sprintf("run %d on %s, %s to %s", r.Run, r.Worker, r.StartedAt.Format(clock), end)
 }
 
+// outcome returns how and when the run ends unless it is stopped, by what is known of its
+// lease. A run that is being killed goes on for killDelay and can't be done any more.
+func (r *RunRecord) outcome(killDelay time.Duration) (scheduler.EndKind, time.Time) {
+	switch {
+	case !r.killedAt.IsZero():
+		return scheduler.EndExpired, r.killedAt.Add(killDelay)
+	case r.fails:
+		return scheduler.EndFailed, r.EndsAt
+	}
+	return scheduler.EndDone, r.EndsAt
+}
+
 // percent returns the percentage of the run's execution time that has passed.
 func (r *RunRecord) percent(now time.Time) int {
-	return int(100 * now.Sub(r.StartedAt) / max(1, r.EndsAt.Sub(r.StartedAt)))
+	return min(100, int(100*now.Sub(r.StartedAt)/max(1, r.EndsAt.Sub(r.StartedAt))))
 }
--- a/standin/taskorders.go
+++ b/standin/taskorders.go
@@ -135,7 +135,7 @@
 	}
 	w.staleThrough[order.Task] = max(w.staleThrough[order.Task], order.Run)
 	for _, run := range slices.Clone(w.running) {
-		if run.Task == order.Task && run.Run == order.Run {
+		if run.Task == order.Task && run.Run == order.Run && run.killedAt.IsZero() {
 			w.end(run, scheduler.EndStopped, now)
 		}
 	}
@@ -172,16 +172,16 @@
 const maxListedEnds = 500
 
 // advance ends the runs that have ended by now: those whose execution time is over,
-// and those that outlast a lease that has expired.
+// and those that outlast a lease that has expired. A lease that is renewed while such a run
+// is being killed doesn't save it.
 func (w *TaskWorker) advance(now time.Time) {
 	for _, run := range slices.Clone(w.running) {
-		switch {
-		case run.EndsAt.After(w.leaseDeadline) && !now.Before(w.leaseDeadline):
-			w.end(run, scheduler.EndExpired, w.leaseDeadline)
-		case !now.Before(run.EndsAt) && run.fails:
-			w.end(run, scheduler.EndFailed, run.EndsAt)
-		case !now.Before(run.EndsAt):
-			w.end(run, scheduler.EndDone, run.EndsAt)
+		if run.killedAt.IsZero() && run.EndsAt.After(w.leaseDeadline) && !now.Before(w.leaseDeadline) {
+			run.killedAt = w.leaseDeadline
+		}
+		kind, at := run.outcome(w.killDelay)
+		if !now.Before(at) {
+			w.end(run, kind, at)
 		}
 	}
 }
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -19,7 +19,13 @@
 	admissionCheck bool
 	bootedAt       time.Time
 	// clockRate is how fast the worker's clock runs, as a share of the true rate.
-	clockRate   float64
+	clockRate float64
+	// killDelay is how long a run goes on after the end of its lease.
+	killDelay time.Duration
+	// timeOfDayLead is how far the time of day is ahead at the next start.
+	timeOfDayLead time.Duration
+	// listLag is how old what the list of workers shows is.
+	listLag     time.Duration
 	down        bool
 	partitioned bool
 	// former are the incarnations that crashed, oldest first.
@@ -47,8 +53,8 @@
 
 // formerIncarnation is an incarnation that crashed, with its row in the list of workers.
 type formerIncarnation struct {
-	info      scheduler.WorkerInfo
-	crashedAt time.Time
+	info                scheduler.WorkerInfo
+	bootedAt, crashedAt time.Time
 }
 
 // NewTaskWorker returns a worker that booted at now.
@@ -71,16 +77,21 @@
 // Listed returns what the list of workers contains on the worker, and whether it is on the
 // list, if it writes its row once per heartbeat. So the row of an incarnation that crashed
 // stays until the next one writes its first, or until it expires; one that crashes before
-// that is never on the list. With heartbeat 0 it is Info.
+// that is never on the list. With heartbeat 0 and without SetListLag it is Info.
 func (w *TaskWorker) Listed(now time.Time, heartbeat time.Duration) (scheduler.WorkerInfo, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.down && hasBeaten(w.bootedAt, now, heartbeat) {
+	shown := now.Add(-w.listLag)
+	if !w.down && hasBeaten(w.bootedAt, shown, heartbeat) {
 		return w.info, true
 	}
 	for _, former := range slices.Backward(w.former) {
-		if hasBeaten(former.info.BootedAt, former.crashedAt, heartbeat) {
-			return former.info, now.Before(former.crashedAt.Add(missedBeats * heartbeat))
+		last := shown
+		if former.crashedAt.Before(last) {
+			last = former.crashedAt
+		}
+		if hasBeaten(former.bootedAt, last, heartbeat) {
+			return former.info, shown.Before(former.crashedAt.Add(missedBeats * heartbeat))
 		}
 	}
 	return scheduler.WorkerInfo{}, false
@@ -156,7 +167,7 @@
 		run.EndedAt, run.Kind = now, scheduler.EndUnknown
 	}
 	if !w.down {
-		w.former = append(w.former, formerIncarnation{info: w.info, crashedAt: now})
+		w.former = append(w.former, formerIncarnation{info: w.info, bootedAt: w.bootedAt, crashedAt: now})
 	}
 	w.down, w.running, w.unacknowledgedEnds = true, nil, nil
 }
@@ -172,7 +183,7 @@
 	w.down, w.fence, w.leaseDeadline, w.lastEndNumber = false, 0, time.Time{}, 0
 	w.staleThrough = make(map[scheduler.TaskName]scheduler.RunNumber)
 	w.bootedAt = now.Truncate(time.Millisecond)
-	w.info.BootedAt = w.bootedAt
+	w.info.BootedAt = w.bootedAt.Add(w.timeOfDayLead.Truncate(time.Millisecond))
 }
 
 // Runs returns the records of all runs that were ever started, over all
@@ -196,6 +207,37 @@
 	w.clockRate = rate
 }
 
+// SetKillDelay sets how long each run goes on after the end of its lease before it ends as
+// expired, as the worker needs time to kill it. Set it before the first order.
+func (w *TaskWorker) SetKillDelay(delay time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.killDelay = delay
+}
+
+// SetTimeOfDayLead sets how far the worker's time of day is ahead of the true one, or
+// behind it if lead is negative, when it next restarts. The birth of that incarnation, as the
+// list and the reports show it, is off by that and may be earlier than that of the former one.
+func (w *TaskWorker) SetTimeOfDayLead(lead time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timeOfDayLead = lead
+}
+
+// SetListLag sets how much later than the worker writes it the list of workers shows a row.
+func (w *TaskWorker) SetListLag(lag time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.listLag = lag
+}
+
+// trueBirth returns when the present incarnation started, by the true time.
+func (w *TaskWorker) trueBirth() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.bootedAt
+}
+
 // clock returns the worker's own clock, which counts milliseconds since the boot.
 func (w *TaskWorker) clock(now time.Time) scheduler.WorkerTime {
 	return scheduler.WorkerTime(float64(now.Sub(w.bootedAt)) * w.clockRate / float64(time.Millisecond))
