--- a/standin/cellorders.go
+++ b/standin/cellorders.go
@@ -157,6 +157,11 @@
 		}
 		report, result := w.Poll(order, time.Now())
 		if result != scheduler.OrderAccepted || len(report.Ended) > 0 || !time.Now().Before(until) {
+			if !w.Reachable() {
+				// The order arrived before the partition, its response is lost in it.
+				<-ctx.Done()
+				return nil, scheduler.OrderUnknown
+			}
 			return report, c.respond(result)
 		}
 		// The order acknowledges and renews when it arrives, not while the
--- a/standin/tardy_test.go
+++ b/standin/tardy_test.go
@@ -1,7 +1,9 @@
 package standin
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -149,6 +151,29 @@
 	is.Equal(reborn(0), now)
 }
 
+// TestCutLosesResponse guards against a stand-in that lets the response to a long poll pass
+// a partition: the order has renewed the lease, and its sender doesn't learn of it.
+func TestCutLosesResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		infos := CellWorkers("service", 1, requester.Resources{MilliCores: 8000})
+		cell := NewCell(1, infos)
+		w := cell.Workers()[0]
+		order := startOrder(testTask, 1, time.Second)
+		order.Payload = RunSpec{Millis: 60_000}.Payload(requester.Resources{MilliCores: 1})
+		is.Equal(w.Start(order, time.Now()), scheduler.OrderAccepted)
+		time.AfterFunc(500*time.Millisecond, func() { w.SetPartitioned(true) })
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		poll := scheduler.PollOrder{Worker: scheduler.WorkerRef{HostID: infos[0].HostID}, Fence: 1, Deadline: 9000}
+		_, result := cell.PlatformFor("entry").Poll(ctx, poll, time.Second)
+		is.Equal(result, scheduler.OrderUnknown)
+		time.Sleep(time.Minute)
+		runs, _ := w.Runs(time.Now())
+		is.Equal(runs[0].EndedAt.Sub(runs[0].StartedAt).Round(time.Second), 9*time.Second)
+	})
+}
+
 // TestListLag guards against a stand-in whose list of workers is never behind by more than a
 // heartbeat: it may show a former life's first row when the next one has answered already.
 func TestListLag(t *testing.T) {
