--- a/standin/tardy_test.go
+++ b/standin/tardy_test.go
@@ -174,28 +174,30 @@
 	})
 }
 
-// TestListLag guards against a stand-in whose list of workers is never behind by more than a
-// heartbeat: it may show a former life's first row when the next one has answered already.
+// TestListLag guards against a stand-in whose list of workers forgets a former life for good
+// with the next one's first heartbeat: a row may be written late, over that of the next life,
+// and the list may show it for the first time then.
 func TestListLag(t *testing.T) {
 	is := is.New(t)
 	const heartbeat, lag = 1500 * time.Millisecond, 2 * time.Second
-	birth := time.Now().Truncate(heartbeat).Add(time.Second)
-	w, _ := testWorkers(birth)
-	beat := firstBeat(birth, heartbeat)
-	w.SetListLag(lag)
-	first, _ := w.Info()
-	crashedAt := birth.Add(beat + 100*time.Millisecond)
-	w.Crash(crashedAt)
-	w.Restart(crashedAt)
-	second, _ := w.Info()
-	listed := func(now time.Time) scheduler.WorkerInfo {
-		info, ok := w.Listed(now, heartbeat)
-		is.Equal(ok, info.HostID != "")
-		return info
+	start := time.UnixMilli(time.Now().Truncate(time.Minute).UnixMilli() / 1500 * 1500)
+	at := func(millis int) time.Time { return start.Add(time.Duration(millis) * time.Millisecond) }
+	w, _ := testWorkers(at(0)) // its rows are written at 0, 1500, ...
+	lives := []scheduler.WorkerInfo{}
+	reborn := func(millis int, lag time.Duration) {
+		info, _ := w.Info()
+		lives = append(lives, info)
+		w.Crash(at(millis))
+		w.SetListLag(lag)
+		w.Restart(at(millis))
+	}
+	reborn(3100, lag) // sends a row at 3200, which arrives at 5200
+	reborn(4000, 0)   // writes rows at 5000, 6500, ...
+	info, _ := w.Info()
+	lives = append(lives, info)
+	for millis, want := range map[int]int{3300: 0, 4999: 0, 5000: 2, 5199: 2, 5200: 1, 6499: 1, 6500: 2, 9000: 2} {
+		info, listed := w.Listed(at(millis), heartbeat)
+		is.True(listed)
+		is.Equal(info, lives[want]) // the life that is shown
 	}
-	secondBeat := crashedAt.Add(firstBeat(crashedAt, heartbeat))
-	is.Equal(listed(birth.Add(beat+lag-time.Millisecond)), scheduler.WorkerInfo{})
-	is.Equal(listed(birth.Add(beat+lag)), first)
-	is.Equal(listed(secondBeat.Add(lag-time.Millisecond)), first)
-	is.Equal(listed(secondBeat.Add(lag)), second)
 }
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -24,10 +23,11 @@
 	killDelay time.Duration
 	// timeOfDayLead is how far the time of day is ahead at the next start.
 	timeOfDayLead time.Duration
-	// listLag is how old what the list of workers shows is.
-	listLag     time.Duration
-	down        bool
-	partitioned bool
+	// listLag is how late the rows of the present incarnation are written, nextListLag
+	// those of the next one.
+	listLag, nextListLag time.Duration
+	down                 bool
+	partitioned          bool
 	// former are the incarnations that crashed, oldest first.
 	former []formerIncarnation
 	// ordersLate is the share of the orders that are late.
@@ -55,6 +55,7 @@
 type formerIncarnation struct {
 	info                scheduler.WorkerInfo
 	bootedAt, crashedAt time.Time
+	listLag             time.Duration
 }
 
 // NewTaskWorker returns a worker that booted at now.
@@ -77,29 +78,43 @@
 // Listed returns what the list of workers contains on the worker, and whether it is on the
 // list, if it writes its row once per heartbeat. So the row of an incarnation that crashed
 // stays until the next one writes its first, or until it expires; one that crashes before
-// that is never on the list. With heartbeat 0 and without SetListLag it is Info.
+// that is never on the list. With heartbeat 0 it is Info.
 func (w *TaskWorker) Listed(now time.Time, heartbeat time.Duration) (scheduler.WorkerInfo, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	shown := now.Add(-w.listLag)
-	if !w.down && hasBeaten(w.bootedAt, shown, heartbeat) {
-		return w.info, true
+	if heartbeat < time.Millisecond {
+		return w.info, !w.down
 	}
-	for _, former := range slices.Backward(w.former) {
-		last := shown
-		if former.crashedAt.Before(last) {
-			last = former.crashedAt
-		}
-		if hasBeaten(former.bootedAt, last, heartbeat) {
-			return former.info, shown.Before(former.crashedAt.Add(missedBeats * heartbeat))
+	var shown scheduler.WorkerInfo
+	var writtenAt time.Time
+	listed := false
+	for _, life := range w.former {
+		if at := life.lastRow(now, heartbeat); !at.IsZero() && !at.Before(writtenAt) {
+			shown, writtenAt = life.info, at
+			listed = now.Before(life.crashedAt.Add(life.listLag + missedBeats*heartbeat))
 		}
 	}
-	return scheduler.WorkerInfo{}, false
+	if w.down {
+		return shown, listed
+	}
+	present := formerIncarnation{bootedAt: w.bootedAt, crashedAt: now, listLag: w.listLag}
+	if at := present.lastRow(now, heartbeat); !at.IsZero() && !at.Before(writtenAt) {
+		return w.info, true
+	}
+	return shown, listed
 }
 
-// hasBeaten reports whether an incarnation has written its row by now.
-func hasBeaten(bootedAt, now time.Time, heartbeat time.Duration) bool {
-	return !now.Before(bootedAt.Add(firstBeat(bootedAt, heartbeat)))
+// lastRow returns when the list last got a row of the incarnation, by now; zero for never.
+func (f *formerIncarnation) lastRow(now time.Time, heartbeat time.Duration) time.Time {
+	last := now
+	if end := f.crashedAt.Add(f.listLag); end.Before(last) {
+		last = end
+	}
+	first := f.bootedAt.Add(firstBeat(f.bootedAt, heartbeat) + f.listLag)
+	if last.Before(first) {
+		return time.Time{}
+	}
+	return first.Add(last.Sub(first) / heartbeat * heartbeat)
 }
 
 // firstBeat returns how long after its start an incarnation first writes its row: at most
@@ -167,7 +182,7 @@
 		run.EndedAt, run.Kind = now, scheduler.EndUnknown
 	}
 	if !w.down {
-		w.former = append(w.former, formerIncarnation{info: w.info, bootedAt: w.bootedAt, crashedAt: now})
+		w.former = append(w.former, formerIncarnation{info: w.info, bootedAt: w.bootedAt, crashedAt: now, listLag: w.listLag})
 	}
 	w.down, w.running, w.unacknowledgedEnds = true, nil, nil
 }
@@ -182,7 +197,7 @@
 	}
 	w.down, w.fence, w.leaseDeadline, w.lastEndNumber = false, 0, time.Time{}, 0
 	w.staleThrough = make(map[scheduler.TaskName]scheduler.RunNumber)
-	w.bootedAt = now.Truncate(time.Millisecond)
+	w.bootedAt, w.listLag = now.Truncate(time.Millisecond), w.nextListLag
 	w.info.BootedAt = w.bootedAt.Add(w.timeOfDayLead.Truncate(time.Millisecond))
 }
 
@@ -224,11 +239,13 @@
 	w.timeOfDayLead = lead
 }
 
-// SetListLag sets how much later than the worker writes it the list of workers shows a row.
+// SetListLag sets how much later than it sends them the list of workers gets the rows of the
+// next incarnation. So a row may arrive when the incarnation has ended, also over one of the
+// incarnation after it, which stays away until its own next heartbeat.
 func (w *TaskWorker) SetListLag(lag time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.listLag = lag
+	w.nextListLag = lag
 }
 
 // trueBirth returns when the present incarnation started, by the true time.
