--- a/standin/cellorders.go
+++ b/standin/cellorders.go
@@ -149,14 +149,19 @@
 		return nil, scheduler.OrderUnknown
 	}
 	until := time.Now().Add(wait)
-	initial, _ := w.Info()
+	initial := w.trueBirth()
 	for {
-		if info, up := w.Info(); !up || !info.BootedAt.Equal(initial.BootedAt) {
+		if _, up := w.Info(); !up || !w.trueBirth().Equal(initial) {
 			// A connection ends with the incarnation that accepted it.
 			return nil, scheduler.OrderUnknown
 		}
 		report, result := w.Poll(order, time.Now())
 		if result != scheduler.OrderAccepted || len(report.Ended) > 0 || !time.Now().Before(until) {
+			if !w.Reachable() {
+				// The order arrived before the partition, its response is lost in it.
+				<-ctx.Done()
+				return nil, scheduler.OrderUnknown
+			}
 			return report, c.respond(result)
 		}
 		// The order acknowledges and renews when it arrives, not while the
--- a/standin/run.go
+++ b/standin/run.go
@@ -44,6 +44,8 @@
 	// Pace is the pace of the run in percent.
 	Pace int
 	Kind scheduler.EndKind
+	// killedAt is when the lease expired; zero if it hasn't in the run's time.
+	killedAt time.Time
 	// Acknowledged is true if an owner acknowledged the end before the lease
 	// expired.
 	Acknowledged bool
@@ -56,8 +58,6 @@
 	// acknowledged, so that an owner may have started the task again elsewhere.
 	maybeRescheduled bool
 	fails            bool
-	// killedAt is when the run ends because its lease has expired; zero before that.
-	killedAt time.Time
 }
 
 // String returns where, in which life, when and how the run ran, for messages.
@@ -70,7 +70,19 @@
 	return fmt.Sprintf("run %d on %s born %s, %s to %s", r.Run, r.Worker, r.incarnation.Format(clock), r.StartedAt.Format(clock), end)
 }
 
+// outcome returns how and when the run ends unless it is stopped, by what is known of its
+// lease. A run that is being killed goes on for killDelay and can't be done any more.
+func (r *RunRecord) outcome(killDelay time.Duration) (scheduler.EndKind, time.Time) {
+	switch {
+	case !r.killedAt.IsZero():
+		return scheduler.EndExpired, r.killedAt.Add(killDelay)
+	case r.fails:
+		return scheduler.EndFailed, r.EndsAt
+	}
+	return scheduler.EndDone, r.EndsAt
+}
+
 // percent returns the percentage of the run's execution time that has passed.
 func (r *RunRecord) percent(now time.Time) int {
-	return int(100 * now.Sub(r.StartedAt) / max(1, r.EndsAt.Sub(r.StartedAt)))
+	return min(100, int(100*now.Sub(r.StartedAt)/max(1, r.EndsAt.Sub(r.StartedAt))))
 }
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -20,10 +19,15 @@
 	bootedAt       time.Time
 	// clockRate is how fast the worker's clock runs, as a share of the true rate.
 	clockRate float64
-	// killTime is how long after its lease has expired a run ends.
-	killTime    time.Duration
-	down        bool
-	partitioned bool
+	// killDelay is how long a run goes on after the end of its lease.
+	killDelay time.Duration
+	// timeOfDayLead is how far the time of day is ahead at the next start.
+	timeOfDayLead time.Duration
+	// listLag is how late the rows of the present incarnation are written, nextListLag
+	// those of the next one.
+	listLag, nextListLag time.Duration
+	down                 bool
+	partitioned          bool
 	// former are the incarnations that crashed, oldest first.
 	former []formerIncarnation
 	// ordersLate is the share of the orders that are late.
@@ -49,8 +53,9 @@
 
 // formerIncarnation is an incarnation that crashed, with its row in the list of workers.
 type formerIncarnation struct {
-	info      scheduler.WorkerInfo
-	crashedAt time.Time
+	info                scheduler.WorkerInfo
+	bootedAt, crashedAt time.Time
+	listLag             time.Duration
 }
 
 // NewTaskWorker returns a worker that booted at now.
@@ -77,20 +82,39 @@
 func (w *TaskWorker) Listed(now time.Time, heartbeat time.Duration) (scheduler.WorkerInfo, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.down && hasBeaten(w.bootedAt, now, heartbeat) {
-		return w.info, true
+	if heartbeat < time.Millisecond {
+		return w.info, !w.down
 	}
-	for _, former := range slices.Backward(w.former) {
-		if hasBeaten(former.info.BootedAt, former.crashedAt, heartbeat) {
-			return former.info, now.Before(former.crashedAt.Add(missedBeats * heartbeat))
+	var shown scheduler.WorkerInfo
+	var writtenAt time.Time
+	listed := false
+	for _, life := range w.former {
+		if at := life.lastRow(now, heartbeat); !at.IsZero() && !at.Before(writtenAt) {
+			shown, writtenAt = life.info, at
+			listed = now.Before(life.crashedAt.Add(life.listLag + missedBeats*heartbeat))
 		}
 	}
-	return scheduler.WorkerInfo{}, false
+	if w.down {
+		return shown, listed
+	}
+	present := formerIncarnation{bootedAt: w.bootedAt, crashedAt: now, listLag: w.listLag}
+	if at := present.lastRow(now, heartbeat); !at.IsZero() && !at.Before(writtenAt) {
+		return w.info, true
+	}
+	return shown, listed
 }
 
-// hasBeaten reports whether an incarnation has written its row by now.
-func hasBeaten(bootedAt, now time.Time, heartbeat time.Duration) bool {
-	return !now.Before(bootedAt.Add(firstBeat(bootedAt, heartbeat)))
+// lastRow returns when the list last got a row of the incarnation, by now; zero for never.
+func (f *formerIncarnation) lastRow(now time.Time, heartbeat time.Duration) time.Time {
+	last := now
+	if end := f.crashedAt.Add(f.listLag); end.Before(last) {
+		last = end
+	}
+	first := f.bootedAt.Add(firstBeat(f.bootedAt, heartbeat) + f.listLag)
+	if last.Before(first) {
+		return time.Time{}
+	}
+	return first.Add(last.Sub(first) / heartbeat * heartbeat)
 }
 
 // firstBeat returns how long after its start an incarnation first writes its row: at most
@@ -118,13 +142,6 @@
 	w.ordersLate = share
 }
 
-// SetKillTime sets how long after its lease has expired a run ends.
-func (w *TaskWorker) SetKillTime(killTime time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.killTime = killTime
-}
-
 // SetAdmissionCheck sets whether the worker rejects starts that don't fit its present room.
 // A start that exceeds what its owner could know of is a violation all the same.
 func (w *TaskWorker) SetAdmissionCheck(on bool) {
@@ -165,7 +182,7 @@
 		run.EndedAt, run.Kind = now, scheduler.EndUnknown
 	}
 	if !w.down {
-		w.former = append(w.former, formerIncarnation{info: w.info, crashedAt: now})
+		w.former = append(w.former, formerIncarnation{info: w.info, bootedAt: w.bootedAt, crashedAt: now, listLag: w.listLag})
 	}
 	w.down, w.running, w.unacknowledgedEnds = true, nil, nil
 }
@@ -180,8 +197,8 @@
 	}
 	w.down, w.fence, w.leaseDeadline, w.lastEndNumber = false, 0, time.Time{}, 0
 	w.staleThrough = make(map[scheduler.TaskName]scheduler.RunNumber)
-	w.bootedAt = now.Truncate(time.Millisecond)
-	w.info.BootedAt = w.bootedAt
+	w.bootedAt, w.listLag = now.Truncate(time.Millisecond), w.nextListLag
+	w.info.BootedAt = w.bootedAt.Add(w.timeOfDayLead.Truncate(time.Millisecond))
 }
 
 // Runs returns the records of all runs that were ever started, over all
@@ -205,6 +222,39 @@
 	w.clockRate = rate
 }
 
+// SetKillDelay sets how long each run goes on after the end of its lease before it ends as
+// expired, as the worker needs time to kill it. Set it before the first order.
+func (w *TaskWorker) SetKillDelay(delay time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.killDelay = delay
+}
+
+// SetTimeOfDayLead sets how far the worker's time of day is ahead of the true one, or
+// behind it if lead is negative, when it next restarts. The birth of that incarnation, as the
+// list and the reports show it, is off by that and may be earlier than that of the former one.
+func (w *TaskWorker) SetTimeOfDayLead(lead time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timeOfDayLead = lead
+}
+
+// SetListLag sets how much later than it sends them the list of workers gets the rows of the
+// next incarnation. So a row may arrive when the incarnation has ended, also over one of the
+// incarnation after it, which stays away until its own next heartbeat.
+func (w *TaskWorker) SetListLag(lag time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.nextListLag = lag
+}
+
+// trueBirth returns when the present incarnation started, by the true time.
+func (w *TaskWorker) trueBirth() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.bootedAt
+}
+
 // clock returns the worker's own clock, which counts milliseconds since the boot.
 func (w *TaskWorker) clock(now time.Time) scheduler.WorkerTime {
 	return scheduler.WorkerTime(float64(now.Sub(w.bootedAt)) * w.clockRate / float64(time.Millisecond))
--- a/standin/taskworker_test.go
+++ b/standin/taskworker_test.go
@@ -215,7 +215,7 @@
 	is := is.New(t)
 	now := time.Now().Truncate(time.Millisecond)
 	w, _ := testWorkers(now)
-	w.SetKillTime(900 * time.Millisecond)
+	w.SetKillDelay(900 * time.Millisecond)
 	long := startOrder(longTask, 1, 2*time.Second)
 	long.Payload = RunSpec{Millis: 2500}.Payload(requester.Resources{MilliCores: 1})
 	is.Equal(w.Start(long, now), scheduler.OrderAccepted)
