--- a/scheduler/lives_search_test.go
+++ b/scheduler/lives_search_test.go
@@ -579,6 +579,9 @@
 			m.fail("recover", err.Error())
 		}
 	}
+	if err := restoreIntended(m.core, m.rows); err != nil {
+		m.fail("decode", err.Error())
+	}
 	m.core.JobsKnown(m.revision)
 	m.readList()
 }
