--- a/scheduler/lives_search_test.go
+++ b/scheduler/lives_search_test.go
@@ -72,9 +72,10 @@
 	fence  Fence
 	ack    int64
 	long   bool
-	// meant is the birth of the life for which it was meant.
-	meant time.Time
-	fate  livesFate
+	// meant is the birth of the life for which it was meant, address where it was sent.
+	meant   time.Time
+	address netip.AddrPort
+	fate    livesFate
 }
 
 // callKey identifies a call across plays of a case.
@@ -112,9 +113,13 @@
 	faultRebirth faultKind = iota
 	faultCut
 	faultOwnerLost
+	// faultStaleEntry lets the list show the entry of a former life.
+	faultStaleEntry
 )
 
-func (k faultKind) String() string { return [...]string{"rebirth", "cut", "owner lost"}[k] }
+func (k faultKind) String() string {
+	return [...]string{"rebirth", "cut", "owner lost", "stale entry"}[k]
+}
 
 // livesFault is a scheduled fault.
 type livesFault struct {
@@ -133,6 +138,11 @@
 	// lands lets the batch in flight of a lost owner reach the store; lingers lets the
 	// owner issue orders until its lease expires, although it doesn't reach the store.
 	lands, lingers bool
+	// moves lets the next life begin at another address, taken lets another host ID answer
+	// at the one that it has left.
+	moves, taken bool
+	// lives is how many lives back the stale entry is.
+	lives int
 }
 
 // livesJob is a job of one step.
@@ -175,6 +185,9 @@
 	endsPerReport int
 	// storedFirst lets an owner be lost only once each start that is not answered is stored.
 	storedFirst bool
+	// skewed makes the births that workers tell differ from the true ones, so that they
+	// don't rise from life to life.
+	skewed bool
 	// mutate breaks a rule of the core before each tick, if it is set.
 	mutate func(*Core)
 }
@@ -254,9 +267,15 @@
 	downUntil time.Time
 	refuses   bool
 	cutUntil  time.Time
-	// shown is what the list shows, unless the worker is hidden.
-	shown  WorkerInfo
-	hidden bool
+	// entries are those of the lives, of which the list shows the one with the index shown,
+	// or stale until staleUntil, unless the worker is hidden.
+	entries    []WorkerInfo
+	shown      int
+	stale      int
+	staleUntil time.Time
+	hidden     bool
+	// left are the addresses that the worker has left.
+	left map[netip.AddrPort]leftAddress
 }
 
 // life is one life of a worker.
@@ -264,7 +283,9 @@
 	worker *livesWorker
 	number int
 	born   time.Time
-	fence  Fence
+	// told is the birth that the life tells.
+	told  time.Time
+	fence Fence
 	// lease is the deadline of the lease on the life's clock, grantedBy the call that set it.
 	lease     WorkerTime
 	grantedBy *livesCall
@@ -324,24 +345,25 @@
 }
 
 func (m *livesModel) newWorker(index int) *livesWorker {
-	w := &livesWorker{m: m, index: index, rate: 1}
+	w := &livesWorker{m: m, index: index, rate: 1, left: make(map[netip.AddrPort]leftAddress)}
 	if m.slowClocks {
 		w.rate = minClockRate
 	}
 	w.info = WorkerInfo{
-		HostID: requester.HostID("w" + strconv.Itoa(index)), Service: "service", Total: workerTotal, BootedAt: m.now.Add(-livesPastTime),
+		HostID: requester.HostID("w" + strconv.Itoa(index)), Service: "service", Total: workerTotal,
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(index)}), 1),
 	}
-	w.shown = w.info
-	w.begin()
+	w.begin(m.now.Add(-livesPastTime))
 	w.life.lastEnd, w.life.lapsedEnd = m.pastEnds, m.pastEnds
 	return w
 }
 
 // begin begins a life, which knows nothing of those before.
-func (w *livesWorker) begin() {
+func (w *livesWorker) begin(born time.Time) {
 	w.lives++
-	w.life = &life{worker: w, number: w.lives, born: w.info.BootedAt, runs: make(map[runKey]*lifeRun), barred: make(map[TaskName]RunNumber)}
+	w.info.BootedAt = w.tells(born)
+	w.entries = append(w.entries, w.info)
+	w.life = &life{worker: w, number: w.lives, born: born, told: w.info.BootedAt, runs: make(map[runKey]*lifeRun), barred: make(map[TaskName]RunNumber)}
 }
 
 // schedule schedules the jobs and the faults.
@@ -467,6 +489,8 @@
 		w.hide(f)
 	case faultOwnerLost:
 		m.loseOwner(f)
+	case faultStaleEntry:
+		m.workers[f.worker].showStale(f)
 	}
 }
 
@@ -481,16 +505,14 @@
 	w.life, w.refuses = nil, f.refuses
 	w.downUntil = m.now.Add(f.length)
 	w.hide(f)
+	if f.moves {
+		w.leave(f)
+	}
 	m.after(f.length, func() {
-		w.info.BootedAt = m.now
-		w.begin()
-		m.tracef("w%d: life %d begins", w.index, w.lives)
-		info := w.info
-		m.after(f.listedAfter, func() {
-			if info.BootedAt.After(w.shown.BootedAt) {
-				w.shown = info
-			}
-		})
+		w.begin(m.now)
+		m.tracef("w%d: life %d begins at %v, tells %.3f", w.index, w.lives, w.info.Address, w.info.BootedAt.Sub(m.base).Seconds())
+		number := len(w.entries) - 1
+		m.after(f.listedAfter, func() { w.shown = max(w.shown, number) })
 	})
 }
 
@@ -609,7 +631,7 @@
 	var infos []WorkerInfo
 	for _, w := range m.workers {
 		if !w.hidden {
-			infos = append(infos, w.shown)
+			infos = append(infos, w.entry())
 		}
 	}
 	m.core.SetWorkers(m.now, infos)
@@ -765,7 +787,7 @@
 
 func (m *livesModel) newCall(kind callKind, to WorkerRef, fence Fence) *livesCall {
 	index := slices.IndexFunc(m.workers, func(w *livesWorker) bool { return w.info.HostID == to.HostID })
-	return &livesCall{kind: kind, worker: index, epoch: m.epoch, at: m.now.Sub(m.base), fence: fence, meant: to.BootedAt}
+	return &livesCall{kind: kind, worker: index, epoch: m.epoch, at: m.now.Sub(m.base), fence: fence, meant: to.BootedAt, address: to.Address}
 }
 
 // send sends a call to its fate. The caller gives it up after the timeout.
@@ -801,11 +823,15 @@
 		})
 	}
 	m.heldCalls++
-	m.after(5*time.Millisecond+c.fate.slow, func() { m.arrive(w, c, execute, respond, func() { finish(func() { fail(OrderUnsent) }) }) })
+	m.after(5*time.Millisecond+c.fate.slow, func() { m.arrive(w, c, execute, respond, func(result OrderResult) { finish(func() { fail(result) }) }) })
 }
 
 // arrive lets a call arrive at a worker, or wait for it.
-func (m *livesModel) arrive(w *livesWorker, c *livesCall, execute func(*life, func(func())), respond func(func()), unsent func()) {
+func (m *livesModel) arrive(w *livesWorker, c *livesCall, execute func(*life, func(func())), respond func(func()), fail func(OrderResult)) {
+	if left, ok := w.left[c.address]; ok {
+		m.arriveWhereLeft(left, c, fail)
+		return
+	}
 	cut := m.now.Before(w.cutUntil)
 	if !cut && w.life != nil {
 		m.carryOut(w, c, execute, respond)
@@ -814,7 +840,7 @@
 	if !cut && w.refuses {
 		m.heldCalls--
 		delete(m.unansweredStarts, c.key())
-		m.after(5*time.Millisecond, unsent)
+		m.after(5*time.Millisecond, func() { fail(OrderUnsent) })
 		return
 	}
 	until := w.downUntil
@@ -826,7 +852,7 @@
 		m.heldCalls--
 		return
 	}
-	m.after(until.Sub(m.now), func() { m.arrive(w, c, execute, respond, unsent) })
+	m.after(until.Sub(m.now), func() { m.arrive(w, c, execute, respond, fail) })
 }
 
 // carryOut executes a call that has arrived, by its fate.
@@ -839,7 +865,7 @@
 		m.after(delay, func() {
 			m.heldCalls--
 			m.advance()
-			if w.life != nil {
+			if w.life != nil && w.info.Address == c.address {
 				execute(w.life, respond)
 			}
 		})
@@ -946,11 +972,11 @@
 // traceExecuted traces a call that is executed, unless it is an answered poll that
 // acknowledges nothing.
 func (m *livesModel) traceExecuted(l *life, c *livesCall, what string) {
-	if c.kind == callPoll && c.ack == 0 && c.fate.kind == fateAnswered && c.fate.slow+c.fate.back == 0 && c.meant.Equal(l.born) {
+	if c.kind == callPoll && c.ack == 0 && c.fate.kind == fateAnswered && c.fate.slow+c.fate.back == 0 && c.meant.Equal(l.told) {
 		return
 	}
 	other := ""
-	if !c.meant.Equal(l.born) {
+	if !c.meant.Equal(l.told) {
 		other = " (not the life that it was meant for)"
 	}
 	m.tracef("  w%d life %d%s executes the %v: %s; lease until %.3f", l.worker.index, l.number, other, c, what, l.leaseEnd().Sub(m.base).Seconds())
@@ -1020,7 +1046,7 @@
 		return "nothing"
 	}
 	life := "its life"
-	if !c.meant.Equal(l.born) {
+	if !c.meant.Equal(l.told) {
 		life = "another life"
 	}
 	return fmt.Sprintf("%v of owner %d, %v, by %s", c.kind, c.epoch, c.fate.kind, life)
@@ -1080,7 +1106,7 @@
 
 func (l *life) report() *Report {
 	m := l.worker.m
-	report := &Report{Clock: l.clock(), BootedAt: l.born}
+	report := &Report{Clock: l.clock(), BootedAt: l.told}
 	for _, e := range l.ended {
 		if m.endsPerReport > 0 && len(report.Ended) == m.endsPerReport {
 			report.Partial, report.More = true, true
@@ -1377,10 +1403,11 @@
 			func(c *livesCase) { c.endsPerReport = 0 },
 			func(c *livesCase) { c.slowClocks = false },
 			func(c *livesCase) { c.pastEnds = 0 },
+			func(c *livesCase) { c.skewed = false },
 		} {
 			next := c
 			simpler(&next)
-			if next.slow != c.slow || next.endsPerReport != c.endsPerReport || next.slowClocks != c.slowClocks || next.pastEnds != c.pastEnds {
+			if next.slow != c.slow || next.endsPerReport != c.endsPerReport || next.slowClocks != c.slowClocks || next.pastEnds != c.pastEnds || next.skewed != c.skewed {
 				again = same(next) || again
 			}
 		}
@@ -1390,9 +1417,9 @@
 
 // describe returns the parts of a case.
 func (c livesCase) describe() string {
-	text := fmt.Sprintf("seed %d, %d workers, step %v, plain %v, slow store %v, slow clocks %v, past ends %d, ends per report %d", c.seed, c.workers, c.step, c.plain, c.slow, c.slowClocks, c.pastEnds, c.endsPerReport)
+	text := fmt.Sprintf("seed %d, %d workers, step %v, plain %v, slow store %v, slow clocks %v, past ends %d, ends per report %d, skewed births %v", c.seed, c.workers, c.step, c.plain, c.slow, c.slowClocks, c.pastEnds, c.endsPerReport, c.skewed)
 	for _, f := range c.faults {
-		text += fmt.Sprintf("\n  fault %v w%d at %.3f for %v, listed after %v, unlisted %v, refuses %v", f.kind, f.worker, f.at.Seconds(), f.length, f.listedAfter, f.unlisted, f.refuses)
+		text += fmt.Sprintf("\n  fault %v w%d at %.3f for %v, listed after %v, unlisted %v, refuses %v, moves %v, taken %v, lives %d", f.kind, f.worker, f.at.Seconds(), f.length, f.listedAfter, f.unlisted, f.refuses, f.moves, f.taken, f.lives)
 	}
 	return text
 }
@@ -1450,6 +1477,10 @@
 		{"duels, owners lost at any moment", drawDuel, func(*livesCase) {}},
 		{"two quick rebirths, one owner", drawQuickDuel, oneOwner},
 		{"two quick rebirths, owners lost once their starts are stored", drawQuickDuel, storeStartsFirst},
+		{"births out of order, one owner", drawBirths, oneOwner},
+		{"births out of order, owners lost at any moment", drawBirths, func(*livesCase) {}},
+		{"moved workers, one owner", drawMoves, oneOwner},
+		{"moved workers, owners lost at any moment", drawMoves, func(*livesCase) {}},
 	}
 	first, count := livesSeedsToPlay(t)
 	for _, kind := range kinds {
