--- a/scheduler/bounded.go
+++ b/scheduler/bounded.go
@@ -76,15 +76,15 @@
 // SkipBirths is called instead of RestoreBirths if a row of births cannot be decoded.
 func (c *Core) SkipBirths() { c.birthParts++ }
 
-// birthsRow returns the row of births: the incarnations that have reported, and
-// those that had reported to a previous owner.
+// birthsRow returns the row of births: the incarnations that have reported, unless the
+// list shows another one, and those that had reported to a previous owner.
 func (c *Core) birthsRow() BirthsRow {
 	var row BirthsRow
 	for _, w := range c.sortedWorkers {
 		born := w.grantedTo
 		if w.reported {
 			born = time.Time{}
-			if !c.now.Before(w.boundedFrom) {
+			if !c.now.Before(w.boundedFrom) && w.otherEntry == nil {
 				born = w.bootedAt
 			}
 		}
--- a/scheduler/intended.go
+++ b/scheduler/intended.go
@@ -252,7 +252,7 @@
 		s.wait = wait{}
 	}
 	r.startedAt, r.expectedEnd = c.now, c.now.Add(s.expectedDuration())
-	r.startFence, r.address = c.fence(w), w.info.Address
+	r.startFence, r.address = c.fence(w), w.address()
 	c.noteStart(r)
 	c.prolongTrial(r)
 	c.sentRuns = append(c.sentRuns, r)
--- a/scheduler/intended_test.go
+++ b/scheduler/intended_test.go
@@ -162,6 +162,7 @@
 	info := h.core.sortedWorkers[0].info
 	info.BootedAt = h.now
 	h.core.SetWorkers(h.now, []WorkerInfo{info})
+	h.tellBirth(info)
 	orders := h.core.Tick(h.now)
 	is.Equal(len(orders.Starts)+len(orders.Stops), 0)
 	is.True(h.core.jobs["j"].occurrences[0].steps[0].tasks[0].crashes.empty()) // it wasn't sent
--- a/scheduler/openstart_test.go
+++ b/scheduler/openstart_test.go
@@ -280,6 +280,7 @@
 	info := w.info
 	info.BootedAt = born
 	h.core.SetWorkers(h.now, []WorkerInfo{info, h.core.sortedWorkers[1].info})
+	h.tellBirth(info)
 	h.now = h.now.Add(time.Second)
 	h.core.PollDone(h.now, PollOrder{Worker: w.ref(), Fence: h.core.fence(w), SentAt: h.now}, &Report{Clock: 1000, BootedAt: born, Ended: []EndedRun{{Number: 1, Task: start.Task, Run: start.Run, Kind: EndFailed}}}, OrderAccepted)
 	for h.now.Sub(sentAt) < 30*time.Second {
@@ -405,6 +406,7 @@
 	h.now = h.now.Add(5 * time.Second)
 	info.BootedAt, info.LeavesAt = h.now, h.now.Add(time.Minute)
 	h.core.SetWorkers(h.now, []WorkerInfo{info})
+	h.tellBirth(info)
 	if got := h.core.sortedWorkers[0].info.LeavesAt; got.Before(info.LeavesAt) {
 		t.Errorf("the next life leaves at %v, 60 s from now; taken for %v", info.LeavesAt, got)
 	}
@@ -630,6 +632,7 @@
 		moved := w.info
 		moved.Address, moved.BootedAt = h.address(77), h.now
 		h.core.SetWorkers(h.now, []WorkerInfo{moved, h.core.sortedWorkers[1].info})
+		h.tellBirth(moved)
 		h.core.PollDone(h.now, PollOrder{Worker: w.ref(), Fence: h.core.fence(w), SentAt: h.now}, nil, OrderOtherIncarnation)
 		for h.now.Sub(sentAt) < 12*time.Second {
 			if starts := h.advanceSilent(start.Worker, 100*time.Millisecond); len(starts) > 0 {
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"strconv"
 	"time"
@@ -24,7 +25,11 @@
 // pollWorkers issues a poll order for each worker that is due for one.
 func (c *Core) pollWorkers() {
 	for _, w := range c.sortedWorkers {
-		if w.pollInFlight || c.now.Before(w.nextPollAt) || !w.info.Address.IsValid() {
+		if w.pollInFlight || c.now.Before(w.nextPollAt) || !w.address().IsValid() {
+			continue
+		}
+		if address, known := w.elsewhere(); known && w.lookElsewhere {
+			c.sendLook(w, address)
 			continue
 		}
 		if acknowledged, due := c.pollDue(w); due {
@@ -58,14 +63,25 @@
 		Fence:           c.fence(w),
 		AcknowledgedEnd: acknowledged,
 		Deadline:        c.grantLease(w),
-		LongPoll:        w.reported && !w.keepsEnds() && w.unanswered == 0 && !c.closesSoon(w) && !c.holdsEndsBack(w),
+		LongPoll:        w.reported && !w.keepsEnds() && w.unanswered == 0 && !c.closesSoon(w) && !c.holdsEndsBack(w) && !w.lookNow,
 		SentAt:          c.now,
 	})
+	w.lookNow = false
 	if acknowledged > 0 {
 		c.raiseGeneration(w)
 	}
 }
 
+// sendLook issues a poll order to another address than the one at which the worker gets its
+// orders. It grants and acknowledges nothing.
+func (c *Core) sendLook(w *worker, address netip.AddrPort) {
+	w.pollInFlight, w.lookElsewhere = true, false
+	c.stats.Looks++
+	to := w.ref()
+	to.Address = address
+	c.orders.Polls = append(c.orders.Polls, PollOrder{Worker: to, Fence: c.fence(w), SentAt: c.now})
+}
+
 // keepsEnds reports whether the worker has ends that a poll now would not
 // acknowledge, so that it would respond at once.
 func (w *worker) keepsEnds() bool {
@@ -87,6 +103,11 @@
 		return
 	}
 	w.pollInFlight = false
+	if order.Worker.Address != w.address() && result != OrderAccepted {
+		// What is said there of the worker isn't said where it gets its orders.
+		w.nextPollAt = now
+		return
+	}
 	if result == OrderUnknown && order.Deadline > 0 {
 		// If the entry stood still, it may have been sent later than it was issued.
 		w.grantedAt = latest(w.grantedAt, c.now.Add(-PollWait-PollTimeout))
@@ -106,7 +127,7 @@
 		c.withdrawFrom(w, "its worker doesn't answer")
 		c.noteSilent(w)
 		w.unanswered++
-		w.nextPollAt = now.Add(pollRetryInterval)
+		w.lookElsewhere, w.nextPollAt = true, now.Add(pollRetryInterval)
 		if result == OrderUnknown || result == OrderUnsent {
 			c.raiseGeneration(w)
 		}
@@ -119,14 +140,14 @@
 // ID; a start that was sent to an earlier address of the worker stays open. It does nothing if the worker is at
 // another address by now.
 func (c *Core) endIncarnation(w *worker, addressed WorkerRef) {
-	if addressed.Address != w.info.Address {
+	if addressed.Address != w.address() {
 		return
 	}
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker's incarnation ended", Why: "another incarnation responded at its address"})
 	c.withdrawFrom(w, "its worker's incarnation ended")
 	c.recordCrash(w)
 	w.unanswered++
-	w.nextPollAt = c.now.Add(pollRetryInterval)
+	w.lookElsewhere, w.nextPollAt = true, c.now.Add(pollRetryInterval)
 	for _, r := range w.sortedRuns() {
 		c.stats.Lapsed++
 		if r.address == addressed.Address {
--- a/scheduler/review39_test.go
+++ b/scheduler/review39_test.go
@@ -215,6 +215,7 @@
 	info := h.core.sortedWorkers[0].info
 	info.BootedAt = born
 	h.core.SetWorkers(h.now, []WorkerInfo{info})
+	h.tellBirth(info)
 	h.running = nil
 	reportedAt := h.now.Add(10 * time.Millisecond)
 	started := false
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -38,10 +39,22 @@
 	// followed is true if this owner has observed that the current incarnation
 	// replaced another one.
 	followed bool
-	// birthSeenAt is when bootedAt was first observed, listedBirth the latest
-	// birth that the list has shown.
+	// birthSeenAt is when bootedAt was first observed, listedBirth the birth in the
+	// last reading of the list.
 	birthSeenAt time.Time
 	listedBirth time.Time
+	// heard is true once the worker has told its birth to this owner. home is the
+	// address at which it did so last; before that, the one at which a previous owner
+	// knew it, or at which it is listed.
+	heard bool
+	home  netip.AddrPort
+	// otherEntry is the last entry of the worker if its birth isn't the one that the
+	// worker has told; nil otherwise.
+	otherEntry *WorkerInfo
+	// lookNow is true if the next poll is to be answered at once, lookElsewhere if it is
+	// sent to the other address at which the worker may be.
+	lookNow       bool
+	lookElsewhere bool
 	// generation is part of the fence of new orders. bornFence is the fence
 	// from which orders were meant for the worker's current incarnation.
 	generation int64
@@ -141,7 +154,7 @@
 
 // ref identifies the worker's current incarnation.
 func (w *worker) ref() WorkerRef {
-	return WorkerRef{HostID: w.info.HostID, Address: w.info.Address, BootedAt: w.bootedAt}
+	return WorkerRef{HostID: w.info.HostID, Address: w.address(), BootedAt: w.bootedAt}
 }
 
 // usable reports whether the worker may get new tasks, leaving aside transient
@@ -278,7 +291,7 @@
 	if w, ok := c.workers[info.HostID]; ok {
 		return w
 	}
-	w := &worker{info: info, runs: make(map[runKey]*run), unreportedSince: c.tookOverAt}
+	w := &worker{info: info, home: info.Address, runs: make(map[runKey]*run), unreportedSince: c.tookOverAt}
 	c.observeBirth(w)
 	c.workers[info.HostID] = w
 	c.sortedWorkers = append(c.sortedWorkers, w)
@@ -296,9 +309,8 @@
 	return 0
 }
 
-// SetWorkers replaces the list of workers. The list may be older than what a
-// worker has reported of itself; what it says of an earlier incarnation is then
-// ignored.
+// SetWorkers replaces the list of workers. An entry may be of another incarnation
+// than the one that has reported (birth.go).
 func (c *Core) SetWorkers(now time.Time, infos []WorkerInfo) {
 	c.now = now
 	listed := make(map[requester.HostID]bool, len(infos))
@@ -309,18 +321,13 @@
 			w = c.addWorker(info)
 			c.leasedWorkersDirty = true
 		}
-		if !w.listed || w.info.Leaving != info.Leaving {
+		if !w.listed || w.entry().Leaving != info.Leaving {
 			c.log(LogRecord{Worker: info.HostID, Event: "worker listed", Why: leavingText(info.Leaving)})
 			c.markFreed(w)
 			w.nextPollAt = now
 		}
-		if !info.BootedAt.Before(w.bootedAt) || info.BootedAt.IsZero() {
-			c.updateRoom(w, info)
-			c.updateAddress(w, info)
-			w.setInfo(info)
-		}
+		c.observeEntry(w, info)
 		w.listed = true
-		c.observeListedBirth(w, info.BootedAt)
 	}
 	for _, w := range c.sortedWorkers {
 		if w.listed && !listed[w.info.HostID] {
@@ -374,27 +381,18 @@
 	c.sortedWorkers = kept
 }
 
-// updateIncarnation handles a boot time observed for a worker. If it shows a
-// new incarnation, the runs that the previous one has reported have ended. The
-// new incarnation may have executed all other starts, or may still do so.
-func (c *Core) updateIncarnation(w *worker, bootedAt time.Time) {
-	if bootedAt.IsZero() || !bootedAt.After(w.bootedAt) {
-		return
-	}
-	if w.bootedAt.IsZero() {
-		c.checkGrantedTo(w, bootedAt)
-		w.bootedAt, w.birthSeenAt = bootedAt, c.now
-		return
-	}
-	c.reborn(w, bootedAt)
-}
-
-// reborn records that a worker is in another incarnation than before.
+// reborn records that a worker is in another incarnation than before. The runs that the
+// previous one has reported have ended. The new one may have executed all other starts, or
+// may still do so. Of a worker that has not told its birth before, only the list knew the
+// previous incarnation; it may have ended long ago.
 func (c *Core) reborn(w *worker, bootedAt time.Time) {
-	w.bootedAt, w.birthSeenAt, w.followed = bootedAt, c.now, true
+	w.bootedAt, w.birthSeenAt = bootedAt, c.now
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker reborn"})
 	c.withdrawFrom(w, "its worker restarted")
-	c.recordCrash(w)
+	if w.toldBirth() {
+		w.followed = true
+		c.recordCrash(w)
+	}
 	c.observeBirth(w)
 	w.appliedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds = 0, 0, 0, nil
 	w.unverifiedEnds, w.violatedEnd, w.confirmedEnd = nil, 0, 0
