--- a/scheduler/birth.go
+++ b/scheduler/birth.go
@@ -136,11 +136,13 @@
 }
 
 // elsewhere returns the other address at which the worker may be: that of its entry, or
-// the one at which a previous owner knew it.
+// the one at which a previous owner knew it, unless it is known to have left that.
 func (w *worker) elsewhere() (address netip.AddrPort, known bool) {
 	address = w.home
 	if w.heard {
 		address = w.entry().Address
+	} else if w.ended {
+		return address, false
 	}
 	return address, address.IsValid() && address != w.address()
 }
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -82,6 +82,16 @@
 	c.orders.Polls = append(c.orders.Polls, PollOrder{Worker: to, Fence: c.fence(w), SentAt: c.now})
 }
 
+// lookFailed handles a poll to another address than the one at which the worker gets its
+// orders. It says nothing of the worker there, unless the worker's last known incarnation
+// was at that address.
+func (c *Core) lookFailed(w *worker, order PollOrder, result OrderResult) {
+	if result == OrderOtherIncarnation {
+		c.endIncarnation(w, order.Worker)
+	}
+	w.lookElsewhere, w.nextPollAt = false, c.now
+}
+
 // keepsEnds reports whether the worker has ends that a poll now would not
 // acknowledge, so that it would respond at once.
 func (w *worker) keepsEnds() bool {
@@ -104,8 +114,7 @@
 	}
 	w.pollInFlight = false
 	if order.Worker.Address != w.address() && result != OrderAccepted {
-		// What is said there of the worker isn't said where it gets its orders.
-		w.nextPollAt = now
+		c.lookFailed(w, order, result)
 		return
 	}
 	if result == OrderUnknown && order.Deadline > 0 {
@@ -126,8 +135,7 @@
 		}
 		c.withdrawFrom(w, "its worker doesn't answer")
 		c.noteSilent(w)
-		w.unanswered++
-		w.lookElsewhere, w.nextPollAt = true, now.Add(pollRetryInterval)
+		c.silentAtItsAddress(w)
 		if result == OrderUnknown || result == OrderUnsent {
 			c.raiseGeneration(w)
 		}
@@ -137,17 +145,19 @@
 // endIncarnation releases the runs of an incarnation that has provably ended,
 // because another host ID responded to an order at its address, and with it the
 // leases that any owner has granted it. What was sent to the address is for the other host
-// ID; a start that was sent to an earlier address of the worker stays open. It does nothing if the worker is at
-// another address by now.
+// ID; a start that was sent to an earlier address of the worker stays open. An answer from
+// an address that only the list names proves nothing of what the worker has elsewhere.
 func (c *Core) endIncarnation(w *worker, addressed WorkerRef) {
-	if addressed.Address != w.address() {
+	if addressed.Address != w.home {
+		if addressed.Address == w.address() {
+			c.silentAtItsAddress(w)
+		}
 		return
 	}
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker's incarnation ended", Why: "another incarnation responded at its address"})
 	c.withdrawFrom(w, "its worker's incarnation ended")
 	c.recordCrash(w)
-	w.unanswered++
-	w.lookElsewhere, w.nextPollAt = true, c.now.Add(pollRetryInterval)
+	c.silentAtItsAddress(w)
 	for _, r := range w.sortedRuns() {
 		c.stats.Lapsed++
 		if r.address == addressed.Address {
@@ -163,6 +173,12 @@
 	}
 }
 
+// silentAtItsAddress counts an order to the worker's address that it hasn't answered.
+func (c *Core) silentAtItsAddress(w *worker) {
+	w.unanswered++
+	w.lookElsewhere, w.nextPollAt = true, c.now.Add(pollRetryInterval)
+}
+
 // applyReport applies a worker's report. A report of an earlier incarnation is
 // ignored, and so is that of a new one that responds to a poll which was meant
 // for an earlier one: only a poll of its own makes it reject such orders.
