--- a/scheduler/entries_test.go
+++ b/scheduler/entries_test.go
@@ -141,17 +141,22 @@
 // TestRowLeavesTheAddressOfALease guards against a row of leased workers from which a
 // successor asks for a worker at an address of the list at which it has never answered.
 func TestRowLeavesTheAddressOfALease(t *testing.T) {
-	is := is.New(t)
-	h, _ := movingHarness(t)
-	rows := make(map[string][]byte)
-	boot := h.core.workers["w000"].bootedAt
-	for range 10 {
-		h.listMoved(1, boot.Add(2*time.Second))
-		h.tickAt(0, nil, OrderUnknown)
-		h.core.leasedWorkersDirty = true
-		h.keepRows(rows)
+	for _, inherited := range []bool{false, true} {
+		is := is.New(t)
+		h, _ := movingHarness(t)
+		if inherited {
+			h = afterTakeover(t)
+		}
+		rows := make(map[string][]byte)
+		boot := h.core.workers["w000"].bootedAt
+		for range 10 {
+			h.listMoved(1, boot.Add(2*time.Second))
+			h.tickAt(0, nil, OrderUnknown)
+			h.core.leasedWorkersDirty = true
+			h.keepRows(rows)
+		}
+		var row LeasedWorkersRow
+		is.NoErr(DecodeRow(rows[LeasedWorkersKey], &row))
+		is.Equal(row.Workers[0].Address, h.address(0))
 	}
-	var row LeasedWorkersRow
-	is.NoErr(DecodeRow(rows[LeasedWorkersKey], &row))
-	is.Equal(row.Workers[0].Address, h.address(0))
 }
