--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -186,8 +186,8 @@
 		c.leasedWorkersDirty = false
 		row := LeasedWorkersRow{}
 		for _, w := range c.sortedWorkers {
-			batch.leasedWorkers = append(batch.leasedWorkers, leasedWrite{w, w.info.Address})
-			row.Workers = append(row.Workers, LeasedWorker{HostID: w.info.HostID, Address: w.info.Address})
+			batch.leasedWorkers = append(batch.leasedWorkers, leasedWrite{w, w.home})
+			row.Workers = append(row.Workers, LeasedWorker{HostID: w.info.HostID, Address: w.home})
 		}
 		encode := func(from, to int) []byte { return EncodeRow(LeasedWorkersRow{Workers: row.Workers[from:to]}) }
 		batch.append(listWrites(LeasedWorkersKey, len(row.Workers), encode, c.options.rowLimit(), &c.rosterParts))
@@ -215,7 +215,7 @@
 		c.jobCommits++
 	}
 	for _, write := range batch.leasedWorkers {
-		if w := write.worker; !w.leaseRecorded && write.address == w.info.Address {
+		if w := write.worker; !w.leaseRecorded && write.address == w.home {
 			w.leaseRecorded = true
 			c.markFreed(w)
 		}
--- a/scheduler/birth.go
+++ b/scheduler/birth.go
@@ -49,10 +49,12 @@
 		c.markFreed(w)
 	}
 	c.updateRoom(w, info)
-	c.updateAddress(w, info)
+	if info.Address != w.info.Address {
+		w.ended = false
+	}
 	w.setInfo(info)
 	if !w.heard && !w.inherited {
-		w.home = info.Address
+		c.setHome(w, info.Address)
 	}
 }
 
@@ -85,6 +87,7 @@
 // report is of an earlier incarnation.
 func (c *Core) observeReportedBirth(w *worker, order PollOrder, bootedAt time.Time) bool {
 	if bootedAt.IsZero() {
+		c.setHome(w, order.Worker.Address)
 		return true
 	}
 	if !bootedAt.Equal(w.bootedAt) {
@@ -93,7 +96,8 @@
 		}
 		c.observeOtherBirth(w, bootedAt)
 	}
-	w.heard, w.home = true, order.Worker.Address
+	w.heard = true
+	c.setHome(w, order.Worker.Address)
 	if entry := w.otherEntry; entry != nil && entry.BootedAt.Equal(bootedAt) {
 		c.adoptEntry(w, *entry)
 	}
--- a/scheduler/entries_test.go
+++ b/scheduler/entries_test.go
@@ -138,6 +138,20 @@
 	}
 }
 
+// TestRowReadAfterTheList guards against a new owner that takes the leases of a worker for
+// over by what it hears where the worker is listed, as it has read the list before the rows.
+func TestRowReadAfterTheList(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(0)
+	h.core = New(Options{Epoch: 2, PreviousOwnerTerm: time.Second}, h.now)
+	h.listMoved(1, h.now.Add(-time.Minute))
+	h.core.RestoreLeasedWorkers(LeasedWorkersRow{Workers: []LeasedWorker{{HostID: "w000", Address: h.address(0)}}})
+	for range 10 {
+		h.tickAt(0, nil, OrderOtherIncarnation)
+		is.True(!h.core.Reconciled())
+	}
+}
+
 // TestRowLeavesTheAddressOfALease guards against a row of leased workers from which a
 // successor asks for a worker at an address of the list at which it has never answered.
 func TestRowLeavesTheAddressOfALease(t *testing.T) {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -14,7 +14,7 @@
 	// listed is true if the current list of workers contains the worker.
 	listed bool
 	// leaseRecorded is true if the committed row of leased workers contains the
-	// worker with its present address.
+	// worker with its home.
 	leaseRecorded bool
 	// ended is true if the incarnation at the worker's present address has
 	// provably ended. Nothing runs there, and no lease is held.
@@ -282,7 +282,10 @@
 	for _, listed := range row.Workers {
 		w := c.addWorker(WorkerInfo{HostID: listed.HostID, Address: listed.Address})
 		w.inherited, c.leasesInherited = true, true
-		w.leaseRecorded = true
+		if !w.heard && w.home != listed.Address {
+			w.home = listed.Address // the list was read before
+		}
+		w.leaseRecorded = w.home == listed.Address
 	}
 }
 
@@ -338,13 +341,13 @@
 	c.removeUnlistedWorkers()
 }
 
-// updateAddress prepares a worker for the info that replaces its present one. No
-// task starts at another address before the row of leased workers has it: from
-// the row, a later owner knows where the worker's last incarnation with tasks
-// was, and that it has ended once another one responds there.
-func (c *Core) updateAddress(w *worker, info WorkerInfo) {
-	if info.Address != w.info.Address {
-		w.leaseRecorded, w.ended = false, false
+// setHome records where a worker is. No task starts at another address before the
+// row of leased workers has it: from the row, a later owner knows where the worker's
+// last incarnation with tasks was, and that it has ended once another one responds
+// there.
+func (c *Core) setHome(w *worker, address netip.AddrPort) {
+	if address != w.home {
+		w.home, w.leaseRecorded = address, false
 		c.leasedWorkersDirty = true
 	}
 }
