--- a/scheduler/birth.go
+++ b/scheduler/birth.go
@@ -13,7 +13,7 @@
 // knows of was observed.
 //
 // So the list tells the birth of a worker only until that has told its own. From
-// then on an entry with another birth proves nothing: the worker is asked at once, at
+// then on an entry with another birth proves nothing: the worker is asked as soon as no poll is in flight, at
 // the address in the entry too, and gets no new tasks until its entry and its reports
 // agree.
 
@@ -59,7 +59,8 @@
 }
 
 // doubtEntry keeps an entry aside whose birth isn't the one that the worker has told, and
-// has the worker asked if the list didn't show that birth before.
+// has the worker asked if the list didn't show that birth before. A poll in flight is waited
+// for: its answer may be the one that tells, and two at a time would go on for good.
 func (c *Core) doubtEntry(w *worker, info WorkerInfo, changed bool) {
 	c.birthsDirty = c.birthsDirty || w.otherEntry == nil
 	w.otherEntry = &info
@@ -68,7 +69,7 @@
 	}
 	c.log(LogRecord{Worker: w.info.HostID, Event: "worker's birth", Why: "the list has another one than the worker has told; only its reports count"})
 	_, w.lookElsewhere = w.elsewhere()
-	w.lookNow, w.pollInFlight, w.nextPollAt = true, false, c.now
+	w.lookNow, w.nextPollAt = true, c.now
 }
 
 // observeListedBirth handles another birth in the list than before, of a worker that has
@@ -101,6 +102,9 @@
 	if entry := w.otherEntry; entry != nil && entry.BootedAt.Equal(bootedAt) {
 		c.adoptEntry(w, *entry)
 	}
+	if w.otherEntry == nil && w.info.Address != w.home && w.infoIsOf(bootedAt) {
+		w.lookElsewhere = true // its own entry names another address
+	}
 	return true
 }
 
@@ -118,8 +122,12 @@
 // incarnation, as far as births are known. Another one may have been of another
 // kind.
 func (w *worker) infoIsCurrent() bool {
-	return w.otherEntry == nil && w.info.Address == w.address() &&
-		(w.info.BootedAt.IsZero() || w.bootedAt.IsZero() || w.info.BootedAt.Equal(w.bootedAt))
+	return w.otherEntry == nil && w.info.Address == w.address() && (w.bootedAt.IsZero() || w.infoIsOf(w.bootedAt))
+}
+
+// infoIsOf reports whether the worker's info may be that of an incarnation.
+func (w *worker) infoIsOf(bootedAt time.Time) bool {
+	return w.info.BootedAt.IsZero() || w.info.BootedAt.Equal(bootedAt)
 }
 
 // entry returns the worker's entry in the last reading of the list that had one.
--- a/scheduler/entries_test.go
+++ b/scheduler/entries_test.go
@@ -27,6 +27,28 @@
 	is.True(c.core.workers["w1"].usable())
 }
 
+// TestDoubtedEntryDoublesPolls guards against a worker that is polled twice at a time for
+// good, as its entry has had it asked while a poll was waiting.
+func TestDoubtedEntryDoublesPolls(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.now = h.now.Add(time.Second)
+	waiting := pollOf(t, h.issue())
+	is.True(waiting.LongPoll)
+	info := h.core.sortedWorkers[0].info
+	info.BootedAt = info.BootedAt.Add(-time.Second)
+	h.now = h.now.Add(100 * time.Millisecond)
+	h.core.SetWorkers(h.now, []WorkerInfo{info})
+	is.Equal(len(h.issue().Polls), 0)
+	h.core.PollDone(h.now, waiting, h.reportOf(waiting.Worker), OrderAccepted)
+	h.now = h.now.Add(100 * time.Millisecond)
+	asked := pollOf(t, h.issue())
+	is.True(!asked.LongPoll) // the entry is newer than the one before
+	h.core.PollDone(h.now, asked, h.reportOf(asked.Worker), OrderAccepted)
+	h.now = h.now.Add(100 * time.Millisecond)
+	is.True(pollOf(t, h.issue()).LongPoll)
+}
+
 // movingHarness is a core of which the only worker runs a task.
 func movingHarness(t *testing.T) (*harness, StartOrder) {
 	t.Helper()
@@ -138,6 +160,31 @@
 	}
 }
 
+// TestWorkerHeardAtTwoAddresses guards against a worker that gets no tasks for good, as it
+// has answered at the row's address of it, and not at first at that of its entry.
+func TestWorkerHeardAtTwoAddresses(t *testing.T) {
+	is := is.New(t)
+	h := afterTakeover(t)
+	born := h.core.workers["w000"].bootedAt
+	report := &Report{Clock: 1, BootedAt: born}
+	h.listMoved(1, born)
+	for range 10 {
+		h.tickAt(0, report, OrderUnknown)
+	}
+	is.Equal(h.core.workers["w000"].home, h.address(0))
+	for range 10 {
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.commit()
+		for _, poll := range h.issue().Polls {
+			if poll.Worker.HostID == "w000" {
+				h.core.PollDone(h.now, poll, report, OrderAccepted)
+			}
+		}
+	}
+	is.Equal(h.core.workers["w000"].home, h.address(1))
+	is.True(h.core.workers["w000"].usable())
+}
+
 // TestRowReadAfterTheList guards against a new owner that takes the leases of a worker for
 // over by what it hears where the worker is listed, as it has read the list before the rows.
 func TestRowReadAfterTheList(t *testing.T) {
