--- a/dispatcher/nextlife_test.go
+++ b/dispatcher/nextlife_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"kumquatstall/dispatcher"
+	"kumquatstall/scheduler"
 	"kumquatstall/standin"
 )
 
@@ -128,6 +129,7 @@
 		time.Sleep(down)
 		each(workers, func(w *standin.TaskWorker) {
 			w.SetPartitioned(reachable == 0)
+			w.SetNextClock(scheduler.WorkerTime(rand.Int64N((3 * time.Hour).Milliseconds())))
 			w.Restart(time.Now())
 			w.SetOrdersLate(0)
 		})
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"strconv"
 	"time"
@@ -24,7 +25,11 @@
 // pollWorkers issues a poll order for each worker that is due for one.
 func (c *Core) pollWorkers() {
 	for _, w := range c.sortedWorkers {
-		if w.pollInFlight || c.now.Before(w.nextPollAt) || !w.info.Address.IsValid() {
+		if w.pollInFlight || c.now.Before(w.nextPollAt) || !w.address().IsValid() {
+			continue
+		}
+		if address, known := w.elsewhere(); known && w.lookElsewhere {
+			c.sendLook(w, address)
 			continue
 		}
 		if acknowledged, due := c.pollDue(w); due {
@@ -58,14 +63,35 @@
 		Fence:           c.fence(w),
 		AcknowledgedEnd: acknowledged,
 		Deadline:        c.grantLease(w),
-		LongPoll:        w.reported && !w.keepsEnds() && w.unanswered == 0 && !c.closesSoon(w) && !c.holdsEndsBack(w),
+		LongPoll:        w.reported && !w.keepsEnds() && w.unanswered == 0 && !c.closesSoon(w) && !c.holdsEndsBack(w) && !w.lookNow,
 		SentAt:          c.now,
 	})
+	w.lookNow = false
 	if acknowledged > 0 {
 		c.raiseGeneration(w)
 	}
 }
 
+// sendLook issues a poll order to another address than the one at which the worker gets its
+// orders. It grants and acknowledges nothing.
+func (c *Core) sendLook(w *worker, address netip.AddrPort) {
+	w.pollInFlight, w.lookElsewhere = true, false
+	c.stats.Looks++
+	to := w.ref()
+	to.Address = address
+	c.orders.Polls = append(c.orders.Polls, PollOrder{Worker: to, Fence: c.fence(w), SentAt: c.now})
+}
+
+// lookFailed handles a poll to another address than the one at which the worker gets its
+// orders. It says nothing of the worker there, unless the worker's last known incarnation
+// was at that address.
+func (c *Core) lookFailed(w *worker, order PollOrder, result OrderResult) {
+	if result == OrderOtherIncarnation {
+		c.endIncarnation(w, order.Worker)
+	}
+	w.lookElsewhere, w.nextPollAt = false, c.now
+}
+
 // keepsEnds reports whether the worker has ends that a poll now would not
 // acknowledge, so that it would respond at once.
 func (w *worker) keepsEnds() bool {
@@ -92,6 +118,10 @@
 		return
 	}
 	w.pollInFlight = false
+	if order.Worker.Address != w.address() && result != OrderAccepted {
+		c.lookFailed(w, order, result)
+		return
+	}
 	switch result {
 	case OrderAccepted:
 		c.applyReport(w, order, report)
@@ -106,8 +136,7 @@
 		}
 		c.withdrawFrom(w, "its worker doesn't answer")
 		c.noteSilent(w)
-		w.unanswered++
-		w.nextPollAt = now.Add(pollRetryInterval)
+		c.silentAtItsAddress(w)
 		if result == OrderUnknown || result == OrderUnsent {
 			c.raiseGeneration(w)
 		}
@@ -117,17 +146,19 @@
 // endIncarnation releases the runs of an incarnation that has provably ended,
 // because another host ID responded to an order at its address, and with it the
 // leases that any owner has granted it. What was sent to the address is for the other host
-// ID; a start that was sent to an earlier address of the worker stays open. It does nothing if the worker is at
-// another address by now.
+// ID; a start that was sent to an earlier address of the worker stays open. An answer from
+// an address that only the list names proves nothing of what the worker has elsewhere.
 func (c *Core) endIncarnation(w *worker, addressed WorkerRef) {
-	if addressed.Address != w.info.Address {
+	if addressed.Address != w.home {
+		if addressed.Address == w.address() {
+			c.silentAtItsAddress(w)
+		}
 		return
 	}
 	c.noteEndedAt(w, addressed.Address)
 	c.withdrawFrom(w, "its worker's incarnation ended")
 	c.recordCrash(w)
-	w.unanswered++
-	w.nextPollAt = c.now.Add(pollRetryInterval)
+	c.silentAtItsAddress(w)
 	for _, r := range w.sortedRuns() {
 		c.stats.Lapsed++
 		if r.address == addressed.Address {
@@ -143,6 +174,12 @@
 	}
 }
 
+// silentAtItsAddress counts an order to the worker's address that it hasn't answered.
+func (c *Core) silentAtItsAddress(w *worker) {
+	w.unanswered++
+	w.lookElsewhere, w.nextPollAt = true, c.now.Add(pollRetryInterval)
+}
+
 // applyReport applies a worker's report. A report of an earlier incarnation is
 // ignored, and so is that of a new one that responds to a poll which was meant
 // for an earlier one: only a poll of its own makes it reject such orders.
--- a/standin/tardy_test.go
+++ b/standin/tardy_test.go
@@ -201,3 +201,21 @@
 		is.Equal(info, lives[want]) // the life that is shown
 	}
 }
+
+// TestNextClock checks that the clock of a life may begin anywhere, and that leases end by it.
+func TestNextClock(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 7, 10, 12, 0, 0, 0, time.UTC)
+	w, _ := testWorkers(now)
+	w.SetNextClock(7_200_000)
+	w.Crash(now)
+	now = now.Add(time.Second)
+	w.Restart(now)
+	is.Equal(w.Start(scheduler.StartOrder{Task: testTask, Run: 1, Deadline: 5000}, now), scheduler.OrderExpired) // by the former life's clock
+	is.Equal(w.Start(scheduler.StartOrder{Task: testTask, Run: 1, Deadline: 7_203_000, Payload: RunSpec{Millis: 60_000}.Payload(requester.Resources{MilliCores: 1})}, now), scheduler.OrderAccepted)
+	report, _ := w.Poll(scheduler.PollOrder{}, now.Add(2*time.Second))
+	is.Equal(report.Clock, scheduler.WorkerTime(7_202_000))
+	is.Equal(len(report.Running), 1)
+	report, _ = w.Poll(scheduler.PollOrder{}, now.Add(3*time.Second))
+	is.Equal(len(report.Running), 0) // its lease has expired
+}
--- a/standin/taskorders.go
+++ b/standin/taskorders.go
@@ -33,7 +33,7 @@
 			run.maybeRescheduled = run.maybeRescheduled || run.endNumber > 0 && !run.Acknowledged
 		}
 	}
-	expiry := w.bootedAt.Add(w.trueTime(time.Duration(deadline) * time.Millisecond))
+	expiry := w.bootedAt.Add(w.trueTime(time.Duration(deadline-w.clockAtBirth) * time.Millisecond))
 	if latest := now.Add(w.trueTime(maxLease)); expiry.After(latest) {
 		expiry = latest
 	}
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -21,6 +21,9 @@
 	clockRate float64
 	// killDelay is how long a run goes on after the end of its lease.
 	killDelay time.Duration
+	// clockAtBirth is what the clock of the present incarnation showed when it began,
+	// nextClockAtBirth that of the next one.
+	clockAtBirth, nextClockAtBirth scheduler.WorkerTime
 	// timeOfDayLead is how far the time of day is ahead at the next start.
 	timeOfDayLead time.Duration
 	// listLag is how late the rows of the present incarnation are written, nextListLag
@@ -198,6 +201,7 @@
 	w.down, w.fence, w.leaseDeadline, w.lastEndNumber = false, 0, time.Time{}, 0
 	w.staleThrough = make(map[scheduler.TaskName]scheduler.RunNumber)
 	w.bootedAt, w.listLag = now.Truncate(time.Millisecond), w.nextListLag
+	w.clockAtBirth = w.nextClockAtBirth
 	w.info.BootedAt = w.bootedAt.Add(w.timeOfDayLead.Truncate(time.Millisecond))
 }
 
@@ -255,9 +259,17 @@
 	return w.bootedAt
 }
 
-// clock returns the worker's own clock, which counts milliseconds since the boot.
+// SetNextClock sets what the clock of the worker's next incarnation shows when it begins.
+func (w *TaskWorker) SetNextClock(shown scheduler.WorkerTime) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.nextClockAtBirth = shown
+}
+
+// clock returns the worker's own clock, which counts milliseconds since the boot and begins
+// with clockAtBirth.
 func (w *TaskWorker) clock(now time.Time) scheduler.WorkerTime {
-	return scheduler.WorkerTime(float64(now.Sub(w.bootedAt)) * w.clockRate / float64(time.Millisecond))
+	return w.clockAtBirth + scheduler.WorkerTime(float64(now.Sub(w.bootedAt))*w.clockRate/float64(time.Millisecond))
 }
 
 // shownClock returns the worker's own clock for a response.
