--- a/cmd/kumquatstall/serve.go
+++ b/cmd/kumquatstall/serve.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"expvar"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -28,6 +30,21 @@
 // platform).
 type serveCommand struct {
 	Config string `type:"path" env:"KUMQUATSTALL_SETTINGS" required:"" help:"Settings file."`
+	// LongestStopMillis is a text, as a deploy file that fills it in may leave it empty.
+	LongestStopMillis string `help:"How long a worker may take to end a run, in milliseconds; replaces Timing.LongestStopMillis of the settings unless it is empty."`
+}
+
+// override replaces the settings for which there are flags.
+func (c *serveCommand) override(site *configurer.Site) error {
+	if c.LongestStopMillis == "" {
+		return nil
+	}
+	millis, err := strconv.ParseFloat(c.LongestStopMillis, 64)
+	if err != nil || !(millis >= 0 && millis <= maxStopMillis) {
+		return errors.Newf("--longest-stop-millis: got %q, expected a number between 0 and %d", c.LongestStopMillis, int64(maxStopMillis))
+	}
+	site.Timing.LongestStopMillis = int64(math.Ceil(millis))
+	return nil
 }
 
 const (
@@ -48,7 +65,9 @@
 	reloadInterval = 2 * time.Second
 	// storeWriteShare is the fraction of the store's write rate that one entry
 	// may use to store jobs and cancellations.
-	storeWriteShare   = 0.15
+	storeWriteShare = 0.15
+	// maxStopMillis bounds the flag, as the settings bound the value.
+	maxStopMillis     = 86_400_000
 	headerTimeout     = 5 * time.Second
 	callerIdleTimeout = 60 * time.Second
 	maxHeaderBytes    = 16 << 10
@@ -63,6 +82,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.override(site); err != nil {
+		return err
+	}
 	setMemoryLimit(site.Limits.MemoryMB)
 	level, err := zerolog.ParseLevel(site.Log.Level)
 	if err != nil || level == zerolog.NoLevel {
--- a/cmd/kumquatstall/serve_test.go
+++ b/cmd/kumquatstall/serve_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"kumquatstall/configurer"
 )
 
 // TestReloadSignalAtStartEndsProcess checks that SIGHUP does not end an entry that
@@ -59,3 +61,23 @@
 	}
 	t.Fatal("the entry did not start")
 }
+
+// TestLongestStopFlag checks that the flag replaces the setting unless it is empty, and that an
+// error names it.
+func TestLongestStopFlag(t *testing.T) {
+	tests := []struct {
+		flag string
+		want int64
+		ok   bool
+	}{{"", 900, true}, {"200", 200, true}, {"200.5", 201, true}, {"-1", 0, false}, {"NaN", 0, false}, {"1e99", 0, false}, {"soon", 0, false}}
+	for _, test := range tests {
+		site := &configurer.Site{Timing: configurer.SiteTiming{LongestStopMillis: 900}}
+		err := (&serveCommand{LongestStopMillis: test.flag}).override(site)
+		if test.ok && (err != nil || site.Timing.LongestStopMillis != test.want) {
+			t.Errorf("%q: got %d, %v", test.flag, site.Timing.LongestStopMillis, err)
+		}
+		if !test.ok && (err == nil || !strings.Contains(err.Error(), "--longest-stop-millis")) {
+			t.Errorf("%q: got %v, expected an error that names the flag", test.flag, err)
+		}
+	}
+}
