--- a/scheduler/explain.go
+++ b/scheduler/explain.go
@@ -34,7 +34,7 @@
 // countLife returns what the owner knows of a worker's present incarnation.
 func (c *Core) countLife(w *worker) lifeCount {
 	return lifeCount{
-		at: c.now, bootedAt: w.bootedAt, address: w.info.Address,
+		at: c.now, bootedAt: w.bootedAt, address: w.address(),
 		lease: LeaseCount{Deadline: w.leaseDeadline, Clock: w.clock, ClockAge: c.sinceSet(w.clockAt), GrantAge: c.sinceSet(w.grantedAt)},
 	}
 }
