--- a/scheduler/birth.go
+++ b/scheduler/birth.go
@@ -13,9 +13,9 @@
 // knows of was observed.
 //
 // So the list tells the birth of a worker only until that has told its own. From
-// then on an entry with another birth proves nothing: the worker is asked as soon as no poll is in flight, at
-// the address in the entry too, and gets no new tasks until its entry and its reports
-// agree.
+// then on an entry with another birth proves nothing: the worker is asked as soon as
+// no poll is in flight, at the address in the entry too, and gets no new tasks until
+// its entry and its reports agree.
 
 // maxBirthLead is how far ahead of the owner's clock a listed birth may be: the
 // clocks of hosts differ.
--- a/scheduler/intended.go
+++ b/scheduler/intended.go
@@ -304,7 +304,7 @@
 	}
 	j := s.task.step.job()
 	if open := s.task.open; open != nil && open.Run == s.stored.Run {
-		if !s.task.mayBeStored() {
+		if !s.task.storesOpenStart() {
 			return c.mayAct(open)
 		}
 		if s.openVersion == 0 {
@@ -315,22 +315,22 @@
 	switch {
 	case r == nil || r.settled:
 		return false
-	case !s.task.mayBeStored() && j.committedVersion < j.version:
+	case !s.task.storesOpenStart() && j.committedVersion < j.version:
 		return true
 	}
 	return c.now.Before(c.actsUntil(r))
 }
 
-// mayBeStored reports whether the rows of the job have an open start of the task. They have
-// none of a task that doesn't start again.
-func (t *task) mayBeStored() bool { return !t.done && !t.step.job().state.Ended() }
+// storesOpenStart reports whether the rows of the job have the task's open start, if there is
+// one. They don't if the task doesn't start again.
+func (t *task) storesOpenStart() bool { return !t.done && !t.step.job().state.Ended() }
 
 // listEnded adds to the list of intended starts the open ones that the rows of their jobs don't
 // have any more, as their tasks don't start again: a successor must keep their room.
 func (c *Core) listEnded() {
 	for _, t := range c.openTasks {
 		listed := func(s *writtenStart) bool { return s.task == t && s.stored.Run == t.open.Run }
-		if t.mayBeStored() || slices.ContainsFunc(c.written, listed) {
+		if t.storesOpenStart() || slices.ContainsFunc(c.written, listed) {
 			continue
 		}
 		c.written = append(c.written, &writtenStart{task: t, stored: t.open.intended(t.name())})
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -216,7 +216,7 @@
 // storeOpen has the open start of a task stored, or that there is none, unless nobody
 // would start the task again.
 func (c *Core) storeOpen(t *task) {
-	if t.mayBeStored() {
+	if t.storesOpenStart() {
 		c.markDirty(t.step.job())
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -30,8 +30,9 @@
 // A run occupies its resources from the moment its start order is issued until
 // the worker rejects the start or reports the end of the run, a later
 // incarnation of the worker is observed, or every lease that the worker can
-// hold has expired and it has had the time to end what ran. A start without a response is unacknowledged: the worker
-// may have executed it, or may still do so. If the worker's next report
+// hold has expired and it has had the time to end what ran. A start without a
+// response is unacknowledged: the worker may have executed it, or may still do
+// so. If the worker's next report
 // contains the run, the run continues. If it does not, and the poll was sent
 // with a higher fence than the start, the worker's present incarnation rejects the
 // start from then on, and the run is released. Otherwise the run is stopped, and
--- a/scheduler/stats.go
+++ b/scheduler/stats.go
@@ -70,9 +70,10 @@
 	// Withdrawn counts the starts that were intended and not sent.
 	Withdrawn int64
 	// Resurfaced counts runs that a worker reported after they had been released
-	// without a reported end, ReleasedActive those among them that were active. ForeignRuns counts runs of earlier owners that an
-	// incarnation of a worker has which began after the takeover, EndsMissing ends
-	// that an incarnation has forgotten before anybody read them.
+	// without a reported end, ReleasedActive those among them that were active.
+	// ForeignRuns counts runs of earlier owners that an incarnation of a worker has
+	// which began after the takeover, EndsMissing ends that an incarnation has
+	// forgotten before anybody read them.
 	Resurfaced     int64
 	ReleasedActive int64
 	ForeignRuns    int64
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -220,8 +220,8 @@
 }
 
 // leaseExpiry returns the time by which every lease that the worker can hold has
-// expired, and what had one has ended; zero if its incarnation has ended. As long as the worker has not reported,
-// leases may have been granted up to PreviousOwnerTerm after unreportedSince, each
+// expired, and what had one has ended; zero if its incarnation has ended. As long as
+// the worker has not reported, leases may have been granted up to PreviousOwnerTerm after unreportedSince, each
 // for at most MaxLease, unless a shorter bound is known.
 func (w *worker) leaseExpiry(c *Core) time.Time {
 	if w.ended {
