--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -63,23 +63,6 @@
 	return o
 }
 
-// DefaultLeaseTerm is the default of Options.LeaseTerm.
-const DefaultLeaseTerm = 7300 * time.Millisecond
-
-// minClockRate is the lowest rate at which a worker's clock is assumed to run,
-// relative to the owner's clock.
-const minClockRate = 0.98
-
-// expiryMargin is added to the time at which what had a lease has ended, because of
-// messages in flight.
-const expiryMargin = 200 * time.Millisecond
-
-// endedAfter returns by how long after it was granted a lease has expired by the slowest
-// clock, and what had it has ended: a worker needs time for that.
-func (c *Core) endedAfter(lease time.Duration) time.Duration {
-	return time.Duration(float64(lease)/minClockRate) + c.options.LongestStop + expiryMargin
-}
-
 // runsPerEpoch is how many run numbers each epoch has, so that the runs of
 // different owners have different numbers.
 const runsPerEpoch = 1 << 20
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -347,20 +347,3 @@
 	}
 	t.checkpoint = checkpoint
 }
-
-// expireLeases releases the runs on workers whose leases have all expired.
-func (c *Core) expireLeases() {
-	for _, w := range c.sortedWorkers {
-		if len(w.runs) == 0 || c.now.Before(w.leaseExpiry(c)) {
-			continue
-		}
-		for _, r := range w.sortedRuns() {
-			if c.now.Before(c.runExpiry(r)) {
-				continue
-			}
-			c.stats.Lapsed++
-			c.noteLapsed(r)
-			c.releaseLost(r, leaseExpired)
-		}
-	}
-}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -203,47 +203,6 @@
 	return w.info.Total.Sub(w.allocated).Sub(w.reservedForOpen)
 }
 
-// clockEstimate estimates the worker's clock at now from its last reading, as
-// if that had been taken at clockAt and the clock ran at the owner's rate.
-func (w *worker) clockEstimate(now time.Time) WorkerTime {
-	return w.clock + WorkerTime(now.Sub(w.clockAt)/time.Millisecond)
-}
-
-// leastClock returns the least that the worker's clock can show at a time, by its last
-// reading.
-func (w *worker) leastClock(at time.Time) WorkerTime {
-	since := at.Sub(w.clockAt)
-	if since > 0 {
-		since = time.Duration(float64(since) * minClockRate)
-	}
-	return w.clock + WorkerTime(since/time.Millisecond)
-}
-
-// leaseExpiry returns the time by which every lease that the worker can hold has
-// expired, and what had one has ended; zero if its incarnation has ended. As long as
-// the worker has not reported, leases may have been granted up to PreviousOwnerTerm after unreportedSince, each
-// for at most MaxLease, unless a shorter bound is known.
-func (w *worker) leaseExpiry(c *Core) time.Time {
-	if w.ended {
-		return time.Time{}
-	}
-	if !w.reported {
-		expiry := w.unreportedSince.Add(c.longestUnreported())
-		if c.options.PreviousLeaseTerm > 0 && !w.grantedTo.IsZero() && c.previousLeasesEnd().Before(expiry) {
-			return c.previousLeasesEnd()
-		}
-		return expiry
-	}
-	left := time.Duration(w.leaseDeadline-w.clock) * time.Millisecond
-	return w.clockAt.Add(c.endedAfter(left))
-}
-
-// longestUnreported returns for how long a worker that has not reported may run
-// something under a lease of a previous owner.
-func (c *Core) longestUnreported() time.Duration {
-	return c.options.PreviousOwnerTerm + c.endedAfter(c.options.MaxLease)
-}
-
 // AssumeUnknownLeases is called instead of RestoreLeasedWorkers if a row of
 // leased workers cannot be decoded. Until every lease of a previous owner has
 // expired, the row is not replaced, so that a successor finds it as it is, and no
@@ -253,42 +212,6 @@
 	c.unknownLeases, c.leasesInherited, c.leasedWorkersDirty = true, true, true
 }
 
-// leasesUnknown reports whether workers that this owner does not know of may
-// still hold leases.
-func (c *Core) leasesUnknown() bool {
-	return c.unknownLeases && c.now.Before(c.tookOverAt.Add(c.longestUnreported()))
-}
-
-// grantLease returns the lease deadline for an order issued now, or 0 to not
-// renew the lease. The lease of an unresponsive worker is not renewed, so that
-// its tasks can start again elsewhere once it has expired.
-func (c *Core) grantLease(w *worker) WorkerTime {
-	if !w.reported || w.unanswered > 0 {
-		return 0
-	}
-	deadline := c.latestDeadline(w)
-	w.leaseDeadline = max(w.leaseDeadline, deadline)
-	w.grantedAt = c.now
-	return deadline
-}
-
-// minStartLease is the least remaining time of a lease with which a start is sent.
-const minStartLease = 4 * time.Second
-
-// startDeadline returns the lease deadline for a start issued now: that of the lease
-// which the polls have granted, if enough of it is left. Starts go on while a poll of a
-// lost worker waits for its response, and what ran there waits until every lease that
-// was granted has expired.
-func (c *Core) startDeadline(w *worker) WorkerTime {
-	now := w.clockEstimate(c.now)
-	deadline := min(w.leaseDeadline, c.latestDeadline(w))
-	if deadline < now+WorkerTime(minStartLease/time.Millisecond) {
-		return c.grantLease(w)
-	}
-	w.grantedAt = c.now
-	return deadline
-}
-
 // RestoreLeasedWorkers adds the workers to which a previous owner may have sent
 // orders. It is called for each part of the list.
 func (c *Core) RestoreLeasedWorkers(row LeasedWorkersRow) {
