--- a/scheduler/entries_test.go
+++ b/scheduler/entries_test.go
@@ -221,3 +221,29 @@
 		is.Equal(row.Workers[0].Address, h.address(0))
 	}
 }
+
+// TestRunAtAnEarlierAddressOfTheSameLife guards against a task that starts again while it runs: its
+// worker has answered at another address since its start, in the same life, and another host
+// ID answers there now. That proves nothing of the run at the first address.
+func TestRunAtAnEarlierAddressOfTheSameLife(t *testing.T) {
+	is := is.New(t)
+	h, start := movingHarness(t)
+	w := h.core.workers["w000"]
+	h.listMoved(1, w.bootedAt)
+	report := h.reportOf(start.Worker)
+	for range 20 {
+		h.tickAt(1, report, OrderUnknown)
+	}
+	is.Equal(w.address(), h.address(1))
+	endedAt := h.now
+	h.core.endIncarnation(w, w.ref())
+	for h.now.Sub(endedAt) < 7*time.Second { // a lease was granted until then
+		is.Equal(len(h.tickAt(1, nil, OrderUnknown)), 0)
+	}
+	is.Equal(h.core.Stats().Crashes, int64(0))
+	started := 0
+	for range 40 {
+		started += len(h.tickAt(1, nil, OrderUnknown))
+	}
+	is.Equal(started, 1)
+}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -147,7 +147,8 @@
 // because another host ID responded to an order at its address, and with it the
 // leases that any owner has granted it. What was sent to the address is for the other host
 // ID; a start that was sent to an earlier address of the worker stays open. An answer from
-// an address that only the list names proves nothing of what the worker has elsewhere.
+// an address that only the list names proves nothing of what the worker has elsewhere, nor
+// does one from its address of a run that it has had at another one.
 func (c *Core) endIncarnation(w *worker, addressed WorkerRef) {
 	if addressed.Address != w.home {
 		if addressed.Address == w.address() {
@@ -157,16 +158,24 @@
 	}
 	c.noteEndedAt(w, addressed.Address)
 	c.withdrawFrom(w, "its worker's incarnation ended")
-	c.recordCrash(w)
+	ended := !slices.ContainsFunc(w.sortedRuns(), func(r *run) bool { return r.goesOnElsewhere(addressed.Address) })
+	if ended {
+		c.recordCrash(w)
+	} else {
+		c.noteSilent(w)
+	}
 	c.silentAtItsAddress(w)
 	for _, r := range w.sortedRuns() {
+		if r.goesOnElsewhere(addressed.Address) {
+			continue
+		}
 		c.stats.Lapsed++
 		if r.address == addressed.Address {
 			c.settle(r)
 		}
 		c.releaseLost(r, "its worker's incarnation ended")
 	}
-	w.ended = true
+	w.ended = ended
 	for _, t := range slices.Clone(c.openTasks) {
 		if t.open.Worker == w.info.HostID && t.open.address == addressed.Address {
 			c.closeStart(t)
@@ -174,6 +183,12 @@
 	}
 }
 
+// goesOnElsewhere reports whether the worker has shown the run and its start was sent to
+// another address than the given one.
+func (r *run) goesOnElsewhere(address netip.AddrPort) bool {
+	return (r.reported || r.confirmed) && r.address.IsValid() && r.address != address
+}
+
 // silentAtItsAddress counts an order to the worker's address that it hasn't answered.
 func (c *Core) silentAtItsAddress(w *worker) {
 	w.unanswered++
