--- a/scheduler/lateack_test.go
+++ b/scheduler/lateack_test.go
@@ -55,15 +55,22 @@
 
 // TestAcknowledgementAfterAnUnknownLifesAnswer guards against an end that a worker forgets
 // before anybody reads it: its next life, of which the owner doesn't know yet, has accepted a
-// start and then gets the acknowledgement of ends of its former life.
+// start and then gets the acknowledgement of ends of its former life. Its clock may agree
+// with that of the former life by chance.
 func TestAcknowledgementAfterAnUnknownLifesAnswer(t *testing.T) {
-	h := newHarness(2)
-	start := h.unanswered(t)
-	h.core.StartAccepted(h.now, start, 5)
-	sentAt := h.now
-	waited := h.endBeside(start, sentAt, 2*time.Second, false, func(poll PollOrder) { h.core.PollDone(h.now, poll, nil, OrderRefused) })
-	if waited < 2*time.Second {
-		t.Errorf("an end of the known life is acknowledged %v after another one may have accepted a start", waited)
+	for _, agrees := range []bool{false, true} {
+		h := newHarness(2)
+		start := h.unanswered(t)
+		clock := WorkerTime(5)
+		if agrees {
+			clock = h.clock(start.Worker)
+		}
+		h.core.StartAccepted(h.now, start, clock)
+		sentAt := h.now
+		waited := h.endBeside(start, sentAt, 2*time.Second, false, func(poll PollOrder) { h.core.PollDone(h.now, poll, nil, OrderRefused) })
+		if waited < 2*time.Second {
+			t.Errorf("clock agrees %v: an end of the known life is acknowledged %v after another one may have accepted a start", agrees, waited)
+		}
 	}
 }
 
--- a/scheduler/unread.go
+++ b/scheduler/unread.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // A poll that acknowledges ends names them by a number, and each incarnation of a worker
 // numbers its ends from 1. An incarnation for which the poll was not meant executes it too,
@@ -14,7 +17,8 @@
 // start may be executed by an incarnation that this owner doesn't know, or has been: from
 // when it is sent until it is answered by the known incarnation, or its time is over and
 // the known incarnation has answered since. An incarnation that begins after that can't
-// execute it any more.
+// execute it any more. If only a clock tells that the known incarnation has answered the
+// start, its next answer to a poll is waited for as well.
 //
 // Meanwhile a worker keeps its ends. Once there are maxKeptEnds of them, or more than it
 // lists, it gets no new tasks, so that it lists those of all its runs soon.
@@ -28,7 +32,7 @@
 // the known incarnation doesn't list.
 func (c *Core) mayHaveUnreadEnd(w *worker) bool {
 	for _, r := range w.runs {
-		if !r.settled && r.task.mayStartAgain() && !w.answeredAt.After(c.actsUntil(r)) {
+		if r.task.mayStartAgain() && (!r.settled && !w.answeredAt.After(c.actsUntil(r)) || r.confirmedSince(w.answeredAt)) {
 			return true
 		}
 	}
@@ -40,6 +44,12 @@
 	})
 }
 
+// confirmedSince reports whether a clock alone shows that the known incarnation has the run,
+// and that incarnation has not answered a poll that was sent after it.
+func (r *run) confirmedSince(answeredAt time.Time) bool {
+	return r.confirmed && !r.reported && !answeredAt.After(r.acknowledgedAt)
+}
+
 // mayStartAgain reports whether this owner or, by the stored rows, its successor may start
 // the task again and must not do so after an end of it. A task that lasts starts again
 // however it ends.
