--- a/scheduler/birth.go
+++ b/scheduler/birth.go
@@ -32,7 +32,7 @@
 	}
 	c.adoptEntry(w, info)
 	if changed && !w.toldBirth() {
-		c.observeListedBirth(w, info.BootedAt)
+		c.observeListedBirth(w, info)
 	}
 }
 
@@ -67,27 +67,26 @@
 	if !changed {
 		return
 	}
-	c.log(LogRecord{Worker: w.info.HostID, Event: "worker's birth", Why: "the list has another one than the worker has told; only its reports count"})
+	c.noteListedBirth(w, info, "the list has another one than the worker has told; only its reports count")
 	_, w.lookElsewhere = w.elsewhere()
 	w.lookNow, w.nextPollAt = true, c.now
 }
 
 // observeListedBirth handles another birth in the list than before, of a worker that has
 // not told its own. One that lies ahead shows nothing before the worker reports it.
-func (c *Core) observeListedBirth(w *worker, bootedAt time.Time) {
+func (c *Core) observeListedBirth(w *worker, info WorkerInfo) {
 	switch {
-	case bootedAt.IsZero() || bootedAt.Equal(w.bootedAt):
-	case bootedAt.After(c.now.Add(maxBirthLead)):
-		c.log(LogRecord{Worker: w.info.HostID, Event: "worker's birth", Why: "the list has a birth that lies ahead; only its reports count"})
+	case info.BootedAt.IsZero() || info.BootedAt.Equal(w.bootedAt):
+	case info.BootedAt.After(c.now.Add(maxBirthLead)):
+		c.noteListedBirth(w, info, "the list has a birth that lies ahead; only its reports count")
 	default:
-		c.observeOtherBirth(w, bootedAt)
+		c.observeOtherBirth(w, info.BootedAt, shownByList)
 	}
 }
 
 // observeReportedBirth handles the birth in a report. It returns false if the
 // report is of an earlier incarnation.
 func (c *Core) observeReportedBirth(w *worker, order PollOrder, bootedAt time.Time) bool {
-	w.reportedBirth = bootedAt
 	if bootedAt.IsZero() {
 		c.setHome(w, order.Worker.Address)
 		return true
@@ -96,7 +95,7 @@
 		if !order.SentAt.After(w.birthSeenAt) {
 			return false
 		}
-		c.observeOtherBirth(w, bootedAt)
+		c.observeOtherBirth(w, bootedAt, shownByReport)
 	}
 	w.heard = true
 	c.setHome(w, order.Worker.Address)
@@ -109,14 +108,15 @@
 	return true
 }
 
-// observeOtherBirth handles the birth of another incarnation than the known one.
-func (c *Core) observeOtherBirth(w *worker, bootedAt time.Time) {
+// observeOtherBirth handles the birth of another incarnation than the known one; shownBy is
+// what has shown it.
+func (c *Core) observeOtherBirth(w *worker, bootedAt time.Time, shownBy string) {
 	if w.bootedAt.IsZero() {
 		c.checkGrantedTo(w, bootedAt)
 		w.bootedAt, w.birthSeenAt = bootedAt, c.now
 		return
 	}
-	c.reborn(w, bootedAt)
+	c.reborn(w, bootedAt, shownBy)
 }
 
 // infoIsCurrent reports whether the worker's entry in the list is of its current
--- a/scheduler/bounded_test.go
+++ b/scheduler/bounded_test.go
@@ -99,7 +99,7 @@
 		},
 		"another birth is reported to an order to the earlier one": func(h *harness) *worker {
 			w := h.restoreLost(h.boundedPredecessor(), bornAt)
-			h.core.observeOtherBirth(w, bornAt.Add(time.Second))
+			h.core.observeOtherBirth(w, bornAt.Add(time.Second), shownByReport)
 			return w
 		},
 	}
--- a/scheduler/explain.go
+++ b/scheduler/explain.go
@@ -73,25 +73,35 @@
 	return "open"
 }
 
+// What shows that an incarnation has ended.
+const (
+	shownByList      = "the list"
+	shownByReport    = "a report"
+	shownByAnotherID = "another ID at its address"
+)
+
 // noteReborn logs that a worker is in another incarnation than before, and remembers
 // what was counted of the former one. It is called before that is forgotten.
-func (c *Core) noteReborn(w *worker, bootedAt time.Time) {
+func (c *Core) noteReborn(w *worker, bootedAt time.Time, shownBy string) {
 	w.former = c.countLife(w)
-	w.former.endShownBy = "the list"
-	if bootedAt.Equal(w.reportedBirth) {
-		w.former.endShownBy = "a report"
-	}
+	w.former.endShownBy = shownBy
 	c.log(LogRecord{
 		Worker: w.info.HostID, Event: "worker reborn", Address: w.former.address, BootedAt: bootedAt, FormerBootedAt: w.bootedAt,
-		Why: "shown by " + w.former.endShownBy,
+		Why: "shown by " + shownBy,
 	})
 }
 
+// noteListedBirth logs a birth in the list, at the address of the entry, beside the one
+// that is known.
+func (c *Core) noteListedBirth(w *worker, info WorkerInfo, why string) {
+	c.log(LogRecord{Worker: w.info.HostID, Event: "worker's birth", Address: info.Address, BootedAt: info.BootedAt, FormerBootedAt: w.bootedAt, Why: why})
+}
+
 // noteEndedAt logs that another incarnation responded at a worker's address, and
 // remembers what was counted of the one that has ended.
 func (c *Core) noteEndedAt(w *worker, address netip.AddrPort) {
 	w.former = c.countLife(w)
-	w.former.endShownBy = "another ID at its address"
+	w.former.endShownBy = shownByAnotherID
 	there, elsewhere, unknown := w.countRunsAt(address)
 	c.log(LogRecord{
 		Worker: w.info.HostID, Event: "worker's incarnation ended", Address: address, BootedAt: w.bootedAt,
--- a/scheduler/explain_test.go
+++ b/scheduler/explain_test.go
@@ -184,7 +184,11 @@
 	h.core.TakeLogRecords()
 	h.core.SetWorkers(h.now, []WorkerInfo{info})
 	records := h.core.TakeLogRecords()
-	is.True(strings.HasPrefix(only(t, records, "worker's birth").Why, "the list has another one"))
+	birth := only(t, records, "worker's birth")
+	is.True(strings.HasPrefix(birth.Why, "the list has another one"))
+	is.Equal(birth.Address, info.Address)
+	is.Equal(birth.BootedAt, info.BootedAt)
+	is.Equal(birth.FormerBootedAt, later)
 	is.True(!slices.ContainsFunc(records, func(r LogRecord) bool { return r.Event == "worker reborn" || r.Event == "worker crashed under a run" }))
 }
 
@@ -309,7 +313,7 @@
 }
 
 // TestLapseInALifeThatWasGivenUpIsExplained checks that the log tells a run that lapsed in a
-// life which the list had shown as over: it had not been waited for.
+// life which a report had shown as over: its lease had not been waited for.
 func TestLapseInALifeThatWasGivenUpIsExplained(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(1)
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -169,7 +169,7 @@
 		r.confirmed = true
 	default:
 		c.stats.UnknownLives++
-		c.log(LogRecord{Job: order.Task.Job, Task: order.Task, Run: order.Run, Worker: w.info.HostID, Event: "start accepted, unknown by which incarnation", Why: "its clock showed " + strconv.FormatInt(int64(clock), 10) + "ms"})
+		c.log(LogRecord{Job: order.Task.Job, Task: order.Task, Run: order.Run, Worker: w.info.HostID, Event: "start accepted, unknown by which incarnation", Address: r.address, BootedAt: w.bootedAt, Lease: c.countLife(w).lease, Why: "its clock showed " + strconv.FormatInt(int64(clock), 10) + "ms"})
 		// A successor must not count on the leases of the known life either.
 		c.setOpen(r, now)
 	}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -132,7 +132,7 @@
 		c.endIncarnation(w, order.Worker)
 	default:
 		if w.unanswered == 0 {
-			c.log(LogRecord{Worker: w.info.HostID, Event: "worker doesn't answer"})
+			c.log(LogRecord{Worker: w.info.HostID, Event: "worker doesn't answer", Address: w.address(), BootedAt: w.bootedAt})
 		}
 		c.withdrawFrom(w, "its worker doesn't answer")
 		c.noteSilent(w)
@@ -207,7 +207,7 @@
 	if w.unanswered > 0 || !w.reported {
 		c.markFreed(w)
 		c.forgetSilence(w)
-		c.log(LogRecord{Worker: w.info.HostID, Event: "worker answers"})
+		c.log(LogRecord{Worker: w.info.HostID, Event: "worker answers", Address: order.Worker.Address, BootedAt: w.bootedAt})
 	}
 	w.unanswered, w.ended, w.fencedPoll = 0, false, false
 	w.clock, w.clockAt = report.Clock, c.now
@@ -300,7 +300,7 @@
 			// The run is reported neither as running nor as ended, so its end
 			// has been acknowledged.
 			c.stats.Vanished++
-			c.log(LogRecord{Job: r.name.Job, Task: r.name, Run: r.number, Worker: w.info.HostID, Event: "run vanished", Why: "reported neither as running nor as ended"})
+			c.log(LogRecord{Job: r.name.Job, Task: r.name, Run: r.number, Worker: w.info.HostID, Event: "run vanished", Address: order.Worker.Address, BootedAt: w.bootedAt, Why: "reported neither as running nor as ended"})
 			c.releaseLost(r, "no longer reported by its worker")
 		}
 	}
@@ -331,7 +331,7 @@
 	if !needed {
 		c.strays[r.name]++
 		c.stats.StraysStopped++
-		c.log(LogRecord{Job: running.Task.Job, Task: running.Task, Run: running.Run, Worker: w.info.HostID, Event: "orphaned run stopped"})
+		c.log(LogRecord{Job: running.Task.Job, Task: running.Task, Run: running.Run, Worker: w.info.HostID, Event: "orphaned run stopped", Address: w.address(), BootedAt: w.bootedAt})
 		c.stop(r, "orphaned, no unfinished task needs it")
 		return r
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -43,10 +43,8 @@
 	// last reading of the list.
 	birthSeenAt time.Time
 	listedBirth time.Time
-	// reportedBirth is the birth in the latest report, former what was counted of the
-	// incarnation that ended last. Both are for the log only.
-	reportedBirth time.Time
-	former        lifeCount
+	// former is what was counted of the incarnation that ended last, for the log only.
+	former lifeCount
 	// heard is true once the worker has told its birth to this owner. home is the
 	// address at which it did so last; before that, the one at which a previous owner
 	// knew it, or at which it is listed.
@@ -325,8 +323,8 @@
 // previous one has reported have ended. The new one may have executed all other starts, or
 // may still do so. Of a worker that has not told its birth before, only the list knew the
 // previous incarnation; it may have ended long ago.
-func (c *Core) reborn(w *worker, bootedAt time.Time) {
-	c.noteReborn(w, bootedAt)
+func (c *Core) reborn(w *worker, bootedAt time.Time, shownBy string) {
+	c.noteReborn(w, bootedAt, shownBy)
 	w.bootedAt, w.birthSeenAt = bootedAt, c.now
 	c.withdrawFrom(w, "its worker restarted")
 	if w.toldBirth() {
