--- a/scheduler/entries_test.go
+++ b/scheduler/entries_test.go
@@ -52,11 +52,8 @@
 // movingHarness is a core of which the only worker runs a task.
 func movingHarness(t *testing.T) (*harness, StartOrder) {
 	t.Helper()
-	h := newHarness(1)
-	h.add("j", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 8000))
-	starts := h.settle()
-	is.New(t).Equal(len(starts), 1)
-	h.advance(5 * time.Second)
+	h, starts := runningHarness(t, 1, stepOf(1, 8000))
+	h.advance(4 * time.Second)
 	return h, starts[0]
 }
 
--- a/scheduler/explain_test.go
+++ b/scheduler/explain_test.go
@@ -132,11 +132,7 @@
 // a run of the former one that is active after all is told from one of the new one.
 func TestRebirthIsExplained(t *testing.T) {
 	is := is.New(t)
-	h := newHarness(2)
-	h.add("j", Policy{Stretch: 9}, stepOf(1, 8000))
-	starts := h.settle()
-	is.Equal(len(starts), 1)
-	h.advance(time.Second)
+	h, starts := runningHarness(t, 2, stepOf(1, 8000))
 	lease := h.core.countLife(h.core.workers[starts[0].Worker.HostID]).lease
 	h.core.TakeLogRecords()
 	former, later := starts[0].Worker.BootedAt, h.now
@@ -220,11 +216,7 @@
 	} {
 		t.Run(test.why, func(t *testing.T) {
 			is := is.New(t)
-			h := newHarness(1)
-			h.add("j", Policy{Stretch: 9}, stepOf(3, 1000))
-			starts := h.settle()
-			is.Equal(len(starts), 3)
-			h.advance(time.Second)
+			h, starts := runningHarness(t, 1, stepOf(3, 1000))
 			w := h.core.sortedWorkers[0]
 			for _, start := range starts[:test.elsewhere] {
 				w.runs[runKey{start.Task, start.Run}].address = h.address(7)
@@ -293,11 +285,7 @@
 // names gives no run up, and that the log tells the runs that one at the worker's address does.
 func TestRunAtAnotherAddressIsExplained(t *testing.T) {
 	is := is.New(t)
-	h := newHarness(1)
-	h.add("j", Policy{Stretch: 9}, stepOf(1, 8000))
-	starts := h.settle()
-	is.Equal(len(starts), 1)
-	h.advance(time.Second)
+	h, starts := runningHarness(t, 1, stepOf(1, 8000))
 	w := h.core.sortedWorkers[0]
 	outdated := w.info
 	outdated.Address = h.address(7)
@@ -316,11 +304,7 @@
 // life which a report had shown as over: its lease had not been waited for.
 func TestLapseInALifeThatWasGivenUpIsExplained(t *testing.T) {
 	is := is.New(t)
-	h := newHarness(1)
-	h.add("j", Policy{Stretch: 9}, stepOf(1, 8000))
-	starts := h.settle()
-	is.Equal(len(starts), 1)
-	h.advance(time.Second)
+	h, starts := runningHarness(t, 1, stepOf(1, 8000))
 	h.reborn()
 	h.now = h.now.Add(time.Second)
 	h.answerAs(starts[0], starts[0].Worker.BootedAt, Report{})
--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -121,6 +121,18 @@
 	h.core.Committed(h.now, batch)
 }
 
+// runningHarness returns a core of so many workers, on which the tasks of a step have run for
+// a second, and their starts.
+func runningHarness(t *testing.T, workers int, s Step) (*harness, []StartOrder) {
+	t.Helper()
+	h := newHarness(workers)
+	h.add("j", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, s)
+	starts := h.settle()
+	is.New(t).Equal(len(starts), s.Count)
+	h.advance(time.Second)
+	return h, starts
+}
+
 // endRun reports that the run of a task has ended, and commits the result.
 func (h *harness) endRun(start StartOrder, kind EndKind) {
 	host := start.Worker.HostID
