--- a/scheduler/lives_life_test.go
+++ b/scheduler/lives_life_test.go
@@ -129,7 +129,7 @@
 	}
 	l.barred[order.Task] = max(l.barred[order.Task], order.Run)
 	if r, ok := l.runs[runKey{order.Task, order.Run}]; ok && r.stopsAt.IsZero() {
-		r.stopsAt = m.now.Add(time.Duration(m.draw(uint64(m.now.Sub(m.base))).IntN(800)) * time.Millisecond)
+		r.stopsAt = m.now.Add(time.Duration(m.draw(uint64(m.now.Sub(m.base))).IntN(900)) * time.Millisecond)
 	}
 	m.traceExecuted(l, c, "accepted")
 	return OrderAccepted
--- a/standin/run.go
+++ b/standin/run.go
@@ -44,8 +44,10 @@
 	// Pace is the pace of the run in percent.
 	Pace int
 	Kind scheduler.EndKind
-	// killedAt is when the lease expired; zero if it hasn't in the run's time.
+	// killedAt is when the lease expired or the run was stopped; zero if neither has
+	// happened in the run's time. killedAs is how it ends then.
 	killedAt time.Time
+	killedAs scheduler.EndKind
 	// Acknowledged is true if an owner acknowledged the end before the lease
 	// expired.
 	Acknowledged bool
@@ -70,12 +72,12 @@
 	return fmt.Sprintf("run %d on %s born %s, %s to %s", r.Run, r.Worker, r.incarnation.Format(clock), r.StartedAt.Format(clock), end)
 }
 
-// outcome returns how and when the run ends unless it is stopped, by what is known of its
-// lease. A run that is being killed goes on for killDelay and can't be done any more.
+// outcome returns how and when the run ends, by what is known of its lease and of stops. A
+// run that is being killed goes on for killDelay and can't be done any more.
 func (r *RunRecord) outcome(killDelay time.Duration) (scheduler.EndKind, time.Time) {
 	switch {
 	case !r.killedAt.IsZero():
-		return scheduler.EndExpired, r.killedAt.Add(killDelay)
+		return r.killedAs, r.killedAt.Add(killDelay)
 	case r.fails:
 		return scheduler.EndFailed, r.EndsAt
 	}
--- a/standin/tardy_test.go
+++ b/standin/tardy_test.go
@@ -202,6 +202,22 @@
 	}
 }
 
+// TestLateStop guards against a stand-in whose stopped runs end at once: they keep their room
+// until the worker has killed them, and a lease that ends meanwhile changes nothing.
+func TestLateStop(t *testing.T) {
+	is := is.New(t)
+	const delay, leaseEnd = 900 * time.Millisecond, 2 * time.Second
+	w, birth := tardyWorker(is, delay, leaseEnd, 60_000)
+	stoppedAt := birth.Add(leaseEnd - delay/2)
+	is.Equal(w.Stop(scheduler.StopOrder{Task: testTask, Run: 1, Fence: 1}, stoppedAt), scheduler.OrderAccepted)
+	report, _ := w.Poll(scheduler.PollOrder{Fence: 1}, stoppedAt.Add(delay-time.Millisecond))
+	is.Equal(len(report.Running), 1)
+	report, _ = w.Poll(scheduler.PollOrder{Fence: 1}, stoppedAt.Add(delay))
+	is.Equal(len(report.Running), 0)
+	is.Equal(len(report.Ended), 1)
+	is.Equal(report.Ended[0].Kind, scheduler.EndStopped)
+}
+
 // TestNextClock checks that the clock of a life may begin anywhere, and that leases end by it.
 func TestNextClock(t *testing.T) {
 	is := is.New(t)
--- a/standin/taskorders.go
+++ b/standin/taskorders.go
@@ -134,11 +134,12 @@
 		return scheduler.OrderFenced
 	}
 	w.staleThrough[order.Task] = max(w.staleThrough[order.Task], order.Run)
-	for _, run := range slices.Clone(w.running) {
+	for _, run := range w.running {
 		if run.Task == order.Task && run.Run == order.Run && run.killedAt.IsZero() {
-			w.end(run, scheduler.EndStopped, now)
+			run.killedAt, run.killedAs = now, scheduler.EndStopped
 		}
 	}
+	w.advance(now)
 	return scheduler.OrderAccepted
 }
 
@@ -177,7 +178,7 @@
 func (w *TaskWorker) advance(now time.Time) {
 	for _, run := range slices.Clone(w.running) {
 		if run.killedAt.IsZero() && run.EndsAt.After(w.leaseDeadline) && !now.Before(w.leaseDeadline) {
-			run.killedAt = w.leaseDeadline
+			run.killedAt, run.killedAs = w.leaseDeadline, scheduler.EndExpired
 		}
 		kind, at := run.outcome(w.killDelay)
 		if !now.Before(at) {
--- a/standin/taskworker.go
+++ b/standin/taskworker.go
@@ -19,7 +19,7 @@
 	bootedAt       time.Time
 	// clockRate is how fast the worker's clock runs, as a share of the true rate.
 	clockRate float64
-	// killDelay is how long a run goes on after the end of its lease.
+	// killDelay is how long a run goes on after the end of its lease, or a stop.
 	killDelay time.Duration
 	// clockAtBirth is what the clock of the present incarnation showed when it began,
 	// nextClockAtBirth that of the next one.
@@ -226,8 +226,8 @@
 	w.clockRate = rate
 }
 
-// SetKillDelay sets how long each run goes on after the end of its lease before it ends as
-// expired, as the worker needs time to kill it. Set it before the first order.
+// SetKillDelay sets how long each run goes on after the end of its lease, or after it was
+// stopped, as the worker needs time to kill it. Set it before the first order.
 func (w *TaskWorker) SetKillDelay(delay time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
