--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -12,10 +12,11 @@
 )
 
 var cases = map[string]func(dir string, trouble bool) *world{
-	"loop":   loop,
-	"long":   long,
 	"memory": memory,
 	"wide":   wide,
+	"loop":   loop,
+	"cancel": cancel,
+	"gang":   gang,
 }
 
 func main() {
@@ -24,6 +25,7 @@
 		os.Exit(2)
 	}
 	w := cases[os.Args[1]](os.Args[2], os.Getenv("TROUBLE") != "0")
+	w.clean()
 	if len(w.broken) > 0 {
 		fmt.Printf("broken: %d times; first: %s\n", len(w.broken), w.broken[0])
 		os.Exit(1)
--- a/review/stand3/wide.go
+++ b/review/stand3/wide.go
@@ -23,34 +23,47 @@
 		large = append(large, &submission{id: fmt.Sprintf("%016x", 0xabc000+i), route: "/wide12/", Spec: "layout", large: true,
 			Steps: []step{{Count: tasks, CPU: cpu, EstimateMS: 2000, takes: 2 * time.Second}}})
 	}
-	return beside(dir, trouble, large)
+	if !trouble {
+		large = nil
+	}
+	return beside(dir, large, 2, nil)
 }
 
 // wide: ordinary submissions all the time and, once, one with many small tasks that are kept
 // apart.
 func wide(dir string, trouble bool) *world {
-	const tasks, apart = 60_000, 1250 // as many as 48 minions may have at once
-	return beside(dir, trouble, []*submission{{id: fmt.Sprintf("%016x", 0xabc000), route: "/wide12/", Spec: "layout", large: true,
-		Steps: []step{{Count: tasks, CPU: 10, Mem: 20, EstimateMS: 2000, AntiAffinity: apart, takes: 2 * time.Second}}}})
+	const tasks, apart = 80_000, 1667 // as many as 48 minions may have at once
+	large := []*submission{{id: fmt.Sprintf("%016x", 0xabc000), route: "/wide12/", Spec: "layout", large: true,
+		Steps: []step{{Count: tasks, CPU: 10, Mem: 20, EstimateMS: 2000, AntiAffinity: apart, takes: 2 * time.Second}}}}
+	if !trouble {
+		large = nil
+	}
+	return beside(dir, large, 2, nil)
 }
 
-// beside hands large submissions in, beside ordinary ones, and judges the ordinary ones.
-func beside(dir string, trouble bool, large []*submission) *world {
+// beside hands large submissions in, on a queue of the given priority, beside ordinary ones of
+// priority 0, and judges the ordinary ones. Once the large ones have been handed in, it calls
+// then, which may be nil and returns further submissions to judge.
+func beside(dir string, large []*submission, priority int, then func(*world) []*submission) *world {
 	w := newWorld(dir, sizes{entries: 4, minions: 48, room: room{32000, 131072, 0}, rack: 6, memoryMB: 284, cores: 0.4},
-		manifest(1, route("quotes", "/lohu930/", 0), route("layouts", "/wide12/", 2)))
+		manifest(1, route("quotes", "/lohu930/", 0), route("layouts", "/wide12/", priority)))
 	w.startEntries()
 	w.awaitReady()
 	time.Sleep(3 * time.Second)
 	begin := time.Now()
 	var group sync.WaitGroup
-	if trouble {
-		group.Go(func() {
-			time.Sleep(8 * time.Second)
-			for i, s := range large {
-				group.Go(func() { w.submit(s, i) })
-			}
-		})
-	}
+	var further []*submission
+	group.Go(func() {
+		time.Sleep(8 * time.Second)
+		var sending sync.WaitGroup
+		for i, s := range large {
+			sending.Go(func() { w.submit(s, i) })
+		}
+		sending.Wait()
+		if then != nil {
+			further = then(w)
+		}
+	})
 	var ordinary []*submission
 	for i := 0; time.Since(begin) < trafficTime; i++ {
 		s := &submission{id: fmt.Sprintf("%016x", 0x1000+i), route: "/lohu930/", Spec: "quote", Steps: []step{{Count: 2, CPU: 2800, Mem: 10000, EstimateMS: 1000, takes: time.Second}}}
@@ -60,7 +73,7 @@
 	}
 	time.Sleep(time.Until(begin.Add(trafficTime + finishTime)))
 	group.Wait()
-	w.judgeLost(ordinary, watchTime)
+	w.judgeLost(append(ordinary, further...), watchTime)
 	w.end()
 	w.judgeFault()
 	return w
@@ -110,7 +123,7 @@
 		})
 	}
 	group.Wait()
-	w.note("of %d ordinary submissions %d were accepted, and of these %d are still open", len(subs), accepted, len(open))
+	w.note("of %d submissions %d were accepted, and of these %d are still open", len(subs), accepted, len(open))
 	reported := make(map[*submission]bool)
 	for until := time.Now().Add(watch); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
 		used, total := w.used()
--- a/review/stand3/world.go
+++ b/review/stand3/world.go
@@ -171,7 +171,9 @@
 	callers  string
 	ready    string
 	settings string
-	log      *os.File
+	// storeAddr is where the store serves this entry.
+	storeAddr string
+	log       *os.File
 	// memoryMB is the memory of its machine: above it the platform kills the process.
 	memoryMB int64
 
@@ -184,16 +186,25 @@
 	ending  bool
 }
 
+// givenPorts are the ports that freeAddr has returned.
+var givenPorts = make(map[int]bool)
+
 // freeAddr returns a free address of an entry. Its IP address is this process's own, so that
 // nobody's outgoing connection takes the port while the entry doesn't listen.
 func freeAddr() string {
 	pid := os.Getpid()
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 80+pid>>16%100, pid>>8%256, pid%256))
-	if err != nil {
-		panic(err)
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 80+pid>>16%100, pid>>8%256, pid%256))
+		if err != nil {
+			panic(err)
+		}
+		address := l.Addr().(*net.TCPAddr)
+		_ = l.Close()
+		if !givenPorts[address.Port] {
+			givenPorts[address.Port] = true
+			return address.String()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 type sizes struct {
@@ -241,7 +252,7 @@
 		panic(err)
 	}
 	go func() { _ = http.Serve(l, w.store.handler(name)) }()
-	e := &entry{w: w, name: name, callers: freeAddr(), ready: freeAddr(), memoryMB: z.memoryMB}
+	e := &entry{w: w, name: name, callers: freeAddr(), ready: freeAddr(), storeAddr: l.Addr().String(), memoryMB: z.memoryMB}
 	e.settings = filepath.Join(w.dir, name+".yaml")
 	// deploy/settings.yaml, filled in.
 	text := fmt.Sprintf(`EntryID: %q
@@ -380,12 +391,13 @@
 		if time.Now().After(until) {
 			w.note("only %d of %d entries are ready", ready, len(w.entries))
 			w.end()
+			w.clean()
 			os.Exit(2)
 		}
 	}
 }
 
-// end ends all processes.
+// end ends all processes. Their settings and logs stay until clean is called.
 func (w *world) end() {
 	for _, e := range w.entries {
 		e.mu.Lock()
@@ -401,11 +413,15 @@
 		w.note("entry %s: peak memory %d MB, killed %d times for its memory, ended %d times by itself", e.name, e.peakMB, e.kills, e.ownEnds)
 		_ = e.log.Close()
 	}
+}
+
+// clean removes the settings and the logs of the entries, unless KEEP is set.
+func (w *world) clean() {
 	if os.Getenv("KEEP") != "" {
 		fmt.Println("logs in", w.dir)
-	} else {
-		_ = os.RemoveAll(w.dir)
+		return
 	}
+	_ = os.RemoveAll(w.dir)
 }
 
 const hostName = "nony24.example"
