--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -17,6 +17,10 @@
 	"loop":   loop,
 	"cancel": cancel,
 	"gang":   gang,
+
+	// Shown, but not among the five.
+	"long":     long,
+	"noadvice": noAdvice,
 }
 
 func main() {
