--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -272,7 +272,7 @@
 // It returns none if they do.
 func (c *Core) workersForGang(s *step, factor float64, slotsOn func(*step, *worker) int) []requester.HostID {
 	share := c.allowedShare(s.job().spec.Queue)
-	wanted := factor * float64(len(s.tasks))
+	wanted := factor * float64(s.def.Count)
 	missing := wanted - float64(c.allowedSlots(s, slotsOn))
 	expected := 0
 	for id := range s.advice.requested {
--- a/scheduler/candidate.go
+++ b/scheduler/candidate.go
@@ -138,7 +138,7 @@
 	}
 	total := 0
 	advised := s.job().spec.Advice != nil
-	accused := s.def.Gang && s.tasks[0].suspect()
+	accused := s.def.Gang && s.suspect()
 	need := s.def.allocation()
 	for _, w := range workers {
 		if !need.Fits(c.availableFor(s, w)) || !c.compatible(s, w) {
@@ -173,7 +173,7 @@
 		}
 		found = append(found, cand)
 	}
-	if s.reservation != nil || s.def.Gang && total < len(s.tasks) {
+	if s.reservation != nil || s.def.Gang && total < s.def.Count {
 		// Renewed tickets would expire again before the gang has capacity. The
 		// tickets of a reservation are renewed by ticketsToRenew.
 		s.advice.stale = s.advice.stale[:0]
@@ -194,7 +194,7 @@
 	if w.trial != nil && w.trial.job != s.job() {
 		return 0
 	}
-	limit := len(s.tasks)
+	limit := s.def.Count
 	if s.def.AntiAffinity > 0 {
 		limit = min(limit, s.def.AntiAffinity-s.countRuns(w))
 	}
@@ -250,7 +250,7 @@
 			count++
 		}
 	}
-	for _, t := range s.tasks {
+	for t := range s.knownTasks() {
 		if t.openOn(w.info.HostID) {
 			count++
 		}
--- a/scheduler/capacity.go
+++ b/scheduler/capacity.go
@@ -25,7 +25,7 @@
 // slotsInTime returns how many tasks of the step fit into what becomes free on
 // a worker.
 func (s *step) slotsInTime(w *worker) int {
-	return slotsIn(w.freeable(), s.def.allocation(), len(s.tasks))
+	return slotsIn(w.freeable(), s.def.allocation(), s.def.Count)
 }
 
 // placesInTime returns how many of the tasks may run on a worker besides those
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -191,7 +191,7 @@
 // storedCrashes returns the lives that are stored with the task. One of unknown outcome
 // alone is not, as long as the task waits: the start record of its step tells of it.
 func (t *task) storedCrashes() []crash {
-	if t.crashes.empty() || t.noted == nil && len(t.crashes.crashes) == 1 && t.crashes.crashes[0].Worker == "" {
+	if t.crashes.empty() || t.noted == nil && t.crashes.unknownAlone() {
 		return nil
 	}
 	return t.crashes.crashes
@@ -245,12 +245,12 @@
 		if !s.mayHaveUnknownRuns || s.eagerMark || s.waiting == 0 {
 			continue
 		}
-		for _, t := range s.tasks {
-			if t.done || t.run != nil || s.job().state.Ended() {
-				continue
+		for t := range s.knownTasks() {
+			if t.waits() && !s.job().state.Ended() {
+				c.recordUnknownLife(t)
 			}
-			c.recordUnknownLife(t)
 		}
+		s.unknownLife = c.firstRun() - 1
 	}
 }
 
@@ -318,8 +318,9 @@
 		return r.worker.clockAt.Sub(r.acknowledgedAt)
 	}
 	shortest := time.Duration(math.MaxInt64)
-	for _, member := range s.tasks {
-		if member.run == nil || member.run.number != r.number || member.run.acknowledgedAt.IsZero() {
+	for index := range s.def.Count {
+		member := s.knownTask(index)
+		if member == nil || member.run == nil || member.run.number != r.number || member.run.acknowledgedAt.IsZero() {
 			return 0
 		}
 		shortest = min(shortest, member.run.worker.clockAt.Sub(member.run.acknowledgedAt))
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -389,7 +389,7 @@
 	job := h.core.jobs["guilty"].spec
 	next := New(Options{Epoch: 2}, h.now)
 	is.NoErr(next.Recover(JobRows{Job: job, Progress: h.stored[ProgressKey("guilty")]}))
-	is.Equal(next.jobs["guilty"].occurrences[0].steps[0].tasks[0].crashes.crashes, crashes)
+	is.Equal(next.jobs["guilty"].occurrences[0].steps[0].tasks()[0].crashes.crashes, crashes)
 }
 
 // TestLongRunningTaskIsHeldBack guards against a long-running task that is given
@@ -512,7 +512,7 @@
 func TestUnsentStartsAreNoCrashes(t *testing.T) {
 	is := is.New(t)
 	h := newDeadlyHarness(12)
-	task := func() *task { return h.core.jobs["innocent"].occurrences[0].steps[0].tasks[0] }
+	task := func() *task { return h.core.jobs["innocent"].occurrences[0].steps[0].tasks()[0] }
 	h.add("innocent", Policy{Stretch: 3, ObjectiveMillis: 500}, stepOf(1, 1000))
 	h.core.Tick(h.now)
 	h.store()
--- a/scheduler/crashhistory.go
+++ b/scheduler/crashhistory.go
@@ -47,6 +47,11 @@
 // empty reports whether no life is recorded.
 func (h *crashHistory) empty() bool { return h == nil || len(h.crashes) == 0 }
 
+// unknownAlone reports whether all that is recorded is a life of unknown outcome.
+func (h *crashHistory) unknownAlone() bool {
+	return h != nil && len(h.crashes) == 1 && h.crashes[0].Worker == ""
+}
+
 // committed reports whether the record is in the store.
 func (h *crashHistory) committed(j *job) bool { return h == nil || h.version <= j.committedVersion }
 
--- a/scheduler/detail.go
+++ b/scheduler/detail.go
@@ -147,10 +147,13 @@
 // storedCheckpoint returns the checkpoint that is stored with the task. That of a gang
 // is stored with its first one.
 func (t *task) storedCheckpoint() string {
-	if t.step.def.Gang && t.index > 0 {
-		return ""
+	switch {
+	case !t.step.def.Gang:
+		return t.checkpoint
+	case t.index == 0:
+		return t.step.checkpoint
 	}
-	return t.checkpoint
+	return ""
 }
 
 // addDetails adds the details of a task.
@@ -191,7 +194,10 @@
 			if s.complete() {
 				continue
 			}
-			for _, t := range s.tasks {
+			if len(s.failedRuns) > 0 || s.checkpoint != "" {
+				s.task(0) // what is noted of the whole gang is stored with it
+			}
+			for t := range s.knownTasks() {
 				if size := t.detailBytes(); size > 0 {
 					found = append(found, sizedTask{t, size})
 				}
@@ -320,22 +326,9 @@
 	}
 	for index, checkpoint := range stored.Checkpoints {
 		if t := s.taskAt(index); t != nil && checkpoint != "" {
-			t.checkpoint = checkpoint
+			t.setCheckpoint(checkpoint)
 		}
 	}
-	if s.def.Gang && s.tasks[0].checkpoint != "" {
-		for _, member := range s.tasks {
-			member.checkpoint = s.tasks[0].checkpoint
-		}
-	}
-}
-
-// taskAt returns the task with that index, or nil.
-func (s *step) taskAt(index int) *task {
-	if index < 0 || index >= len(s.tasks) {
-		return nil
-	}
-	return s.tasks[index]
 }
 
 // union returns the run numbers of both lists, without duplicates.
--- a/scheduler/detail_test.go
+++ b/scheduler/detail_test.go
@@ -180,7 +180,7 @@
 func burden(j *job) {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			for i, t := range s.tasks {
+			for i, t := range s.tasks() {
 				number := RunNumber(1<<40 + i*10)
 				t.failedRuns = []RunNumber{number, number + 1}
 				t.checkpoint = fmt.Sprintf("%016x", i)
@@ -198,8 +198,8 @@
 // views of a job.
 func sameTasks(a, b *job) string {
 	for n, s := range a.occurrences[0].steps {
-		for i, t := range s.tasks {
-			other := b.occurrences[0].steps[n].tasks[i]
+		for i, t := range s.tasks() {
+			other := b.occurrences[0].steps[n].task(i)
 			if t.done != other.done || t.done {
 				if t.done != other.done {
 					return fmt.Sprintf("task %d.%d is done: %v, %v", n, i, t.done, other.done)
@@ -241,13 +241,12 @@
 		next := store.takeOver(epoch, detailsNow, job)
 		is.Equal(sameTasks(j, next.jobs["wide"]), "")
 		c, j = next, next.jobs["wide"]
-		for i, t := range j.occurrences[0].steps[0].tasks {
+		for i, t := range j.occurrences[0].steps[0].tasks() {
 			if i%7 == int(epoch) {
 				t.failedRuns = append(t.failedRuns, RunNumber(1<<50+i))
 			}
 			if i%10 == int(epoch) && !t.done {
-				t.done = true
-				t.step.done++
+				t.step.setDone(i)
 			}
 		}
 		c.markDirty(j)
@@ -259,10 +258,11 @@
 	}
 
 	for _, s := range j.occurrences[0].steps {
-		for _, t := range s.tasks {
-			t.done = true
+		for i := range s.def.Count {
+			if !s.taskIsDone(i) {
+				s.setDone(i)
+			}
 		}
-		s.done = len(s.tasks)
 	}
 	c.markDirty(j)
 	store.commit(c, detailsNow)
@@ -281,13 +281,13 @@
 		c := store.takeOver(1, detailsNow, job)
 		j := c.jobs["wide"]
 		for i := range 100 {
-			j.occurrences[0].steps[0].tasks[i*20].failedRuns = []RunNumber{7}
+			j.occurrences[0].steps[0].task(i * 20).failedRuns = []RunNumber{7}
 		}
 		c.markDirty(j)
 		store.commit(c, detailsNow)
 		burden(j)
 		for i := range 100 {
-			t := j.occurrences[0].steps[0].tasks[i*20]
+			t := j.occurrences[0].steps[0].task(i * 20)
 			t.failedRuns = append([]RunNumber{7}, t.failedRuns...)
 		}
 		c.markDirty(j)
@@ -302,7 +302,7 @@
 		}
 		next := store.takeOver(2, detailsNow, job).jobs["wide"]
 		for i := range 100 {
-			is.True(slices.Contains(next.occurrences[0].steps[0].tasks[i*20].failedRuns, 7))
+			is.True(slices.Contains(next.occurrences[0].steps[0].task(i*20).failedRuns, 7))
 		}
 	}
 }
@@ -352,8 +352,8 @@
 	c.markDirty(j)
 	wanted, waited, longest := j.version, 0, 0
 	for range 400 {
-		for i := range j.occurrences[0].steps[0].tasks {
-			j.occurrences[0].steps[0].tasks[i].checkpoint += "x"
+		for i := range j.occurrences[0].steps[0].tasks() {
+			j.occurrences[0].steps[0].task(i).checkpoint += "x"
 		}
 		c.markDirty(j)
 		for _, other := range others {
@@ -550,7 +550,7 @@
 	is.True(len(j.occurrences) > 1)
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			s.tasks[0].done, s.done = true, 1
+			s.setDone(0)
 			s.mayHaveUnknownRuns = true
 		}
 	}
@@ -618,10 +618,9 @@
 			j := c.jobs["j"]
 			for _, s := range j.occurrences[0].steps {
 				s.mayHaveUnknownRuns = true
-				for i, t := range s.tasks[:len(s.tasks)-1] {
+				for i, t := range s.tasks()[:len(s.tasks())-1] {
 					if i%3 == 0 {
-						t.done = true
-						s.done++
+						s.setDone(i)
 					} else if i%5 == 0 {
 						t.checkpoint = "0123456789abcdef"
 					}
@@ -667,7 +666,7 @@
 	step.Checkpointing = true
 	h.add("j", Policy{Stretch: 3}, step)
 	h.settle()
-	task := h.core.jobs["j"].occurrences[0].steps[0].tasks[0]
+	task := h.core.jobs["j"].occurrences[0].steps[0].tasks()[0]
 	h.core.setCheckpoint(task, "short")
 	h.core.setCheckpoint(task, strings.Repeat("a", maxCheckpoint+1))
 	is.Equal(task.checkpoint, "short")
--- a/scheduler/displace.go
+++ b/scheduler/displace.go
@@ -56,10 +56,10 @@
 
 // startable counts the waiting tasks of a step that lack only a worker.
 func (c *Core) startable(s *step) int {
-	count := 0
-	for _, t := range s.tasks {
-		if !t.done && t.run == nil && c.holds(t) == WaitNothing {
-			count++
+	count := s.waiting
+	for t := range s.knownTasks() {
+		if t.waits() && c.holds(t) != WaitNothing {
+			count--
 		}
 	}
 	return count
@@ -117,10 +117,10 @@
 // unavailable counts the tasks of the step without a run that is known to be at work. That
 // of a worker which doesn't answer isn't.
 func (s *step) unavailable() int {
-	count := 0
-	for _, t := range s.tasks {
-		if t.run == nil || t.run.phase != runAcknowledged || t.run.worker.unanswered > 0 || t.run.progress.percent < completePercent {
-			count++
+	count := s.def.Count
+	for t := range s.knownTasks() {
+		if t.run != nil && t.run.phase == runAcknowledged && t.run.worker.unanswered == 0 && t.run.progress.percent >= completePercent {
+			count--
 		}
 	}
 	return count
--- a/scheduler/ends.go
+++ b/scheduler/ends.go
@@ -111,20 +111,11 @@
 // stops other runs of these tasks.
 func (c *Core) markDone(t *task, number RunNumber) {
 	s := t.step
-	tasks := []*task{t}
-	if s.def.Gang {
-		tasks = s.tasks
-	}
-	for _, member := range tasks {
-		if member.done {
-			continue
-		}
-		member.done = true
-		s.done++
-		if member.run == nil {
-			s.waiting--
-		} else if member.run.number != number {
-			c.stop(member.run, "its task is done")
+	if !s.def.Gang {
+		c.markTaskDone(s, t.index, number)
+	} else {
+		for index := range s.def.Count {
+			c.markTaskDone(s, index, number)
 		}
 	}
 	if s.complete() {
@@ -132,6 +123,21 @@
 	}
 }
 
+// markTaskDone marks the task with that index as done by the run with that number, and stops
+// another run of it.
+func (c *Core) markTaskDone(s *step, index int, number RunNumber) {
+	if s.taskIsDone(index) {
+		return
+	}
+	t := s.knownTask(index)
+	s.setDone(index)
+	if t == nil || t.run == nil {
+		s.waiting--
+	} else if t.run.number != number {
+		c.stop(t.run, "its task is done")
+	}
+}
+
 // recordFailure counts a failed run against the attempts of its task or gang,
 // and fails the job once they are exhausted. A run that was counted before is
 // ignored.
--- a/scheduler/evidence.go
+++ b/scheduler/evidence.go
@@ -89,7 +89,7 @@
 	case lives >= manyCrashes:
 		return lastOdds
 	case t.step.def.Gang && known >= manyCrashes-1:
-		return min(laterOdds, lastOdds*float64(len(t.step.tasks)))
+		return min(laterOdds, lastOdds*float64(t.step.def.Count))
 	case lives >= maxCrashes:
 		return laterOdds
 	}
--- a/scheduler/evidence_test.go
+++ b/scheduler/evidence_test.go
@@ -13,16 +13,13 @@
 	def := stepOf(tasks, 1000)
 	def.Gang = gang
 	s := &step{def: &def}
-	for i := range tasks {
-		s.tasks = append(s.tasks, &task{step: s, index: i})
-	}
-	s.tasks[0].crashes = &crashHistory{crashes: crashes}
+	s.tasks()[0].crashes = &crashHistory{crashes: crashes}
 	for _, known := range crashes {
 		if known.Worker != "" {
-			s.tasks[0].startedRuns++
+			s.tasks()[0].startedRuns++
 		}
 	}
-	return s.tasks[0]
+	return s.tasks()[0]
 }
 
 // crashAt returns a proven crash with a probability of chance.
@@ -88,7 +85,7 @@
 	h.now = h.now.Add(180 * time.Millisecond) // no poll is due yet
 	h.add("innocent", Policy{Stretch: 3, ObjectiveMillis: 500}, stepOf(1, 1000))
 	h.core.SetWorkers(h.now, h.infos)
-	task := h.core.jobs["innocent"].occurrences[0].steps[0].tasks[0]
+	task := h.core.jobs["innocent"].occurrences[0].steps[0].tasks()[0]
 	for task.crashes == nil {
 		h.step(20 * time.Millisecond)
 	}
@@ -134,7 +131,7 @@
 		h.step(20 * time.Millisecond)
 	}
 	beside := func(index int) int64 {
-		for _, single := range h.core.jobs["singles"].occurrences[0].steps[0].tasks {
+		for _, single := range h.core.jobs["singles"].occurrences[0].steps[0].tasks() {
 			if r := single.run; r.worker.info.HostID == h.hostOf(taskOf("gang", index)) {
 				return h.core.othersChance(r.worker, r, h.now, time.Second)
 			}
--- a/scheduler/extreme_test.go
+++ b/scheduler/extreme_test.go
@@ -219,7 +219,7 @@
 
 func (c *extremeCell) checkStep(s *step) {
 	waiting, done := 0, 0
-	for _, t := range s.tasks {
+	for _, t := range s.tasks() {
 		if t.done {
 			done++
 		} else if t.run == nil {
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -9,11 +9,11 @@
 // placeGang starts all tasks of a gang if they fit, else none. It returns what
 // the gang waits for.
 func (c *Core) placeGang(s *step) WaitReason {
-	if s.waiting < len(s.tasks) || c.anyMayRun(s) {
+	if s.waiting < s.def.Count || c.anyMayRun(s) {
 		// Some members of an earlier run have not ended yet.
 		return WaitEarlierRun
 	}
-	if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.open != nil }) {
+	if s.anyOpen() {
 		return WaitOpenStart
 	}
 	if c.now.Sub(s.scannedAt) < gangRescanInterval {
@@ -24,10 +24,8 @@
 	if chosen == nil {
 		return reason
 	}
-	for _, t := range s.tasks {
-		if reason := c.holds(t); reason != WaitNothing {
-			return reason
-		}
+	if reason := c.holdsGang(s); reason != WaitNothing {
+		return reason
 	}
 	number := max(s.lastRun+1, c.firstRun())
 	s.lastRun = number
@@ -38,16 +36,36 @@
 	s.hosts = s.hosts[:0]
 	for i, cand := range chosen {
 		s.hosts = append(s.hosts, cand.worker.info.HostID)
-		c.startRun(s.tasks[i], cand.worker, number, cand.ticket)
+		c.startRun(s.task(i), cand.worker, number, cand.ticket)
 	}
-	if s.tasks[0].suspect() {
-		for _, t := range s.tasks {
+	if s.suspect() {
+		for t := range s.knownTasks() {
 			c.putOnTrial(t)
 		}
 	}
 	return WaitNothing
 }
 
+// anyOpen reports whether a start of some task of the step is open.
+func (s *step) anyOpen() bool {
+	for t := range s.knownTasks() {
+		if t.open != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// holdsGang returns what keeps a gang from starting on workers that have room for it.
+func (c *Core) holdsGang(s *step) WaitReason {
+	for t := range s.knownTasks() {
+		if reason := c.holds(t); reason != WaitNothing {
+			return reason
+		}
+	}
+	return WaitNothing
+}
+
 // maxRackWait is the longest time for which a gang that fits on several racks
 // waits for one.
 const maxRackWait = 2 * time.Second
@@ -87,13 +105,13 @@
 	var chosen []candidate
 	for _, cand := range found {
 		for range cand.slots {
-			if len(chosen) == len(s.tasks) {
+			if len(chosen) == s.def.Count {
 				return chosen
 			}
 			chosen = append(chosen, cand)
 		}
 	}
-	if len(chosen) < len(s.tasks) {
+	if len(chosen) < s.def.Count {
 		return nil
 	}
 	return chosen
@@ -113,7 +131,7 @@
 		for _, cand := range byRack[rack] {
 			slots += cand.slots
 		}
-		if slots >= len(s.tasks) && (best == nil || slots < bestSlots) {
+		if slots >= s.def.Count && (best == nil || slots < bestSlots) {
 			best, bestSlots = packGang(s, byRack[rack]), slots
 		}
 	}
@@ -134,7 +152,7 @@
 			continue
 		}
 		slots[w.info.Rack] += s.placesInTime(w)
-		if slots[w.info.Rack] >= len(s.tasks) {
+		if slots[w.info.Rack] >= s.def.Count {
 			return true
 		}
 	}
--- a/scheduler/intended.go
+++ b/scheduler/intended.go
@@ -111,13 +111,7 @@
 	if !r.task.step.def.Gang {
 		return []*run{r}
 	}
-	var members []*run
-	for _, t := range r.task.step.tasks {
-		if t.run != nil && t.run.number == r.number {
-			members = append(members, t.run)
-		}
-	}
-	return members
+	return slices.Collect(r.task.step.runsOf(r.number))
 }
 
 // SendCommitted returns the starts that a commit has let go, so that they needn't wait for a
@@ -265,7 +259,7 @@
 		Payload:    s.job().spec.Payload,
 		Deadline:   deadline,
 		Fence:      r.startFence,
-		Checkpoint: t.checkpoint,
+		Checkpoint: t.resumesFrom(),
 		Ticket:     r.ticket,
 	})
 	c.log(LogRecord{
--- a/scheduler/intended_test.go
+++ b/scheduler/intended_test.go
@@ -165,7 +165,7 @@
 	h.tellBirth(info)
 	orders := h.core.Tick(h.now)
 	is.Equal(len(orders.Starts)+len(orders.Stops), 0)
-	is.True(h.core.jobs["j"].occurrences[0].steps[0].tasks[0].crashes.empty()) // it wasn't sent
+	is.True(h.core.jobs["j"].occurrences[0].steps[0].tasks()[0].crashes.empty()) // it wasn't sent
 	is.Equal(len(h.core.openTasks), 0)
 	h.answerPolls(orders, WorkerRef{})
 	starts := h.advanceAnswered(100 * time.Millisecond)
--- a/scheduler/limits_test.go
+++ b/scheduler/limits_test.go
@@ -133,7 +133,7 @@
 	j := core.jobs["j1"]
 	tasks := 0
 	for _, o := range j.occurrences {
-		tasks += len(o.steps[0].tasks)
+		tasks += len(o.steps[0].tasks())
 	}
 	is.True(tasks <= MaxStepTasks)
 	j.occurrences = j.occurrences[1:] // as if one had completed
--- a/scheduler/lost_test.go
+++ b/scheduler/lost_test.go
@@ -66,7 +66,7 @@
 // answer to it, but for an acceptance by a life that its clock does not show to be the known
 // one, or an owner that was lost before a stored list without the start could say so.
 func (sim *simulation) checkOpenStart(s *step) {
-	for _, t := range s.tasks {
+	for _, t := range s.tasks() {
 		if t.done || t.run != nil || t.open == nil {
 			continue
 		}
@@ -215,7 +215,7 @@
 func (sim *simulation) hasRoom(s *step) bool {
 	wanted := roomFactor
 	if s.def.Gang {
-		wanted *= len(s.tasks)
+		wanted *= len(s.tasks())
 	}
 	for _, f := range sim.workers {
 		if f.crashed || f.hides(sim.core) || sim.now.Before(f.stalledUntil) || sim.now.Sub(f.bootedAt) < startBound {
--- a/scheduler/mutation_test.go
+++ b/scheduler/mutation_test.go
@@ -19,7 +19,7 @@
 	}
 	forHistories := func(c *Core, do func(*crashHistory)) {
 		for _, s := range c.open {
-			for _, task := range s.tasks {
+			for _, task := range s.tasks() {
 				if h := task.crashes; h != nil {
 					do(h)
 				}
@@ -173,7 +173,7 @@
 			for _, j := range c.jobs {
 				for _, o := range j.occurrences {
 					for _, s := range o.steps {
-						for _, task := range s.tasks {
+						for _, task := range s.tasks() {
 							if len(task.failedRuns) == 1 {
 								task.failedRuns = append(task.failedRuns, -1)
 							}
--- a/scheduler/noted.go
+++ b/scheduler/noted.go
@@ -33,12 +33,20 @@
 	Unproven  bool
 }
 
+// maxUnknownNotes is how many runs a job may have from which on their starts are not noted at
+// once if all that is known of their tasks is a life of unknown outcome: after a change of
+// the owner, that is so of all tasks of a step, and the notes of a wide one would fill rows.
+const maxUnknownNotes = 1000
+
 // noteStart notes a run if its task has crashes.
 func (c *Core) noteStart(r *run) {
 	t := r.task
 	if t.crashes.empty() || t.noted != nil && t.noted.Run == r.number {
 		return
 	}
+	if t.crashes.unknownAlone() && t.step.job().activeRuns > maxUnknownNotes {
+		return
+	}
 	t.noted = r.note()
 	c.markDirty(t.step.job())
 }
@@ -116,7 +124,7 @@
 // collectNotes collects the noted starts that no worker has reported.
 func (c *Core) collectNotes() {
 	for _, s := range c.open {
-		for _, t := range s.tasks {
+		for t := range s.knownTasks() {
 			if t.noted != nil && t.run == nil && !t.done {
 				c.inheritedNotes[t] = *t.noted
 			}
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -240,6 +240,7 @@
 	t.step.scannedAt = time.Time{}
 	c.placementPending = true
 	c.storeOpen(t)
+	t.step.forget(t)
 }
 
 // closeStarts closes the open starts that cannot act any more. Those of tasks that have
@@ -345,7 +346,7 @@
 func (c *Core) restoreOpenStarts(j *job) {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			for _, t := range s.tasks {
+			for t := range s.knownTasks() {
 				if t.open != nil && !t.done {
 					c.openTasks = append(c.openTasks, t)
 				}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -96,13 +96,10 @@
 		return s.wait.reason
 	}
 	held := WaitNothing
-	for _, t := range s.tasks {
-		if len(found) == 0 {
-			return s.lacks()
-		}
-		if t.done || t.run != nil {
-			continue
-		}
+	if len(found) == 0 {
+		return s.lacks()
+	}
+	for t := range s.waitingTasks() {
 		if reason := c.holds(t); reason != WaitNothing {
 			held = reason
 			continue
@@ -120,7 +117,9 @@
 			chosen.slots = min(chosen.slots, s.taskLimit(chosen.worker))
 		}
 		if chosen.slots == 0 || !s.def.allocation().Fits(c.availableFor(s, chosen.worker)) {
-			found = slices.Delete(found, best, best+1)
+			if found = slices.Delete(found, best, best+1); len(found) == 0 && s.waiting > 0 {
+				return s.lacks()
+			}
 		}
 	}
 	return held
--- a/scheduler/plan_bench_test.go
+++ b/scheduler/plan_bench_test.go
@@ -16,13 +16,12 @@
 			c := New(Options{Epoch: 1}, detailsNow)
 			c.Add(detailsNow, jobOf("wide", stepOf(MaxStepTasks, 1000)))
 			j := c.jobs["wide"]
-			for i, t := range j.occurrences[0].steps[0].tasks {
+			for i, t := range j.occurrences[0].steps[0].tasks() {
 				if detailed && i%10 == 0 {
 					t.checkpoint = "0123456789abcdef"
 				}
 				if i%3 == 1 {
-					t.done = true
-					t.step.done++
+					t.step.setDone(i)
 				}
 			}
 			for !c.TakeBatch(storeEntries).Empty() {
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -355,7 +355,7 @@
 	if !t.step.def.Gang {
 		return false
 	}
-	for _, member := range t.step.tasks {
+	for member := range t.step.knownTasks() {
 		if member.run != nil && member.run.number != number {
 			return true
 		}
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -67,8 +67,9 @@
 	occurrence *occurrence
 	number     int
 	def        *Step
-	tasks      []*task
-	done       int
+	// table has the tasks, done counts those that are done.
+	table taskTable
+	done  int
 	// waiting counts the tasks that are not done and have no run.
 	waiting int
 	open    bool
@@ -113,6 +114,11 @@
 	// an eager owner says so, and not the step's own start record.
 	mayHaveUnknownRuns bool
 	eagerMark          bool
+	// unknownLife is the run that a previous owner may have started of each task of which
+	// nothing is known, for the records of their lives; 0 for none.
+	unknownLife RunNumber
+	// checkpoint is that of a gang; empty for none.
+	checkpoint string
 	// doneVersion is the first version of the job's rows in which the step is
 	// complete; 0 if a previous owner committed that, or it is not complete.
 	doneVersion int64
@@ -124,6 +130,7 @@
 	index      int
 	done       bool
 	failedRuns []RunNumber
+	// checkpoint is that of a task that is in no gang; empty for none.
 	checkpoint string
 	lastRun    RunNumber
 	// crashes are the crashes under the task; nil if there are none. startedRuns
@@ -138,6 +145,8 @@
 	run *run
 	// open is the open start of the task; nil for none.
 	open *openStart
+	// queued is true if the task is among the returned ones of its step.
+	queued bool
 }
 
 func (j *job) name() requester.JobID { return j.spec.JobID }
@@ -151,7 +160,7 @@
 func (t *task) name() TaskName { return TaskName{StepName: t.step.name(), Index: t.index} }
 
 // complete reports whether every task of the step is done.
-func (s *step) complete() bool { return s.done == len(s.tasks) }
+func (s *step) complete() bool { return s.done == s.def.Count }
 
 // complete reports whether every step of the occurrence is complete.
 func (o *occurrence) complete() bool {
@@ -185,7 +194,7 @@
 	}
 	// The tasks of a step are identical and share one estimate, so all of them
 	// together count as one observation.
-	c.corrections[queue].Observe(time.Duration(s.def.EstimateMillis)*time.Millisecond, c.now.Sub(r.acknowledgedAt), 1/float64(len(s.tasks)))
+	c.corrections[queue].Observe(time.Duration(s.def.EstimateMillis)*time.Millisecond, c.now.Sub(r.acknowledgedAt), 1/float64(s.def.Count))
 }
 
 // expectedDuration returns the predicted duration of a task of the step.
@@ -205,12 +214,7 @@
 	o := &occurrence{job: j, number: number, dueAt: j.spec.dueAt(number)}
 	for index := range j.spec.Steps {
 		def := &j.spec.Steps[index]
-		s := &step{occurrence: o, number: index, def: def, waiting: def.Count}
-		s.tasks = make([]*task, def.Count)
-		for i := range s.tasks {
-			s.tasks[i] = &task{step: s, index: i}
-		}
-		o.steps = append(o.steps, s)
+		o.steps = append(o.steps, &step{occurrence: o, number: index, def: def, waiting: def.Count})
 	}
 	j.occurrences = append(j.occurrences, o)
 	return o
@@ -233,7 +237,7 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			c.closeStep(s)
-			for _, t := range s.tasks {
+			for t := range s.knownTasks() {
 				if t.run != nil {
 					c.stop(t.run, "job has ended")
 				}
@@ -381,14 +385,7 @@
 		row.AllDone = true
 		return row
 	}
-	for index, t := range s.tasks {
-		if t.done {
-			if row.Done == nil {
-				row.Done = make([]byte, (len(s.tasks)+7)/8)
-			}
-			row.Done[index/8] |= 1 << (index % 8)
-		}
-	}
+	row.Done = slices.Clone(s.table.doneBits)
 	return row
 }
 
@@ -405,10 +402,7 @@
 		if name.Step < 0 || name.Step >= len(o.steps) {
 			return nil
 		}
-		if name.Index < 0 || name.Index >= len(o.steps[name.Step].tasks) {
-			return nil
-		}
-		return o.steps[name.Step].tasks[name.Index]
+		return o.steps[name.Step].taskAt(name.Index)
 	}
 	return nil
 }
--- a/scheduler/randomised_test.go
+++ b/scheduler/randomised_test.go
@@ -99,7 +99,7 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			text += fmt.Sprintf("; step %d %+v open %v done %d waiting %d", s.number, *s.def, s.open, s.done, s.waiting)
-			for _, t := range s.tasks {
+			for _, t := range s.tasks() {
 				if t.run != nil {
 					text += fmt.Sprintf(" [%d: run %d on %s phase %d]", t.index, t.run.number, t.run.worker.info.HostID, t.run.phase)
 				}
--- a/scheduler/recover.go
+++ b/scheduler/recover.go
@@ -119,14 +119,13 @@
 		}
 		s := o.steps[number]
 		s.mayHaveUnknownRuns = progress.Started
-		s.restoreDetails(&progress)
-		for index, t := range s.tasks {
+		for index := range s.def.Count {
 			if progress.AllDone || bitSet(progress.Done, index) {
-				t.done = true
-				s.done++
+				s.setDone(index)
 				s.waiting--
 			}
 		}
+		s.restoreDetails(&progress)
 	}
 }
 
--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -113,7 +113,7 @@
 // lack of capacity, and is not in its cool-down. One that waits for a trial had room
 // when it was last considered.
 func (c *Core) needsReservation(s *step) bool {
-	if !s.open || !s.def.Gang || s.def.SameRack || s.waiting < len(s.tasks) || c.now.Before(s.reserveAfter) || s.wait.reason == WaitTrial || s.wait.reason == WaitOpenStart {
+	if !s.open || !s.def.Gang || s.def.SameRack || s.waiting < s.def.Count || c.now.Before(s.reserveAfter) || s.wait.reason == WaitTrial || s.wait.reason == WaitOpenStart {
 		return false
 	}
 	advised := s.job().spec.Advice == nil || len(s.advice.tickets) > 0
@@ -130,7 +130,7 @@
 			future = c.appendFutureSlots(future, res.step, reserved.worker, reserved.slots)
 		}
 	}
-	future = earliestSlots(future, len(res.step.tasks))
+	future = earliestSlots(future, res.step.def.Count)
 	if future == nil {
 		return false
 	}
@@ -247,9 +247,9 @@
 		if w.reservation != nil || !c.compatible(s, w) {
 			continue
 		}
-		future = c.appendFutureSlots(future, s, w, len(s.tasks))
+		future = c.appendFutureSlots(future, s, w, s.def.Count)
 	}
-	count := len(s.tasks)
+	count := s.def.Count
 	ready := earliestSlots(future, count)
 	if ready == nil {
 		return nil
@@ -324,10 +324,8 @@
 // its work.
 func (s *step) gangEnd(number RunNumber) time.Time {
 	var end time.Time
-	for _, member := range s.tasks {
-		if member.run != nil && member.run.number == number {
-			end = latest(end, member.run.expectedEnd)
-		}
+	for member := range s.runsOf(number) {
+		end = latest(end, member.expectedEnd)
 	}
 	return end
 }
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -277,9 +277,11 @@
 	t.step.job().activeRuns--
 	c.openStart(r)
 	if t.done {
+		t.step.forget(t)
 		return
 	}
 	t.step.waiting++
+	t.step.addReturned(t)
 	if r.checkpoint != "" && t.step.def.Checkpointing {
 		c.setCheckpoint(t, r.checkpoint)
 	}
@@ -300,7 +302,23 @@
 
 // anyMayRun reports whether some run of a task of the step may be active.
 func (c *Core) anyMayRun(s *step) bool {
-	return slices.ContainsFunc(s.tasks, c.mayRun)
+	for t := range s.knownTasks() {
+		if t.run != nil {
+			return true
+		}
+	}
+	return c.anyStray(s)
+}
+
+// anyStray reports whether some orphaned run of a task of the step may be active.
+func (c *Core) anyStray(s *step) bool {
+	name := s.name()
+	for stray := range c.strays {
+		if stray.StepName == name {
+			return true
+		}
+	}
+	return false
 }
 
 // releaseLost releases a run without a reported end: its start was rejected or
@@ -321,10 +339,8 @@
 
 // stopGang stops the remaining members of a gang's run.
 func (c *Core) stopGang(s *step, number RunNumber, why string) {
-	for _, member := range s.tasks {
-		if member.run != nil && member.run.number == number {
-			c.stop(member.run, "another member of its gang: "+why)
-		}
+	for member := range s.runsOf(number) {
+		c.stop(member, "another member of its gang: "+why)
 	}
 }
 
@@ -339,11 +355,22 @@
 		c.log(LogRecord{Job: t.step.job().name(), Task: t.name(), Event: "checkpoint dropped", Why: "it has " + strconv.Itoa(len(checkpoint)) + " bytes, and the rows of a job hold at most " + strconv.Itoa(maxCheckpoint)})
 		return
 	}
+	t.setCheckpoint(checkpoint)
+}
+
+// setCheckpoint sets the checkpoint from which the task, or its gang, resumes.
+func (t *task) setCheckpoint(checkpoint string) {
+	if t.step.def.Gang {
+		t.step.checkpoint = checkpoint
+	} else {
+		t.checkpoint = checkpoint
+	}
+}
+
+// resumesFrom returns the checkpoint from which the task resumes; empty for none.
+func (t *task) resumesFrom() string {
 	if t.step.def.Gang {
-		for _, member := range t.step.tasks {
-			member.checkpoint = checkpoint
-		}
-		return
+		return t.step.checkpoint
 	}
-	t.checkpoint = checkpoint
+	return t.checkpoint
 }
--- a/scheduler/start.go
+++ b/scheduler/start.go
@@ -27,7 +27,7 @@
 		startedAt:   c.now,
 		startFence:  c.fence(w),
 		expectedEnd: c.now.Add(s.expectedDuration()),
-		resumed:     t.checkpoint != "",
+		resumed:     t.resumesFrom() != "",
 		pace:        runPace{percent: fullPace},
 	}
 	if violated := c.violatedInvariant(t, w, need); violated != "" {
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -169,11 +169,21 @@
 // or of a member of its gang.
 func (t *task) suspect() bool {
 	if t.step.def.Gang {
-		return slices.ContainsFunc(t.step.tasks, func(member *task) bool { return member.crashes.suspect() })
+		return t.step.suspect()
 	}
 	return t.crashes.suspect()
 }
 
+// suspect reports whether some task of the step is under suspicion by itself.
+func (s *step) suspect() bool {
+	for t := range s.knownTasks() {
+		if t.crashes.suspect() {
+			return true
+		}
+	}
+	return false
+}
+
 // needsTrial reports whether a task that starts now has to start on trial.
 func (c *Core) needsTrial(t *task) bool {
 	return t.suspect() || c.risky[t.step.job().spec.Queue] >= riskySilences && c.trials(false) < c.maxTrials(queueShare)
@@ -247,7 +257,7 @@
 		}
 		s := r.task.step
 		if s.def.Gang {
-			work *= int64(len(s.tasks))
+			work *= int64(s.def.Count)
 		}
 		stake += work
 		if s.def.LongRunning || elapsed < minTrial {
--- a/scheduler/trial_test.go
+++ b/scheduler/trial_test.go
@@ -43,7 +43,7 @@
 
 // accuse puts the first task of a job under suspicion.
 func (h *harness) accuse(id string) *crashHistory {
-	t := h.core.jobs[requester.JobID(id)].occurrences[0].steps[0].tasks[0]
+	t := h.core.jobs[requester.JobID(id)].occurrences[0].steps[0].tasks()[0]
 	t.crashes = &crashHistory{crashes: []crash{{Run: 1, Worker: "gone", AgeMillis: 10, ChancePPM: 100}}}
 	return t.crashes
 }
--- a/scheduler/unsent_test.go
+++ b/scheduler/unsent_test.go
@@ -64,7 +64,7 @@
 	is.Equal(w.silence, silenceUnexplained)
 	h.reborn()
 	is.Equal(h.core.Stats().Crashes, int64(0))
-	is.True(h.core.jobs["j"].occurrences[0].steps[0].tasks[0].crashes.empty())
+	is.True(h.core.jobs["j"].occurrences[0].steps[0].tasks()[0].crashes.empty())
 }
 
 // TestUnsentStartOfAFormerLife guards against a start that keeps its task waiting, as the
