--- a/scheduler/displace.go
+++ b/scheduler/displace.go
@@ -49,7 +49,7 @@
 			kept = append(kept, w)
 		}
 	}
-	for _, w := range kept[:min(wanted, len(kept))] {
+	for _, w := range kept[:max(0, min(wanted, len(kept)))] {
 		c.shareWith(s, w)
 	}
 }
--- a/scheduler/displace_test.go
+++ b/scheduler/displace_test.go
@@ -93,3 +93,17 @@
 	}
 	is.Equal(len(h.stopping()), 1)
 }
+
+// TestDisplaceForHeldTasks guards against an owner that crashes: all waiting tasks of a step
+// with a target are held back beside workers with room, so that none needs a worker cleared.
+func TestDisplaceForHeldTasks(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(3)
+	h.add("serves", Policy{Stretch: 9}, serving(4))
+	s := h.core.jobs["serves"].occurrences[0].steps[0]
+	for index := range s.def.Count {
+		s.task(index).crashes = &crashHistory{heldUntil: h.now.Add(time.Second)}
+	}
+	h.settle()
+	is.Equal(s.wait.reason, WaitPause)
+}
