--- a/scheduler/candidate.go
+++ b/scheduler/candidate.go
@@ -221,42 +221,15 @@
 
 // hasTargetedRun reports whether the worker runs a task with a target for its
 // response times.
-func (w *worker) hasTargetedRun() bool {
-	for _, r := range w.runs {
-		if r.task != nil && r.task.step.def.TargetMillis > 0 {
-			return true
-		}
-	}
-	return false
-}
+func (w *worker) hasTargetedRun() bool { return w.targeted > 0 }
 
 // hasBestEffortRun reports whether the worker runs a best-effort task, which
 // uses only the processor time that other tasks leave.
-func (w *worker) hasBestEffortRun() bool {
-	for _, r := range w.runs {
-		if r.task != nil && r.task.step.def.Fills {
-			return true
-		}
-	}
-	return false
-}
+func (w *worker) hasBestEffortRun() bool { return w.filling > 0 }
 
 // countRuns counts the runs of the step on a worker, and the open starts that may become
 // some.
-func (s *step) countRuns(w *worker) int {
-	count := 0
-	for key := range w.runs {
-		if key.name.StepName == s.name() {
-			count++
-		}
-	}
-	for t := range s.knownTasks() {
-		if t.openOn(w.info.HostID) {
-			count++
-		}
-	}
-	return count
-}
+func (s *step) countRuns(w *worker) int { return w.stepRuns[s.name()] + w.stepOpens[s.name()] }
 
 // Penalties, in shares of a worker's resources.
 const (
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -130,6 +130,8 @@
 	// within answerTime, oldest first.
 	openTasks []*task
 	sentRuns  []*run
+	// underWay counts the starts that are under way (underway.go).
+	underWay int
 	// intended are the runs whose starts are to be sent, oldest first. written is the list
 	// of intended starts, and those of previous owners that may be open; its stored form
 	// takes startParts rows.
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -268,14 +268,18 @@
 	return t.open != nil && t.open.Worker == id && (t.run == nil || t.run.number != t.open.Run)
 }
 
-// reserveForOpen adds up what the open starts need on each worker.
+// reserveForOpen adds up what the open starts need on each worker, and counts them.
 func (c *Core) reserveForOpen() {
 	for _, w := range c.sortedWorkers {
-		w.reservedForOpen = requester.Resources{}
+		w.reservedForOpen, w.stepOpens = requester.Resources{}, nil
 	}
 	for _, t := range c.openTasks {
 		if w := c.workers[t.open.Worker]; w != nil && t.openOn(t.open.Worker) {
 			w.reservedForOpen = w.reservedForOpen.Add(t.step.def.allocation())
+			if w.stepOpens == nil {
+				w.stepOpens = make(map[StepName]int)
+			}
+			w.stepOpens[t.step.name()]++
 		}
 	}
 	for _, s := range c.written {
--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A task with a target for its response times is kept apart from best-effort tasks. Where
 // that is impossible, as too many tasks of a best-effort step would be unavailable if one
@@ -69,13 +72,24 @@
 		if w.hasTargetedRun() {
 			wanted = pausedPace
 		}
-		for _, r := range w.sortedRuns() {
-			if r.fills() && r.phase == runAcknowledged && r.pace.percent != wanted && !r.pace.inFlight && !c.now.Before(r.pace.retryAt) {
-				r.pace.inFlight = true
-				c.orders.Paces = append(c.orders.Paces, PaceOrder{Worker: w.ref(), Task: r.name, Run: r.number, Percent: wanted, Fence: c.fence(w)})
-			}
+		for _, r := range c.runsToPace(w, wanted) {
+			r.pace.inFlight = true
+			c.orders.Paces = append(c.orders.Paces, PaceOrder{Worker: w.ref(), Task: r.name, Run: r.number, Percent: wanted, Fence: c.fence(w)})
+		}
+	}
+}
+
+// runsToPace returns the best-effort runs on a worker that are to be sent another pace, in the
+// order of their names.
+func (c *Core) runsToPace(w *worker, wanted int) []*run {
+	var runs []*run
+	for _, r := range w.runs {
+		if r.fills() && r.phase == runAcknowledged && r.pace.percent != wanted && !r.pace.inFlight && !c.now.Before(r.pace.retryAt) {
+			runs = append(runs, r)
 		}
 	}
+	slices.SortFunc(runs, compareRuns)
+	return runs
 }
 
 // PaceDone handles the result of a pace order. An order without an answer says nothing
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -47,7 +47,7 @@
 		} else {
 			c.noteWait(s, c.placeTasks(s))
 		}
-		if s.waiting > 0 {
+		if s.waiting > 0 && s.wait.reason != WaitStarts {
 			c.displaceBestEffort(s)
 		}
 	}
@@ -90,12 +90,16 @@
 // placeTasks starts as many waiting tasks of the step as fit, each on the
 // candidate that fits best at that time. It returns what the others wait for.
 func (c *Core) placeTasks(s *step) WaitReason {
+	room := c.startsRoom(s)
+	if room == 0 {
+		return c.paced(s)
+	}
 	found := c.candidates(s)
 	if len(found) == 0 && s.wait.reason != WaitNothing && !s.scannedAt.Equal(c.now) {
 		// Only freed workers were scanned, which says nothing new.
 		return s.wait.reason
 	}
-	held := WaitNothing
+	held, best := WaitNothing, -1
 	if len(found) == 0 {
 		return s.lacks()
 	}
@@ -104,10 +108,15 @@
 			held = reason
 			continue
 		}
-		best := c.bestFit(s, found)
+		if room == 0 {
+			return c.paced(s)
+		}
+		room--
 		proving := c.needsTrial(t)
 		if proving {
 			best = c.leastStake(t, found)
+		} else if best < 0 {
+			best = c.bestFit(s, found)
 		}
 		chosen := &found[best]
 		c.startRun(t, chosen.worker, t.nextRun(c), chosen.ticket)
@@ -120,13 +129,18 @@
 			if found = slices.Delete(found, best, best+1); len(found) == 0 && s.waiting > 0 {
 				return s.lacks()
 			}
+			best = -1
+		}
+		if proving {
+			best = -1
 		}
 	}
 	return held
 }
 
 // bestFit returns the index of the candidate that has the least residual
-// capacity after one task, penalties included.
+// capacity after one task, penalties included. It remains that until it has no room: a task
+// takes some of what is left there.
 func (c *Core) bestFit(s *step, found []candidate) int {
 	best, bestScore := 0, 0.0
 	for i := range found {
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -325,9 +325,11 @@
 		r.unsized = true
 		w.unsized++
 	}
-	w.runs[key] = r
-	w.allocated = w.allocated.Add(r.need)
 	needed := t != nil && !t.done && t.run == nil && !t.step.job().state.Ended() && !c.conflictsWithGang(t, running.Run)
+	if needed {
+		r.task = t
+	}
+	w.addRun(r)
 	if !needed {
 		c.strays[r.name]++
 		c.stats.StraysStopped++
@@ -335,10 +337,7 @@
 		c.stop(r, "orphaned, no unfinished task needs it")
 		return r
 	}
-	r.task = t
 	r.resumed, r.tracked = true, true
-	w.lasting = w.lasting.Add(r.lastingNeed())
-	w.filling += r.countFilling()
 	r.pace.percent = unknownPace
 	t.run = r
 	c.noteReportedRun(r)
@@ -365,6 +364,7 @@
 
 // updateRun updates a run from a worker's report of it.
 func (c *Core) updateRun(r *run, running RunningTask) {
+	c.startAnswered(r)
 	if r.phase == runStarting || r.phase == runUnacknowledged {
 		r.phase = runAcknowledged
 	}
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -70,9 +70,11 @@
 	// table has the tasks, done counts those that are done.
 	table taskTable
 	done  int
-	// waiting counts the tasks that are not done and have no run.
-	waiting int
-	open    bool
+	// waiting counts the tasks that are not done and have no run, underWay the starts that
+	// are under way.
+	waiting  int
+	underWay int
+	open     bool
 	// lastRun is the highest run number of a gang. Its members start with the
 	// same number.
 	lastRun RunNumber
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -89,6 +89,8 @@
 	pace runPace
 	// unsized is true if the resources that the run occupies are unknown.
 	unsized bool
+	// underWay is true if the start counts among those that are under way.
+	underWay bool
 }
 
 type runKey struct {
@@ -118,6 +120,7 @@
 		return
 	}
 	r.phase = runStopping
+	c.startAnswered(r)
 	c.stats.Stops++
 	c.log(LogRecord{Job: r.name.Job, Task: r.name, Run: r.number, Worker: r.worker.info.HostID, Event: "stop", Why: why})
 	c.sendStop(r)
@@ -171,6 +174,9 @@
 	} else {
 		c.settleStart(r, order, result)
 	}
+	if ok {
+		c.startAnswered(r)
+	}
 	if ok && result == OrderUnsent {
 		c.startUnsent(r, order)
 		return
@@ -257,15 +263,13 @@
 // is not done, the task waits for a worker again.
 func (c *Core) release(r *run) {
 	w := r.worker
-	delete(w.runs, runKey{r.name, r.number})
-	w.allocated = w.allocated.Sub(r.need)
-	w.lasting = w.lasting.Sub(r.lastingNeed())
-	w.filling -= r.countFilling()
+	w.removeRun(r)
 	if r.unsized {
 		w.unsized--
 	}
 	c.markFreed(w)
 	t := r.task
+	c.startAnswered(r)
 	if t == nil {
 		c.removeStray(r.name)
 	}
--- a/scheduler/start.go
+++ b/scheduler/start.go
@@ -39,11 +39,9 @@
 	t.run = r
 	s.waiting--
 	s.job().activeRuns++
-	w.runs[runKey{r.name, number}] = r
-	w.allocated = w.allocated.Add(need)
-	w.lasting = w.lasting.Add(r.lastingNeed())
-	w.filling += r.countFilling()
+	w.addRun(r)
 	c.consumeUnreserved(s, w)
+	c.startUnderWay(r)
 	c.intend(r)
 }
 
--- /dev/null
+++ b/scheduler/underway.go
@@ -0,0 +1,60 @@
+package scheduler
+
+// Placing a task costs the owner more than the task's share of a placement pass: its start is
+// written ahead, sent, answered and, if the answer is missing, kept open. So starts are under
+// way from when they are intended until they are answered, and there is a bound on how many
+// are. It bounds the longest pass, what a commit names and what waits to be sent, however
+// many tasks wait, so that the owner renews its lease in time. What is left is placed by the
+// passes that follow.
+//
+// A step may take half of what is left of the bound, and each may have a few starts under way
+// whatever the others have. So a wide step, or several, delay no others.
+//
+// Gangs don't count, as they start whole or not at all.
+
+const (
+	// maxStartsUnderWay is the most starts that are under way, but for stepStarts of each
+	// step.
+	maxStartsUnderWay = 1024
+	// stepStarts is how many starts of a step may be under way while those of others take
+	// all that there may be; all of them together may be extraStarts.
+	stepStarts  = 8
+	extraStarts = 1024
+)
+
+// startUnderWay counts a start from when it is intended.
+func (c *Core) startUnderWay(r *run) {
+	if !r.task.step.def.Gang {
+		r.underWay = true
+		r.task.step.underWay++
+		c.underWay++
+	}
+}
+
+// startAnswered ends that a start counts, as it has been answered or withdrawn, or its run has
+// been reported, stopped or released.
+func (c *Core) startAnswered(r *run) {
+	if !r.underWay {
+		return
+	}
+	r.underWay = false
+	r.task.step.underWay--
+	c.underWay--
+	if r.task.step.wait.reason == WaitStarts {
+		c.placementPending = true
+	}
+}
+
+// startsRoom returns how many tasks of a step may be started now.
+func (c *Core) startsRoom(s *step) int {
+	left := maxStartsUnderWay - c.underWay
+	few := min(stepStarts-s.underWay, left+extraStarts)
+	return max(left/2, few, 0)
+}
+
+// paced has the step considered again once there is room for its starts, on all workers.
+func (c *Core) paced(s *step) WaitReason {
+	s.scannedAt = c.now.Add(-rescanInterval)
+	c.placementPending = true
+	return WaitStarts
+}
--- a/scheduler/waitreason_string.go
+++ b/scheduler/waitreason_string.go
@@ -20,12 +20,13 @@
 	_ = x[WaitRack-9]
 	_ = x[WaitRefused-10]
 	_ = x[WaitOpenStart-11]
-	_ = x[waitReasons-12]
+	_ = x[WaitStarts-12]
+	_ = x[waitReasons-13]
 }
 
-const _WaitReason_name = "NothingRoomAdviceStartRecordUnknownRunsEarlierRunCrashRecordPauseTrialRackRefusedOpenStartwaitReasons"
+const _WaitReason_name = "NothingRoomAdviceStartRecordUnknownRunsEarlierRunCrashRecordPauseTrialRackRefusedOpenStartStartswaitReasons"
 
-var _WaitReason_index = [...]uint8{0, 7, 11, 17, 28, 39, 49, 60, 65, 70, 74, 81, 90, 101}
+var _WaitReason_index = [...]uint8{0, 7, 11, 17, 28, 39, 49, 60, 65, 70, 74, 81, 90, 96, 107}
 
 func (i WaitReason) String() string {
 	idx := int(i) - 0
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -62,7 +62,11 @@
 	generation int64
 	bornFence  Fence
 	runs       map[runKey]*run
-	allocated  requester.Resources
+	// stepRuns counts the runs of each step, stepOpens, as of the last placement pass, the
+	// open starts that may become some.
+	stepRuns  map[StepName]int
+	stepOpens map[StepName]int
+	allocated requester.Resources
 	// reservedForOpen is what the open starts need whose runs were released, as of the
 	// last placement pass: the worker's next incarnation may have them already.
 	reservedForOpen requester.Resources
@@ -145,6 +149,8 @@
 	// best-effort runs; nil for none. filling counts these runs.
 	sharedWith *step
 	filling    int
+	// targeted counts the runs of tasks with a target for their response times.
+	targeted int
 	// speed is the speed of the worker's tasks at speedAt, relative to the
 	// expected one; 0 means that they made no progress.
 	speed   float64
@@ -159,6 +165,34 @@
 	return WorkerRef{HostID: w.info.HostID, Address: w.address(), BootedAt: w.bootedAt}
 }
 
+// addRun adds a run on the worker.
+func (w *worker) addRun(r *run) {
+	w.runs[runKey{r.name, r.number}] = r
+	w.stepRuns[r.name.StepName]++
+	w.allocated = w.allocated.Add(r.need)
+	w.countTask(r, 1)
+}
+
+// removeRun removes a run from the worker.
+func (w *worker) removeRun(r *run) {
+	delete(w.runs, runKey{r.name, r.number})
+	if w.stepRuns[r.name.StepName]--; w.stepRuns[r.name.StepName] <= 0 {
+		delete(w.stepRuns, r.name.StepName)
+	}
+	w.allocated = w.allocated.Sub(r.need)
+	w.countTask(r, -1)
+}
+
+// countTask adds to what the worker knows of the kinds of tasks of its runs, or removes it
+// with a factor of -1.
+func (w *worker) countTask(r *run, factor int) {
+	w.lasting = w.lasting.Add(scale(r.lastingNeed(), factor))
+	w.filling += factor * r.countFilling()
+	if r.task != nil && r.task.step.def.TargetMillis > 0 {
+		w.targeted += factor
+	}
+}
+
 // usable reports whether the worker may get new tasks, leaving aside transient
 // conditions.
 func (w *worker) usable() bool {
@@ -229,7 +263,7 @@
 	if w, ok := c.workers[info.HostID]; ok {
 		return w
 	}
-	w := &worker{info: info, home: info.Address, runs: make(map[runKey]*run), unreportedSince: c.tookOverAt}
+	w := &worker{info: info, home: info.Address, runs: make(map[runKey]*run), stepRuns: make(map[StepName]int), unreportedSince: c.tookOverAt}
 	c.observeBirth(w)
 	c.workers[info.HostID] = w
 	c.sortedWorkers = append(c.sortedWorkers, w)
