--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -228,7 +228,7 @@
 		s.core.SetEager(true)
 	}
 	if s.loaded && !s.releasing && !s.core.Fenced() && s.leaseValid() {
-		s.sendOrders(s.core.SendCommitted(now))
+		s.sendOrders(s.core.TakeOrders(now))
 	}
 	s.publishStates(batch, revision)
 	if next.Released {
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -183,6 +183,9 @@
 	if !s.loaded || s.releasing || !now.Before(s.leaseValidUntil) {
 		return tickInterval
 	}
+	if s.core.OrdersWaiting() {
+		s.sendOrders(s.core.TakeOrders(now))
+	}
 	if wait := max(tickInterval, tickFactor*s.tickDuration) - now.Sub(s.tickedAt); wait > 0 {
 		return wait
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -195,6 +195,11 @@
 	// estimates.
 	corrections map[string]*estimator.Correction
 	orders      Orders
+	// inFlight counts the orders in flight; stopping are the workers with stops that wait.
+	// startsWait is true if starts wait only for others in flight to return.
+	inFlight   orderCount
+	stopping   []*worker
+	startsWait bool
 	// placementPending is true if a change since the last placement pass may
 	// let tasks start.
 	placementPending bool
@@ -284,6 +289,7 @@
 	}
 	c.sendIntended()
 	c.updatePaces()
+	c.issueStops()
 	orders := c.orders
 	c.orders = Orders{}
 	return orders
--- a/scheduler/intended.go
+++ b/scheduler/intended.go
@@ -114,22 +114,13 @@
 	return slices.Collect(r.task.step.runsOf(r.number))
 }
 
-// SendCommitted returns the starts that a commit has let go, so that they needn't wait for a
-// tick.
-func (c *Core) SendCommitted(now time.Time) Orders {
-	c.now = now
-	c.sendIntended()
-	orders := c.orders
-	c.orders = Orders{}
-	return orders
-}
-
 // StartsWaiting reports whether starts wait for a commit to name them.
 func (c *Core) StartsWaiting() bool { return c.startsUnwritten() }
 
 // sendIntended sends the intended starts that are committed, or all of them while starts
 // are eager. It withdraws those that would not be made now.
 func (c *Core) sendIntended() {
+	c.startsWait = false
 	if c.fenced {
 		return
 	}
@@ -141,6 +132,10 @@
 		if why := c.obsolete(members); why != "" {
 			c.withdraw(r, why)
 		} else if c.mayBeSent(members) {
+			if len(members) == 1 && !c.hasRoomForStart(r.worker) {
+				c.startsWait = true
+				continue
+			}
 			for _, member := range members {
 				c.sendStart(member)
 			}
@@ -251,6 +246,8 @@
 	c.prolongTrial(r)
 	c.sentRuns = append(c.sentRuns, r)
 	c.stats.Starts++
+	w.inFlight.starts++
+	c.inFlight.starts++
 	deadline := c.startDeadline(w)
 	c.orders.Starts = append(c.orders.Starts, StartOrder{
 		Worker:     w.ref(),
--- a/scheduler/moreends_test.go
+++ b/scheduler/moreends_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"kumquatstall/requester"
 )
 
 // endsWorker is a worker that lists so many ends at a time.
@@ -31,15 +33,17 @@
 	c := store.takeOver(1, now, job)
 	c.SetWorkers(now, workers)
 	var started []StartOrder
-	for range 20 {
-		now = now.Add(50 * time.Millisecond)
+	running := make(map[requester.HostID][]RunningTask)
+	for range 1000 { // a limited number of starts is under way at a time
+		now = now.Add(time.Millisecond)
 		store.commit(c, now)
 		orders := c.Tick(now)
 		for _, order := range orders.Polls {
-			c.PollDone(now, order, &Report{Clock: WorkerTime(now.Sub(detailsNow).Milliseconds()), BootedAt: detailsNow}, OrderAccepted)
+			c.PollDone(now, order, &Report{Clock: WorkerTime(now.Sub(detailsNow).Milliseconds()), BootedAt: detailsNow, Running: running[order.Worker.HostID]}, OrderAccepted)
 		}
 		for _, order := range orders.Starts {
 			c.StartDone(now, order, OrderAccepted)
+			running[order.Worker.HostID] = append(running[order.Worker.HostID], RunningTask{Task: order.Task, Run: order.Run})
 		}
 		started = append(started, orders.Starts...)
 	}
--- /dev/null
+++ b/scheduler/ordering.go
@@ -0,0 +1,109 @@
+package scheduler
+
+import "time"
+
+// An owner may have thousands of runs to stop at once, or of starts to send. Each order that
+// is sent takes memory, and a connection to its worker, of which there are a few; one that
+// waits for a connection may time out before it is sent. So orders wait as runs, and there is a
+// bound on the starts and on the stops in flight, for each worker and in all. Neither kind
+// waits for the other, and workers take turns.
+
+const (
+	// workerOrders is the most starts and stops together in flight to one worker, workerKind
+	// the most of either. They, a poll and a pace have a connection each.
+	workerOrders = 14
+	workerKind   = 10
+	// maxOrdersInFlight is the most starts in flight to all workers, and the most stops.
+	maxOrdersInFlight = 384
+)
+
+// orderCount counts orders in flight.
+type orderCount struct{ starts, stops int }
+
+func (n orderCount) mayAddStart() bool {
+	return n.starts < workerKind && n.starts+n.stops < workerOrders
+}
+
+func (n orderCount) mayAddStop() bool {
+	return n.stops < workerKind && n.starts+n.stops < workerOrders
+}
+
+// sendStop has a stop sent for a run unless one waits or is in flight.
+func (c *Core) sendStop(r *run) {
+	if r.stopInFlight {
+		return
+	}
+	r.stopInFlight = true
+	if r.worker.stops = append(r.worker.stops, r); len(r.worker.stops) == 1 {
+		c.stopping = append(c.stopping, r.worker)
+	}
+}
+
+// issueStops issues the stops for which there is room, worker after worker.
+func (c *Core) issueStops() {
+	for range c.stopping {
+		if c.inFlight.stops >= maxOrdersInFlight {
+			return
+		}
+		w := c.stopping[0]
+		c.stopping = c.stopping[1:]
+		for len(w.stops) > 0 && w.inFlight.mayAddStop() && c.inFlight.stops < maxOrdersInFlight {
+			r := w.stops[0]
+			w.stops = w.stops[1:]
+			if r.stopInFlight && w.runs[runKey{r.name, r.number}] == r {
+				c.issueStop(r)
+			}
+		}
+		if len(w.stops) > 0 {
+			c.stopping = append(c.stopping, w)
+		}
+	}
+}
+
+func (c *Core) issueStop(r *run) {
+	r.worker.inFlight.stops++
+	c.inFlight.stops++
+	c.orders.Stops = append(c.orders.Stops, StopOrder{Worker: r.worker.ref(), Task: r.name, Run: r.number, Fence: c.fence(r.worker)})
+}
+
+// stopReturned records that a stop has a result, or none in time.
+func (c *Core) stopReturned(w *worker) {
+	c.inFlight.stops = max(0, c.inFlight.stops-1)
+	if w != nil {
+		w.inFlight.stops = max(0, w.inFlight.stops-1)
+	}
+}
+
+// startReturned records that a start has a result, or none in time.
+func (c *Core) startReturned(w *worker) {
+	c.inFlight.starts = max(0, c.inFlight.starts-1)
+	if w != nil {
+		w.inFlight.starts = max(0, w.inFlight.starts-1)
+	}
+}
+
+// hasRoomForStart reports whether a start may be sent to the worker now.
+func (c *Core) hasRoomForStart(w *worker) bool {
+	return w.inFlight.mayAddStart() && c.inFlight.starts < maxOrdersInFlight
+}
+
+// OrdersWaiting reports whether orders wait only for others to return, so that they may be
+// taken with TakeOrders once some have.
+func (c *Core) OrdersWaiting() bool { return len(c.stopping) > 0 || c.startsWait }
+
+// TakeOrders returns the orders that may be sent now: starts that a commit has let go, and
+// what has waited for other orders to return.
+func (c *Core) TakeOrders(now time.Time) Orders {
+	c.now = now
+	c.sendIntended()
+	c.issueStops()
+	orders := c.orders
+	c.orders = Orders{}
+	return orders
+}
+
+// mayStopAgain reports whether a stop is to be sent for a run that its worker still reports:
+// it has acknowledged none, or has had the time to carry it out.
+func (c *Core) mayStopAgain(r *run) bool {
+	return r.barredAt.IsZero() || c.now.Sub(r.barredAt) > c.options.LongestStop
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -99,10 +99,12 @@
 		// Only freed workers were scanned, which says nothing new.
 		return s.wait.reason
 	}
-	held, best := WaitNothing, -1
-	if len(found) == 0 {
-		return s.lacks()
+	p := placement{core: c, step: s, found: found, best: noCandidate}
+	p.dropPressed()
+	if len(p.found) == 0 {
+		return p.lacks()
 	}
+	held := WaitNothing
 	for t := range s.waitingTasks() {
 		if reason := c.holds(t); reason != WaitNothing {
 			held = reason
@@ -111,33 +113,70 @@
 		if room == 0 {
 			return c.paced(s)
 		}
-		room--
-		proving := c.needsTrial(t)
-		if proving {
-			best = c.leastStake(t, found)
-		} else if best < 0 {
-			best = c.bestFit(s, found)
-		}
-		chosen := &found[best]
-		c.startRun(t, chosen.worker, t.nextRun(c), chosen.ticket)
-		chosen.slots--
-		if proving {
-			c.putOnTrial(t)
-			chosen.slots = min(chosen.slots, s.taskLimit(chosen.worker))
-		}
-		if chosen.slots == 0 || !s.def.allocation().Fits(c.availableFor(s, chosen.worker)) {
-			if found = slices.Delete(found, best, best+1); len(found) == 0 && s.waiting > 0 {
-				return s.lacks()
-			}
-			best = -1
-		}
-		if proving {
-			best = -1
+		p.place(t)
+		if room--; len(p.found) == 0 && s.waiting > 0 {
+			return p.lacks()
 		}
 	}
 	return held
 }
 
+// placement is a pass over the waiting tasks of a step.
+type placement struct {
+	core  *Core
+	step  *step
+	found []candidate
+	// best is the index of the best candidate, or noCandidate if that has to be searched.
+	best int
+	// pressed is true if a candidate was left out as it has many starts under way.
+	pressed bool
+}
+
+const noCandidate = -1
+
+// dropPressed leaves out the candidates that have as many starts under way as may be.
+func (p *placement) dropPressed() {
+	before := len(p.found)
+	p.found = slices.DeleteFunc(p.found, func(cand candidate) bool { return p.step.presses(cand.worker) })
+	p.pressed = len(p.found) < before
+}
+
+// place starts a task on the best candidate, and drops that if it has no more room.
+func (p *placement) place(t *task) {
+	c, s := p.core, p.step
+	proving := c.needsTrial(t)
+	if proving {
+		p.best = c.leastStake(t, p.found)
+	} else if p.best == noCandidate {
+		p.best = c.bestFit(s, p.found)
+	}
+	chosen := &p.found[p.best]
+	w := chosen.worker
+	c.startRun(t, w, t.nextRun(c), chosen.ticket)
+	chosen.slots--
+	if proving {
+		c.putOnTrial(t)
+		chosen.slots = min(chosen.slots, s.taskLimit(w))
+	}
+	pressed := s.presses(w)
+	full := chosen.slots == 0 || !s.def.allocation().Fits(c.availableFor(s, w))
+	if full || pressed {
+		p.pressed = p.pressed || !full
+		p.found = slices.Delete(p.found, p.best, p.best+1)
+	}
+	if full || proving || pressed {
+		p.best = noCandidate
+	}
+}
+
+// lacks returns what the step waits for without a candidate.
+func (p *placement) lacks() WaitReason {
+	if p.pressed {
+		return p.core.paced(p.step)
+	}
+	return p.step.lacks()
+}
+
 // bestFit returns the index of the candidate that has the least residual
 // capacity after one task, penalties included. It remains that until it has no room: a task
 // takes some of what is left there.
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -20,12 +20,28 @@
 	// freshnessWindow is how long after its last report a worker may get new
 	// tasks.
 	freshnessWindow = 2500 * time.Millisecond
+	// runReportTime, for each run on all workers, is the least time between two reports of
+	// a worker, at most maxReportInterval. A report lists all runs of its worker, and one that
+	// also has ends is sent at once: reports of very many runs would take all of the
+	// processor while tasks end.
+	runReportTime     = 8 * time.Microsecond
+	maxReportInterval = time.Second
 )
 
+// reportInterval returns the least time between two reports of a worker.
+func (c *Core) reportInterval() time.Duration {
+	runs := 0
+	for _, w := range c.sortedWorkers {
+		runs += len(w.runs)
+	}
+	return min(time.Duration(runs)*runReportTime, maxReportInterval)
+}
+
 // pollWorkers issues a poll order for each worker that is due for one.
 func (c *Core) pollWorkers() {
+	interval := c.reportInterval()
 	for _, w := range c.sortedWorkers {
-		if w.pollInFlight || c.now.Before(w.nextPollAt) || !w.address().IsValid() {
+		if w.pollInFlight || c.now.Before(w.nextPollAt) || c.now.Sub(w.clockAt) < interval || !w.address().IsValid() {
 			continue
 		}
 		if address, known := w.elsewhere(); known && w.lookElsewhere {
@@ -378,7 +394,7 @@
 	r.recordPercent(c.now, running.Percent)
 	c.clearRun(r)
 	c.recordAtWork(r)
-	if r.phase == runStopping && !r.stopInFlight {
+	if r.phase == runStopping && !r.stopInFlight && c.mayStopAgain(r) {
 		c.sendStop(r)
 	}
 }
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -77,7 +77,8 @@
 	checkpoint string
 	// progress is the reported progress over time.
 	progress runProgress
-	// stopInFlight is true if a stop was sent and its result is outstanding.
+	// stopInFlight is true if a stop waits to be sent, or was sent and its result is
+	// outstanding.
 	stopInFlight bool
 	// barredAt is when the worker acknowledged a stop or reported the end. From
 	// then on the worker rejects a start that is still in flight.
@@ -126,19 +127,11 @@
 	c.sendStop(r)
 }
 
-// sendStop issues a stop order for a run unless one is in flight.
-func (c *Core) sendStop(r *run) {
-	if r.stopInFlight {
-		return
-	}
-	r.stopInFlight = true
-	c.orders.Stops = append(c.orders.Stops, StopOrder{Worker: r.worker.ref(), Task: r.name, Run: r.number, Fence: c.fence(r.worker)})
-}
-
 // StopDone handles the result of a stop order.
 func (c *Core) StopDone(now time.Time, order StopOrder, result OrderResult) {
 	c.now = now
 	w, ok := c.workers[order.Worker.HostID]
+	c.stopReturned(w)
 	if !ok {
 		return
 	}
@@ -150,8 +143,11 @@
 	switch result {
 	case OrderAccepted:
 		r.barredAt = now
-		// A poll sent from now on shows whether the run is still active.
-		w.nextPollAt = now
+		// A poll sent from now on shows whether the run is still active. Several stops are
+		// shown by one.
+		if len(w.stops) == 0 && w.inFlight.stops == 0 {
+			w.nextPollAt = now
+		}
 	case OrderFenced:
 		c.rejectedByFence(w, order.Fence)
 	case OrderOtherIncarnation:
@@ -165,6 +161,7 @@
 func (c *Core) StartDone(now time.Time, order StartOrder, result OrderResult) {
 	c.now = now
 	w, ok := c.workers[order.Worker.HostID]
+	c.startReturned(w)
 	if !ok {
 		return
 	}
--- a/scheduler/underway.go
+++ b/scheduler/underway.go
@@ -15,11 +15,16 @@
 const (
 	// maxStartsUnderWay is the most starts that are under way, but for stepStarts of each
 	// step.
-	maxStartsUnderWay = 1024
+	maxStartsUnderWay = 1536
 	// stepStarts is how many starts of a step may be under way while those of others take
 	// all that there may be; all of them together may be extraStarts.
 	stepStarts  = 8
-	extraStarts = 1024
+	extraStarts = 512
+	// workerStarts is the most starts under way on one worker, but for extraWorkerStarts of
+	// steps with few: it answers so many at a time only, so the tasks of a wide step spread
+	// over the workers.
+	workerStarts      = 32
+	extraWorkerStarts = 16
 )
 
 // startUnderWay counts a start from when it is intended.
@@ -27,6 +32,7 @@
 	if !r.task.step.def.Gang {
 		r.underWay = true
 		r.task.step.underWay++
+		r.worker.underWay++
 		c.underWay++
 	}
 }
@@ -39,12 +45,23 @@
 	}
 	r.underWay = false
 	r.task.step.underWay--
+	r.worker.underWay--
 	c.underWay--
 	if r.task.step.wait.reason == WaitStarts {
 		c.placementPending = true
 	}
 }
 
+// presses reports whether the worker has as many starts under way as may be for another one
+// of the step.
+func (s *step) presses(w *worker) bool {
+	limit := workerStarts
+	if s.underWay < stepStarts {
+		limit += extraWorkerStarts
+	}
+	return w.underWay >= limit
+}
+
 // startsRoom returns how many tasks of a step may be started now.
 func (c *Core) startsRoom(s *step) int {
 	left := maxStartsUnderWay - c.underWay
--- a/scheduler/wide_test.go
+++ b/scheduler/wide_test.go
@@ -24,7 +24,15 @@
 	running map[requester.HostID]map[runKey]time.Time
 	ends    map[requester.HostID][]EndedRun
 	polls   []PollOrder
-	number  map[requester.HostID]int64
+	// results are those of the orders in flight, which take as long as latency says.
+	results []wideResult
+	latency time.Duration
+	// inFlight counts the stops in flight to each worker, mostStops is the most that was, mostAll
+	// that of all workers. stops counts the stops of each run.
+	inFlight           map[requester.HostID]int
+	mostStops, mostAll int
+	stops              map[runKey]int
+	number             map[requester.HostID]int64
 	// startedAt is when each job started its first task, starts counts those of each.
 	startedAt map[requester.JobID]time.Time
 	starts    map[requester.JobID]int
@@ -34,6 +42,12 @@
 	longest time.Duration
 }
 
+// wideResult is the result of an order that is due at a time.
+type wideResult struct {
+	at time.Time
+	do func()
+}
+
 func wideInfos(workers int) []WorkerInfo {
 	var infos []WorkerInfo
 	for i := range workers {
@@ -51,6 +65,7 @@
 		t: t, now: detailsNow, duration: 2 * time.Second,
 		running: make(map[requester.HostID]map[runKey]time.Time), ends: make(map[requester.HostID][]EndedRun), number: make(map[requester.HostID]int64),
 		startedAt: make(map[requester.JobID]time.Time), starts: make(map[requester.JobID]int),
+		inFlight: make(map[requester.HostID]int), stops: make(map[runKey]int),
 	}
 	c.core = New(Options{Epoch: 1}, c.now)
 	c.core.SetWorkers(c.now, wideInfos(48))
@@ -91,6 +106,7 @@
 func (c *wideCell) advance(wait time.Duration) {
 	c.now = c.now.Add(wait)
 	c.endRuns()
+	c.returnResults()
 	c.answerPolls()
 	var orders Orders
 	c.measured(func() { orders = c.core.Tick(c.now) })
@@ -107,7 +123,7 @@
 			}
 		}
 		c.measured(func() { c.core.Committed(c.now, batch) })
-		c.measured(func() { orders = c.core.SendCommitted(c.now) })
+		c.measured(func() { orders = c.core.TakeOrders(c.now) })
 		c.deliver(orders)
 	}
 	c.core.TakeLogRecords()
@@ -139,18 +155,50 @@
 		if c.starts[order.Task.Job]++; c.starts[order.Task.Job] == 1 {
 			c.startedAt[order.Task.Job] = c.now
 		}
-		c.measured(func() { c.core.StartDone(c.now, order, OrderAccepted) })
+		c.after(func() { c.core.StartDone(c.now, order, OrderAccepted) })
 	}
 	for _, order := range orders.Stops {
 		key := runKey{order.Task, order.Run}
 		if _, runs := c.running[order.Worker.HostID][key]; runs {
 			c.end(order.Worker.HostID, key, EndStopped)
 		}
-		c.measured(func() { c.core.StopDone(c.now, order, OrderAccepted) })
+		id := order.Worker.HostID
+		c.stops[key]++
+		c.inFlight[id]++
+		c.mostStops = max(c.mostStops, c.inFlight[id])
+		all := 0
+		for _, count := range c.inFlight {
+			all += count
+		}
+		c.mostAll = max(c.mostAll, all)
+		c.after(func() {
+			c.inFlight[id]--
+			c.core.StopDone(c.now, order, OrderAccepted)
+		})
 	}
 	c.polls = append(c.polls, orders.Polls...)
 }
 
+// after has the core told of a result once it is due.
+func (c *wideCell) after(do func()) {
+	c.results = append(c.results, wideResult{c.now.Add(c.latency), do})
+	if c.latency == 0 {
+		c.returnResults()
+	}
+}
+
+// returnResults tells the core of the results that are due, and sends what has waited for them.
+func (c *wideCell) returnResults() {
+	for len(c.results) > 0 && !c.now.Before(c.results[0].at) {
+		do := c.results[0].do
+		c.results = c.results[1:]
+		c.measured(do)
+	}
+	if c.latency > 0 && c.core.OrdersWaiting() {
+		c.deliver(c.core.TakeOrders(c.now))
+	}
+}
+
 // answerPolls answers the polls that are due: a long one waits for an end.
 func (c *wideCell) answerPolls() {
 	waiting := c.polls
@@ -267,7 +315,7 @@
 	t.Helper()
 	underWay := 0
 	for _, w := range c.sortedWorkers {
-		runs, filling, targeted := make(map[StepName]int), 0, 0
+		runs, filling, targeted, before := make(map[StepName]int), 0, 0, underWay
 		for key, r := range w.runs {
 			runs[key.name.StepName]++
 			filling += r.countFilling()
@@ -278,6 +326,9 @@
 				underWay++
 			}
 		}
+		if underWay-before != w.underWay || w.underWay > workerStarts+extraWorkerStarts {
+			t.Fatalf("%s has %d starts under way, counted are %d", w.info.HostID, underWay-before, w.underWay)
+		}
 		if !maps.Equal(runs, w.stepRuns) || filling != w.filling || targeted != w.targeted {
 			t.Fatalf("%s has runs %v, counted are %v; %d fill, counted are %d; %d have a target, counted are %d", w.info.HostID, runs, w.stepRuns, filling, w.filling, targeted, w.targeted)
 		}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -66,6 +66,8 @@
 	// open starts that may become some.
 	stepRuns  map[StepName]int
 	stepOpens map[StepName]int
+	// underWay counts the starts that are under way (underway.go).
+	underWay  int
 	allocated requester.Resources
 	// reservedForOpen is what the open starts need whose runs were released, as of the
 	// last placement pass: the worker's next incarnation may have them already.
@@ -116,7 +118,10 @@
 	// of the applied ends after it.
 	withheld      int64
 	appliedBeyond map[int64]bool
-	pollInFlight  bool
+	// stops are the runs whose stops wait to be sent, inFlight counts the orders in flight.
+	stops        []*run
+	inFlight     orderCount
+	pollInFlight bool
 	// fencedPoll is true if the last poll was rejected because of its fence. The next
 	// one acknowledges nothing, so that it has the latest fence.
 	fencedPoll bool
@@ -343,7 +348,7 @@
 func (c *Core) removeUnlistedWorkers() {
 	kept := c.sortedWorkers[:0]
 	for _, w := range c.sortedWorkers {
-		if !w.listed && len(w.runs) == 0 && !w.pollInFlight && !c.now.Before(w.leaseExpiry(c)) && !c.namedByOpenStart(w) && !c.unknownStartOpen(w) {
+		if !w.listed && len(w.runs) == 0 && !w.pollInFlight && w.inFlight == (orderCount{}) && !c.now.Before(w.leaseExpiry(c)) && !c.namedByOpenStart(w) && !c.unknownStartOpen(w) {
 			delete(c.workers, w.info.HostID)
 			c.leasedWorkersDirty = true
 			continue
