--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -132,7 +132,8 @@
 	sentRuns  []*run
 	// underWay counts the starts that are under way (underway.go).
 	underWay int
-	// intended are the runs whose starts are to be sent, oldest first. written is the list
+	// intended are the runs whose starts are to be sent, oldest first, without those of
+	// gangs. written is the list
 	// of intended starts, and those of previous owners that may be open; its stored form
 	// takes startParts rows.
 	intended   []*run
@@ -200,6 +201,8 @@
 	inFlight   orderCount
 	stopping   []*worker
 	startsWait bool
+	// gangs are the gangs whose starts are to be sent, oldest first.
+	gangs []*gangStart
 	// placementPending is true if a change since the last placement pass may
 	// let tasks start.
 	placementPending bool
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -270,6 +270,16 @@
 // holds returns what keeps a task from starting on a worker that has room for
 // it: an earlier run that may be active, or its crashes.
 func (c *Core) holds(t *task) WaitReason {
+	reason := c.holdsUnsuspected(t)
+	if reason == WaitNothing && t.crashes != nil && t.suspect() && !c.mayTrySuspect() {
+		t.step.scannedAt = time.Time{}
+		return WaitTrial
+	}
+	return reason
+}
+
+// holdsUnsuspected is holds without regard to suspicion, which is one for all of a gang.
+func (c *Core) holdsUnsuspected(t *task) WaitReason {
 	if c.mayRun(t) {
 		return WaitEarlierRun
 	}
@@ -285,7 +295,7 @@
 	return reason
 }
 
-// crashHold returns what keeps a task from starting as far as its crashes are
+// crashHold returns what keeps a task from starting as far as the record of its crashes is
 // concerned.
 func (c *Core) crashHold(t *task) WaitReason {
 	switch h := t.crashes; {
@@ -295,8 +305,6 @@
 		return WaitCrashRecord
 	case c.now.Before(h.heldUntil):
 		return WaitPause
-	case t.suspect() && !c.mayTrySuspect():
-		return WaitTrial
 	}
 	return WaitNothing
 }
@@ -304,23 +312,31 @@
 // clearRun clears the task of a run that a worker reports of the crashes that
 // the run has outlasted.
 func (c *Core) clearRun(r *run) {
-	if r.task == nil || r.task.run != r {
+	if r.task == nil || r.task.run != r || r.task.crashes.empty() {
 		return
 	}
-	r.task.crashes.clearOutlasted(r.lasted())
+	r.task.crashes.clearOutlasted(c.lasted(r))
 }
 
 // lasted returns how long a run has surely existed by its worker's last report.
 // A gang has lasted as long as the member of which that is least.
-func (r *run) lasted() time.Duration {
+func (c *Core) lasted(r *run) time.Duration {
 	s := r.task.step
 	if !s.def.Gang {
 		return r.worker.clockAt.Sub(r.acknowledgedAt)
 	}
+	if s.lastedRun != r.number || !s.lastedAt.Equal(c.now) {
+		s.lastedRun, s.lastedAt, s.gangLasted = r.number, c.now, s.shortestRun(r.number)
+	}
+	return s.gangLasted
+}
+
+// shortestRun returns how long all members of a gang's run have surely existed.
+func (s *step) shortestRun(number RunNumber) time.Duration {
 	shortest := time.Duration(math.MaxInt64)
 	for index := range s.def.Count {
 		member := s.knownTask(index)
-		if member == nil || member.run == nil || member.run.number != r.number || member.run.acknowledgedAt.IsZero() {
+		if member == nil || member.run == nil || member.run.number != number || member.run.acknowledgedAt.IsZero() {
 			return 0
 		}
 		shortest = min(shortest, member.run.worker.clockAt.Sub(member.run.acknowledgedAt))
--- a/scheduler/detail.go
+++ b/scheduler/detail.go
@@ -126,7 +126,7 @@
 	if t.noted != nil {
 		size += mapEntryBytes + notedStartBytes + len(t.noted.Worker)
 	}
-	if t.open != nil {
+	if t.open != nil && t.storesOpenStart() {
 		size += mapEntryBytes + openStartBytes + len(t.open.Worker)
 	}
 	return size
@@ -165,7 +165,7 @@
 		p.FailedRuns[t.index] = failed
 	}
 	p.addCrashes(t.index, t)
-	if t.open != nil {
+	if t.open != nil && t.storesOpenStart() {
 		if p.Open == nil {
 			p.Open = make(map[int]openStart)
 		}
--- a/scheduler/detail_test.go
+++ b/scheduler/detail_test.go
@@ -18,7 +18,7 @@
 // rowStore is a store with the limits that the platform sets on rows and calls. It refuses
 // what exceeds them, as the platform does.
 type rowStore struct {
-	t    *testing.T
+	t    testing.TB
 	rows map[string][]byte
 	// refuses reports whether the store refuses a write for another reason; nil for
 	// none.
@@ -33,7 +33,7 @@
 	storeEntries   = 90
 )
 
-func newRowStore(t *testing.T) *rowStore {
+func newRowStore(t testing.TB) *rowStore {
 	return &rowStore{t: t, rows: make(map[string][]byte)}
 }
 
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -9,6 +9,12 @@
 // placeGang starts all tasks of a gang if they fit, else none. It returns what
 // the gang waits for.
 func (c *Core) placeGang(s *step) WaitReason {
+	if c.now.Before(s.retryAt) {
+		return WaitStarts
+	}
+	if !c.mayStartGang(s) {
+		return c.paced(s)
+	}
 	if s.waiting < s.def.Count || c.anyMayRun(s) {
 		// Some members of an earlier run have not ended yet.
 		return WaitEarlierRun
@@ -35,12 +41,15 @@
 	}
 	s.hosts = s.hosts[:0]
 	for i, cand := range chosen {
-		s.hosts = append(s.hosts, cand.worker.info.HostID)
+		if i == 0 || cand.worker != chosen[i-1].worker {
+			s.hosts = append(s.hosts, cand.worker.info.HostID)
+		}
 		c.startRun(s.task(i), cand.worker, number, cand.ticket)
 	}
+	c.intendGang(s)
 	if s.suspect() {
 		for t := range s.knownTasks() {
-			c.putOnTrial(t)
+			c.putOnTrial(t, true)
 		}
 	}
 	return WaitNothing
@@ -59,10 +68,14 @@
 // holdsGang returns what keeps a gang from starting on workers that have room for it.
 func (c *Core) holdsGang(s *step) WaitReason {
 	for t := range s.knownTasks() {
-		if reason := c.holds(t); reason != WaitNothing {
+		if reason := c.holdsUnsuspected(t); reason != WaitNothing {
 			return reason
 		}
 	}
+	if s.suspect() && !c.mayTrySuspect() {
+		s.scannedAt = time.Time{}
+		return WaitTrial
+	}
 	return WaitNothing
 }
 
@@ -102,18 +115,34 @@
 	slices.SortStableFunc(found, func(a, b candidate) int {
 		return cmp.Compare(a.residualWhenFilled(need)+a.penalty(), b.residualWhenFilled(need)+b.penalty())
 	})
+	slots := 0
+	for _, cand := range found {
+		slots += cand.slots
+	}
+	if slots < s.def.Count {
+		return nil
+	}
+	// The starts on one worker take their time, and the members wait for one another.
+	for limit := max(gangWorkerStarts, s.def.Count/len(found)+1); ; limit *= 2 {
+		if chosen := fillCandidates(found, s.def.Count, limit); len(chosen) == s.def.Count {
+			return chosen
+		}
+	}
+}
+
+// gangWorkerStarts is how many members of a gang start on one worker before others are taken,
+// unless that spreads them over more workers than there are.
+const gangWorkerStarts = 256
+
+// fillCandidates returns the candidates for up to count members, with at most limit on each,
+// those of other gangs included whose starts are under way.
+func fillCandidates(found []candidate, count, limit int) []candidate {
 	var chosen []candidate
 	for _, cand := range found {
-		for range cand.slots {
-			if len(chosen) == s.def.Count {
-				return chosen
-			}
+		for range min(cand.slots, limit-cand.worker.members, count-len(chosen)) {
 			chosen = append(chosen, cand)
 		}
 	}
-	if len(chosen) < s.def.Count {
-		return nil
-	}
 	return chosen
 }
 
--- /dev/null
+++ b/scheduler/gangstart_test.go
@@ -0,0 +1,135 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"kumquatstall/requester"
+)
+
+func wideGang(tasks int) Step {
+	step := smallStep(tasks)
+	step.Gang = true
+	return step
+}
+
+// listBytes returns the size of the stored list of intended starts.
+func (s *rowStore) listBytes() int {
+	size := 0
+	for key, value := range s.rows {
+		if IsListKey(key, StartsKey) {
+			size += len(value)
+		}
+	}
+	return size
+}
+
+// TestWideGangsStart guards against a gang that is accepted and never starts, as the list of
+// intended starts has no room for all of its members (review/15), also several at once, and
+// beside ordinary jobs. All members start within the time for which the first waits.
+func TestWideGangsStart(t *testing.T) {
+	tests := []struct {
+		gangs, members int
+	}{{1, 8000}, {1, 50_000}, {6, 8000}, {12, 4000}, {300, 160}}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("%d of %d", test.gangs, test.members), func(t *testing.T) {
+			is := is.New(t)
+			c := newWideCell(t)
+			c.store, c.latency, c.duration = newRowStore(t), roundTrip, 20*time.Second
+			for i := range test.gangs {
+				c.add(jobOf(fmt.Sprintf("gang-%d", i), wideGang(test.members)))
+			}
+			begin, mostBytes := c.now, 0
+			for i := range 1000 {
+				if i%20 == 0 && i < 200 {
+					c.add(jobOf(fmt.Sprintf("ordinary-%d", i), stepOf(2, 2800)))
+				}
+				c.advance(10 * time.Millisecond)
+				mostBytes = max(mostBytes, c.store.listBytes())
+			}
+			for i := range test.gangs {
+				id := requester.JobID(fmt.Sprintf("gang-%d", i))
+				is.Equal(c.starts[id], test.members)
+				is.True(c.lastStartAt[id].Sub(c.startedAt[id]) < maxGangSending)
+			}
+			for i := 0; i < 200; i += 20 {
+				id := requester.JobID(fmt.Sprintf("ordinary-%d", i))
+				at := begin.Add(time.Duration(i) * 10 * time.Millisecond)
+				is.Equal(c.starts[id], 2)
+				is.True(c.startedAt[id].Sub(at) < 500*time.Millisecond) // an ordinary job waits
+			}
+			t.Logf("longest step %v, list of at most %d bytes", c.longest, mostBytes)
+			is.True(c.longest < longestStep)
+			is.True(mostBytes < storeCallBytes/4) // the list leaves the rows of jobs their room
+		})
+	}
+}
+
+// endAlone ends the runs of a gang of which not all members have started in time.
+func (c *wideCell) endAlone(id requester.JobID, members int, wait time.Duration) {
+	if c.countRunning(id) == members {
+		return
+	}
+	for host, runs := range c.running {
+		for key, endsAt := range runs {
+			if key.name.Job == id && c.now.Sub(endsAt.Add(-c.duration)) >= wait {
+				c.end(host, key, EndGangIncomplete)
+			}
+		}
+	}
+}
+
+// TestOwnerLostWhileAWideGangStarts checks that the members of a gang that were sent, or may
+// have been, run only once if the owner is lost meanwhile, and that the gang runs in the end.
+func TestOwnerLostWhileAWideGangStarts(t *testing.T) {
+	is := is.New(t)
+	c := newWideCell(t)
+	c.store, c.latency, c.duration = newRowStore(t), roundTrip, 4*time.Second
+	job := jobOf("gang", wideGang(8000))
+	c.add(job)
+	for c.starts["gang"] < 3000 {
+		c.advance(10 * time.Millisecond)
+	}
+	c.takeOver(job)
+	c.longest = 0
+	for range 3000 {
+		c.advance(10 * time.Millisecond)
+		for id, runs := range c.running {
+			for key := range runs {
+				if other, ok := c.seen[key.name]; ok && other.host != id && c.running[other.host][other.key] != (time.Time{}) {
+					t.Fatalf("%v runs on %s and %s", key.name, id, other.host)
+				}
+				c.seen[key.name] = wideRun{id, key}
+			}
+		}
+		// What waits for the other members of its gang ends.
+		c.endAlone("gang", 8000, 3*time.Second)
+	}
+	is.Equal(c.core.jobs["gang"].state, StateCompleted)
+	t.Logf("longest step %v", c.longest)
+	is.True(c.longest < longestStep)
+}
+
+// TestGangThatCannotBeSentInTime checks that a gang whose starts take longer than its members
+// wait for one another is tried again less and less often, that its step says what it waits
+// for, and that ordinary jobs start meanwhile.
+func TestGangThatCannotBeSentInTime(t *testing.T) {
+	is := is.New(t)
+	c := newWideCell(t)
+	c.store, c.latency, c.duration = newRowStore(t), 400*time.Millisecond, time.Minute
+	c.add(jobOf("gang", wideGang(8000)))
+	s, says := c.core.jobs["gang"].occurrences[0].steps[0], false
+	for i := range 2000 {
+		says = says || s.wait.reason == WaitStarts
+		if i == 300 {
+			c.add(jobOf("ordinary", stepOf(2, 2800)))
+		}
+		c.advance(10 * time.Millisecond)
+	}
+	is.True(s.notSent > 1 && s.notSent < 6) // attempts in 20 s
+	is.True(says)
+	is.True(c.startedAt["ordinary"].Sub(detailsNow) < 5*time.Second)
+}
--- a/scheduler/inherited.go
+++ b/scheduler/inherited.go
@@ -46,7 +46,7 @@
 }
 
 func (c *Core) restoreStart(stored IntendedStart) {
-	if stored.Run >= c.firstRun() || !c.mayAct(stored.open()) {
+	if stored.Run >= c.firstRun() || !c.mayAct(c.openOf(&stored)) {
 		return // no previous owner has sent it, or its time is over
 	}
 	t := c.findTask(stored.name())
@@ -62,7 +62,7 @@
 	if t.open == nil {
 		c.openTasks = append(c.openTasks, t)
 	}
-	t.open = stored.open()
+	t.open = c.openOf(&stored)
 	c.storeOpen(t)
 	c.written = append(c.written, &writtenStart{stored: stored, task: t, taken: true, committed: true})
 }
--- a/scheduler/intended.go
+++ b/scheduler/intended.go
@@ -25,9 +25,8 @@
 // StartsKey is the key of the row of intended starts.
 const StartsKey = ProgressPrefix + "@starts"
 
-// StartsRow is a part of the list of intended starts.
+// StartsRow is a part of the list of intended starts. Its stored form is in startranges.go.
 type StartsRow struct {
-	_      struct{} `cbor:",toarray"`
 	Starts []IntendedStart
 	// UnknownNanos is until when starts of eager owners before the one that wrote the row
 	// may be executed of which it knows nothing, in Unix nanoseconds. It is 0 if that is not
@@ -64,8 +63,9 @@
 const (
 	// maxIntendedTime is how long after it was intended a start may be sent.
 	maxIntendedTime = time.Second
-	// intendedStartBytes bounds the encoded size of an intended start without its names.
-	intendedStartBytes = 50
+	// intendedStartBytes bounds the encoded size of a range of intended starts without its
+	// names.
+	intendedStartBytes = 60
 	// shorterInterval is how long after it was last written the list is written again if it
 	// has only become shorter.
 	shorterInterval = time.Second
@@ -84,7 +84,9 @@
 		Run: r.number, Worker: r.worker.info.HostID, IntendedNanos: c.now.UnixNano(),
 	}}
 	c.written = append(c.written, r.written)
-	c.intended = append(c.intended, r)
+	if !r.task.step.def.Gang {
+		c.intended = append(c.intended, r)
+	}
 }
 
 // name returns the name of the task.
@@ -92,58 +94,65 @@
 	return TaskName{StepName: StepName{Job: s.Job, Occurrence: s.Occurrence, Step: s.Step}, Index: s.Index}
 }
 
-// open returns the start as an open one: it may have been sent at the last moment.
-func (s *IntendedStart) open() *openStart {
-	return &openStart{Run: s.Run, Worker: s.Worker, Until: time.Unix(0, s.IntendedNanos).Add(maxIntendedTime + maxOrderDelay)}
+// openOf returns a start in the list as an open one: it may have been sent at the last moment.
+// That is later for a wide gang, and for a start of which this owner doesn't know whether it is of
+// one.
+func (c *Core) openOf(s *IntendedStart) *openStart {
+	sending := maxGangSending
+	if def := c.stepOf(s); def != nil {
+		sending = def.sendingTime()
+	}
+	return &openStart{Run: s.Run, Worker: s.Worker, Until: time.Unix(0, s.IntendedNanos).Add(sending + maxOrderDelay)}
 }
 
-// bytes returns the most bytes that the start takes in its row.
-func (s *IntendedStart) bytes() int { return intendedStartBytes + len(s.Job) + len(s.Worker) }
+// stepOf returns the step of a start in the list, or nil if its job isn't known.
+func (c *Core) stepOf(s *IntendedStart) *Step {
+	if j := c.jobs[s.Job]; j != nil && s.Step >= 0 && s.Step < len(j.spec.Steps) {
+		return &j.spec.Steps[s.Step]
+	}
+	return nil
+}
+
+// bytesAfter returns the most bytes that the start takes in its row behind another one, which
+// may be nil.
+func (s *IntendedStart) bytesAfter(last *IntendedStart) int {
+	if last != nil && s.continues(last) {
+		return 0
+	}
+	return intendedStartBytes + len(s.Job) + len(s.Worker)
+}
 
 // toBeSent reports whether the run's start is intended and not sent yet.
 func (r *run) toBeSent() bool {
 	return r.phase == runIntended && r.worker.runs[runKey{r.name, r.number}] == r
 }
 
-// together returns the runs whose starts are sent together with that of the run: those of
-// its gang.
-func (r *run) together() []*run {
-	if !r.task.step.def.Gang {
-		return []*run{r}
-	}
-	return slices.Collect(r.task.step.runsOf(r.number))
-}
-
 // StartsWaiting reports whether starts wait for a commit to name them.
 func (c *Core) StartsWaiting() bool { return c.startsUnwritten() }
 
 // sendIntended sends the intended starts that are committed, or all of them while starts
-// are eager. It withdraws those that would not be made now.
+// are eager, as far as there is room. It withdraws those that would not be made now.
 func (c *Core) sendIntended() {
 	c.startsWait = false
 	if c.fenced {
 		return
 	}
 	for _, r := range c.intended {
-		if !r.toBeSent() || r.task.step.def.Gang && r.task.index > 0 {
+		if !r.toBeSent() {
 			continue
 		}
-		members := r.together()
-		if why := c.obsolete(members); why != "" {
+		if why := c.obsoleteStart(r); why != "" {
 			c.withdraw(r, why)
-		} else if c.mayBeSent(members) {
-			if len(members) == 1 && !c.hasRoomForStart(r.worker) {
-				c.startsWait = true
-				continue
-			}
-			for _, member := range members {
-				c.sendStart(member)
-			}
-		} else {
+		} else if !c.mayBeSent(r) {
 			c.noteUnsent(r.task.step)
+		} else if c.hasRoomForStart(r.worker) {
+			c.sendStart(r)
+		} else {
+			c.startsWait = true
 		}
 	}
 	c.intended = slices.DeleteFunc(c.intended, func(r *run) bool { return !r.toBeSent() })
+	c.sendGangs()
 }
 
 // noteUnsent records that a step of which no task waits for a worker waits for the store.
@@ -153,24 +162,16 @@
 	}
 }
 
-// mayBeSent reports whether the stored rows say of the runs that they may have been
-// started, or needn't.
-func (c *Core) mayBeSent(members []*run) bool {
-	return !slices.ContainsFunc(members, func(r *run) bool {
-		return !c.startRecordStored(r.task.step) || !r.written.committed && !c.mayStartEagerly()
-	})
+// mayBeSent reports whether the stored rows say of a run that it may have been started, or
+// needn't.
+func (c *Core) mayBeSent(r *run) bool {
+	return c.startRecordStored(r.task.step) && (r.written.committed || c.mayStartEagerly())
 }
 
-// obsolete returns why intended starts would not be made now, or an empty string.
-func (c *Core) obsolete(members []*run) string {
-	for _, r := range members {
-		if why := c.obsoleteStart(r); why != "" {
-			return why
-		}
-	}
-	return ""
-}
+// notCommitted is why a start is withdrawn that the store has not taken in time.
+const notCommitted = "the start was not committed in time"
 
+// obsoleteStart returns why an intended start would not be made now, or an empty string.
 func (c *Core) obsoleteStart(r *run) string {
 	w, t := r.worker, r.task
 	switch {
@@ -186,8 +187,8 @@
 		return "the worker doesn't meet the needs of the task any more"
 	case t.step.job().spec.Advice != nil && !c.renewTicket(r):
 		return "the ticket has expired"
-	case c.now.Sub(r.startedAt) >= maxIntendedTime:
-		return "the start was not committed in time"
+	case c.now.Sub(r.startedAt) >= t.step.def.sendingTime():
+		return notCommitted
 	}
 	return ""
 }
@@ -199,18 +200,39 @@
 	return valid
 }
 
-// withdraw releases an intended run, with its gang. Its start is never sent.
+// withdraw releases an intended run, with its gang: members whose starts were sent are stopped.
+// Its start is never sent.
 func (c *Core) withdraw(r *run, why string) {
 	c.stats.Withdrawn++
 	c.log(LogRecord{Job: r.name.Job, Task: r.name, Run: r.number, Worker: r.worker.info.HostID, Event: "start withdrawn", Why: why})
-	for _, member := range r.together() {
-		if w := member.worker; w.trial != nil && w.trial.job == nil && member.task.suspect() {
-			w.trial = nil
+	s := r.task.step
+	if !s.def.Gang {
+		c.withdrawOne(r)
+		return
+	}
+	if why == notCommitted {
+		s.backOff(c.now)
+	}
+	members := slices.Collect(s.runsOf(r.number))
+	for _, member := range members {
+		if member.toBeSent() {
+			c.withdrawOne(member)
+		}
+	}
+	for _, member := range members {
+		if member.phase != runIntended {
+			c.stop(member, "another member of its gang was not started: "+why)
 		}
-		c.release(member)
 	}
 }
 
+func (c *Core) withdrawOne(r *run) {
+	if w := r.worker; w.trial != nil && w.trial.job == nil && r.task.suspect() {
+		w.trial = nil
+	}
+	c.release(r)
+}
+
 // withdrawFrom withdraws the intended starts on a worker.
 func (c *Core) withdrawFrom(w *worker, why string) {
 	for _, r := range w.sortedRuns() {
@@ -223,12 +245,18 @@
 // WithdrawIntended withdraws all intended starts, as this owner sends no more orders.
 func (c *Core) WithdrawIntended() {
 	c.releasing = true
+	const why = "the owner releases the cell"
 	for _, r := range c.intended {
 		if r.toBeSent() {
-			c.withdraw(r, "the owner releases the cell")
+			c.withdraw(r, why)
+		}
+	}
+	for _, g := range c.gangs {
+		if i := slices.IndexFunc(g.unsent, (*run).toBeSent); i >= 0 {
+			c.withdraw(g.unsent[i], why)
 		}
 	}
-	c.intended = nil
+	c.intended, c.gangs = nil, nil
 }
 
 // sendStart issues the order of an intended start.
@@ -288,7 +316,7 @@
 func (c *Core) mustBeWritten(s *writtenStart) bool {
 	r := s.run
 	if s.task == nil {
-		return c.mayAct(s.stored.open())
+		return c.mayAct(c.openOf(&s.stored))
 	}
 	if r != nil && r.phase == runIntended {
 		return r.toBeSent()
@@ -313,23 +341,68 @@
 }
 
 // storesOpenStart reports whether the rows of the job have the task's open start, if there is
-// one. They don't if the task doesn't start again.
-func (t *task) storesOpenStart() bool { return !t.done && !t.step.job().state.Ended() }
+// one. They don't if the task doesn't start again, nor if it is of a wide gang, whose starts the
+// list of intended starts names in less room.
+func (t *task) storesOpenStart() bool {
+	return !t.done && !t.step.job().state.Ended() && !t.step.def.wideGang()
+}
 
-// listEnded adds to the list of intended starts the open ones that the rows of their jobs don't
-// have any more, as their tasks don't start again: a successor must keep their room.
-func (c *Core) listEnded() {
+// listUnstored adds to the list of intended starts the open ones that the rows of their jobs
+// don't have: a successor must keep their room, and wait for them if their tasks start again.
+func (c *Core) listUnstored() {
+	var missing []*task
 	for _, t := range c.openTasks {
-		listed := func(s *writtenStart) bool { return s.task == t && s.stored.Run == t.open.Run }
-		if t.storesOpenStart() || slices.ContainsFunc(c.written, listed) {
-			continue
+		if !t.storesOpenStart() {
+			missing = append(missing, t)
 		}
-		c.written = append(c.written, &writtenStart{task: t, stored: t.open.intended(t.name())})
 	}
+	if len(missing) == 0 {
+		return
+	}
+	listed := make(map[runKey]bool, len(c.written))
+	for _, s := range c.written {
+		if s.task != nil {
+			listed[runKey{s.stored.name(), s.stored.Run}] = true
+		}
+	}
+	for _, t := range missing {
+		if !listed[runKey{t.name(), t.open.Run}] {
+			c.written = append(c.written, &writtenStart{task: t, stored: t.open.intended(t.name(), t.step.def.sendingTime())})
+		}
+	}
+}
+
+// dropWritten removes from the list the starts that a successor needn't learn from it. Those
+// of a wide gang remain as long as one of them must: the gang waits for that one anyway, and
+// the ranges remain few.
+func (c *Core) dropWritten() {
+	type gangRun struct {
+		step   *step
+		number RunNumber
+	}
+	kept := make(map[gangRun]bool)
+	gangOf := func(s *writtenStart) (gangRun, bool) {
+		if s.task == nil || !s.task.step.def.wideGang() || s.task.step.job().state.Ended() {
+			return gangRun{}, false
+		}
+		return gangRun{s.task.step, s.stored.Run}, true
+	}
+	for _, s := range c.written {
+		if gang, ok := gangOf(s); ok && !kept[gang] && c.mustBeWritten(s) {
+			kept[gang] = true
+		}
+	}
+	c.written = slices.DeleteFunc(c.written, func(s *writtenStart) bool {
+		if gang, ok := gangOf(s); ok {
+			return !kept[gang]
+		}
+		return !c.mustBeWritten(s)
+	})
 }
 
-// intended returns the open start of a task as one in the list of intended starts.
-func (o *openStart) intended(name TaskName) IntendedStart {
+// intended returns the open start of a task as one in the list of intended starts, which could be sent
+// for the given time.
+func (o *openStart) intended(name TaskName, sending time.Duration) IntendedStart {
 	return IntendedStart{
 		Job: name.Job, Occurrence: name.Occurrence, Step: name.Step, Index: name.Index,
 		Run: o.Run, Worker: o.Worker, IntendedNanos: o.Until.Add(-maxIntendedTime - maxOrderDelay).UnixNano(),
@@ -340,27 +413,31 @@
 // names, or if it has been longer than it is for a while. New starts beyond half of the room
 // wait for the next batch.
 func (c *Core) addStarts(batch *Batch, room batchRoom) {
-	c.listEnded()
-	c.written = slices.DeleteFunc(c.written, func(s *writtenStart) bool { return !c.mustBeWritten(s) })
+	c.listUnstored()
+	c.dropWritten()
 	if c.now.Before(c.startsHeldUntil) || c.startsUnreadable || !c.startsUnwritten() && !c.unknownOutdated() && !c.startsShorter() {
 		return
 	}
 	left := min(room.left(batch).bytes/4*3, room.left(batch).rows*c.options.rowLimit()/2) / startsShare
+	var last *IntendedStart
 	for _, s := range c.written {
 		if s.taken {
-			left -= s.stored.bytes()
+			left -= s.stored.bytesAfter(last)
+			last = &s.stored
 		}
 	}
 	added := 0
+	last = nil
 	var stored []IntendedStart
 	for _, s := range c.written {
 		if !s.taken {
-			if left -= s.stored.bytes(); left < 0 || c.startsLimit > 0 && added == c.startsLimit {
+			if left -= s.stored.bytesAfter(last); left < 0 || c.startsLimit > 0 && added == c.startsLimit {
 				continue
 			}
 			s.taken = true
 			added++
 		}
+		last = &s.stored
 		stored = append(stored, s.stored)
 		batch.starts = append(batch.starts, s)
 	}
--- a/scheduler/intended_test.go
+++ b/scheduler/intended_test.go
@@ -34,8 +34,8 @@
 	h.now = h.now.Add(10 * time.Millisecond)
 	orders := h.core.Tick(h.now)
 	h.answerPolls(orders, WorkerRef{})
-	if len(h.core.intended) != s.Count || len(orders.Starts) != 0 {
-		t.Fatalf("%d starts intended, want %d; %d sent, want 0", len(h.core.intended), s.Count, len(orders.Starts))
+	if h.core.countIntended() != s.Count || len(orders.Starts) != 0 {
+		t.Fatalf("%d starts intended, want %d; %d sent, want 0", h.core.countIntended(), s.Count, len(orders.Starts))
 	}
 }
 
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -283,7 +283,7 @@
 		}
 	}
 	for _, s := range c.written {
-		if w := c.workers[s.stored.Worker]; w != nil && s.task == nil && c.mayAct(s.stored.open()) {
+		if w := c.workers[s.stored.Worker]; w != nil && s.task == nil && c.mayAct(c.openOf(&s.stored)) {
 			w.reservedForOpen = w.reservedForOpen.Add(c.allocationOf(&s.stored, w))
 		}
 	}
@@ -292,8 +292,8 @@
 // allocationOf returns what a start needs whose task this owner doesn't schedule: the whole
 // worker if its job isn't known any more.
 func (c *Core) allocationOf(stored *IntendedStart, w *worker) requester.Resources {
-	if j := c.jobs[stored.Job]; j != nil && stored.Step >= 0 && stored.Step < len(j.spec.Steps) {
-		return j.spec.Steps[stored.Step].allocation()
+	if def := c.stepOf(stored); def != nil {
+		return def.allocation()
 	}
 	return w.info.Total
 }
--- a/scheduler/ordering_test.go
+++ b/scheduler/ordering_test.go
@@ -26,7 +26,9 @@
 		name     string
 		jobs     int
 		takeOver bool
-	}{{"one job", 1, false}, {"many jobs", 50, false}, {"a successor", 1, true}}
+		// starting is true if the job is cancelled while its starts are sent.
+		starting bool
+	}{{"one job", 1, false, false}, {"many jobs", 50, false, false}, {"a successor", 1, true, false}, {"while it starts", 1, false, true}}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
@@ -37,10 +39,17 @@
 				jobs = append(jobs, jobOf("wide-"+string(rune('A'+i)), smallStep(50_000/test.jobs)))
 			}
 			c.add(jobs...)
-			for range 1000 {
-				c.advance(10 * time.Millisecond)
+			if test.starting {
+				for range 50 {
+					c.advance(10 * time.Millisecond)
+				}
+				is.True(c.countAll() > 1000 && c.countAll() < 50_000)
+			} else {
+				for range 1000 {
+					c.advance(10 * time.Millisecond)
+				}
+				is.Equal(c.countAll(), 50_000)
 			}
-			is.Equal(c.countAll(), 50_000)
 			if test.takeOver {
 				c.takeOver(jobs...)
 			}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -155,7 +155,7 @@
 	c.startRun(t, w, t.nextRun(c), chosen.ticket)
 	chosen.slots--
 	if proving {
-		c.putOnTrial(t)
+		c.putOnTrial(t, t.suspect())
 		chosen.slots = min(chosen.slots, s.taskLimit(w))
 	}
 	pressed := s.presses(w)
--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -82,7 +82,7 @@
 // starts that wait for it.
 func (h *harness) issueAfter(commit func()) Orders {
 	orders := h.core.Tick(h.now)
-	if len(h.core.intended) == 0 {
+	if h.core.countIntended() == 0 {
 		return orders
 	}
 	commit()
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -355,7 +355,7 @@
 	}
 	r.resumed, r.tracked = true, true
 	r.pace.percent = unknownPace
-	t.run = r
+	t.setRun(r)
 	c.noteReportedRun(r)
 	t.step.waiting--
 	t.step.job().activeRuns++
@@ -370,8 +370,8 @@
 	if !t.step.def.Gang {
 		return false
 	}
-	for member := range t.step.knownTasks() {
-		if member.run != nil && member.run.number != number {
+	for other := range t.step.gangRuns {
+		if other != number {
 			return true
 		}
 	}
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -81,8 +81,22 @@
 	// failedRuns are the numbers of the failed runs of a gang.
 	failedRuns []RunNumber
 	// hosts are the workers on which a gang last started.
-	hosts  []requester.HostID
-	advice stepAdvice
+	hosts []requester.HostID
+	// gangRuns counts the present runs of a gang by their numbers. sweptAt is when those with
+	// sweptRun were last stopped.
+	gangRuns map[RunNumber]int
+	sweptRun RunNumber
+	sweptAt  time.Time
+	// notSent counts how often a gang could not be sent in time, retryAt is when it starts
+	// again.
+	notSent int
+	retryAt time.Time
+	// lastedAt and gangLasted are when, and how long, all members of a gang were last found to
+	// have lasted, lastedRun in which run.
+	lastedAt   time.Time
+	lastedRun  RunNumber
+	gangLasted time.Duration
+	advice     stepAdvice
 	// stalls counts how often a run of the step, or a whole gang, was stopped
 	// because it made no progress.
 	stalls int
--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -110,10 +110,10 @@
 }
 
 // needsReservation reports whether a step is a gang that could start but for
-// lack of capacity, and is not in its cool-down. One that waits for a trial had room
-// when it was last considered.
+// lack of capacity, and is not in its cool-down. One that waits for a trial, or for starts to be
+// sent, had room when it was last considered.
 func (c *Core) needsReservation(s *step) bool {
-	if !s.open || !s.def.Gang || s.def.SameRack || s.waiting < s.def.Count || c.now.Before(s.reserveAfter) || s.wait.reason == WaitTrial || s.wait.reason == WaitOpenStart {
+	if !s.open || !s.def.Gang || s.def.SameRack || s.waiting < s.def.Count || c.now.Before(s.reserveAfter) || s.wait.reason == WaitTrial || s.wait.reason == WaitOpenStart || s.wait.reason == WaitStarts {
 		return false
 	}
 	advised := s.job().spec.Advice == nil || len(s.advice.tickets) > 0
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -273,7 +273,7 @@
 	if t == nil || t.run != r {
 		return
 	}
-	t.run = nil
+	t.setRun(nil)
 	c.forgetNote(t)
 	t.step.job().activeRuns--
 	c.openStart(r)
@@ -311,6 +311,29 @@
 	return c.anyStray(s)
 }
 
+// setRun sets the present run of the task; nil for none.
+func (t *task) setRun(r *run) {
+	if t.step.def.Gang {
+		t.step.countMember(t.run, -1)
+		t.step.countMember(r, 1)
+	}
+	t.run = r
+}
+
+// countMember adds to the count of the present runs of a gang with the number of a run, which
+// may be nil.
+func (s *step) countMember(r *run, change int) {
+	if r == nil {
+		return
+	}
+	if s.gangRuns == nil {
+		s.gangRuns = make(map[RunNumber]int)
+	}
+	if s.gangRuns[r.number] += change; s.gangRuns[r.number] == 0 {
+		delete(s.gangRuns, r.number)
+	}
+}
+
 // anyStray reports whether some orphaned run of a task of the step may be active.
 func (c *Core) anyStray(s *step) bool {
 	name := s.name()
@@ -340,6 +363,10 @@
 
 // stopGang stops the remaining members of a gang's run.
 func (c *Core) stopGang(s *step, number RunNumber, why string) {
+	if s.sweptRun == number && s.sweptAt.Equal(c.now) {
+		return
+	}
+	s.sweptRun, s.sweptAt = number, c.now
 	for member := range s.runsOf(number) {
 		c.stop(member, "another member of its gang: "+why)
 	}
--- a/scheduler/start.go
+++ b/scheduler/start.go
@@ -36,7 +36,7 @@
 		return
 	}
 	t.lastRun = number
-	t.run = r
+	t.setRun(r)
 	s.waiting--
 	s.job().activeRuns++
 	w.addRun(r)
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -189,8 +189,9 @@
 	return t.suspect() || c.risky[t.step.job().spec.Queue] >= riskySilences && c.trials(false) < c.maxTrials(queueShare)
 }
 
-// putOnTrial begins a trial on the worker on which a task was just started.
-func (c *Core) putOnTrial(t *task) {
+// putOnTrial begins a trial on the worker on which a task was just started, which may be under
+// suspicion.
+func (c *Core) putOnTrial(t *task, suspect bool) {
 	if t.run == nil {
 		return
 	}
@@ -198,7 +199,7 @@
 	if t.run.worker.trial == nil {
 		c.freeMilliCores -= t.run.worker.available().MilliCores
 	}
-	if t.suspect() {
+	if suspect {
 		t.run.worker.trial = &trial{until: c.now.Add(t.crashes.trialTime())}
 		return
 	}
--- a/scheduler/underway.go
+++ b/scheduler/underway.go
@@ -10,7 +10,7 @@
 // A step may take half of what is left of the bound, and each may have a few starts under way
 // whatever the others have. So a wide step, or several, delay no others.
 //
-// Gangs don't count, as they start whole or not at all.
+// Gangs start whole or not at all, so their members count for their workers only.
 
 const (
 	// maxStartsUnderWay is the most starts that are under way, but for stepStarts of each
@@ -29,12 +29,18 @@
 
 // startUnderWay counts a start from when it is intended.
 func (c *Core) startUnderWay(r *run) {
-	if !r.task.step.def.Gang {
-		r.underWay = true
-		r.task.step.underWay++
-		r.worker.underWay++
-		c.underWay++
+	r.underWay = true
+	c.countUnderWay(r, 1)
+}
+
+func (c *Core) countUnderWay(r *run, change int) {
+	if r.task.step.def.Gang {
+		r.worker.members += change
+		return
 	}
+	r.task.step.underWay += change
+	r.worker.underWay += change
+	c.underWay += change
 }
 
 // startAnswered ends that a start counts, as it has been answered or withdrawn, or its run has
@@ -44,9 +50,7 @@
 		return
 	}
 	r.underWay = false
-	r.task.step.underWay--
-	r.worker.underWay--
-	c.underWay--
+	c.countUnderWay(r, -1)
 	if r.task.step.wait.reason == WaitStarts {
 		c.placementPending = true
 	}
--- a/scheduler/wide_test.go
+++ b/scheduler/wide_test.go
@@ -36,6 +36,11 @@
 	// startedAt is when each job started its first task, starts counts those of each.
 	startedAt map[requester.JobID]time.Time
 	starts    map[requester.JobID]int
+	// lastStartAt is when each job last started a task, seen is the last run of each task.
+	lastStartAt map[requester.JobID]time.Time
+	seen        map[TaskName]wideRun
+	// lost are the workers that don't answer.
+	lost map[requester.HostID]bool
 	// duration is how long a task takes.
 	duration time.Duration
 	// longest is the most processor time of a step of the core.
@@ -48,6 +53,12 @@
 	do func()
 }
 
+// wideRun is a run on a worker.
+type wideRun struct {
+	host requester.HostID
+	key  runKey
+}
+
 func wideInfos(workers int) []WorkerInfo {
 	var infos []WorkerInfo
 	for i := range workers {
@@ -66,6 +77,7 @@
 		running: make(map[requester.HostID]map[runKey]time.Time), ends: make(map[requester.HostID][]EndedRun), number: make(map[requester.HostID]int64),
 		startedAt: make(map[requester.JobID]time.Time), starts: make(map[requester.JobID]int),
 		inFlight: make(map[requester.HostID]int), stops: make(map[runKey]int),
+		lastStartAt: make(map[requester.JobID]time.Time), seen: make(map[TaskName]wideRun), lost: make(map[requester.HostID]bool),
 	}
 	c.core = New(Options{Epoch: 1}, c.now)
 	c.core.SetWorkers(c.now, wideInfos(48))
@@ -151,14 +163,23 @@
 func (c *wideCell) deliver(orders Orders) {
 	for _, order := range orders.Starts {
 		id := order.Worker.HostID
+		if c.lost[id] {
+			c.after(func() { c.core.StartDone(c.now, order, OrderUnknown) })
+			continue
+		}
 		c.running[id][runKey{order.Task, order.Run}] = c.now.Add(c.duration)
 		if c.starts[order.Task.Job]++; c.starts[order.Task.Job] == 1 {
 			c.startedAt[order.Task.Job] = c.now
 		}
+		c.lastStartAt[order.Task.Job] = c.now
 		c.after(func() { c.core.StartDone(c.now, order, OrderAccepted) })
 	}
 	for _, order := range orders.Stops {
 		key := runKey{order.Task, order.Run}
+		if c.lost[order.Worker.HostID] {
+			c.after(func() { c.core.StopDone(c.now, order, OrderUnknown) })
+			continue
+		}
 		if _, runs := c.running[order.Worker.HostID][key]; runs {
 			c.end(order.Worker.HostID, key, EndStopped)
 		}
@@ -208,6 +229,10 @@
 			c.polls = append(c.polls, order)
 			continue
 		}
+		if c.lost[order.Worker.HostID] {
+			c.measured(func() { c.core.PollDone(c.now, order, nil, OrderUnknown) })
+			continue
+		}
 		report := c.report(order)
 		c.measured(func() { c.core.PollDone(c.now, order, report, OrderAccepted) })
 	}
@@ -315,18 +340,20 @@
 	t.Helper()
 	underWay := 0
 	for _, w := range c.sortedWorkers {
-		runs, filling, targeted, before := make(map[StepName]int), 0, 0, underWay
+		runs, filling, targeted, members, before := make(map[StepName]int), 0, 0, 0, underWay
 		for key, r := range w.runs {
 			runs[key.name.StepName]++
 			filling += r.countFilling()
 			if r.task != nil && r.task.step.def.TargetMillis > 0 {
 				targeted++
 			}
-			if r.underWay {
+			if r.underWay && r.task.step.def.Gang {
+				members++
+			} else if r.underWay {
 				underWay++
 			}
 		}
-		if underWay-before != w.underWay || w.underWay > workerStarts+extraWorkerStarts {
+		if members != w.members || underWay-before != w.underWay || w.underWay > workerStarts+extraWorkerStarts {
 			t.Fatalf("%s has %d starts under way, counted are %d", w.info.HostID, underWay-before, w.underWay)
 		}
 		if !maps.Equal(runs, w.stepRuns) || filling != w.filling || targeted != w.targeted {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -66,9 +66,9 @@
 	// open starts that may become some.
 	stepRuns  map[StepName]int
 	stepOpens map[StepName]int
-	// underWay counts the starts that are under way (underway.go).
-	underWay  int
-	allocated requester.Resources
+	// underWay counts the starts that are under way (underway.go), members those of gangs.
+	underWay, members int
+	allocated         requester.Resources
 	// reservedForOpen is what the open starts need whose runs were released, as of the
 	// last placement pass: the worker's next incarnation may have them already.
 	reservedForOpen requester.Resources
