--- a/cmd/kumquatstall/serve.go
+++ b/cmd/kumquatstall/serve.go
@@ -61,6 +61,9 @@
 	// memoryShare is the fraction of the memory limit that is set as the limit
 	// of the Go runtime. The rest is for memory that the runtime does not count.
 	memoryShare = 0.7
+	// runsPerMB is how many runs of the cell an owner may have for each binary megabyte of its
+	// memory.
+	runsPerMB = 300
 	// reloadInterval is the interval at which the settings file is read.
 	reloadInterval = 2 * time.Second
 	// storeWriteShare is the fraction of the store's write rate that one entry
@@ -150,6 +153,7 @@
 		LongestStop:     configurer.Millis(site.Timing.LongestStopMillis),
 		WritesPerSecond: site.Store.WritesPerSecond * storeWriteShare,
 		RowBytes:        site.Store.RowBytes,
+		MaxRuns:         int(site.Limits.MemoryMB * runsPerMB),
 		LinkBytes:       s.guard.LinkBytes(),
 	}, s.client, nil, s.log)
 	expvar.Publish("kumquatstall", jsonVar(s.dispatcher.Metrics))
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -144,6 +144,9 @@
 	// WritesPerSecond bounds the transactions with which this entry stores
 	// jobs and cancellations; default 60.
 	WritesPerSecond float64
+	// MaxRuns is how many runs this entry has at most while it owns the cell; 0 means the
+	// default of package scheduler.
+	MaxRuns int
 	// RowBytes is the most bytes that the store takes in the value of a row; default
 	// 65,536.
 	RowBytes int
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -118,6 +118,7 @@
 			MaxLease:           d.options.MaxLease,
 			LongestStop:        d.options.LongestStop,
 			RowBytes:           d.options.RowBytes,
+			MaxRuns:            d.options.MaxRuns,
 			PreviousOwnerEager: previous.row.Eager,
 			PreviousOwnerTerm:  previous.row.term() + ownerSafetyMargin,
 			PreviousLeaseTerm:  previous.row.leaseTerm(),
@@ -378,7 +379,7 @@
 		Int("Jobs", load.Jobs).Int("OpenTasks", load.OpenTasks).Int("Unasked", load.Unasked).Int("Runs", load.RunningRuns).
 		Int("Workers", load.Workers).Int("Silent", load.Silent).Int("Asking", len(s.adviser.pending)).Int("Advisers", len(s.adviser.relays)).Int("AdvisersLate", s.adviser.relays.suspects()).
 		Dict("Waits", waits(&load)).Int64("UsedMilliCores", load.Used.MilliCores).Int64("MilliCores", load.Total.MilliCores).
-		Int("Suspects", load.Suspects).Int("Trials", load.Trials).Int64("FreeMilliCores", load.FreeMilliCores).Int64("WantedMilliCores", load.WantedMilliCores).
+		Int("StartsUnderWay", load.StartsUnderWay).Int("OrdersInFlight", load.OrdersInFlight).Int("OrdersWaiting", load.OrdersWaiting).Int("Suspects", load.Suspects).Int("Trials", load.Trials).Int64("FreeMilliCores", load.FreeMilliCores).Int64("WantedMilliCores", load.WantedMilliCores).
 		Int64("Starts", stats.Starts).Int64("Done", stats.Done).Int64("Failed", stats.Failed).Int64("Lapsed", stats.Lapsed).Int64("Acknowledged", stats.Acknowledged).Int64("Vanished", stats.Vanished).Int64("Resurfaced", stats.Resurfaced).Int64("ReleasedActive", stats.ReleasedActive).Int64("ForeignRuns", stats.ForeignRuns).Int64("EndsMissing", stats.EndsMissing).Int64("DoubtfulAcks", stats.DoubtfulAcks).Int64("MisdirectedAcks", stats.MisdirectedAcks).Int64("UnknownLives", stats.UnknownLives).Int64("AdviceAsked", stats.AdviceAsked).Int64("AdviceFailed", s.dispatcher.counters.adviceFailed.Load()).Dur("StoreMillis", s.dispatcher.store.Latency()).
 		Send()
 }
--- a/scheduler/accepted_test.go
+++ b/scheduler/accepted_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"kumquatstall/requester"
 )
 
 // machineBytes is the memory of a machine on which an entry runs. The garbage collector lets
@@ -107,3 +109,28 @@
 	}
 	is.Equal(h.core.jobs["j"].state, StateCompleted)
 }
+
+// TestTasksThatNeedNothing guards against an owner that fills its memory with runs of tasks that
+// fit everywhere, as they need no resources: only so many run, and ordinary jobs run beside them.
+func TestTasksThatNeedNothing(t *testing.T) {
+	is := is.New(t)
+	c := newWideCell(t)
+	c.duration = time.Minute
+	c.core.options.MaxRuns = 10_000
+	for i := range 25 {
+		c.add(jobOf(fmt.Sprintf("free-%d", i), Step{Count: MaxStepTasks, EstimateMillis: 1000}))
+	}
+	gang := Step{Count: 20_000, Gang: true, EstimateMillis: 1000}
+	c.add(jobOf("gang", gang))
+	c.advanceFor(3 * time.Second)
+	for i := range 10 {
+		at, id := c.now, requester.JobID(fmt.Sprintf("ordinary-%d", i))
+		c.add(jobOf(string(id), stepOf(2, 2800)))
+		c.advanceFor(100 * time.Millisecond)
+		is.Equal(c.starts[id], 2)
+		is.True(c.startedAt[id].Sub(at) < 100*time.Millisecond) // an ordinary job waits
+	}
+	is.True(c.countAll() > 8_000 && c.countAll() <= 10_000)
+	is.Equal(c.starts["gang"], 0)
+	is.Equal(c.core.jobs["gang"].occurrences[0].steps[0].wait.reason, WaitStarts)
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -39,6 +39,9 @@
 	// is sent them, in base64.
 	RowBytes  int
 	CallBytes int
+	// MaxRuns is how many runs the workers of the cell may have, as far as this owner starts
+	// them; default 85,000.
+	MaxRuns int
 }
 
 func (o Options) withDefaults() Options {
@@ -57,6 +60,9 @@
 	if o.RowBytes <= 0 {
 		o.RowBytes = DefaultRowBytes
 	}
+	if o.MaxRuns <= 0 {
+		o.MaxRuns = 85_000
+	}
 	if o.CallBytes <= 0 {
 		o.CallBytes = DefaultCallBytes
 	}
@@ -130,8 +136,10 @@
 	// within answerTime, oldest first.
 	openTasks []*task
 	sentRuns  []*run
-	// underWay counts the starts that are under way (underway.go).
+	// underWay counts the starts that are under way (underway.go). runsLeft is how many more
+	// runs there may be, as of the present placement pass.
 	underWay int
+	runsLeft int
 	// intended are the runs whose starts are to be sent, oldest first, without those of
 	// gangs. written is the list
 	// of intended starts, and those of previous owners that may be open; its stored form
--- a/scheduler/gangstart.go
+++ b/scheduler/gangstart.go
@@ -34,13 +34,14 @@
 )
 
 // mayStartGang reports whether the starts of a gang can be sent in time beside those that are
-// to be sent already. A gang that is wider than they may be starts alone.
+// to be sent already, and their runs fit into the bound. A gang that is wider than those may be
+// starts alone.
 func (c *Core) mayStartGang(s *step) bool {
 	unsent := 0
 	for _, g := range c.gangs {
 		unsent += len(g.unsent)
 	}
-	return unsent == 0 || unsent+s.def.Count <= maxUnsentMembers
+	return s.def.Count <= c.runsLeft && (unsent == 0 || unsent+s.def.Count <= maxUnsentMembers)
 }
 
 // intendGang adds the starts of a gang that has just been placed to those to be sent.
--- a/scheduler/ordering_test.go
+++ b/scheduler/ordering_test.go
@@ -40,14 +40,10 @@
 			}
 			c.add(jobs...)
 			if test.starting {
-				for range 50 {
-					c.advance(10 * time.Millisecond)
-				}
+				c.advanceFor(500 * time.Millisecond)
 				is.True(c.countAll() > 1000 && c.countAll() < 50_000)
 			} else {
-				for range 1000 {
-					c.advance(10 * time.Millisecond)
-				}
+				c.advanceFor(10 * time.Second)
 				is.Equal(c.countAll(), 50_000)
 			}
 			if test.takeOver {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -21,6 +21,7 @@
 	reconciled := c.Reconciled()
 	c.sortByRank(c.open)
 	c.reserveForOpen()
+	c.countRunsLeft()
 	c.updateEligible()
 	c.addWanted()
 	c.updateReservations()
--- a/scheduler/start.go
+++ b/scheduler/start.go
@@ -42,6 +42,7 @@
 	w.addRun(r)
 	c.consumeUnreserved(s, w)
 	c.startUnderWay(r)
+	c.runsLeft--
 	c.intend(r)
 }
 
--- a/scheduler/stats.go
+++ b/scheduler/stats.go
@@ -165,11 +165,15 @@
 	// need.
 	Suspects, Trials                 int
 	FreeMilliCores, WantedMilliCores int64
+	// StartsUnderWay counts the starts that are under way, OrdersInFlight the starts and stops
+	// in flight, OrdersWaiting the stops and starts of gangs that wait to be sent.
+	StartsUnderWay, OrdersInFlight, OrdersWaiting int
 }
 
 // Load returns the current load of the cell.
 func (c *Core) Load() Load {
-	load := Load{Suspects: c.trials(true), Trials: c.trials(false), FreeMilliCores: c.freeMilliCores, WantedMilliCores: c.wantedMilliCores}
+	load := Load{Suspects: c.trials(true), Trials: c.trials(false), FreeMilliCores: c.freeMilliCores, WantedMilliCores: c.wantedMilliCores,
+		StartsUnderWay: c.underWay, OrdersInFlight: c.inFlight.starts + c.inFlight.stops}
 	for _, j := range c.jobs {
 		if !j.state.Ended() {
 			load.Jobs++
@@ -182,8 +186,12 @@
 			load.Unasked += s.waiting
 		}
 	}
+	for _, g := range c.gangs {
+		load.OrdersWaiting += len(g.unsent)
+	}
 	for _, w := range c.sortedWorkers {
 		load.RunningRuns += len(w.runs)
+		load.OrdersWaiting += len(w.stops)
 		load.Used = load.Used.Add(w.allocated)
 		if !w.usable() {
 			continue
--- a/scheduler/underway.go
+++ b/scheduler/underway.go
@@ -10,6 +10,9 @@
 // A step may take half of what is left of the bound, and each may have a few starts under way
 // whatever the others have. So a wide step, or several, delay no others.
 //
+// What runs takes memory as well, and tasks that need no resources fit everywhere. So there is a
+// bound on the runs of the cell, of which a part is kept for steps with few of them.
+//
 // Gangs start whole or not at all, so their members count for their workers only.
 
 const (
@@ -25,6 +28,9 @@
 	// over the workers.
 	workerStarts      = 32
 	extraWorkerStarts = 16
+	// keptRunsShare divides the runs of the cell: one part of so many is kept for steps with
+	// fewer than stepStarts.
+	keptRunsShare = 10
 )
 
 // startUnderWay counts a start from when it is intended.
@@ -70,7 +76,22 @@
 func (c *Core) startsRoom(s *step) int {
 	left := maxStartsUnderWay - c.underWay
 	few := min(stepStarts-s.underWay, left+extraStarts)
-	return max(left/2, few, 0)
+	runs := c.runsLeft
+	if s.running() >= stepStarts {
+		runs -= c.options.MaxRuns / keptRunsShare
+	}
+	return max(0, min(max(left/2, few), runs))
+}
+
+// running counts the tasks of the step that have a run.
+func (s *step) running() int { return s.def.Count - s.done - s.waiting }
+
+// countRunsLeft counts how many more runs there may be.
+func (c *Core) countRunsLeft() {
+	c.runsLeft = c.options.MaxRuns
+	for _, w := range c.sortedWorkers {
+		c.runsLeft -= len(w.runs)
+	}
 }
 
 // paced has the step considered again once there is room for its starts, on all workers.
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -54,8 +54,8 @@
 	// may still be executed: until an order that is late has arrived and the worker
 	// has answered, or the longest lease has expired as well.
 	WaitOpenStart
-	// WaitStarts means that as many starts are under way as may be: until workers have
-	// answered some.
+	// WaitStarts means that as many starts are under way, or runs there, as may be: until
+	// workers have answered some, or some runs have ended.
 	WaitStarts
 	waitReasons
 )
