--- a/scheduler/gangstart.go
+++ b/scheduler/gangstart.go
@@ -77,6 +77,7 @@
 		g.unsent = slices.DeleteFunc(g.unsent, func(r *run) bool {
 			if r.toBeSent() && c.hasRoomForStart(r.worker) && c.mayStillSend() {
 				if why := c.obsoleteStart(r); why != "" {
+					g.backOff(c.now, why)
 					c.withdraw(r, why)
 				} else {
 					c.sendStart(r)
@@ -99,7 +100,7 @@
 		g.named++
 	}
 	if c.now.Sub(g.intendedAt) >= maxIntendedTime {
-		c.withdraw(g.unsent[0], notCommitted)
+		c.withdraw(g.unsent[0], notInTime)
 		return false
 	}
 	named := g.named >= len(g.unsent) || c.mayStartEagerly()
@@ -136,8 +137,11 @@
 	return maxIntendedTime
 }
 
-// backOff has a gang wait that could not be sent in time.
-func (s *step) backOff(now time.Time) {
-	s.retryAt = now.Add(gangBackoff << min(s.notSent, maxGangBackoffs))
-	s.notSent++
+// backOff has a wide gang wait that was let go and could not be sent in time. One that was not
+// committed in time is tried again at once: the store may be back.
+func (g *gangStart) backOff(now time.Time, why string) {
+	if s := g.step; s.def.wideGang() && why == notInTime {
+		s.retryAt = now.Add(gangBackoff << min(s.notSent, maxGangBackoffs))
+		s.notSent++
+	}
 }
--- a/scheduler/gangstart_test.go
+++ b/scheduler/gangstart_test.go
@@ -133,3 +133,22 @@
 	is.True(says)
 	is.True(c.startedAt["ordinary"].Sub(detailsNow) < 5*time.Second)
 }
+
+// TestGangStartsOnceTheStoreIsBack guards against a gang that waits for longer and longer as the
+// store has not taken its starts in time: once it is back, the gang starts at once.
+func TestGangStartsOnceTheStoreIsBack(t *testing.T) {
+	is := is.New(t)
+	c := newWideCell(t)
+	c.duration = time.Minute
+	c.add(jobOf("gang", wideGang(8000)))
+	for range 1200 { // the store is away for 12 s: nothing is committed
+		c.now = c.now.Add(10 * time.Millisecond)
+		c.answerPolls()
+		c.deliver(c.core.Tick(c.now))
+	}
+	is.Equal(c.starts["gang"], 0)
+	back := c.now
+	c.advanceFor(2 * time.Second)
+	is.Equal(c.starts["gang"], 8000)
+	is.True(c.lastStartAt["gang"].Sub(back) < 1500*time.Millisecond)
+}
--- a/scheduler/intended.go
+++ b/scheduler/intended.go
@@ -168,8 +168,8 @@
 	return c.startRecordStored(r.task.step) && (r.written.committed || c.mayStartEagerly())
 }
 
-// notCommitted is why a start is withdrawn that the store has not taken in time.
-const notCommitted = "the start was not committed in time"
+// notInTime is why a start is withdrawn that was not committed, or sent, in time.
+const notInTime = "the start was not committed in time"
 
 // obsoleteStart returns why an intended start would not be made now, or an empty string.
 func (c *Core) obsoleteStart(r *run) string {
@@ -188,7 +188,7 @@
 	case t.step.job().spec.Advice != nil && !c.renewTicket(r):
 		return "the ticket has expired"
 	case c.now.Sub(r.startedAt) >= t.step.def.sendingTime():
-		return notCommitted
+		return notInTime
 	}
 	return ""
 }
@@ -210,9 +210,6 @@
 		c.withdrawOne(r)
 		return
 	}
-	if why == notCommitted {
-		s.backOff(c.now)
-	}
 	members := slices.Collect(s.runsOf(r.number))
 	for _, member := range members {
 		if member.toBeSent() {
@@ -400,8 +397,8 @@
 	})
 }
 
-// intended returns the open start of a task as one in the list of intended starts, which could be sent
-// for the given time.
+// intended returns the open start of a task as one in the list of intended starts, which
+// could be sent for the given time.
 func (o *openStart) intended(name TaskName, sending time.Duration) IntendedStart {
 	return IntendedStart{
 		Job: name.Job, Occurrence: name.Occurrence, Step: name.Step, Index: name.Index,
--- a/scheduler/tasks.go
+++ b/scheduler/tasks.go
@@ -197,14 +197,3 @@
 		slices.SortFunc(s.table.returned, byIndex)
 	}
 }
-
-// waitingKnown counts the known tasks that wait.
-func (s *step) waitingKnown() int {
-	count := 0
-	for t := range s.knownTasks() {
-		if t.waits() {
-			count++
-		}
-	}
-	return count
-}
