--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -33,6 +34,8 @@
 	renewFraction = 4
 	// workerListInterval is the interval between reads of the list of workers.
 	workerListInterval = 700 * time.Millisecond
+	// maxLogLines is the most lines with events of the core that are written after a tick.
+	maxLogLines = 1000
 	// loadLogInterval is the interval between log lines with the cell's load.
 	loadLogInterval = time.Second
 	// pruneInterval is the interval between rounds that remove the rows of
@@ -102,7 +105,9 @@
 	tickedAt     time.Time
 	tickDuration time.Duration
 	loadLoggedAt time.Time
-	adviser      *adviser
+	// records are the log records of the core that are not written yet.
+	records []scheduler.LogRecord
+	adviser *adviser
 }
 
 // newSession returns a session of the cell that was acquired by committing row.
@@ -165,6 +170,7 @@
 		}
 		timer.Reset(s.advance())
 	}
+	s.writeLogRecords(math.MaxInt)
 	d.log.Info().Str("Event", "disown").Int64("Epoch", s.row.Epoch).Msg("ownership of the cell has ended; no more orders are sent")
 }
 
@@ -194,7 +200,7 @@
 	s.sendOrders(s.core.Tick(now))
 	s.tickDuration = d.clock.Now().Sub(now)
 	s.requestAdvice(now)
-	s.writeLogRecords()
+	s.writeLogRecords(maxLogLines)
 	s.logLoad(now)
 	s.prune(now)
 	if s.core.Dirty() {
@@ -308,10 +314,17 @@
 	s.group.Go(do)
 }
 
-// writeLogRecords writes the core's log records to the log.
-func (s *session) writeLogRecords() {
-	for _, record := range s.core.TakeLogRecords() {
-		s.writeLogRecord(&record)
+// writeLogRecords writes the core's log records to the log, up to limit of them. The others
+// wait: when very many runs end at once, their lines would take longer than the owner's lease
+// allows.
+func (s *session) writeLogRecords(limit int) {
+	s.records = append(s.records, s.core.TakeLogRecords()...)
+	count := min(len(s.records), limit)
+	for i := range s.records[:count] {
+		s.writeLogRecord(&s.records[i])
+	}
+	if s.records = s.records[count:]; len(s.records) == 0 {
+		s.records = nil
 	}
 }
 
--- a/scheduler/ordering.go
+++ b/scheduler/ordering.go
@@ -60,7 +60,12 @@
 	}
 }
 
+// issueStop issues a stop. Only now is it logged: a job that ends may have very many runs.
 func (c *Core) issueStop(r *run) {
+	if r.stopWhy != "" {
+		c.log(LogRecord{Job: r.name.Job, Task: r.name, Run: r.number, Worker: r.worker.info.HostID, Event: "stop", Why: r.stopWhy})
+		r.stopWhy = ""
+	}
 	r.worker.inFlight.stops++
 	c.inFlight.stops++
 	c.orders.Stops = append(c.orders.Stops, StopOrder{Worker: r.worker.ref(), Task: r.name, Run: r.number, Fence: c.fence(r.worker)})
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -80,6 +80,8 @@
 	// stopInFlight is true if a stop waits to be sent, or was sent and its result is
 	// outstanding.
 	stopInFlight bool
+	// stopWhy is why the run is to be stopped, for the log, until a stop is issued.
+	stopWhy string
 	// barredAt is when the worker acknowledged a stop or reported the end. From
 	// then on the worker rejects a start that is still in flight.
 	barredAt time.Time
@@ -122,8 +124,8 @@
 	}
 	r.phase = runStopping
 	c.startAnswered(r)
+	r.stopWhy = why
 	c.stats.Stops++
-	c.log(LogRecord{Job: r.name.Job, Task: r.name, Run: r.number, Worker: r.worker.info.HostID, Event: "stop", Why: why})
 	c.sendStop(r)
 }
 
