--- a/replayer/replayer.go
+++ b/replayer/replayer.go
@@ -124,6 +124,10 @@
 		next := heap.Pop(&r.events).(scheduledEvent)
 		r.now = next.at
 		next.action()
+		if r.core.OrdersWaiting() {
+			// As an entry does, which takes them as the results of others arrive.
+			r.deliver(r.core.TakeOrders(r.now))
+		}
 	}
 	return r.result()
 }
@@ -165,6 +169,14 @@
 	orders := r.core.Tick(r.now)
 	r.requestAdvice()
 	r.decideTime += time.Since(before)
+	r.deliver(orders)
+	r.commitBatch()
+	r.recordJobEnds()
+	r.scheduleAfter(tickInterval, r.tick)
+}
+
+// deliver delivers orders to the workers.
+func (r *replay) deliver(orders scheduler.Orders) {
 	for _, order := range orders.Stops {
 		r.byHost[order.Worker.HostID].stop(order)
 	}
@@ -174,9 +186,6 @@
 	for _, order := range orders.Polls {
 		r.byHost[order.Worker.HostID].poll(order)
 	}
-	r.commitBatch()
-	r.recordJobEnds()
-	r.scheduleAfter(tickInterval, r.tick)
 }
 
 // commitBatch starts the commit of the core's next batch of row writes unless a
