--- a/dispatcher/acquire.go
+++ b/dispatcher/acquire.go
@@ -245,7 +245,7 @@
 		return
 	}
 	d.announcedAt = now
-	d.linker.Send(owner, &encoder.EntryCapacity{Cores: d.capacity()})
+	d.linker.Send(owner, d.announcement())
 }
 
 // capacity returns the number of cores by which the owner may choose this entry as
@@ -257,6 +257,12 @@
 	return d.options.Cores
 }
 
+// announcement returns what this entry tells the owner of itself. Whether it reaches the store
+// doesn't matter for sending stops.
+func (d *Dispatcher) announcement() *encoder.EntryCapacity {
+	return &encoder.EntryCapacity{Cores: d.capacity(), SendsStops: !d.draining.Load()}
+}
+
 // PeerUp implements linker.Handler.
 func (d *Dispatcher) PeerUp(peer encoder.PeerInfo, _ int64) {
 	d.log.Info().Str("Event", "link up").Str("Peer", string(peer.EntryID)).Send()
@@ -266,7 +272,7 @@
 	if d.cache.ownerView().row.Holder == peer.EntryID {
 		// The linker holds its lock while it calls PeerUp, and Send acquires
 		// that lock.
-		d.group.Go(func() { d.linker.Send(peer.EntryID, &encoder.EntryCapacity{Cores: d.capacity()}) })
+		d.group.Go(func() { d.linker.Send(peer.EntryID, d.announcement()) })
 	}
 	d.postToSession(func(s *session) { s.addRelay(peer.EntryID) })
 }
@@ -277,7 +283,10 @@
 	d.mu.Lock()
 	delete(d.linked, id)
 	d.mu.Unlock()
-	d.postToSession(func(s *session) { s.removeRelay(id) })
+	d.postToSession(func(s *session) {
+		s.removeRelay(id)
+		s.core.CarrierLost(d.clock.Now(), id)
+	})
 }
 
 // linkedPeers returns the entries to which a link is up, sorted by ID.
@@ -298,6 +307,8 @@
 	// can't acquire the cell. It was received at capacityAt.
 	cores      float64
 	capacityAt time.Time
+	// sendsStops is true if the entry sends stops for the owner.
+	sendsStops bool
 	// sameDataCentre is true if the entry is in this entry's data centre. A
 	// network partition between data centres isolates both or neither.
 	sameDataCentre bool
@@ -362,12 +373,16 @@
 		}
 		d.mu.Lock()
 		if linked, ok := d.linked[from]; ok {
-			linked.cores, linked.capacityAt = message.Cores, d.clock.Now()
+			linked.cores, linked.capacityAt, linked.sendsStops = message.Cores, d.clock.Now(), message.SendsStops
 			d.linked[from] = linked
 		}
 		d.mu.Unlock()
 	case *encoder.StatesStored:
 		d.applyStates(message)
+	case *encoder.StopRequest:
+		d.group.Go(func() { d.carryStops(from, message) })
+	case *encoder.StopReply:
+		d.postToSession(func(s *session) { s.core.StopsDone(d.clock.Now(), message.Number, message.Results) })
 	}
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -33,8 +33,8 @@
 // # Links
 //
 // Entries keep a link to the owner. Links carry notifications of rows that were
-// just stored, the advice requests that the owner distributes over the entries,
-// and the number of cores of each entry, by which the owner selects its
+// just stored, the advice requests that the owner distributes over the entries, stops that
+// the owner can't send alone, and the number of cores of each entry, by which the owner selects its
 // successor. A link may lose messages, so each entry also watches the store.
 //
 // # Goroutines
@@ -209,6 +209,8 @@
 	doubts doubts
 	// adviceTimeouts is how often adviceTimeout is doubled; see requestAdvice.
 	adviceTimeouts atomic.Int32
+	// batches counts the batches of stops that this entry has from owners.
+	batches atomic.Int32
 	// cellStats holds the counters of the core as of the last run of logLoad;
 	// nil if this entry has not owned the cell.
 	cellStats atomic.Pointer[scheduler.Stats]
--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -73,10 +73,14 @@
 	adviceAfterDeadline atomic.Int64
 	// oddRows counts the rows and messages that could not be decoded or had
 	// values out of range; see logOddRow.
-	oddRows    atomic.Int64
-	submitTime latencyHistogram
-	commitTime latencyHistogram
-	adviceTime latencyHistogram
+	oddRows atomic.Int64
+	// stopsSent counts the stops that were sent for an owner, batchesRefused the batches of
+	// stops that were not.
+	stopsSent      atomic.Int64
+	batchesRefused atomic.Int64
+	submitTime     latencyHistogram
+	commitTime     latencyHistogram
+	adviceTime     latencyHistogram
 }
 
 // ObserveSubmit records the outcome and latency of a request to store a job.
@@ -126,10 +130,14 @@
 		// AdviceAfterDeadline counts replies that came too late.
 		AdviceAfterDeadline int64
 		OddRows             int64
-		SubmitMillis        quantiles
-		CommitMillis        quantiles
-		AdviceMillis        quantiles
-		Cell                *scheduler.Stats `json:",omitempty"`
+		// StopsSentForOwner counts the stops sent for an owner, StopBatchesRefused the batches
+		// of them that were refused.
+		StopsSentForOwner  int64
+		StopBatchesRefused int64
+		SubmitMillis       quantiles
+		CommitMillis       quantiles
+		AdviceMillis       quantiles
+		Cell               *scheduler.Stats `json:",omitempty"`
 	}{
 		Ready:               d.Ready(),
 		Owner:               string(owner.row.Holder),
@@ -143,6 +151,8 @@
 		AdviceFailed:        d.counters.adviceFailed.Load(),
 		AdviceAfterDeadline: d.counters.adviceAfterDeadline.Load(),
 		OddRows:             d.counters.oddRows.Load(),
+		StopsSentForOwner:   d.counters.stopsSent.Load(),
+		StopBatchesRefused:  d.counters.batchesRefused.Load(),
 		SubmitMillis:        d.counters.submitTime.quantiles(),
 		CommitMillis:        d.counters.commitTime.quantiles(),
 		AdviceMillis:        d.counters.adviceTime.quantiles(),
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"kumquatstall/encoder"
 	"kumquatstall/keeper"
 	"kumquatstall/requester"
 	"kumquatstall/scheduler"
@@ -197,6 +198,7 @@
 		return wait
 	}
 	s.tickedAt = now
+	s.core.SetCarriers(now, d.carriers(now))
 	s.sendOrders(s.core.Tick(now))
 	s.tickDuration = d.clock.Now().Sub(now)
 	s.requestAdvice(now)
@@ -221,6 +223,9 @@
 			s.post(func() { s.core.StopDone(d.clock.Now(), order, result) })
 		})
 	}
+	for _, batch := range orders.Batches {
+		d.linker.Send(batch.Carrier, &encoder.StopRequest{Batch: batch, RemainingMicros: scheduler.CarryTime.Microseconds()})
+	}
 	for _, order := range orders.Starts {
 		s.spawn(func() { s.start(order) })
 	}
@@ -392,7 +397,7 @@
 		Int("Jobs", load.Jobs).Int("OpenTasks", load.OpenTasks).Int("Unasked", load.Unasked).Int("Runs", load.RunningRuns).
 		Int("Workers", load.Workers).Int("Silent", load.Silent).Int("Asking", len(s.adviser.pending)).Int("Advisers", len(s.adviser.relays)).Int("AdvisersLate", s.adviser.relays.suspects()).
 		Dict("Waits", waits(&load)).Int64("UsedMilliCores", load.Used.MilliCores).Int64("MilliCores", load.Total.MilliCores).
-		Int("StartsUnderWay", load.StartsUnderWay).Int("OrdersInFlight", load.OrdersInFlight).Int("OrdersWaiting", load.OrdersWaiting).Int("Suspects", load.Suspects).Int("Trials", load.Trials).Int64("FreeMilliCores", load.FreeMilliCores).Int64("WantedMilliCores", load.WantedMilliCores).
+		Int("StartsUnderWay", load.StartsUnderWay).Int("OrdersInFlight", load.OrdersInFlight).Int("OrdersWaiting", load.OrdersWaiting).Int("Carriers", load.Carriers).Int("StopsCarried", load.StopsCarried).Int("Suspects", load.Suspects).Int("Trials", load.Trials).Int64("FreeMilliCores", load.FreeMilliCores).Int64("WantedMilliCores", load.WantedMilliCores).
 		Int64("Starts", stats.Starts).Int64("Done", stats.Done).Int64("Failed", stats.Failed).Int64("Lapsed", stats.Lapsed).Int64("Acknowledged", stats.Acknowledged).Int64("Vanished", stats.Vanished).Int64("Resurfaced", stats.Resurfaced).Int64("ReleasedActive", stats.ReleasedActive).Int64("ForeignRuns", stats.ForeignRuns).Int64("EndsMissing", stats.EndsMissing).Int64("DoubtfulAcks", stats.DoubtfulAcks).Int64("MisdirectedAcks", stats.MisdirectedAcks).Int64("UnknownLives", stats.UnknownLives).Int64("AdviceAsked", stats.AdviceAsked).Int64("AdviceFailed", s.dispatcher.counters.adviceFailed.Load()).Dur("StoreMillis", s.dispatcher.store.Latency()).
 		Send()
 }
--- a/encoder/encoder.go
+++ b/encoder/encoder.go
@@ -35,6 +35,8 @@
 	kindJobStored
 	kindStatesStored
 	kindEntryCapacity
+	kindStopRequest
+	kindStopReply
 )
 
 func (*Hello) kind() kind            { return kindHello }
@@ -61,6 +63,8 @@
 func (*JobStored) kind() kind        { return kindJobStored }
 func (*StatesStored) kind() kind     { return kindStatesStored }
 func (*EntryCapacity) kind() kind    { return kindEntryCapacity }
+func (*StopRequest) kind() kind      { return kindStopRequest }
+func (*StopReply) kind() kind        { return kindStopReply }
 
 // messageTypes maps each kind to the type of its messages.
 var messageTypes = func() map[kind]reflect.Type {
@@ -77,7 +81,7 @@
 		&Hello{}, &Proof{}, &Heartbeat{}, &PeerList{}, &CallForward{}, &CallReply{}, &CallCancel{}, &ConfigUpdate{},
 		&ConfigRequest{}, &GrantRequest{}, &GrantReply{}, &RelayRequest{}, &RelayReply{}, &ReplicateRequest{},
 		&ReplicateReply{}, &ReplicaFetch{}, &ReplicaList{}, &JobRequest{}, &JobReply{}, &AdviceRequest{}, &AdviceReply{}, &JobStored{},
-		&StatesStored{}, &EntryCapacity{},
+		&StatesStored{}, &EntryCapacity{}, &StopRequest{}, &StopReply{},
 	}
 }
 
--- a/encoder/message.go
+++ b/encoder/message.go
@@ -271,6 +271,26 @@
 	// Cores is the number of processor cores available to the entry. A
 	// draining entry reports 0, which excludes it as the successor.
 	Cores float64
+	// SendsStops is true if the entry takes a StopRequest. Earlier versions don't know that
+	// message, and close the link on which they receive one.
+	SendsStops bool `cbor:",omitempty"`
+}
+
+// StopRequest is sent by the owner of a cell. It asks another entry to send a batch of stops to
+// a worker.
+type StopRequest struct {
+	Batch scheduler.StopBatch
+	// RemainingMicros is the time that is left for sending them; it is not a point in time,
+	// since the entries' clocks differ.
+	RemainingMicros int64
+}
+
+// StopReply is the reply to a StopRequest with the same number.
+type StopReply struct {
+	Number int64
+	// Results are in the order of the batch's runs. If there are fewer, nothing is known of the
+	// others.
+	Results []scheduler.OrderResult
 }
 
 // JobStored notifies the owner of a cell that another entry has committed a job
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -42,6 +42,9 @@
 	// MaxRuns is how many runs the workers of the cell may have, as far as this owner starts
 	// them; default 85,000.
 	MaxRuns int
+	// OwnStops is how many stops this owner has in flight before it hands any to carriers;
+	// default and maximum 384.
+	OwnStops int
 }
 
 func (o Options) withDefaults() Options {
@@ -63,6 +66,9 @@
 	if o.MaxRuns <= 0 {
 		o.MaxRuns = 85_000
 	}
+	if o.OwnStops <= 0 || o.OwnStops > maxOrdersInFlight {
+		o.OwnStops = maxOrdersInFlight
+	}
 	if o.CallBytes <= 0 {
 		o.CallBytes = DefaultCallBytes
 	}
@@ -209,6 +215,11 @@
 	inFlight   orderCount
 	stopping   []*worker
 	startsWait bool
+	// carriers are the entries that send stops for this owner, carried the batches that they
+	// have, oldest first. batchNumber counts the batches.
+	carriers    []*carrier
+	carried     []*carriedBatch
+	batchNumber int64
 	// gangs are the gangs whose starts are to be sent, oldest first.
 	gangs []*gangStart
 	// placementPending is true if a change since the last placement pass may
@@ -242,6 +253,8 @@
 	silences   []silence
 	risky      map[string]int
 	logRecords []LogRecord
+	// lineCounts counts the lines of the events whose lines are limited.
+	lineCounts [limitedEvents]lineCount
 	stats      Stats
 }
 
@@ -301,6 +314,7 @@
 	c.sendIntended()
 	c.updatePaces()
 	c.issueStops()
+	c.logAllOmitted()
 	orders := c.orders
 	c.orders = Orders{}
 	return orders
--- a/scheduler/ends.go
+++ b/scheduler/ends.go
@@ -49,10 +49,17 @@
 // applyEnd applies the reported end of a run. A worker reports an end to each
 // new owner again until it is acknowledged.
 func (c *Core) applyEnd(w *worker, ended EndedRun) {
-	c.log(LogRecord{
-		Job: ended.Task.Job, Task: ended.Task, Run: ended.Run, Worker: w.info.HostID, Event: "run ended",
-		Why: ended.Kind.String() + ", end " + strconv.FormatInt(ended.Number, 10),
-	})
+	record := func() LogRecord {
+		return LogRecord{
+			Job: ended.Task.Job, Task: ended.Task, Run: ended.Run, Worker: w.info.HostID, Event: limitedEventNames[eventStopped],
+			Why: ended.Kind.String() + ", end " + strconv.FormatInt(ended.Number, 10),
+		}
+	}
+	if ended.Kind == EndStopped {
+		c.logLimited(eventStopped, record)
+	} else {
+		c.log(record())
+	}
 	key := runKey{ended.Task, ended.Run}
 	c.noteResurfaced(w, key, ended.Kind.String())
 	t := c.findTask(ended.Task)
--- a/scheduler/fence.go
+++ b/scheduler/fence.go
@@ -18,6 +18,9 @@
 // above them are the owner's epoch.
 const generationBits = 30
 
+// Epoch returns the epoch of the owner whose orders have the fence.
+func (f Fence) Epoch() int64 { return int64(f >> generationBits) }
+
 // fence returns the fence of new orders to the worker.
 func (c *Core) fence(w *worker) Fence {
 	return Fence(c.options.Epoch)<<generationBits | Fence(min(w.generation, 1<<generationBits-1))
--- a/scheduler/ordering.go
+++ b/scheduler/ordering.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // An owner may have thousands of runs to stop at once, or of starts to send. Each order that
 // is sent takes memory, and a connection to its worker, of which there are a few; one that
@@ -17,8 +21,9 @@
 	maxOrdersInFlight = 384
 )
 
-// orderCount counts orders in flight.
-type orderCount struct{ starts, stops int }
+// orderCount counts orders in flight: those that the owner sends, and the stops that carriers
+// send (carrier.go).
+type orderCount struct{ starts, stops, carried int }
 
 func (n orderCount) mayAddStart() bool {
 	return n.starts < workerKind && n.starts+n.stops < workerOrders
@@ -39,38 +44,90 @@
 	}
 }
 
-// issueStops issues the stops for which there is room, worker after worker.
+// sendStopsFirst has stops sent again, before those of the worker that wait.
+func (c *Core) sendStopsFirst(w *worker, runs []*run) {
+	if len(runs) == 0 {
+		return
+	}
+	if len(w.stops) == 0 {
+		c.stopping = append(c.stopping, w)
+	}
+	for _, r := range runs {
+		r.stopInFlight = true
+	}
+	w.stops = slices.Concat(runs, w.stops)
+}
+
+// issueStops issues the stops for which there is room, worker after worker. The owner hands
+// over what it can't send itself.
 func (c *Core) issueStops() {
+	c.expireBatches()
+	limit, handsOver := c.options.OwnStops, c.handsOver()
+	if handsOver {
+		limit = min(limit, ownStops)
+		// Those with the most stops would be the last to be done with them.
+		slices.SortStableFunc(c.stopping, func(a, b *worker) int { return cmp.Compare(len(b.stops), len(a.stops)) })
+	}
 	for range c.stopping {
-		if c.inFlight.stops >= maxOrdersInFlight {
-			return
-		}
 		w := c.stopping[0]
 		c.stopping = c.stopping[1:]
-		for len(w.stops) > 0 && w.inFlight.mayAddStop() && c.inFlight.stops < maxOrdersInFlight {
-			r := w.stops[0]
-			w.stops = w.stops[1:]
-			if r.stopInFlight && w.runs[runKey{r.name, r.number}] == r {
+		for len(w.stops) > 0 && w.inFlight.mayAddStop() && c.inFlight.stops < limit {
+			if r := w.takeStop(); r != nil {
 				c.issueStop(r)
 			}
 		}
+		if handsOver {
+			c.handOver(w)
+		}
 		if len(w.stops) > 0 {
 			c.stopping = append(c.stopping, w)
 		}
 	}
 }
 
-// issueStop issues a stop. Only now is it logged: a job that ends may have very many runs.
-func (c *Core) issueStop(r *run) {
-	if r.stopWhy != "" {
-		c.log(LogRecord{Job: r.name.Job, Task: r.name, Run: r.number, Worker: r.worker.info.HostID, Event: "stop", Why: r.stopWhy})
-		r.stopWhy = ""
+// handsOver reports whether more stops are due than the owner may have in flight, and there are
+// carriers for them.
+func (c *Core) handsOver() bool {
+	if len(c.carriers) == 0 {
+		return false
 	}
+	due := c.inFlight.stops + c.inFlight.carried
+	for _, w := range c.stopping {
+		due += len(w.stops)
+	}
+	return due > c.options.OwnStops
+}
+
+// takeStop removes the first stop that waits, and returns its run, or nil if the run needs none
+// any more.
+func (w *worker) takeStop() *run {
+	r := w.stops[0]
+	w.stops = w.stops[1:]
+	if !r.stopInFlight || w.runs[runKey{r.name, r.number}] != r {
+		return nil
+	}
+	return r
+}
+
+// issueStop issues a stop.
+func (c *Core) issueStop(r *run) {
+	c.logStop(r)
 	r.worker.inFlight.stops++
 	c.inFlight.stops++
 	c.orders.Stops = append(c.orders.Stops, StopOrder{Worker: r.worker.ref(), Task: r.name, Run: r.number, Fence: c.fence(r.worker)})
 }
 
+// logStop logs a stop as it is issued: a job that ends may have very many runs.
+func (c *Core) logStop(r *run) {
+	if r.stopWhy == "" {
+		return
+	}
+	c.logLimited(eventStop, func() LogRecord {
+		return LogRecord{Job: r.name.Job, Task: r.name, Run: r.number, Worker: r.worker.info.HostID, Why: r.stopWhy}
+	})
+	r.stopWhy = ""
+}
+
 // stopReturned records that a stop has a result, or none in time.
 func (c *Core) stopReturned(w *worker) {
 	c.inFlight.stops = max(0, c.inFlight.stops-1)
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -37,11 +37,28 @@
 	return min(time.Duration(runs)*runReportTime, maxReportInterval)
 }
 
+// reportInterval returns the least time between two reports of the worker, from that of all. It
+// is the longest while many stops of the worker are due: until they are, its reports list the
+// same runs again and again, and each poll that acknowledges ends has the stops on their way
+// rejected for their fence.
+func (w *worker) reportInterval(ofAll time.Duration) time.Duration {
+	if w.manyStopsDue() && !w.stopFailed {
+		return maxReportInterval
+	}
+	return ofAll
+}
+
+// stopsDue reports whether stops of the worker wait or are in flight, manyStopsDue whether they
+// are too many for the owner to send at once.
+func (w *worker) stopsDue() bool { return w.manyStopsDue() || w.inFlight.stops > 0 }
+
+func (w *worker) manyStopsDue() bool { return len(w.stops) > 0 || w.inFlight.carried > 0 }
+
 // pollWorkers issues a poll order for each worker that is due for one.
 func (c *Core) pollWorkers() {
 	interval := c.reportInterval()
 	for _, w := range c.sortedWorkers {
-		if w.pollInFlight || c.now.Before(w.nextPollAt) || c.now.Sub(w.clockAt) < interval || !w.address().IsValid() {
+		if w.pollInFlight || c.now.Before(w.nextPollAt) || c.now.Sub(w.clockAt) < w.reportInterval(interval) || !w.address().IsValid() {
 			continue
 		}
 		if address, known := w.elsewhere(); known && w.lookElsewhere {
@@ -225,7 +242,7 @@
 		c.forgetSilence(w)
 		c.log(LogRecord{Worker: w.info.HostID, Event: "worker answers", Address: order.Worker.Address, BootedAt: w.bootedAt})
 	}
-	w.unanswered, w.ended, w.fencedPoll = 0, false, false
+	w.unanswered, w.ended, w.fencedPoll, w.stopFailed = 0, false, false, false
 	w.clock, w.clockAt = report.Clock, c.now
 	w.listedEnds, w.hidesStart = len(report.Ended), report.More && c.namedByOpenStart(w)
 	if !w.reported {
@@ -349,7 +366,9 @@
 	if !needed {
 		c.strays[r.name]++
 		c.stats.StraysStopped++
-		c.log(LogRecord{Job: running.Task.Job, Task: running.Task, Run: running.Run, Worker: w.info.HostID, Event: "orphaned run stopped", Address: w.address(), BootedAt: w.bootedAt})
+		c.logLimited(eventOrphan, func() LogRecord {
+			return LogRecord{Job: running.Task.Job, Task: running.Task, Run: running.Run, Worker: w.info.HostID, Address: w.address(), BootedAt: w.bootedAt}
+		})
 		c.stop(r, "orphaned, no unfinished task needs it")
 		return r
 	}
@@ -395,6 +414,6 @@
 	c.clearRun(r)
 	c.recordAtWork(r)
 	if r.phase == runStopping && !r.stopInFlight && c.mayStopAgain(r) {
-		c.sendStop(r)
+		c.sendStopsFirst(r.worker, []*run{r})
 	}
 }
--- a/scheduler/randomised_test.go
+++ b/scheduler/randomised_test.go
@@ -210,6 +210,10 @@
 		{"slow kills, partitions", simulationOptions{partitions: 1.5, kills: livesLongestKill}},
 		{"slow kills, bounded leases, reborn workers, takeovers, partitions", simulationOptions{crashes: 2, takeovers: 1, partitions: 1.5, kills: livesLongestKill, ownerFaults: ownerFaults{bounded: true, quickRebirths: true, overlap: true}}},
 		{"slow kills, reborn workers, late orders, partitions", simulationOptions{crashes: 2, partitions: 1.5, delayedOrders: 0.04, kills: livesLongestKill, ownerFaults: ownerFaults{latePolls: 0.04, quickRebirths: true}}},
+		{"carriers, cancels, failures", simulationOptions{carriers: 3, cancels: 0.5, failures: 0.1}},
+		{"carriers, cancels, lost responses, late orders", simulationOptions{carriers: 3, cancels: 0.5, lostResponses: 0.05, delayedOrders: 0.05}},
+		{"carriers, cancels, takeovers, partitions", simulationOptions{carriers: 3, cancels: 0.5, takeovers: 4, partitions: 3}},
+		{"carriers, cancels, reborn workers, late orders, takeovers", simulationOptions{carriers: 3, cancels: 0.5, crashes: 4, takeovers: 3, delayedOrders: 0.04, ownerFaults: ownerFaults{quickRebirths: true, overlap: true}}},
 	}
 	for _, kind := range kinds {
 		for _, seed := range seedsOf(t, kind.name) {
@@ -228,6 +232,9 @@
 				for _, problem := range sim.problems {
 					t.Error(problem)
 				}
+				if options.carriers > 0 && sim.carried == 0 {
+					t.Error("no batch was handed to a carrier")
+				}
 			})
 		}
 	}
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -132,8 +132,13 @@
 // StopDone handles the result of a stop order.
 func (c *Core) StopDone(now time.Time, order StopOrder, result OrderResult) {
 	c.now = now
+	c.stopReturned(c.workers[order.Worker.HostID])
+	c.stopDone(order, result)
+}
+
+// stopDone handles the result of a stop that the owner or a carrier has sent.
+func (c *Core) stopDone(order StopOrder, result OrderResult) {
 	w, ok := c.workers[order.Worker.HostID]
-	c.stopReturned(w)
 	if !ok {
 		return
 	}
@@ -144,19 +149,26 @@
 	r.stopInFlight = false
 	switch result {
 	case OrderAccepted:
-		r.barredAt = now
+		r.barredAt = c.now
 		// A poll sent from now on shows whether the run is still active. Several stops are
 		// shown by one.
-		if len(w.stops) == 0 && w.inFlight.stops == 0 {
-			w.nextPollAt = now
+		if !w.stopsDue() {
+			w.nextPollAt = c.now
 		}
 	case OrderFenced:
-		c.rejectedByFence(w, order.Fence)
+		if c.rejectedByFence(w, order.Fence); !c.fenced {
+			// An order that was issued after it has overtaken it.
+			c.sendStop(r)
+		}
 	case OrderOtherIncarnation:
 		c.endIncarnation(w, order.Worker)
 	case OrderUnknown, OrderUnsent:
 		c.raiseGeneration(w)
 	}
+	if result != OrderAccepted && !r.stopInFlight {
+		// It is sent again once the worker reports the run.
+		w.stopFailed = true
+	}
 }
 
 // StartDone handles the result of a start order.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -210,6 +210,8 @@
 	Stops  []StopOrder
 	Polls  []PollOrder
 	Paces  []PaceOrder
+	// Batches are stops that other entries send.
+	Batches []StopBatch
 }
 
 // RunningTask is a worker's report of a run in progress.
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -17,7 +17,9 @@
 	random *rand.Rand
 	// held draws which orders are held up on their way, so that the other draws of a seed
 	// stay as they were.
-	held    *rand.Rand
+	held *rand.Rand
+	// carried counts the batches that were handed to carriers.
+	carried int
 	options simulationOptions
 	// clocksFromZero makes the clock of each life begin from 0.
 	clocksFromZero bool
@@ -95,6 +97,8 @@
 	// kills is how long after its lease has expired a run ends. If it is not 0, several
 	// workers are cut off at once.
 	kills time.Duration
+	// carriers is how many entries send stops for the owner, which hands over all but a few.
+	carriers int
 	// mutate breaks a rule of the core before each tick, if it is set.
 	mutate func(*Core)
 }
@@ -238,7 +242,7 @@
 	sim.epoch++
 	sim.replaceOwner()
 	sim.commitInFlight = nil
-	sim.core = New(Options{Epoch: sim.epoch, LeaseTerm: simulatedLeaseTerm, MaxLease: 10 * time.Second, PreviousOwnerEager: sim.ownerEager, PreviousOwnerTerm: previousOwnerTerm, PreviousLeaseTerm: sim.ownerLeaseTerm, PreviousCommitAt: sim.ownerStoredAt, RowBytes: sim.options.rowBytes, CallBytes: sim.options.callBytes}, sim.now)
+	sim.core = New(Options{Epoch: sim.epoch, LeaseTerm: simulatedLeaseTerm, MaxLease: 10 * time.Second, PreviousOwnerEager: sim.ownerEager, PreviousOwnerTerm: previousOwnerTerm, PreviousLeaseTerm: sim.ownerLeaseTerm, PreviousCommitAt: sim.ownerStoredAt, RowBytes: sim.options.rowBytes, CallBytes: sim.options.callBytes, OwnStops: sim.options.ownStops()}, sim.now)
 	if value, ok := sim.rows[LeasedWorkersKey]; ok {
 		var row LeasedWorkersRow
 		if err := DecodeRow(value, &row); err != nil {
@@ -370,6 +374,7 @@
 		if sim.options.mutate != nil {
 			sim.options.mutate(sim.core)
 		}
+		sim.changeCarriers()
 		if !sim.ownerWithoutTerm() {
 			sim.deliver(sim.core.Tick(sim.now))
 		}
@@ -472,6 +477,9 @@
 			return func() { core.StopDone(sim.now, order, result) }
 		}, func(result OrderResult) { core.StopDone(sim.now, order, result) }, core, sim.options.delayedOrders)
 	}
+	for _, batch := range orders.Batches {
+		sim.carry(core, batch)
+	}
 	issuedAt := sim.now
 	for _, order := range orders.Starts {
 		sim.noteSent(order)
--- a/scheduler/stats.go
+++ b/scheduler/stats.go
@@ -100,6 +100,10 @@
 	// JobsHeldBack how often the rows of a job were held back for that.
 	BatchesRefused int64
 	JobsHeldBack   int64
+	// StopsCarried counts the stops that carriers have sent, StopsNotCarried those that were
+	// handed over and had to be sent again.
+	StopsCarried    int64
+	StopsNotCarried int64
 }
 
 // LogRecord is an event for the log.
@@ -166,14 +170,16 @@
 	Suspects, Trials                 int
 	FreeMilliCores, WantedMilliCores int64
 	// StartsUnderWay counts the starts that are under way, OrdersInFlight the starts and stops
-	// in flight, OrdersWaiting the stops and starts of gangs that wait to be sent.
+	// of the owner in flight, OrdersWaiting the stops and starts of gangs that wait to be sent.
 	StartsUnderWay, OrdersInFlight, OrdersWaiting int
+	// Carriers counts the entries that can send stops, StopsCarried the stops that they have.
+	Carriers, StopsCarried int
 }
 
 // Load returns the current load of the cell.
 func (c *Core) Load() Load {
 	load := Load{Suspects: c.trials(true), Trials: c.trials(false), FreeMilliCores: c.freeMilliCores, WantedMilliCores: c.wantedMilliCores,
-		StartsUnderWay: c.underWay, OrdersInFlight: c.inFlight.starts + c.inFlight.stops}
+		StartsUnderWay: c.underWay, OrdersInFlight: c.inFlight.starts + c.inFlight.stops, StopsCarried: c.inFlight.carried, Carriers: len(c.carriers)}
 	for _, j := range c.jobs {
 		if !j.state.Ended() {
 			load.Jobs++
--- a/scheduler/wide_test.go
+++ b/scheduler/wide_test.go
@@ -45,6 +45,12 @@
 	duration time.Duration
 	// longest is the most processor time of a step of the core.
 	longest time.Duration
+	// hosts are those of the entries, the owner's first, whose processors take time to call
+	// workers; nil means that calls take none.
+	hosts []*entryHost
+	// records are the log records of the core, if keepsRecords is true.
+	records      []LogRecord
+	keepsRecords bool
 }
 
 // wideResult is the result of an order that is due at a time.
@@ -138,7 +144,9 @@
 		c.measured(func() { orders = c.core.TakeOrders(c.now) })
 		c.deliver(orders)
 	}
-	c.core.TakeLogRecords()
+	if records := c.core.TakeLogRecords(); c.keepsRecords {
+		c.records = append(c.records, records...)
+	}
 	if violations := c.core.Stats().Violations; violations > 0 {
 		c.t.Fatalf("%d violations", violations)
 	}
@@ -174,6 +182,10 @@
 		c.lastStartAt[order.Task.Job] = c.now
 		c.after(func() { c.core.StartDone(c.now, order, OrderAccepted) })
 	}
+	if c.hosts != nil {
+		c.sendFromHosts(orders)
+		orders.Stops = nil
+	}
 	for _, order := range orders.Stops {
 		key := runKey{order.Task, order.Run}
 		if c.lost[order.Worker.HostID] {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -119,8 +119,15 @@
 	withheld      int64
 	appliedBeyond map[int64]bool
 	// stops are the runs whose stops wait to be sent, inFlight counts the orders in flight.
-	stops        []*run
-	inFlight     orderCount
+	stops    []*run
+	inFlight orderCount
+	// lastCarrier is the carrier of the worker's last batch of stops, failedCarrier that of the
+	// last one without all results, if none has had them since. Until ownUntil the owner sends
+	// all its stops itself.
+	lastCarrier, failedCarrier requester.EntryID
+	ownUntil                   time.Time
+	// stopFailed is true if a stop has failed since the last report.
+	stopFailed   bool
 	pollInFlight bool
 	// fencedPoll is true if the last poll was rejected because of its fence. The next
 	// one acknowledges nothing, so that it has the latest fence.
