--- a/scheduler/carrier_test.go
+++ b/scheduler/carrier_test.go
@@ -42,7 +42,7 @@
 )
 
 // newSmallCell returns a cell of workers with that many entries on hosts of 0.4 of a core.
-func newSmallCell(t *testing.T, entries int) *wideCell {
+func newSmallCell(t testing.TB, entries int) *wideCell {
 	c := newWideCell(t)
 	c.store, c.latency, c.duration = newRowStore(t), roundTrip, 90*time.Second
 	for i := range entries {
@@ -73,7 +73,9 @@
 func (c *wideCell) sendFromHosts(orders Orders) {
 	core := c.core
 	for _, order := range orders.Stops {
-		c.call(c.hosts[0], c.now, order, func(result OrderResult) { core.StopDone(c.now, order, result) })
+		c.call(c.hosts[0], c.now, order, func(result OrderResult) {
+			c.measured(func() { core.StopDone(c.now, order, result) })
+		})
 	}
 	for _, batch := range orders.Batches {
 		for _, h := range c.hosts[1:] {
@@ -96,7 +98,9 @@
 			h.stops -= len(batch.Runs)
 		}
 		if h.fault != hostFrozen {
-			c.at(c.now.Add(linkTime), func() { core.StopsDone(c.now, batch.Number, results) })
+			c.at(c.now.Add(linkTime), func() {
+				c.measured(func() { core.StopsDone(c.now, batch.Number, results) })
+			})
 		}
 	}
 	if h.fault == hostRefuses {
--- a/scheduler/wide_test.go
+++ b/scheduler/wide_test.go
@@ -43,8 +43,8 @@
 	lost map[requester.HostID]bool
 	// duration is how long a task takes.
 	duration time.Duration
-	// longest is the most processor time of a step of the core.
-	longest time.Duration
+	// longest is the most processor time of a step of the core, used that of all.
+	longest, used time.Duration
 	// hosts are those of the entries, the owner's first, whose processors take time to call
 	// workers; nil means that calls take none.
 	hosts []*entryHost
@@ -117,7 +117,9 @@
 	}
 	before := used()
 	do()
-	c.longest = max(c.longest, used()-before)
+	took := used() - before
+	c.longest = max(c.longest, took)
+	c.used += took
 }
 
 // advance lets time pass: the core ticks, its rows are committed and its orders executed.
@@ -214,7 +216,7 @@
 
 // after has the core told of a result once it is due.
 func (c *wideCell) after(do func()) {
-	c.results = append(c.results, wideResult{c.now.Add(c.latency), do})
+	c.results = append(c.results, wideResult{c.now.Add(c.latency), func() { c.measured(do) }})
 	if c.latency == 0 {
 		c.returnResults()
 	}
@@ -225,7 +227,7 @@
 	for len(c.results) > 0 && !c.now.Before(c.results[0].at) {
 		do := c.results[0].do
 		c.results = c.results[1:]
-		c.measured(do)
+		do()
 	}
 	if c.latency > 0 && c.core.OrdersWaiting() {
 		c.deliver(c.core.TakeOrders(c.now))
