--- a/pooler/exchange.go
+++ b/pooler/exchange.go
@@ -166,6 +166,10 @@
 // open reports whether an idle connection is still open: the other side has neither closed it
 // nor sent anything.
 func (c *exchangeConn) open() bool {
+	// That of the last exchange may have passed, after which the connection can't be read.
+	if err := c.conn.SetDeadline(time.Time{}); err != nil {
+		return false
+	}
 	tcp, ok := c.conn.(syscall.Conn)
 	if !ok {
 		return false
--- a/pooler/exchange_test.go
+++ b/pooler/exchange_test.go
@@ -55,6 +55,19 @@
 	is.Equal(server.accepted.Load(), int64(2))
 }
 
+// TestConnectionOutlivesTheDeadlineOfAnExchange guards against a connection that is opened anew for
+// each exchange, as the deadline of the last one has passed since.
+func TestConnectionOutlivesTheDeadlineOfAnExchange(t *testing.T) {
+	is := is.New(t)
+	e, server := newTestExchanger(t, time.Minute), newCountingServer(t)
+	for range 2 {
+		_, _, err := exchange(within(t, 200*time.Millisecond), e, server.address())
+		is.NoErr(err)
+		time.Sleep(220 * time.Millisecond)
+	}
+	is.Equal(server.accepted.Load(), int64(1))
+}
+
 // TestLateExchangeRetiresConnections guards against exchanges that use one silent connection after
 // another: after a timeout, none uses a connection that is as old as the late request.
 func TestLateExchangeRetiresConnections(t *testing.T) {
