--- a/encoder/message.go
+++ b/encoder/message.go
@@ -8,7 +8,8 @@
 //
 // Links may lose messages. A reply with an ID repeats the ID of its request.
 // The other replies are matched by their content: a GrantReply by its round, a
-// ReplicaList by its shard, a ConfigUpdate by its revisions. Hello and Proof are
+// ReplicaList by its shard, a ConfigUpdate by its revisions, a StopReply by the number of the
+// batch. Hello and Proof are
 // the handshake. All remaining messages are notifications, which have no reply.
 //
 // The times in heartbeats, calls and answers are on the sender's clock. The
--- a/pooler/exchange.go
+++ b/pooler/exchange.go
@@ -203,16 +203,22 @@
 	return c
 }
 
-// put keeps a connection for further exchanges, unless it is retired or there are enough.
-func (e *Exchanger) put(address netip.AddrPort, c *exchangeConn) {
-	c.usedAt = time.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
+// poolOf returns the pool of an address, which it adds if there is none. The caller holds mu.
+func (e *Exchanger) poolOf(address netip.AddrPort) *idlePool {
 	p := e.byAddress[address]
 	if p == nil {
 		p = &idlePool{}
 		e.byAddress[address] = p
 	}
+	return p
+}
+
+// put keeps a connection for further exchanges, unless it is retired or there are enough.
+func (e *Exchanger) put(address netip.AddrPort, c *exchangeConn) {
+	c.usedAt = time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.poolOf(address)
 	if e.closed || !c.openedAt.After(p.notBefore) || len(p.idle) >= e.options.Connections {
 		_ = c.conn.Close()
 		return
@@ -226,11 +232,7 @@
 func (e *Exchanger) retire(address netip.AddrPort, before time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	p := e.byAddress[address]
-	if p == nil {
-		p = &idlePool{}
-		e.byAddress[address] = p
-	}
+	p := e.poolOf(address)
 	if before.After(p.notBefore) {
 		p.notBefore = before
 	}
@@ -262,9 +264,7 @@
 		p.sweeping = false
 		unusedSince := time.Now().Add(-e.options.IdleTimeout)
 		p.close(func(c *exchangeConn) bool { return !c.usedAt.After(unusedSince) })
-		if len(p.idle) > 0 {
-			e.sweepLater(address, p)
-		} else if !p.notBefore.After(unusedSince) {
+		if len(p.idle) == 0 && !p.notBefore.After(unusedSince) {
 			delete(e.byAddress, address)
 		} else {
 			e.sweepLater(address, p)
--- a/scheduler/carrier.go
+++ b/scheduler/carrier.go
@@ -95,17 +95,24 @@
 // results any more.
 func (c *Core) SetCarriers(now time.Time, ids []requester.EntryID) {
 	c.now = now
-	for _, known := range c.carriers {
-		if !slices.Contains(ids, known.id) {
-			c.CarrierLost(now, known.id)
-		}
+	has := func(known *carrier, id requester.EntryID) bool { return known.id == id }
+	if slices.EqualFunc(c.carriers, ids, has) {
+		return
 	}
-	c.carriers = slices.DeleteFunc(c.carriers, func(known *carrier) bool { return !slices.Contains(ids, known.id) })
+	former := c.carriers
+	c.carriers = nil
 	for _, id := range ids {
-		if !slices.ContainsFunc(c.carriers, func(known *carrier) bool { return known.id == id }) {
+		if i := slices.IndexFunc(former, func(known *carrier) bool { return has(known, id) }); i >= 0 {
+			c.carriers = append(c.carriers, former[i])
+		} else {
 			c.carriers = append(c.carriers, &carrier{id: id, breaker: breaker.New()})
 		}
 	}
+	for _, known := range former {
+		if !slices.Contains(ids, known.id) {
+			c.CarrierLost(now, known.id)
+		}
+	}
 }
 
 // CarrierLost ends the batches of a carrier to which the link has closed.
@@ -150,7 +157,7 @@
 		if i < len(results) {
 			result = results[i]
 		}
-		if result != OrderUnknown && result != OrderUnsent && result != OrderRefused {
+		if result != OrderUnknown && result != OrderUnsent {
 			c.stopDone(b.Stop(i), result)
 		} else if b.worker.runs[runKey{r.name, r.number}] == r && r.stopInFlight {
 			r.stopInFlight = false
--- a/scheduler/ordering.go
+++ b/scheduler/ordering.go
@@ -86,9 +86,9 @@
 }
 
 // handsOver reports whether more stops are due than the owner may have in flight, and there are
-// carriers for them.
+// carriers for them that don't rest.
 func (c *Core) handsOver() bool {
-	if len(c.carriers) == 0 {
+	if !slices.ContainsFunc(c.carriers, func(candidate *carrier) bool { return candidate.breaker.Allows(c.now) }) {
 		return false
 	}
 	due := c.inFlight.stops + c.inFlight.carried
