--- a/scheduler/detail_test.go
+++ b/scheduler/detail_test.go
@@ -119,7 +119,14 @@
 // takeOver returns a new owner that knows what the store has.
 func (s *rowStore) takeOver(epoch int64, now time.Time, jobs ...Job) *Core {
 	s.t.Helper()
-	c := New(Options{Epoch: epoch, RowBytes: storeRowBytes, CallBytes: storeCallBytes}, now)
+	return s.takeOverWith(Options{Epoch: epoch}, now, jobs...)
+}
+
+// takeOverWith is takeOver with options.
+func (s *rowStore) takeOverWith(options Options, now time.Time, jobs ...Job) *Core {
+	s.t.Helper()
+	options.RowBytes, options.CallBytes = storeRowBytes, storeCallBytes
+	c := New(options, now)
 	s.restoreLists(c)
 	for _, job := range jobs {
 		if err := c.Recover(s.rowsOf(job)); err != nil {
--- a/scheduler/gangstart_test.go
+++ b/scheduler/gangstart_test.go
@@ -97,14 +97,7 @@
 	c.longest = 0
 	for range 3000 {
 		c.advance(10 * time.Millisecond)
-		for id, runs := range c.running {
-			for key := range runs {
-				if other, ok := c.seen[key.name]; ok && other.host != id && c.running[other.host][other.key] != (time.Time{}) {
-					t.Fatalf("%v runs on %s and %s", key.name, id, other.host)
-				}
-				c.seen[key.name] = wideRun{id, key}
-			}
-		}
+		c.checkOnce()
 		// What waits for the other members of its gang ends.
 		c.endAlone("gang", 8000, 3*time.Second)
 	}
@@ -113,6 +106,80 @@
 	is.True(c.longest < longestStep)
 }
 
+// checkOnce checks that no task runs on two workers at once.
+func (c *wideCell) checkOnce() {
+	c.t.Helper()
+	for id, runs := range c.running {
+		for key := range runs {
+			if other, ok := c.seen[key.name]; ok && other.host != id && c.running[other.host][other.key] != (time.Time{}) {
+				c.t.Fatalf("%v runs on %s and %s", key.name, id, other.host)
+			}
+			c.seen[key.name] = wideRun{id, key}
+		}
+	}
+}
+
+// TestLateStartsOfAWideGangUnderTheNextOwner guards against a successor that starts a wide gang while
+// starts of its predecessor may still be executed, of which only the list of intended starts tells:
+// some workers get theirs seconds later, in their next lives. Neither may a task run twice at once,
+// nor start after it is done.
+func TestLateStartsOfAWideGangUnderTheNextOwner(t *testing.T) {
+	for _, lateBy := range []time.Duration{5 * time.Second, 11 * time.Second} { // at most 12 s
+		t.Run(lateBy.String(), func(t *testing.T) {
+			is := is.New(t)
+			c := newWideCell(t)
+			c.store, c.latency, c.duration = newRowStore(t), roundTrip, 4*time.Second
+			silent := wideInfos(48)[10:14]
+			for _, info := range silent {
+				c.holds[info.HostID] = true
+			}
+			job := jobOf("gang", wideGang(8000))
+			c.add(job)
+			for c.starts["gang"] < 3000 {
+				c.advance(10 * time.Millisecond)
+			}
+			is.True(len(c.held) > 20) // starts on their way
+			late, lateAt := c.held, c.now.Add(lateBy)
+			c.successor = Options{PreviousOwnerTerm: time.Second, PreviousLeaseTerm: DefaultLeaseTerm, PreviousCommitAt: c.now}
+			c.takeOver(job)
+			for _, info := range silent {
+				delete(c.holds, info.HostID)
+				c.lost[info.HostID] = true
+			}
+			for range 4000 {
+				c.advance(10 * time.Millisecond)
+				if late != nil && !c.now.Before(lateAt) {
+					is.True(c.core.jobs["gang"].state != StateCompleted) // a start after its task is done
+					c.rebear(silent)
+					for _, order := range late {
+						c.running[order.Worker.HostID][runKey{order.Task, order.Run}] = c.now.Add(c.duration)
+					}
+					late = nil
+				}
+				c.checkOnce()
+				c.endAlone("gang", 8000, 3*time.Second)
+			}
+			is.Equal(c.core.jobs["gang"].state, StateCompleted)
+		})
+	}
+}
+
+// rebear begins new lives of workers.
+func (c *wideCell) rebear(workers []WorkerInfo) {
+	infos := wideInfos(len(c.running))
+	for i := range infos {
+		for _, info := range workers {
+			if id := info.HostID; infos[i].HostID == id {
+				infos[i].BootedAt = c.now
+				c.bornAt[id] = c.now
+				c.running[id], c.ends[id], c.number[id] = make(map[runKey]time.Time), nil, 0
+				delete(c.lost, id)
+			}
+		}
+	}
+	c.core.SetWorkers(c.now, infos)
+}
+
 // TestGangThatCannotBeSentInTime checks that a gang whose starts take longer than its members
 // wait for one another is tried again less and less often, that its step says what it waits
 // for, and that ordinary jobs start meanwhile.
--- a/scheduler/ordering_test.go
+++ b/scheduler/ordering_test.go
@@ -86,7 +86,12 @@
 // takeOver replaces the owner by one that has read the rows.
 func (c *wideCell) takeOver(jobs ...Job) {
 	c.measured(func() {
-		c.core = c.store.takeOver(2, c.now, jobs...)
+		options := c.successor
+		options.Epoch = 2
+		c.core = c.store.takeOverWith(options, c.now, jobs...)
+		if err := restoreIntended(c.core, c.store.rows); err != nil {
+			c.t.Fatal(err)
+		}
 	})
 	c.results, c.polls, c.inFlight = nil, nil, make(map[requester.HostID]int)
 	c.core.SetWorkers(c.now, wideInfos(len(c.running)))
--- a/scheduler/wide_test.go
+++ b/scheduler/wide_test.go
@@ -41,6 +41,13 @@
 	seen        map[TaskName]wideRun
 	// lost are the workers that don't answer.
 	lost map[requester.HostID]bool
+	// holds are the workers whose starts are held up on their way, held the starts.
+	holds map[requester.HostID]bool
+	held  []StartOrder
+	// bornAt is the birth of each worker that has another one than at first.
+	bornAt map[requester.HostID]time.Time
+	// successor are the options of the next owner.
+	successor Options
 	// duration is how long a task takes.
 	duration time.Duration
 	// longest is the most processor time of a step of the core, used that of all.
@@ -84,6 +91,7 @@
 		startedAt: make(map[requester.JobID]time.Time), starts: make(map[requester.JobID]int),
 		inFlight: make(map[requester.HostID]int), stops: make(map[runKey]int),
 		lastStartAt: make(map[requester.JobID]time.Time), seen: make(map[TaskName]wideRun), lost: make(map[requester.HostID]bool),
+		holds: make(map[requester.HostID]bool), bornAt: make(map[requester.HostID]time.Time),
 	}
 	c.core = New(Options{Epoch: 1}, c.now)
 	c.core.SetWorkers(c.now, wideInfos(48))
@@ -173,6 +181,10 @@
 func (c *wideCell) deliver(orders Orders) {
 	for _, order := range orders.Starts {
 		id := order.Worker.HostID
+		if c.holds[id] {
+			c.held = append(c.held, order)
+			continue
+		}
 		if c.lost[id] {
 			c.after(func() { c.core.StartDone(c.now, order, OrderUnknown) })
 			continue
@@ -260,7 +272,8 @@
 	}
 	listed := c.ends[id][:min(endsPerReport, len(c.ends[id]))]
 	more := len(listed) == endsPerReport
-	report := &Report{Clock: WorkerTime(c.now.Sub(detailsNow).Milliseconds()), BootedAt: detailsNow, Ended: listed, Partial: more, More: more}
+	bornAt := later(detailsNow, c.bornAt[id])
+	report := &Report{Clock: WorkerTime(c.now.Sub(bornAt).Milliseconds()), BootedAt: bornAt, Ended: listed, Partial: more, More: more}
 	for key, endsAt := range c.running[id] {
 		percent := 100 - int(100*endsAt.Sub(c.now)/c.duration)
 		report.Running = append(report.Running, RunningTask{Task: key.name, Run: key.number, Percent: percent})
