--- a/scheduler/carrier.go
+++ b/scheduler/carrier.go
@@ -157,24 +157,22 @@
 		if i < len(results) {
 			result = results[i]
 		}
-		if result != OrderUnknown && result != OrderUnsent {
-			c.stopDone(b.Stop(i), result)
-		} else if b.worker.runs[runKey{r.name, r.number}] == r && r.stopInFlight {
-			r.stopInFlight = false
+		if result == OrderUnknown || result == OrderUnsent {
 			again = append(again, r)
+		} else {
+			c.stopDone(b.Stop(i), result)
 		}
 	}
 	c.recordCarried(b, len(again))
 	c.sendStopsFirst(b.worker, again)
 }
 
-// recordCarried records how a carrier has done with a batch, of which some stops have to be
-// sent again.
-func (c *Core) recordCarried(b *carriedBatch, again int) {
-	c.stats.StopsCarried += int64(len(b.runs) - again)
-	c.stats.StopsNotCarried += int64(again)
+// recordCarried records how a carrier has done with a batch, of which some stops have no result.
+func (c *Core) recordCarried(b *carriedBatch, without int) {
+	c.stats.StopsCarried += int64(len(b.runs) - without)
+	c.stats.StopsNotCarried += int64(without)
 	w := b.worker
-	if again == 0 {
+	if without == 0 {
 		b.carrier.breaker.RecordSuccess()
 		w.failedCarrier = ""
 		return
--- a/scheduler/ordering.go
+++ b/scheduler/ordering.go
@@ -44,7 +44,7 @@
 	}
 }
 
-// sendStopsFirst has stops sent again, before those of the worker that wait.
+// sendStopsFirst has stops sent again for runs that the worker still has, before those that wait.
 func (c *Core) sendStopsFirst(w *worker, runs []*run) {
 	if len(runs) == 0 {
 		return
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -306,6 +306,8 @@
 			c.updateRun(r, running)
 		}
 	}
+	c.sendStopsFirst(w, w.stopAgain)
+	w.stopAgain = nil
 	if report.Partial {
 		return
 	}
@@ -414,6 +416,6 @@
 	c.clearRun(r)
 	c.recordAtWork(r)
 	if r.phase == runStopping && !r.stopInFlight && c.mayStopAgain(r) {
-		c.sendStopsFirst(r.worker, []*run{r})
+		r.worker.stopAgain = append(r.worker.stopAgain, r)
 	}
 }
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -126,8 +126,10 @@
 	// all its stops itself.
 	lastCarrier, failedCarrier requester.EntryID
 	ownUntil                   time.Time
-	// stopFailed is true if a stop has failed since the last report.
+	// stopFailed is true if a stop has failed since the last report. stopAgain are the runs in
+	// the present report that are to be stopped again.
 	stopFailed   bool
+	stopAgain    []*run
 	pollInFlight bool
 	// fencedPoll is true if the last poll was rejected because of its fence. The next
 	// one acknowledges nothing, so that it has the latest fence.
