--- a/pooler/exchange.go
+++ b/pooler/exchange.go
@@ -80,16 +80,16 @@
 	sentAt := time.Now()
 	c, err := e.obtain(ctx, address)
 	if err != nil {
-		if IsTimeout(err) {
-			e.retire(address, sentAt)
-		}
+		e.RetireAfter(err, address, sentAt)
 		return 0, nil, errors.Mark(err, ErrNotSent)
 	}
 	status, body, reusable, err := c.exchange(ctx, request, limit)
 	if err != nil {
-		if IsTimeout(err) {
-			e.retire(address, sentAt)
+		if errors.Is(ctx.Err(), context.Canceled) {
+			// Nobody waits any more, which says nothing of the connection.
+			err = errors.Wrap(ctx.Err(), "exchange was given up")
 		}
+		e.RetireAfter(err, address, sentAt)
 		_ = c.conn.Close()
 		return 0, nil, errors.Wrapf(err, "exchange with %s", address)
 	}
@@ -227,6 +227,15 @@
 	e.sweepLater(address, p)
 }
 
+// RetireAfter is called with the error of a request that was sent to an address at the given
+// time, by this Exchanger or over other connections. If it is a timeout, new exchanges use no
+// connection that is older.
+func (e *Exchanger) RetireAfter(err error, address netip.AddrPort, sentAt time.Time) {
+	if IsTimeout(err) {
+		e.retire(address, sentAt)
+	}
+}
+
 // retire makes new exchanges with an address use no connection that was opened before the given
 // time. Those in use are closed when their exchanges are over.
 func (e *Exchanger) retire(address netip.AddrPort, before time.Time) {
