--- a/pooler/exchange.go
+++ b/pooler/exchange.go
@@ -22,9 +22,9 @@
 // goroutine writes the request and reads the response.
 //
 // What holds for a Pooler holds here too: once a request was late, no connection that is as
-// old is used for others, and a request that is given up resets its connection. The callers
-// bound how many exchanges there are at a time, each of which may open a connection. An
-// Exchanger is safe for concurrent use.
+// old is used for others, a request that is given up resets its connection, and there is a
+// bound on the connections to an address, for one of which an exchange waits. An Exchanger is
+// safe for concurrent use.
 type Exchanger struct {
 	options Options
 	dialer  *Dialer
@@ -37,6 +37,8 @@
 // idlePool has the idle connections to an address, the one that was used last at the end.
 type idlePool struct {
 	idle []*exchangeConn
+	// inUse has an element for each exchange that has or opens a connection.
+	inUse chan struct{}
 	// notBefore is when the last late request was sent: connections that were opened before
 	// or at it are not used any more.
 	notBefore time.Time
@@ -62,8 +64,7 @@
 // request can't have arrived.
 var ErrNotSent = errors.New("request was not sent")
 
-// NewExchanger returns an Exchanger. Options.Connections is the largest number of idle
-// connections to an address.
+// NewExchanger returns an Exchanger.
 func NewExchanger(options Options) *Exchanger {
 	return &Exchanger{
 		options:   options,
@@ -78,6 +79,11 @@
 // the request.
 func (e *Exchanger) Do(ctx context.Context, address netip.AddrPort, request *http.Request, limit int64) (int, []byte, error) {
 	sentAt := time.Now()
+	done, err := e.await(ctx, address)
+	if err != nil {
+		return 0, nil, errors.Mark(err, ErrNotSent)
+	}
+	defer done()
 	c, err := e.obtain(ctx, address)
 	if err != nil {
 		e.RetireAfter(err, address, sentAt)
@@ -141,6 +147,20 @@
 	return c.conn.Write(data)
 }
 
+// await waits until there may be another exchange with an address, and returns the function
+// that ends it.
+func (e *Exchanger) await(ctx context.Context, address netip.AddrPort) (func(), error) {
+	e.mu.Lock()
+	p := e.poolOf(address)
+	e.mu.Unlock()
+	select {
+	case p.inUse <- struct{}{}:
+		return func() { <-p.inUse }, nil
+	case <-ctx.Done():
+		return nil, errors.Wrapf(ctx.Err(), "wait for a connection to %s", address)
+	}
+}
+
 // obtain returns an idle connection to an address, or opens one.
 func (e *Exchanger) obtain(ctx context.Context, address netip.AddrPort) (*exchangeConn, error) {
 	for {
@@ -207,8 +227,9 @@
 func (e *Exchanger) poolOf(address netip.AddrPort) *idlePool {
 	p := e.byAddress[address]
 	if p == nil {
-		p = &idlePool{}
+		p = &idlePool{inUse: make(chan struct{}, e.options.Connections)}
 		e.byAddress[address] = p
+		e.sweepLater(address, p)
 	}
 	return p
 }
@@ -273,7 +294,7 @@
 		p.sweeping = false
 		unusedSince := time.Now().Add(-e.options.IdleTimeout)
 		p.close(func(c *exchangeConn) bool { return !c.usedAt.After(unusedSince) })
-		if len(p.idle) == 0 && !p.notBefore.After(unusedSince) {
+		if len(p.idle) == 0 && len(p.inUse) == 0 && !p.notBefore.After(unusedSince) {
 			delete(e.byAddress, address)
 		} else {
 			e.sweepLater(address, p)
