--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -214,11 +214,13 @@
 	// cellStats holds the counters of the core as of the last run of logLoad;
 	// nil if this entry has not owned the cell.
 	cellStats atomic.Pointer[scheduler.Stats]
-	ctx       context.Context
-	cancel    context.CancelFunc
-	group     sync.WaitGroup
-	done      chan struct{}
-	closeOnce sync.Once
+	// cellAwaited holds what tasks may wait for, as of the same time.
+	cellAwaited atomic.Pointer[scheduler.Awaited]
+	ctx         context.Context
+	cancel      context.CancelFunc
+	group       sync.WaitGroup
+	done        chan struct{}
+	closeOnce   sync.Once
 
 	// dialedOwner is the owner to which this entry keeps a link. Only
 	// acquireLoop uses it.
--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -124,6 +124,7 @@
 	s.restoreIntended(rows)
 	s.removeOrphanedProgress(rows)
 	s.loaded = true
+	s.logInherited()
 	d.log.Info().Str("Event", "recovered").Int64("Epoch", s.row.Epoch).Int("Jobs", jobs).Msg("recovered the cell from its rows; scheduling starts")
 }
 
--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -138,6 +138,8 @@
 		CommitMillis       quantiles
 		AdviceMillis       quantiles
 		Cell               *scheduler.Stats `json:",omitempty"`
+		// Awaited counts what lost owners have left that tasks may wait for.
+		Awaited *scheduler.Awaited `json:",omitempty"`
 	}{
 		Ready:               d.Ready(),
 		Owner:               string(owner.row.Holder),
@@ -157,6 +159,7 @@
 		CommitMillis:        d.counters.commitTime.quantiles(),
 		AdviceMillis:        d.counters.adviceTime.quantiles(),
 		Cell:                d.cellStats.Load(),
+		Awaited:             d.cellAwaited.Load(),
 	}
 	if config := d.Config(); config != nil {
 		published.ConfigVersion = config.Version
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -171,8 +170,7 @@
 		}
 		timer.Reset(s.advance())
 	}
-	s.writeLogRecords(math.MaxInt)
-	d.log.Info().Str("Event", "disown").Int64("Epoch", s.row.Epoch).Msg("ownership of the cell has ended; no more orders are sent")
+	s.logEnd()
 }
 
 // advance commits if a commit is due and, if a tick of the core is due and the
@@ -244,7 +242,9 @@
 func (s *session) start(order scheduler.StartOrder) {
 	var clock scheduler.WorkerTime
 	result := scheduler.OrderRefused
-	if s.leaseValid() {
+	if !s.leaseValid() {
+		s.logNotSent(order)
+	} else {
 		result = withTimeout(s.ctx, scheduler.OrderTimeout, func(ctx context.Context) scheduler.OrderResult {
 			shown, result := s.dispatcher.platform.Start(ctx, order)
 			clock = shown
@@ -358,6 +358,7 @@
 	if record.Why != "" {
 		event = event.Str("Why", record.Why)
 	}
+	logWaitDetail(event, record.Wait)
 	event.Send()
 }
 
@@ -393,11 +394,13 @@
 	s.loadLoggedAt = now
 	load, stats := s.core.Load(), s.core.Stats()
 	s.dispatcher.cellStats.Store(&stats)
+	s.dispatcher.cellAwaited.Store(&load.Awaited)
 	s.dispatcher.log.Info().Str("Event", "load").Int64("Epoch", s.row.Epoch).
 		Int("Jobs", load.Jobs).Int("OpenTasks", load.OpenTasks).Int("Unasked", load.Unasked).Int("Runs", load.RunningRuns).
 		Int("Workers", load.Workers).Int("Silent", load.Silent).Int("Asking", len(s.adviser.pending)).Int("Advisers", len(s.adviser.relays)).Int("AdvisersLate", s.adviser.relays.suspects()).
 		Dict("Waits", waits(&load)).Int64("UsedMilliCores", load.Used.MilliCores).Int64("MilliCores", load.Total.MilliCores).
 		Int("StartsUnderWay", load.StartsUnderWay).Int("OrdersInFlight", load.OrdersInFlight).Int("OrdersWaiting", load.OrdersWaiting).Int("Carriers", load.Carriers).Int("StopsCarried", load.StopsCarried).Int("Suspects", load.Suspects).Int("Trials", load.Trials).Int64("FreeMilliCores", load.FreeMilliCores).Int64("WantedMilliCores", load.WantedMilliCores).
 		Int64("Starts", stats.Starts).Int64("Done", stats.Done).Int64("Failed", stats.Failed).Int64("Lapsed", stats.Lapsed).Int64("Acknowledged", stats.Acknowledged).Int64("Vanished", stats.Vanished).Int64("Resurfaced", stats.Resurfaced).Int64("ReleasedActive", stats.ReleasedActive).Int64("ForeignRuns", stats.ForeignRuns).Int64("EndsMissing", stats.EndsMissing).Int64("DoubtfulAcks", stats.DoubtfulAcks).Int64("MisdirectedAcks", stats.MisdirectedAcks).Int64("UnknownLives", stats.UnknownLives).Int64("AdviceAsked", stats.AdviceAsked).Int64("AdviceFailed", s.dispatcher.counters.adviceFailed.Load()).Dur("StoreMillis", s.dispatcher.store.Latency()).
+		Dict("Awaited", awaitedFields(&load.Awaited)).Int64("OpenStarts", stats.OpenStarts).Int64("OpenStartWaitMillis", stats.OpenStartWaitMillis).Int64("UnknownRunsWaitMillis", stats.UnknownRunsWaitMillis).
 		Send()
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -253,6 +253,10 @@
 	silences   []silence
 	risky      map[string]int
 	logRecords []LogRecord
+	// listedStarts are the open starts that only the list of intended starts had at the
+	// takeover, for the log only. waitsCountedAt is when waits were last counted.
+	listedStarts   map[runKey]bool
+	waitsCountedAt time.Time
 	// lineCounts counts the lines of the events whose lines are limited.
 	lineCounts [limitedEvents]lineCount
 	stats      Stats
@@ -314,6 +318,7 @@
 	c.sendIntended()
 	c.updatePaces()
 	c.issueStops()
+	c.countWaits()
 	c.logAllOmitted()
 	orders := c.orders
 	c.orders = Orders{}
--- a/scheduler/loglimit.go
+++ b/scheduler/loglimit.go
@@ -21,15 +21,18 @@
 
 const (
 	// eventStop is a stop as it is issued, eventStopped the reported end of a run that was
-	// stopped, eventOrphan a run that no task needs.
+	// stopped, eventOrphan a run that no task needs, eventWaits a step
+	// that waits, eventLeft a start that an owner leaves to its successor.
 	eventStop limitedEvent = iota
 	eventStopped
 	eventOrphan
+	eventWaits
+	eventLeft
 	limitedEvents
 )
 
 // limitedEventNames has the names of the events in the log.
-var limitedEventNames = [limitedEvents]string{"stop", "run ended", "orphaned run stopped"}
+var limitedEventNames = [limitedEvents]string{"stop", "run ended", "orphaned run stopped", "step waits", "start left"}
 
 // lineCount counts the lines of one event since a time.
 type lineCount struct {
--- a/scheduler/stats.go
+++ b/scheduler/stats.go
@@ -64,6 +64,10 @@
 	// LongWaits counts how often tasks of a step waited for one reason for
 	// longWait, leaving out waits for room while half of it is in use.
 	LongWaits int64
+	// OpenStartWaitMillis and UnknownRunsWaitMillis add up, over all tasks, for how long they
+	// waited for open starts, and for runs of previous owners that no worker had told.
+	OpenStartWaitMillis   int64
+	UnknownRunsWaitMillis int64
 	// OpenStarts counts the starts that had no answer after answerTime, or when their
 	// run was released, and may still be executed.
 	OpenStarts int64
@@ -124,6 +128,8 @@
 	BootedAt       time.Time
 	FormerBootedAt time.Time
 	Lease          LeaseCount
+	// Wait tells what a step waits for; nil if that is not starts or runs of lost owners.
+	Wait *WaitDetail
 	// Event is what happened, Why the reason.
 	Event string
 	Why   string
@@ -174,12 +180,14 @@
 	StartsUnderWay, OrdersInFlight, OrdersWaiting int
 	// Carriers counts the entries that can send stops, StopsCarried the stops that they have.
 	Carriers, StopsCarried int
+	// Awaited counts what lost owners have left that tasks may wait for.
+	Awaited Awaited
 }
 
 // Load returns the current load of the cell.
 func (c *Core) Load() Load {
 	load := Load{Suspects: c.trials(true), Trials: c.trials(false), FreeMilliCores: c.freeMilliCores, WantedMilliCores: c.wantedMilliCores,
-		StartsUnderWay: c.underWay, OrdersInFlight: c.inFlight.starts + c.inFlight.stops, StopsCarried: c.inFlight.carried, Carriers: len(c.carriers)}
+		StartsUnderWay: c.underWay, OrdersInFlight: c.inFlight.starts + c.inFlight.stops, StopsCarried: c.inFlight.carried, Carriers: len(c.carriers), Awaited: c.awaited()}
 	for _, j := range c.jobs {
 		if !j.state.Ended() {
 			load.Jobs++
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -73,6 +73,8 @@
 	reason WaitReason
 	since  time.Time
 	logged bool
+	// nextLine is the earliest time of the next line in the log.
+	nextLine time.Time
 }
 
 // noteWait records why a pass has left tasks of a step waiting. A wait for room is
@@ -85,12 +87,12 @@
 	if reason != s.wait.reason {
 		s.wait = wait{reason: reason, since: c.now}
 	}
-	if reason == WaitNothing || s.wait.logged || c.now.Sub(s.wait.since) < longWait || reason == WaitRoom && c.busy() {
-		return
-	}
-	s.wait.logged = true
-	c.stats.LongWaits++
-	c.log(LogRecord{Job: s.job().name(), Event: "step waits", Why: fmt.Sprintf("%v: %d tasks of step %d of occurrence %d", reason, s.waiting, s.number, s.occurrence.number)})
+	c.logWait(s)
+}
+
+// waitRecord returns the line of a step that waits.
+func (c *Core) waitRecord(s *step) LogRecord {
+	return LogRecord{Job: s.job().name(), Why: fmt.Sprintf("%v: %d tasks of step %d of occurrence %d", s.wait.reason, s.waiting, s.number, s.occurrence.number), Wait: c.waitDetail(s)}
 }
 
 // unrecorded returns what a step waits for that has no committed start record:
