--- a/scheduler/lives_calls_test.go
+++ b/scheduler/lives_calls_test.go
@@ -23,6 +23,7 @@
 		c := m.newCall(callStart, order.Worker, order.Fence)
 		c.name, c.run = order.Task, order.Run
 		m.checkIssued(c)
+		m.startSentAt = m.now
 		m.send(c, livesCallTime, func(l *life, respond func(func())) {
 			result, clock := l.start(c, order), l.clock()
 			respond(func() {
--- a/scheduler/lives_model_test.go
+++ b/scheduler/lives_model_test.go
@@ -134,6 +134,8 @@
 	// lands lets the batch in flight of a lost owner reach the store; lingers lets the
 	// owner issue orders until its lease expires, although it doesn't reach the store.
 	lands, lingers bool
+	// afterStart lets the owner be lost right after it has sent a start.
+	afterStart bool
 	// moves lets the next life begin at another address, taken lets another host ID answer
 	// at the one that it has left.
 	moves, taken bool
@@ -254,6 +256,8 @@
 	calmFrom         time.Time
 	livesFreezes
 	listReadAt time.Time
+	// startSentAt is when an owner last sent a start.
+	startSentAt time.Time
 }
 
 // livesWorker is a worker and its lives.
@@ -387,6 +391,9 @@
 	for _, f := range m.faults {
 		m.after(f.at, func() { m.inject(f) })
 		m.delayCalm(f.at + f.length + f.listedAfter)
+		if f.afterStart {
+			m.delayCalm(f.at + livesStartWait)
+		}
 		if f.kind == faultOwnerLost && m.storedFirst {
 			m.delayCalm(f.at + livesStoredWait)
 		}
@@ -540,6 +547,10 @@
 	if m.lost {
 		return
 	}
+	if m.awaitsStart(f) {
+		m.after(3*time.Millisecond, func() { m.loseOwner(f) })
+		return
+	}
 	if m.storedFirst && m.startsUnstored() {
 		if m.now.Before(m.base.Add(f.at + livesStoredWait)) {
 			m.after(10*time.Millisecond, func() { m.loseOwner(f) })
--- a/scheduler/lives_search_test.go
+++ b/scheduler/lives_search_test.go
@@ -223,6 +223,8 @@
 		{"slow kills, one owner", drawKills, oneOwner},
 		{"an owner that stands still", drawFreezes, oneOwner},
 		{"starts right after a takeover", drawTakeovers, storeStartsFirst},
+		{"owners lost in series after their starts", drawSeries, func(*livesCase) {}},
+		{"owners lost in series once their starts are stored", drawSeries, storeStartsFirst},
 		{"slow kills, owners lost once their starts are stored", drawKills, storeStartsFirst},
 		{"births out of order, one owner", drawBirths, oneOwner},
 		{"births out of order, owners lost at any moment", drawBirths, func(*livesCase) {}},
--- a/scheduler/lost_test.go
+++ b/scheduler/lost_test.go
@@ -11,6 +11,8 @@
 const (
 	startBound = 3 * time.Second
 	roomFactor = 2
+	// calmBefore is for how long all has to be calm before such a wait begins (RULES.md, LOST).
+	calmBefore = 4 * time.Second
 )
 
 // checkWaits checks that no job waits beside room: one with nothing running and a
@@ -29,7 +31,7 @@
 		if s.waiting > 0 && s.wait.reason == WaitOpenStart {
 			sim.checkOpenStart(s)
 		}
-		if !calm || s.waiting == 0 || sim.hasRun(s) || !sim.hasRoom(s) || forbidden(s.wait.reason) {
+		if !calm || s.waiting == 0 || sim.hasRun(s) || !sim.hasRoom(s) || sim.forbidden(s.wait.reason) {
 			continue
 		}
 		since, known := sim.waitingSince[s.name()]
@@ -46,10 +48,13 @@
 
 // forbidden reports whether a rule keeps a step from starting for that reason: that no
 // task runs twice, that what a start relies on is stored, or that it has a ticket. Each
-// of these has a bound of its own.
-func forbidden(reason WaitReason) bool {
+// of these has a bound of its own. Where owners are lost in series, all workers answer once it is
+// calm, so that no rule needs a wait for earlier runs or starts then.
+func (sim *simulation) forbidden(reason WaitReason) bool {
 	switch reason {
-	case WaitUnknownRuns, WaitEarlierRun, WaitStartRecord, WaitCrashRecord, WaitAdvice, WaitOpenStart:
+	case WaitUnknownRuns, WaitEarlierRun, WaitOpenStart:
+		return sim.options.series == 0 || sim.now.Sub(sim.disturbedAt) < calmBefore
+	case WaitStartRecord, WaitCrashRecord, WaitAdvice:
 		return true
 	}
 	return false
@@ -131,7 +136,10 @@
 
 // noteSent and noteRejected record that a start was sent, and that the owner has learned
 // that it is not executed.
-func (sim *simulation) noteSent(order StartOrder) { sim.noteStart(order.Task, order.Run, sim.now) }
+func (sim *simulation) noteSent(order StartOrder) {
+	sim.sentAt = sim.now
+	sim.noteStart(order.Task, order.Run, sim.now)
+}
 
 func (sim *simulation) noteStart(name TaskName, number RunNumber, at time.Time) {
 	if sim.starts == nil {
--- a/scheduler/owners_test.go
+++ b/scheduler/owners_test.go
@@ -30,6 +30,11 @@
 	rowBytes, callBytes int
 	// bounded makes owners renew, bound leases by that, and tell their successors.
 	bounded bool
+	// series is the probability per tick, in thousandths, that two or three owners are lost
+	// within seconds. What a lost one has sent right before may never arrive, and its batch
+	// in flight may have reached the store. Once all is calm, waits for earlier starts count
+	// as any: all workers answer.
+	series float64
 }
 
 // slowed reports whether the faults make the simulation take longer to end all
@@ -53,6 +58,12 @@
 	// previousUntil.
 	previous      *Core
 	previousUntil time.Time
+	// seriesUntil is until when no further owners are lost in series, disturbedAt when an owner
+	// or a worker was last lost.
+	seriesUntil time.Time
+	disturbedAt time.Time
+	// sentAt is when the last start was sent.
+	sentAt time.Time
 }
 
 const (
@@ -68,6 +79,38 @@
 	if o := sim.options; o.slowStore > 0 && sim.random.Float64()*1000 < o.slowStore {
 		sim.slowUntil = sim.now.Add(time.Duration(1000+sim.random.IntN(4000)) * time.Millisecond)
 	}
+	if o := sim.options; o.series > 0 && sim.now.After(sim.seriesUntil) && sim.random.Float64()*1000 < o.series {
+		sim.loseInSeries()
+	}
+}
+
+// loseInSeries has two or three owners lost, each soon after it has begun.
+func (sim *simulation) loseInSeries() {
+	at := time.Duration(0)
+	for range 2 + sim.random.IntN(2) {
+		at += time.Duration(20+sim.random.IntN(1500)) * time.Millisecond
+		sim.after(at, func() { sim.loseAfterStart(longestWaitForStart) })
+	}
+	sim.seriesUntil = sim.now.Add(at + longestWaitForStart + 2*calmBefore)
+}
+
+// longestWaitForStart is for how long the loss of an owner waits for a start.
+const longestWaitForStart = 500 * time.Millisecond
+
+// loseAfterStart has the owner lost once it has sent a start, after some time at the latest.
+func (sim *simulation) loseAfterStart(wait time.Duration) {
+	switch {
+	case sim.storeAway():
+	case wait <= 0 || sim.now.Sub(sim.sentAt) <= simulationTick:
+		sim.takeOver()
+	default:
+		sim.after(simulationTick, func() { sim.loseAfterStart(wait - simulationTick) })
+	}
+}
+
+// lostOnTheWay reports whether an order of an owner that was lost meanwhile never arrives.
+func (sim *simulation) lostOnTheWay(core *Core) bool {
+	return sim.options.series > 0 && core != sim.core && sim.held.IntN(2) == 0
 }
 
 // replaceOwner handles the end of an owner: its batch in flight may still have
@@ -76,7 +119,8 @@
 	if sim.core == nil {
 		return
 	}
-	if sim.options.slowStore > 0 && sim.commitInFlight != nil && sim.random.IntN(2) == 0 {
+	sim.disturbedAt = sim.now
+	if (sim.options.slowStore > 0 || sim.options.series > 0) && sim.commitInFlight != nil && sim.random.IntN(2) == 0 {
 		sim.store(sim.commitInFlight, sim.nextOwnerEager())
 	}
 	if sim.options.overlap {
--- a/scheduler/randomised_test.go
+++ b/scheduler/randomised_test.go
@@ -140,7 +140,8 @@
 }
 
 // regressionSeeds are, by kind of fault, the seeds with which an innocent job was given
-// up, a deadly task was started too often, or a task ran twice after a worker's rebirth.
+// up, a deadly task was started too often, a task ran twice after a worker's rebirth, or one waited
+// beside room for starts of lost owners.
 var regressionSeeds = map[string][]uint64{
 	"reborn workers, late orders":                                        {119, 126, 154, 171, 201, 353, 30001, 30003, 30004, 40004},
 	"reborn workers, late orders, takeovers":                             {129, 138, 148, 149, 154, 178, 189, 201, 202, 215, 234, 236, 237, 288},
@@ -148,6 +149,7 @@
 	"silent crashes": {120, 209, 218, 219, 221, 236, 262, 285, 5017},
 	"many":           {117},
 	"short reports, reborn workers, late orders": {5, 6, 7, 8},
+	"owners lost in series":                      {5, 6, 8},
 }
 
 // seedsOf returns four seeds and the regression seeds of a kind of fault, or the four
@@ -207,6 +209,10 @@
 		{"bounded leases, takeovers, partitions", simulationOptions{takeovers: 3, partitions: 5, ownerFaults: ownerFaults{bounded: true, overlap: true}}},
 		{"bounded leases, slow store, takeovers, permanent crashes", simulationOptions{takeovers: 4, crashes: 1.5, permanent: 0.8, partitions: 3, ownerFaults: ownerFaults{bounded: true, slowStore: 4, overlap: true}}},
 		{"bounded leases, reborn workers, late orders, takeovers, partitions", simulationOptions{crashes: 3, takeovers: 3, partitions: 4, delayedOrders: 0.04, ownerFaults: ownerFaults{bounded: true, latePolls: 0.04, quickRebirths: true, overlap: true}}},
+		{"owners lost in series", simulationOptions{ownerFaults: ownerFaults{series: 2}}},
+		{"owners lost in series, advice", simulationOptions{ownerFaults: ownerFaults{series: 2, advised: 0.5}}},
+		{"owners lost in series, reborn workers", simulationOptions{crashes: 1, ownerFaults: ownerFaults{series: 2, quickRebirths: true}}},
+		{"owners lost in series, slow store", simulationOptions{ownerFaults: ownerFaults{series: 2, slowStore: 2}}},
 		{"slow kills, partitions", simulationOptions{partitions: 1.5, kills: livesLongestKill}},
 		{"slow kills, bounded leases, reborn workers, takeovers, partitions", simulationOptions{crashes: 2, takeovers: 1, partitions: 1.5, kills: livesLongestKill, ownerFaults: ownerFaults{bounded: true, quickRebirths: true, overlap: true}}},
 		{"slow kills, reborn workers, late orders, partitions", simulationOptions{crashes: 2, partitions: 1.5, delayedOrders: 0.04, kills: livesLongestKill, ownerFaults: ownerFaults{latePolls: 0.04, quickRebirths: true}}},
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -530,6 +530,9 @@
 	}
 	lost := r.Float64() < sim.options.lostResponses
 	sim.after(outbound, func() {
+		if sim.lostOnTheWay(core) {
+			return
+		}
 		if f.refuses && !sim.now.Before(f.partitionedUntil) {
 			sim.after(inbound, func() { respond(func() { fail(OrderUnsent) }) })
 			return
@@ -785,7 +788,7 @@
 		return
 	}
 	f.crashed = true
-	f.room.crashedAt = sim.now
+	f.room.crashedAt, sim.disturbedAt = sim.now, sim.now
 	f.recordCrash()
 	for key := range f.runs {
 		delete(f.runs, key)
