--- a/scheduler/owners_in_series_test.go
+++ b/scheduler/owners_in_series_test.go
@@ -38,6 +38,8 @@
 	rows    map[string][]byte
 	epoch   int64
 	workers map[requester.HostID]*seriesWorker
+	// silentTo gets starts that are sent and no more.
+	silentTo *seriesWorker
 	// pending has the starts that were sent and that no life has executed yet.
 	pending []sentOrder
 	// noted has the tasks of which an end done was acknowledged.
@@ -123,7 +125,7 @@
 	for _, start := range orders.Starts {
 		c.send(start)
 		switch w := c.workers[start.Worker.HostID]; {
-		case !answered:
+		case !answered || w == c.silentTo:
 		case w.cut || w.down:
 			c.core.StartDone(c.now, start, OrderUnknown)
 		default:
@@ -438,7 +440,7 @@
 }
 
 // seriesRow is what has become of the starts when their owner is lost, and of the worker of the first
-// of them.
+// of them. Of the kind "half", a gang, only that one start has no answer.
 type seriesRow struct {
 	start, worker string
 	owners        int
@@ -449,7 +451,7 @@
 func (r seriesRow) step() Step {
 	step := stepOf(1, 8000)
 	switch r.kind {
-	case "gang":
+	case "gang", "half":
 		step = stepOf(2, 8000)
 		step.Gang = true
 	case "lasting":
@@ -486,7 +488,10 @@
 	for _, start := range []string{"named", "sent", "answered", "late"} {
 		for _, worker := range []string{"alive", "reborn", "leaving", "cut"} {
 			for owners := 1; owners <= 2; owners++ {
-				for _, kind := range []string{"plain", "advice", "gang", "lasting"} {
+				for _, kind := range []string{"plain", "advice", "gang", "half", "lasting"} {
+					if kind == "half" && (start == "named" || start == "answered") {
+						continue // no start, or each one, has an answer
+					}
 					row := seriesRow{start, worker, owners, kind}
 					t.Run(fmt.Sprintf("%s/%s/%d/%s", start, worker, owners, kind), row.play)
 				}
@@ -505,10 +510,7 @@
 	c.must(DecodeRow(c.rows[StartsKey], &named))
 	w := c.workers[named.Starts[0].Worker]
 	if r.start != "named" {
-		c.perform(c.core.Tick(c.now), r.start == "answered")
-		if len(c.pending) != c.job.Steps[0].Count && r.start != "answered" {
-			t.Fatalf("%d starts sent, want %d", len(c.pending), c.job.Steps[0].Count)
-		}
+		r.sendFirst(t, c, w)
 	}
 	sentAt := c.now
 	c.loseOwner()
@@ -529,6 +531,24 @@
 	}
 }
 
+// sendFirst has the first owner send its starts.
+func (r seriesRow) sendFirst(t *testing.T, c *seriesCell, w *seriesWorker) {
+	unanswered := c.job.Steps[0].Count
+	switch r.kind {
+	case "half":
+		c.silentTo, unanswered = w, 1
+	default:
+		if r.start == "answered" {
+			unanswered = 0
+		}
+	}
+	c.perform(c.core.Tick(c.now), r.start == "answered" || r.kind == "half")
+	c.silentTo = nil
+	if len(c.pending) != unanswered {
+		t.Fatalf("%d starts have no answer, want %d", len(c.pending), unanswered)
+	}
+}
+
 // harmWorker does to the worker what the row says, right after the first owner was lost.
 func (c *seriesCell) harmWorker(w *seriesWorker, how string) {
 	switch how {
