--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -257,6 +257,9 @@
 	// takeover, for the log only. waitsCountedAt is when waits were last counted.
 	listedStarts   map[runKey]bool
 	waitsCountedAt time.Time
+	// lastUnknownRuns is which workers steps waited for at unknownRunsAt, for the log only.
+	lastUnknownRuns WaitDetail
+	unknownRunsAt   time.Time
 	// lineCounts counts the lines of the events whose lines are limited.
 	lineCounts [limitedEvents]lineCount
 	stats      Stats
--- a/scheduler/waitdetail.go
+++ b/scheduler/waitdetail.go
@@ -146,7 +146,11 @@
 	if !s.wait.reason.forLostOwners() {
 		return nil
 	}
-	d := &WaitDetail{For: c.now.Sub(s.wait.since)}
+	d := &WaitDetail{}
+	if s.wait.reason == WaitUnknownRuns {
+		*d = c.unknownRuns()
+	}
+	d.For = c.now.Sub(s.wait.since)
 	for t := range s.knownTasks() {
 		if t.open == nil || t.done {
 			continue
@@ -155,14 +159,20 @@
 			d.Starts = append(d.Starts, c.awaitedStart(t))
 		}
 	}
-	if s.wait.reason == WaitUnknownRuns {
-		c.addUnknownRuns(d)
-	}
 	return d
 }
 
-// addUnknownRuns adds for which workers Reconciled isn't true.
-func (c *Core) addUnknownRuns(d *WaitDetail) {
+// unknownRuns returns for which workers Reconciled isn't true. That is the same for all steps,
+// and very many may get a line at once, so it is looked up once for a time.
+func (c *Core) unknownRuns() WaitDetail {
+	if !c.unknownRunsAt.Equal(c.now) {
+		c.unknownRunsAt, c.lastUnknownRuns = c.now, c.findUnknownRuns()
+	}
+	return c.lastUnknownRuns
+}
+
+func (c *Core) findUnknownRuns() WaitDetail {
+	var d WaitDetail
 	if c.leasesUnknown() {
 		d.LeasesUnknownUntil = c.tookOverAt.Add(c.longestUnreported())
 	}
@@ -182,6 +192,7 @@
 			}
 		}
 	}
+	return d
 }
 
 // unreportedInherited reports whether Reconciled waits for what the worker has run for previous
