--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -135,39 +135,14 @@
 // ownership to one with more cores. By then all links are up.
 const minOwnership = 1500 * time.Millisecond
 
-// nextEager returns the value of Eager for the owner's row that is written
-// next: whether steps may start before their start records are committed. They
-// may if the store is slow, as the workers' tickets would expire during the
-// commit. A successor that finds Eager in the owner's row assumes that any step
-// may have started, with or without a start record.
+// nextEager returns the value of Eager for the owner's row that is written next. This owner
+// starts no step before its start record is committed. One of an earlier version may have done so
+// while the store was slow: the row says that until the records of all steps that it may have
+// started are committed, so that a successor assumes it as well.
 func (s *session) nextEager() bool {
-	if s.releasing {
-		// Nothing starts any more, and what has been started is named, by this commit at the
-		// latest, unless that has no room for it.
-		s.core.SetEager(false)
-		return s.row.Eager && (!s.loaded || s.core.StartsMayBeUnknown())
-	}
-	latency := s.dispatcher.store.Latency()
-	if !s.row.Eager {
-		return latency > eagerOnLatency
-	}
-	if !s.loaded || latency > eagerOffLatency {
-		return true
-	}
-	// From now on no step starts before its start record is committed. The row
-	// may say so once the records of all started steps are committed, also of
-	// those that an eager predecessor may have started.
-	s.core.SetEager(false)
-	return s.core.StartsMayBeUnknown()
+	return s.row.Eager && (!s.loaded || s.core.StartsMayBeUnknown())
 }
 
-// Eager starts are enabled once commits take longer than eagerOnLatency, and
-// disabled once they take no longer than eagerOffLatency.
-const (
-	eagerOnLatency  = 200 * time.Millisecond
-	eagerOffLatency = 80 * time.Millisecond
-)
-
 // sendCommit sends a transaction until its outcome is known, which may be that the
 // store refuses it as invalid, and posts the outcome. Each attempt sends the same
 // bytes: of several attempts that reach the store, even late, only one can commit.
@@ -224,9 +199,6 @@
 	s.core.Renewed(sentAt)
 	s.core.Committed(now, batch)
 	s.core.StoreReached(sentAt, revision)
-	if s.loaded && next.Eager && d.store.Latency() > eagerOffLatency {
-		s.core.SetEager(true)
-	}
 	if s.loaded && !s.releasing && !s.core.Fenced() && s.leaseValid() {
 		s.sendOrders(s.core.TakeOrders(now))
 	}
--- a/dispatcher/eager_test.go
+++ b/dispatcher/eager_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -60,3 +61,34 @@
 	commit(10)
 	is.True(!s.nextEager())
 }
+
+// TestSlowStoreMakesNoOwnerEager guards against an owner that starts tasks before a list names
+// them, as the store is slow: its successor would hold all tasks back for up to 16 s.
+func TestSlowStoreMakesNoOwnerEager(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := keeper.NewHedged(slowTable{takes: time.Second})
+		_, err := store.Transact(t.Context(), keeper.Transaction{})
+		is.NoErr(err)
+		is.True(store.Latency() >= time.Second)
+		d := &Dispatcher{clock: NewClock(), ctx: t.Context(), store: store}
+		s := newSession(d, ownerRow{Epoch: 2, TermMillis: 3000}, 5, time.Now(), ownerView{row: ownerRow{Epoch: 1, TermMillis: 3000}})
+		is.True(!s.nextEager()) // not loaded
+		s.loaded = true
+		is.True(!s.nextEager())
+		s.core.Add(time.Now(), scheduler.Job{JobID: "0123456789abcdef", Steps: []scheduler.Step{{Count: 1}}})
+		is.True(!s.nextEager())     // its rows are not in a batch
+		time.Sleep(5 * time.Second) // until the attempts in flight have ended
+	})
+}
+
+// slowTable is a table whose transactions take a while.
+type slowTable struct {
+	keeper.Table
+	takes time.Duration
+}
+
+func (t slowTable) Transact(context.Context, keeper.Transaction) (keeper.TransactResult, error) {
+	time.Sleep(t.takes)
+	return keeper.TransactResult{Committed: true}, nil
+}
--- a/dispatcher/statecache.go
+++ b/dispatcher/statecache.go
@@ -28,8 +28,8 @@
 	// TermMillis is the term of the lease: how long after it sent the commit
 	// that wrote the row the holder may send orders.
 	TermMillis int64
-	// Eager is true if steps may be started before their start records are
-	// committed.
+	// Eager is true if an owner of an earlier version may have started steps before their
+	// start records were committed.
 	Eager bool
 	// MaxCores is the largest number of cores that an entry is known to have.
 	MaxCores float64
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -198,10 +198,8 @@
 	// were last issued.
 	longInFlight int
 	adviceLoad   float64
-	// eager lets steps start before their start records are committed.
 	// startsKnown is true once this owner knows which steps its predecessor has
 	// started.
-	eager       bool
 	startsKnown bool
 	// allowedShares is, by queue, the observed share of workers that the advice
 	// service allows to run a step.
--- a/scheduler/eager.go
+++ b/scheduler/eager.go
@@ -6,21 +6,14 @@
 )
 
 // Before the first task of a step starts, the step's start record is committed,
-// from which a later owner knows that tasks of it may run. While the store is
-// slow, steps start before that: eagerly. The row of the owner says so until the
-// owner knows, and the rows of the jobs say, which steps have been started, also
-// by its predecessor.
+// from which a later owner knows that tasks of it may run. While the store was
+// slow, owners of earlier versions started steps before that: eagerly. The row of
+// such an owner says so, and the rows of its successors, until one of them knows, and
+// the rows of the jobs say, which steps have been started.
 
-// SetEager sets whether steps may start before their start records are
-// committed. The stored row of the owner must say so before eager starts are
-// enabled, and continue to say so after they are disabled until every start
-// record is committed.
-func (c *Core) SetEager(eager bool) { c.eager = eager }
-
-// recordStart adds the step's start record to the job's rows. Unless eager
-// starts are in force, its tasks start only once it is committed, so that a
-// later owner knows which steps may have runs that no worker has reported. They may be
-// intended before.
+// recordStart adds the step's start record to the job's rows. Its tasks start only
+// once it is committed, so that a later owner knows which steps may have runs that no
+// worker has reported. They may be intended before.
 func (c *Core) recordStart(s *step) {
 	if s.startRecordVersion == 0 {
 		c.markDirty(s.job())
@@ -32,10 +25,10 @@
 // may be intended.
 func (c *Core) startRecorded(s *step) bool { return s.startRecordVersion > 0 }
 
-// startRecordStored reports whether the start record of the step allows its tasks
-// to start: it is committed, or it is pending and eager starts are in force.
+// startRecordStored reports whether the start record of the step is committed, so that its
+// tasks may start.
 func (c *Core) startRecordStored(s *step) bool {
-	return s.startRecordVersion > 0 && (c.eager || s.startRecordVersion <= s.job().committedVersion)
+	return s.startRecordVersion > 0 && s.startRecordVersion <= s.job().committedVersion
 }
 
 // markStartable marks the steps of a job that an eager predecessor may have
@@ -84,10 +77,10 @@
 	}
 }
 
-// StartsMayBeUnknown reports whether steps may have been started of which the
-// stored rows, with all batches taken, do not say so. As long as that is the
-// case, the row of the owner must say that it is eager. The rows of an excluded
+// StartsMayBeUnknown reports whether an eager predecessor may have started steps of
+// which the stored rows, with all batches taken, do not say so. As long as that is the
+// case, the row of the owner must say that there may be eager starts. The rows of an excluded
 // job are not written, so they never say so.
 func (c *Core) StartsMayBeUnknown() bool {
-	return c.Dirty() || c.options.PreviousOwnerEager && (!c.startsKnown || len(c.excluded) > 0)
+	return c.options.PreviousOwnerEager && (c.Dirty() || !c.startsKnown || len(c.excluded) > 0)
 }
--- a/scheduler/gangstart.go
+++ b/scheduler/gangstart.go
@@ -67,8 +67,8 @@
 	c.gangs = append(c.gangs, g)
 }
 
-// sendGangs sends the starts of gangs that are committed, or all of them while starts are
-// eager, as far as there is room. It withdraws gangs that would not be started now.
+// sendGangs sends the starts of gangs that are committed, as far as there is room. It
+// withdraws gangs that would not be started now.
 func (c *Core) sendGangs() {
 	for _, g := range c.gangs {
 		if !g.letGo && !c.letGangGo(g) {
@@ -103,8 +103,7 @@
 		c.withdraw(g.unsent[0], notInTime)
 		return false
 	}
-	named := g.named >= len(g.unsent) || c.mayStartEagerly()
-	if !named || !c.startRecordStored(g.step) {
+	if g.named < len(g.unsent) || !c.startRecordStored(g.step) {
 		c.noteUnsent(g.step)
 		return false
 	}
@@ -121,7 +120,7 @@
 // mayStillSend reports whether the last commit is so young that a successor counts on further
 // starts.
 func (c *Core) mayStillSend() bool {
-	return c.renewedAt.IsZero() || c.now.Sub(c.renewedAt) < maxIntendedTime || c.mayStartEagerly()
+	return c.renewedAt.IsZero() || c.now.Sub(c.renewedAt) < maxIntendedTime
 }
 
 // wideGang reports whether the step is a gang whose members are too many to be treated one by
--- a/scheduler/inherited.go
+++ b/scheduler/inherited.go
@@ -7,9 +7,9 @@
 
 // A successor knows the starts of earlier owners from the list of intended starts, and when
 // they can't be executed any more from the last commit of its predecessor, as it has observed
-// it. Starts of an eager owner may be missing from the list: until the time of all of them is
-// over, one may be open on any worker that had a lease. The list says until when that is, so
-// that a later owner doesn't wait for it anew, unless its owner may start eagerly itself.
+// it. Starts of an eager owner, of an earlier version, may be missing from the list: until the time
+// of all of them is over, one may be open on any worker that had a lease. The list says until when
+// that is, so that a later owner doesn't wait for it anew.
 
 // inheritedUntil returns the latest time at which a start of an earlier owner may be executed.
 // Unless that owner was eager, it sent it no later than maxIntendedTime after a commit.
@@ -104,10 +104,9 @@
 }
 
 // tellsUnknown reports whether the list is to say until when starts of eager predecessors may
-// be executed, so that the wait for them doesn't begin anew with each owner. An eager owner
-// can't say so.
+// be executed, so that the wait for them doesn't begin anew with each owner.
 func (c *Core) tellsUnknown() bool {
-	return !c.startsUnreadable && (c.releasing || c.startsUnknown && !c.eager)
+	return !c.startsUnreadable && (c.releasing || c.startsUnknown)
 }
 
 // noUnknownStarts is what the list says if it names all starts.
@@ -128,9 +127,5 @@
 // unknownOutdated reports whether the list has to be written for what it says of the starts of
 // eager predecessors.
 func (c *Core) unknownOutdated() bool {
-	return c.unknownTaken != c.tellsUnknown() && (c.eager || c.tellsUnknown())
+	return c.tellsUnknown() && !c.unknownTaken
 }
-
-// mayStartEagerly reports whether starts needn't wait for the list: they are eager, and the
-// stored list doesn't say that there are no further unknown ones.
-func (c *Core) mayStartEagerly() bool { return c.eager && !c.unknownStored }
--- a/scheduler/intended.go
+++ b/scheduler/intended.go
@@ -18,8 +18,7 @@
 // their jobs have them as open. A start that it names without need makes a successor wait,
 // and no more, so the row is not written at once if it has only become shorter.
 //
-// While the store is slow, starts are sent eagerly, before the row is committed. What a
-// successor makes of all this is in inherited.go.
+// That holds however slow the store is. What a successor makes of all this is in inherited.go.
 
 // StartsKey is the key of the row of intended starts.
 const StartsKey = ProgressPrefix + "@starts"
@@ -29,7 +28,7 @@
 	Starts []IntendedStart
 	// UnknownNanos is until when starts of eager owners before the one that wrote the row
 	// may be executed of which it knows nothing, in Unix nanoseconds. It is 0 if that is not
-	// known, or the owner may start eagerly itself.
+	// known, or the owner is of an earlier version and may start eagerly itself.
 	UnknownNanos int64
 }
 
@@ -94,8 +93,8 @@
 // StartsWaiting reports whether starts wait for a commit to name them.
 func (c *Core) StartsWaiting() bool { return c.startsUnwritten() }
 
-// sendIntended sends the intended starts that are committed, or all of them while starts
-// are eager, as far as there is room. It withdraws those that would not be made now.
+// sendIntended sends the intended starts that are committed, as far as there is room. It
+// withdraws those that would not be made now.
 func (c *Core) sendIntended() {
 	c.startsWait = false
 	if c.fenced {
@@ -126,10 +125,9 @@
 	}
 }
 
-// mayBeSent reports whether the stored rows say of a run that it may have been started, or
-// needn't.
+// mayBeSent reports whether the stored rows say of a run that it may have been started.
 func (c *Core) mayBeSent(r *run) bool {
-	return c.startRecordStored(r.task.step) && (r.written.committed || c.mayStartEagerly())
+	return c.startRecordStored(r.task.step) && r.written.committed
 }
 
 // notInTime is why a start is withdrawn that was not committed, or sent, in time.
--- a/scheduler/intended_test.go
+++ b/scheduler/intended_test.go
@@ -335,23 +335,40 @@
 	is.True(h.core.StartsMayBeUnknown())
 }
 
-// TestEagerStartsAreNamed guards against a start that was sent eagerly and that the list of
-// intended starts doesn't name, with an owner's row that says eager no more.
-func TestEagerStartsAreNamed(t *testing.T) {
-	is := is.New(t)
-	h := newHarness(1)
-	h.advanceAnswered(20 * time.Second)
-	h.core.SetEager(true)
-	h.add("j", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 1000))
-	is.Equal(len(h.core.Tick(h.now).Starts), 1)
-	h.core.SetEager(false)
-	is.True(h.core.StartsMayBeUnknown())
-	rows := make(map[string][]byte)
-	h.keepRows(rows)
-	is.True(!h.core.StartsMayBeUnknown())
-	var row StartsRow
-	is.NoErr(DecodeRow(rows[StartsKey], &row))
-	is.Equal(len(row.Starts), 1)
+// TestStartThatNoListNamesStopsTheCell guards against a start that is sent while the store is slow
+// and that no committed list names: the successor would take every worker for one with an unknown
+// start. Nothing is sent for as long as the store takes, and what is sent then is named.
+func TestStartThatNoListNamesStopsTheCell(t *testing.T) {
+	gang := stepOf(3, 1000)
+	gang.Gang = true
+	for name, step := range map[string]Step{"tasks": stepOf(2, 1000), "gang": gang} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(2)
+			h.advanceAnswered(20 * time.Second)
+			rows := make(map[string][]byte)
+			h.add("j", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, step)
+			sent := 0
+			for range 4 {
+				// The store takes 0.4 s for each commit.
+				batch := h.core.TakeBatch(1000)
+				for range 4 {
+					h.now = h.now.Add(100 * time.Millisecond)
+					orders := h.core.Tick(h.now)
+					is.Equal(unnamed(rows, orders.Starts), "")
+					sent += len(orders.Starts)
+					h.answer(orders, nil)
+				}
+				for _, write := range batch.Writes {
+					rows[write.Key] = write.Value
+				}
+				h.core.Renewed(h.now.Add(-400 * time.Millisecond))
+				h.core.Committed(h.now, batch)
+			}
+			is.Equal(sent, step.Count)
+			is.True(!h.core.StartsMayBeUnknown()) // the owner's row says that there are no unknown ones
+		})
+	}
 }
 
 // TestSettledStartsLeaveTheList guards against a list of intended starts that only grows.
@@ -372,7 +389,6 @@
 func TestReleasedByAnEagerOwner(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(1)
-	h.core.SetEager(true)
 	h.core.WithdrawIntended()
 	var rows []StartsRow
 	for _, write := range h.core.TakeBatch(100).Writes {
--- a/scheduler/lives_model_test.go
+++ b/scheduler/lives_model_test.go
@@ -171,7 +171,7 @@
 	// calm has the calls that are answered all the same.
 	calm map[callKey]bool
 	// plain is an owner without bounded leases, slow a store that is slow, so that owners
-	// start eagerly.
+	// of earlier versions start eagerly.
 	plain, slow bool
 	// clocksFromZero makes the clock of each life begin from 0, and not from any time.
 	clocksFromZero bool
@@ -239,9 +239,10 @@
 	sentAt    time.Time
 	storedAt  time.Time
 	leaseTerm time.Duration
-	eager     bool
-	revision  int64
-	heldCalls int
+	// eager is what the owner's row says, startsEagerly what the owner does.
+	eager, startsEagerly bool
+	revision             int64
+	heldCalls            int
 	// seen counts the calls of each kind for fates.
 	seen     [duelCalls]int
 	hasGangs bool
@@ -599,7 +600,7 @@
 		Epoch: m.epoch, MaxLease: livesMaxLease, PreviousOwnerEager: m.eager, PreviousOwnerTerm: m.term() + 200*time.Millisecond,
 		PreviousLeaseTerm: m.leaseTerm, PreviousCommitAt: m.storedAt,
 	}, m.now)
-	m.sentAt, m.storedAt = m.now, m.now
+	m.sentAt, m.storedAt, m.startsEagerly = m.now, m.now, false
 	if !m.plain {
 		m.core.Renewed(m.now)
 	}
@@ -659,7 +660,7 @@
 		if m.mutate != nil {
 			m.mutate(m.core)
 		}
-		m.deliver(m.core.Tick(m.now))
+		m.deliver(m.tickCore())
 	}
 	m.takeLogRecords()
 	if m.core.Fenced() && !m.lost {
@@ -713,9 +714,7 @@
 	core.Committed(m.now, batch)
 	core.StoreReached(sentAt, m.revision)
 	core.JobsKnown(m.revision)
-	if eager && m.slow {
-		core.SetEager(true)
-	}
+	m.startsEagerly = eager && m.slow && m.ofEarlierVersion()
 }
 
 func (m *livesModel) commitTime() time.Duration {
@@ -726,13 +725,29 @@
 	return time.Duration(10+r.IntN(50)) * time.Millisecond
 }
 
-// nextEager follows dispatcher's nextEager.
+// ofEarlierVersion reports whether the owner is of a version that starts eagerly.
+func (m *livesModel) ofEarlierVersion() bool { return m.draw(^uint64(m.epoch)).IntN(2) == 0 }
+
+// nextEager follows dispatcher's nextEager, also that of earlier versions. The store of a case is
+// slow or isn't.
 func (m *livesModel) nextEager() bool {
-	if m.slow || !m.eager {
-		return m.slow
+	if m.slow && m.ofEarlierVersion() {
+		return true
+	}
+	return m.eager && m.core.StartsMayBeUnknown()
+}
+
+// tickCore returns the owner's orders, which start only what the store names.
+func (m *livesModel) tickCore() Orders {
+	if m.startsEagerly {
+		defer m.core.startEagerly()()
+		return m.core.Tick(m.now)
+	}
+	orders := m.core.Tick(m.now)
+	if problem := unnamed(m.rows, orders.Starts); problem != "" {
+		m.fail("unnamed", problem)
 	}
-	m.core.SetEager(false)
-	return m.core.StartsMayBeUnknown()
+	return orders
 }
 
 func (m *livesModel) store(batch *Batch, eager bool) {
--- a/scheduler/mutation_test.go
+++ b/scheduler/mutation_test.go
@@ -147,7 +147,14 @@
 			c.options.PreviousLeaseTerm = min(c.options.PreviousLeaseTerm, 2*time.Second)
 		}},
 		{"steps start before their start record is committed", simulationOptions{takeovers: 10, partitions: 6}, func(c *Core) {
-			c.eager = true
+			for _, s := range c.written {
+				s.committed = true
+			}
+			for _, s := range c.open {
+				if stored := s.job().committedVersion; stored > 0 {
+					s.startRecordVersion = min(s.startRecordVersion, stored)
+				}
+			}
 		}},
 		{"resources are allocated only once a worker acknowledges the run", simulationOptions{}, func(c *Core) {
 			for _, w := range c.sortedWorkers {
--- a/scheduler/owners_test.go
+++ b/scheduler/owners_test.go
@@ -10,7 +10,7 @@
 // batch in flight is lost with it.
 type ownerFaults struct {
 	// slowStore is the probability per tick, in thousandths, of a slow store for
-	// some seconds. Owners then start steps eagerly.
+	// some seconds. Owners of earlier versions then start steps eagerly.
 	slowStore float64
 	// overlap lets a replaced owner issue orders for the rest of its term, reach
 	// workers that its successor does not reach, and learn of jobs that its
@@ -40,8 +40,10 @@
 
 // owners is the state of the owners and of the store that ownerFaults affect.
 type owners struct {
-	// ownerEager is what the owner's row says.
-	ownerEager bool
+	// ownerEager is what the owner's row says, startsEagerly what the owner does.
+	ownerEager       bool
+	startsEagerly    bool
+	ofEarlierVersion bool
 	// ownerLeaseTerm is the term of leases in the owner's row, ownerStoredAt when
 	// that row was stored.
 	ownerLeaseTerm time.Duration
@@ -50,9 +52,10 @@
 	committedAt    time.Time
 	revision       int64
 	// previous is a replaced owner that still issues orders, until
-	// previousUntil.
-	previous      *Core
-	previousUntil time.Time
+	// previousUntil, and starts eagerly if previousEagerly is set.
+	previous        *Core
+	previousUntil   time.Time
+	previousEagerly bool
 }
 
 const (
@@ -80,7 +83,7 @@
 		sim.store(sim.commitInFlight, sim.nextOwnerEager())
 	}
 	if sim.options.overlap {
-		sim.previous = sim.core
+		sim.previous, sim.previousEagerly = sim.core, sim.startsEagerly
 		sim.previousUntil = sim.now.Add(time.Duration(sim.random.IntN(int(previousOwnerTerm))))
 		for _, f := range sim.workers {
 			if sim.random.IntN(3) == 0 {
@@ -99,7 +102,12 @@
 // reaches the store.
 func (sim *simulation) runPrevious() {
 	if sim.previous != nil && sim.active(sim.previous) {
+		after := func() {}
+		if sim.previousEagerly {
+			after = sim.previous.startEagerly()
+		}
 		orders := sim.previous.Tick(sim.now)
+		after()
 		sim.deliverFrom(sim.previous, orders)
 	}
 }
@@ -140,14 +148,36 @@
 	return (sim.options.bounded || sim.options.slowStore > 0) && sim.now.Sub(sim.committedAt) >= 200*time.Millisecond
 }
 
+// chooseVersion chooses the version of a new owner. Two in a row are of one that starts eagerly,
+// and then two are not.
+func (sim *simulation) chooseVersion() {
+	sim.startsEagerly, sim.ofEarlierVersion = false, sim.epoch%4 == 1 || sim.epoch%4 == 2
+}
+
 // nextOwnerEager returns what the owner's row says after the next transaction,
-// by the rules of dispatcher's nextEager.
+// by the rules of dispatcher's nextEager, also those of earlier versions.
 func (sim *simulation) nextOwnerEager() bool {
+	if !sim.ofEarlierVersion {
+		return sim.ownerEager && sim.core.StartsMayBeUnknown()
+	}
 	if sim.slow() || !sim.ownerEager {
 		return sim.slow()
 	}
-	sim.core.SetEager(false)
-	return sim.core.StartsMayBeUnknown()
+	sim.startsEagerly = false
+	return sim.core.Dirty() || sim.core.StartsMayBeUnknown()
+}
+
+// tickCore returns the owner's orders, which start only what the store names.
+func (sim *simulation) tickCore() Orders {
+	if sim.startsEagerly {
+		defer sim.core.startEagerly()()
+		return sim.core.Tick(sim.now)
+	}
+	orders := sim.core.Tick(sim.now)
+	if problem := unnamed(sim.rows, orders.Starts); problem != "" {
+		sim.problem("%s", problem)
+	}
+	return orders
 }
 
 // store applies a transaction to the stored rows.
--- a/scheduler/review39_test.go
+++ b/scheduler/review39_test.go
@@ -182,7 +182,7 @@
 
 // TestStoredBirthOfAFormerLife guards against a successor that counts too short a time for the
 // leases of a worker: it was lost right after its next life had reported and got a task, and the
-// stored row of births still has the former life.
+// stored row of births still has the former life. No start is sent before a commit, which has the row.
 func TestStoredBirthOfAFormerLife(t *testing.T) {
 	h := newHarness(1)
 	h.core.Renewed(h.now)
@@ -205,12 +205,9 @@
 	note(batch)
 	h.core.Committed(h.now, batch)
 	h.core.Renewed(h.now)
-	committedAt := h.now
 	if births == nil || len(births.Births) != 1 {
 		t.Fatal("the birth of the first life is not stored")
 	}
-	// The store is slow, so that tasks start before a commit.
-	h.core.SetEager(true)
 	// The next life has executed a late poll for the former one, so that its lease is the longest.
 	born := h.now
 	h.now = h.now.Add(20 * time.Millisecond)
@@ -221,15 +218,28 @@
 	h.running = nil
 	reportedAt := h.now.Add(10 * time.Millisecond)
 	started := false
-	for range 3 {
-		// No commit lands any more.
+	tick := func() {
 		h.now = h.now.Add(10 * time.Millisecond)
 		orders := h.core.Tick(h.now)
 		started = started || len(orders.Starts) > 0
 		h.answer(orders, nil)
 	}
+	for range 3 {
+		tick()
+	}
+	if started {
+		t.Fatal("a task starts in the next life before a commit lands")
+	}
+	sentAt := h.now
+	batch = h.core.TakeBatch(1000)
+	note(batch)
+	h.now = h.now.Add(10 * time.Millisecond)
+	committedAt := h.now
+	h.core.Renewed(sentAt)
+	h.core.Committed(h.now, batch)
+	tick()
 	if !started {
-		t.Fatal("no task starts in the next life before its birth is stored")
+		t.Fatal("no task starts in the next life after a commit")
 	}
 	h.now = h.now.Add(time.Second)
 	h.core = New(Options{Epoch: 2, PreviousOwnerTerm: time.Second, PreviousLeaseTerm: DefaultLeaseTerm, PreviousCommitAt: committedAt}, h.now)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,11 +55,11 @@
 // commit. Whatever has become of the task, its occurrence or its job in memory,
 // an end is acknowledged only when the stored rows imply it, and the core checks
 // this against the bytes of these rows. Before the first task of a step starts, a start record for the step
-// is committed, unless eager starts are in force (SetEager). A new owner
+// is committed. A new owner
 // rebuilds everything else from the workers' reports. While some worker that
 // has not reported may still run tasks that the new owner does not know of, the
 // unreported tasks of steps with a start record wait, and the tasks of all
-// other steps start at once. If the previous owner had eager starts in force,
+// other steps start at once. If the previous owner, of an earlier version, had eager starts in force,
 // the unreported tasks of all steps wait, also those of jobs that it may have
 // learned of before the new owner does; the row of the new owner stays eager
 // until the store says so.
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -241,6 +241,7 @@
 func (sim *simulation) takeOver() {
 	sim.epoch++
 	sim.replaceOwner()
+	sim.chooseVersion()
 	sim.commitInFlight = nil
 	sim.core = New(Options{Epoch: sim.epoch, LeaseTerm: simulatedLeaseTerm, MaxLease: 10 * time.Second, PreviousOwnerEager: sim.ownerEager, PreviousOwnerTerm: previousOwnerTerm, PreviousLeaseTerm: sim.ownerLeaseTerm, PreviousCommitAt: sim.ownerStoredAt, RowBytes: sim.options.rowBytes, CallBytes: sim.options.callBytes, OwnStops: sim.options.ownStops()}, sim.now)
 	if value, ok := sim.rows[LeasedWorkersKey]; ok {
@@ -376,7 +377,7 @@
 		}
 		sim.changeCarriers()
 		if !sim.ownerWithoutTerm() {
-			sim.deliver(sim.core.Tick(sim.now))
+			sim.deliver(sim.tickCore())
 		}
 		sim.answerAdvice()
 		sim.commit()
@@ -453,9 +454,7 @@
 		}
 		core.Committed(sim.now, batch)
 		core.StoreReached(sentAt, sim.revision)
-		if eager && sim.slow() {
-			core.SetEager(true)
-		}
+		sim.startsEagerly = sim.startsEagerly || eager && sim.slow() && sim.ofEarlierVersion
 	})
 }
 
