--- a/dispatcher/commit.go
+++ b/dispatcher/commit.go
@@ -30,14 +30,17 @@
 	}
 	var batch *scheduler.Batch
 	if s.loaded {
-		batch = s.core.TakeBatch(maxTransaction - maxDeletesPerCommit)
+		batch = s.core.TakeBatch(maxTransaction - maxDeletesPerCommit - handoverRows)
 	} else {
 		batch = &scheduler.Batch{}
 	}
 	renew := now.Sub(s.renewedAt) >= d.options.OwnerTerm/renewFraction
-	if batch.Empty() && len(s.pendingDeletes) == 0 && !renew && !s.releasing {
+	if batch.Empty() && len(s.pendingDeletes) == 0 && !renew && !s.releasing && !s.core.HandoverOutdated() {
 		return
 	}
+	if s.loaded {
+		s.core.HandOver(batch)
+	}
 	s.commitInFlight = true
 	next := s.row
 	next.Counter++
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -167,7 +167,7 @@
 		s.checkCompleted()
 		is.Equal(len(s.cell.Keys(scheduler.JobTable)), 0) // rows of ended jobs are removed
 		// Only the rows that are no job's are left.
-		is.Equal(s.cell.Keys(scheduler.ProgressPrefix), []string{scheduler.BirthsKey, scheduler.LeasedWorkersKey})
+		is.Equal(s.cell.Keys(scheduler.ProgressPrefix), []string{scheduler.BirthsKey, scheduler.HandoverKey, scheduler.LeasedWorkersKey})
 		time.Sleep(4 * time.Minute)
 		is.Equal(len(s.cell.Keys(scheduler.StatePrefix)), 1) // except for the owner's row
 	})
--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -140,7 +140,8 @@
 }
 
 // restoreWorkers restores what previous owners have stored of the workers that may hold
-// leases: which they are, and then their births.
+// leases: which they are, then their births, and then
+// until when their leases last.
 func (s *session) restoreWorkers(rows map[string][]byte) {
 	for key, value := range rows {
 		if scheduler.IsListKey(key, scheduler.LeasedWorkersKey) {
@@ -152,6 +153,19 @@
 			s.restoreBirths(key, value)
 		}
 	}
+	if value, ok := rows[scheduler.HandoverKey]; ok {
+		s.restoreHandover(value)
+	}
+}
+
+// restoreHandover restores what the previous owner has handed on from the value of its row.
+func (s *session) restoreHandover(value []byte) {
+	var row scheduler.HandoverRow
+	if err := scheduler.DecodeRow(value, &row); err != nil {
+		s.dispatcher.logOddRow(scheduler.HandoverKey, err, "decoding the row of the previous owner failed; the waits for workers that do not answer begin anew")
+		return
+	}
+	s.core.RestoreHandover(row)
 }
 
 // restoreLeasedWorkers restores the workers that may hold leases from the value
@@ -196,7 +210,7 @@
 
 // isListKey reports whether a key among those of progress rows is that of a list.
 func isListKey(key string) bool {
-	return scheduler.IsListKey(key, scheduler.LeasedWorkersKey) || scheduler.IsListKey(key, scheduler.BirthsKey) || scheduler.IsListKey(key, scheduler.StartsKey)
+	return scheduler.IsListKey(key, scheduler.LeasedWorkersKey) || scheduler.IsListKey(key, scheduler.BirthsKey) || scheduler.IsListKey(key, scheduler.StartsKey) || key == scheduler.HandoverKey
 }
 
 // removeOrphanedProgress queues the removal of progress rows whose jobs have no
--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -46,7 +46,9 @@
 	// commit includes. maxPrunedJobs is the maximum number of jobs in one
 	// round of removals.
 	maxDeletesPerCommit = 20
-	maxPrunedJobs       = 400
+	// handoverRows is the number of rows for the successor in a commit.
+	handoverRows  = 1
+	maxPrunedJobs = 400
 	// jobRetention is how long the row of an ended job is kept: as long as a
 	// request with the same ID may arrive at an entry that does not know the
 	// job yet. The state row is kept for much longer. Keeping fewer job rows
--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -71,6 +71,10 @@
 	// tellsUnknown is true if that list says until when unknown starts may be executed.
 	tellsUnknown bool
 	starts       []*writtenStart
+	// handsOver is true if the batch writes the row for the successor, which has the workers
+	// in silent.
+	handsOver bool
+	silent    map[*worker]bool
 	// bytes is the size of Writes in a call to the store.
 	bytes int
 }
@@ -92,8 +96,8 @@
 	state   State
 }
 
-// Empty reports whether there is nothing to write.
-func (b *Batch) Empty() bool { return len(b.Writes) == 0 }
+// Empty reports whether there is nothing to write, leaving aside the row for the successor.
+func (b *Batch) Empty() bool { return len(b.Writes) == 0 || b.handsOver && len(b.Writes) == 1 }
 
 // batchRoom is how much a batch may hold.
 type batchRoom struct{ rows, bytes int }
@@ -208,6 +212,7 @@
 		c.batchJobs = 0
 	}
 	c.birthsStored = c.birthsStored || batch.births
+	c.handoverCommitted(batch)
 	if batch.hasStarts {
 		c.startsCommitted(batch)
 	}
--- a/scheduler/bounded.go
+++ b/scheduler/bounded.go
@@ -117,6 +117,7 @@
 // checkGrantedTo handles a birth in the list. Unless it is that of the incarnation
 // that may hold leases of previous owners, another one may hold some.
 func (c *Core) checkGrantedTo(w *worker, bootedAt time.Time) {
+	w.checkInheritedLife(bootedAt)
 	if w.reported || w.grantedTo.IsZero() || bootedAt.Equal(w.grantedTo) {
 		return
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -131,6 +131,11 @@
 	// unboundedBirths are the times from which births may be stored, earliest first.
 	unboundedBirths []time.Time
 	birthsStored    bool
+	// clockLags are, by epoch, how much at most has to be added to a time by the clock of an earlier
+	// owner, as far as that is known. handoverOutdated is true if the row for the successor
+	// has a worker that waits for its lease.
+	clockLags        map[int64]time.Duration
+	handoverOutdated bool
 	// leasesInherited is true if some worker may hold a lease of a previous owner.
 	leasesInherited bool
 	// unknownLeases is true if workers that this owner does not know of may
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -53,7 +53,10 @@
 	if !w.reported {
 		expiry := w.unreportedSince.Add(c.longestUnreported())
 		if c.options.PreviousLeaseTerm > 0 && !w.grantedTo.IsZero() && c.previousLeasesEnd().Before(expiry) {
-			return c.previousLeasesEnd()
+			expiry = c.previousLeasesEnd()
+		}
+		if !w.inheritedUntil.IsZero() && w.inheritedUntil.Before(expiry) {
+			return w.inheritedUntil
 		}
 		return expiry
 	}
@@ -77,7 +80,7 @@
 // renew the lease. The lease of an unresponsive worker is not renewed, so that
 // its tasks can start again elsewhere once it has expired.
 func (c *Core) grantLease(w *worker) WorkerTime {
-	if !w.reported || w.unanswered > 0 {
+	if !w.reported || w.unanswered > 0 || w.boundStored {
 		return 0
 	}
 	deadline := c.latestDeadline(w)
--- a/scheduler/lives_calls_test.go
+++ b/scheduler/lives_calls_test.go
@@ -16,8 +16,8 @@
 		c.name, c.run = order.Task, order.Run
 		m.send(c, livesCallTime, func(l *life, respond func(func())) {
 			result := l.stop(c, order)
-			respond(func() { core.StopDone(m.now, order, result) })
-		}, func(result OrderResult) { core.StopDone(m.now, order, result) })
+			respond(func() { core.StopDone(m.ownerNow(), order, result) })
+		}, func(result OrderResult) { core.StopDone(m.ownerNow(), order, result) })
 	}
 	for _, order := range orders.Starts {
 		c := m.newCall(callStart, order.Worker, order.Fence)
@@ -27,12 +27,12 @@
 			result, clock := l.start(c, order), l.clock()
 			respond(func() {
 				if result == OrderAccepted {
-					core.StartAccepted(m.now, order, clock)
+					core.StartAccepted(m.ownerNow(), order, clock)
 				} else {
-					core.StartDone(m.now, order, result)
+					core.StartDone(m.ownerNow(), order, result)
 				}
 			})
-		}, func(result OrderResult) { core.StartDone(m.now, order, result) })
+		}, func(result OrderResult) { core.StartDone(m.ownerNow(), order, result) })
 	}
 	for _, order := range orders.Polls {
 		c := m.newCall(callPoll, order.Worker, order.Fence)
@@ -43,9 +43,9 @@
 		}
 		m.send(c, timeout, func(l *life, respond func(func())) {
 			l.poll(c, order, func(report *Report, result OrderResult) {
-				respond(func() { core.PollDone(m.now, order, report, result) })
+				respond(func() { core.PollDone(m.ownerNow(), order, report, result) })
 			})
-		}, func(result OrderResult) { core.PollDone(m.now, order, nil, result) })
+		}, func(result OrderResult) { core.PollDone(m.ownerNow(), order, nil, result) })
 	}
 }
 
--- a/scheduler/lives_model_test.go
+++ b/scheduler/lives_model_test.go
@@ -177,6 +177,8 @@
 	clocksFromZero bool
 	// slowClocks makes the clocks of the workers run at the lowest rate.
 	slowClocks bool
+	// ownerClocks are what the clocks of owners show beyond the time of the model, in turn.
+	ownerClocks []time.Duration
 	// kills is how long after its lease has expired a run ends.
 	kills time.Duration
 	// pastEnds is how many ends each worker has listed before.
@@ -219,10 +221,12 @@
 // livesModel plays a case.
 type livesModel struct {
 	livesCase
-	base    time.Time
-	now     time.Time
-	core    *Core
-	epoch   int64
+	base  time.Time
+	now   time.Time
+	core  *Core
+	epoch int64
+	// clock is what the owner's clock shows beyond the time of the model.
+	clock   time.Duration
 	workers []*livesWorker
 	events  []event
 	serial  int
@@ -478,7 +482,7 @@
 	m.revision++
 	m.tracef("%s of %v is accepted, gang %v", job.JobID, j.length, j.gang)
 	if !m.lost {
-		m.core.Add(m.now, job)
+		m.core.Add(m.ownerNow(), job)
 	}
 }
 
@@ -593,15 +597,16 @@
 // takeOver begins an owner that is recovered from the store, with dispatcher's options.
 func (m *livesModel) takeOver() {
 	m.epoch++
+	m.clock = m.ownerClock()
 	clear(m.unansweredStarts)
 	m.tracef("owner %d begins", m.epoch)
 	m.core = New(Options{
 		Epoch: m.epoch, MaxLease: livesMaxLease, PreviousOwnerEager: m.eager, PreviousOwnerTerm: m.term() + 200*time.Millisecond,
-		PreviousLeaseTerm: m.leaseTerm, PreviousCommitAt: m.storedAt,
-	}, m.now)
+		PreviousLeaseTerm: m.leaseTerm, PreviousCommitAt: m.shown(m.storedAt),
+	}, m.ownerNow())
 	m.sentAt, m.storedAt = m.now, m.now
 	if !m.plain {
-		m.core.Renewed(m.now)
+		m.core.Renewed(m.ownerNow())
 	}
 	m.restoreRows()
 	for _, job := range m.accepted {
@@ -632,6 +637,9 @@
 		}
 		m.core.RestoreBirths(row)
 	}
+	if err := restoreHandover(m.core, m.rows); err != nil {
+		m.fail("decode", err.Error())
+	}
 }
 
 // readList tells the core the list, in which a worker that is down stands.
@@ -643,7 +651,7 @@
 			infos = append(infos, w.entry())
 		}
 	}
-	m.core.SetWorkers(m.now, infos)
+	m.core.SetWorkers(m.ownerNow(), infos)
 }
 
 // tick lets the owner commit and issue orders, as dispatcher does.
@@ -659,7 +667,7 @@
 		if m.mutate != nil {
 			m.mutate(m.core)
 		}
-		m.deliver(m.core.Tick(m.now))
+		m.deliver(m.core.Tick(m.ownerNow()))
 	}
 	m.takeLogRecords()
 	if m.core.Fenced() && !m.lost {
@@ -684,9 +692,10 @@
 		return
 	}
 	batch := m.core.TakeBatch(80)
-	if batch.Empty() && m.now.Sub(m.sentAt) < 200*time.Millisecond {
+	if batch.Empty() && m.now.Sub(m.sentAt) < 200*time.Millisecond && !m.core.HandoverOutdated() {
 		return
 	}
+	m.core.HandOver(batch)
 	m.inFlight = batch
 	core, sentAt, eager := m.core, m.now, m.nextEager()
 	if m.leaseTerm == 0 && !m.plain && core.LeasesBounded() {
@@ -708,10 +717,10 @@
 	}
 	m.inFlight, m.sentAt = nil, sentAt
 	if !m.plain {
-		core.Renewed(sentAt)
+		core.Renewed(m.shown(sentAt))
 	}
-	core.Committed(m.now, batch)
-	core.StoreReached(sentAt, m.revision)
+	core.Committed(m.ownerNow(), batch)
+	core.StoreReached(m.shown(sentAt), m.revision)
 	core.JobsKnown(m.revision)
 	if eager && m.slow {
 		core.SetEager(true)
--- a/scheduler/lives_search_test.go
+++ b/scheduler/lives_search_test.go
@@ -160,7 +160,7 @@
 
 // describe returns the parts of a case.
 func (c livesCase) describe() string {
-	text := fmt.Sprintf("seed %d, %d workers, step %v, plain %v, slow store %v, slow clocks %v, kills %v, past ends %d, ends per report %d, skewed births %v", c.seed, c.workers, c.step, c.plain, c.slow, c.slowClocks, c.kills, c.pastEnds, c.endsPerReport, c.skewed)
+	text := fmt.Sprintf("seed %d, %d workers, step %v, plain %v, slow store %v, slow clocks %v, kills %v, past ends %d, ends per report %d, skewed births %v, owner clocks %v", c.seed, c.workers, c.step, c.plain, c.slow, c.slowClocks, c.kills, c.pastEnds, c.endsPerReport, c.skewed, c.ownerClocks)
 	for _, f := range c.faults {
 		text += fmt.Sprintf("\n  fault %v w%d at %.3f for %v, listed after %v, unlisted %v, refuses %v, moves %v, taken %v, lives %d", f.kind, f.worker, f.at.Seconds(), f.length, f.listedAfter, f.unlisted, f.refuses, f.moves, f.taken, f.lives)
 	}
@@ -226,6 +226,7 @@
 		{"slow kills, owners lost once their starts are stored", drawKills, storeStartsFirst},
 		{"births out of order, one owner", drawBirths, oneOwner},
 		{"births out of order, owners lost at any moment", drawBirths, func(*livesCase) {}},
+		{"silent over owners in series", drawSeries, func(*livesCase) {}},
 		{"moved workers, one owner", drawMoves, oneOwner},
 		{"moved workers, owners lost at any moment", drawMoves, func(*livesCase) {}},
 	}
--- a/scheduler/owners_test.go
+++ b/scheduler/owners_test.go
@@ -179,6 +179,11 @@
 // births.
 func (sim *simulation) boundLeases() {
 	sim.ownerStoredAt = sim.now
+	defer func() {
+		if err := restoreHandover(sim.core, sim.rows); err != nil {
+			sim.problem("decode row of the previous owner: %v", err)
+		}
+	}()
 	if !sim.options.bounded {
 		return
 	}
@@ -192,6 +197,20 @@
 	}
 }
 
+// restoreHandover tells a new owner what its predecessor has handed on.
+func restoreHandover(core *Core, rows map[string][]byte) error {
+	value, ok := rows[HandoverKey]
+	if !ok {
+		return nil
+	}
+	var row HandoverRow
+	if err := DecodeRow(value, &row); err != nil {
+		return err
+	}
+	core.RestoreHandover(row)
+	return nil
+}
+
 // checkSizes checks that the store takes the rows of a batch.
 func (sim *simulation) checkSizes(batch *Batch) {
 	call := 0
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -248,6 +248,7 @@
 	if !w.reported {
 		// A previous owner may have granted a lease of this length just now.
 		w.reported, w.endsAt = true, c.now
+		c.handoverOutdated = c.handoverOutdated || w.boundStored
 		c.noteReportedBirth(w)
 		w.leaseDeadline = w.clock + WorkerTime(c.options.MaxLease/time.Millisecond)
 	}
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -437,9 +437,10 @@
 		return
 	}
 	batch := sim.core.TakeBatch(40)
-	if batch.Empty() && !sim.renewalDue() {
+	if batch.Empty() && !sim.renewalDue() && !sim.core.HandoverOutdated() {
 		return
 	}
+	sim.core.HandOver(batch)
 	sim.commitInFlight = batch
 	core, sentAt, eager := sim.core, sim.now, sim.nextOwnerEager()
 	sim.after(sim.untilStoreIsBack()+sim.commitTime(), func() {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -24,6 +24,12 @@
 	// grantedTo is the birth of the incarnation that alone may hold leases of
 	// previous owners; zero if it is unknown.
 	grantedTo time.Time
+	// inheritedUntil is until when the incarnation that was born at inheritedLife may hold leases,
+	// as the previous owner has handed it on; zero if it hasn't. boundStored is true if this
+	// owner's row for its successor may have the worker: it is granted no lease then.
+	inheritedUntil time.Time
+	inheritedLife  time.Time
+	boundStored    bool
 	// boundedFrom is from when on no lease of the current incarnation, whoever granted it,
 	// ends later than one that begins then.
 	boundedFrom time.Time
@@ -210,7 +216,7 @@
 // usable reports whether the worker may get new tasks, leaving aside transient
 // conditions.
 func (w *worker) usable() bool {
-	return w.listed && w.leaseRecorded && w.reported && !w.info.Leaving && w.unsized == 0 && w.infoIsCurrent()
+	return w.listed && w.leaseRecorded && w.reported && !w.boundStored && !w.info.Leaving && w.unsized == 0 && w.infoIsCurrent()
 }
 
 // known reports whether no run or end of the time before the takeover is unknown on a
@@ -385,6 +391,7 @@
 	w.withheld, w.appliedBeyond = 0, nil
 	w.clock, w.leaseDeadline = 0, 0
 	w.grantedTo, c.birthsDirty = time.Time{}, true
+	w.inheritedUntil = time.Time{}
 	w.clockAt = time.Time{}
 	w.reported, w.endsListed, w.ended, w.fencedPoll = false, false, false, false
 	w.unreportedSince = c.now
