--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -168,3 +168,18 @@
 		w.inheritedUntil = time.Time{}
 	}
 }
+
+// clockLag returns how much at most has to be added to the time in a start with that run
+// number, so that it is no earlier by this owner's clock. It was stored by the owner that has
+// issued the run, or by one since.
+func (c *Core) clockLag(run RunNumber) time.Duration {
+	lag := time.Duration(0)
+	for epoch := int64((run-1)/runsPerEpoch) + 1; epoch < c.options.Epoch; epoch++ {
+		of, known := c.clockLags[epoch]
+		if !known {
+			return maxClockDifference
+		}
+		lag = max(lag, of)
+	}
+	return min(lag, maxClockDifference)
+}
--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -206,3 +206,27 @@
 		})
 	}
 }
+
+// TestTimeOfAnOpenStartByAnotherClock guards against an open start that ends before it can act no more
+// as its owner's clock was behind, or that lasts 5 s longer with the next owners as it may have been.
+func TestTimeOfAnOpenStartByAnotherClock(t *testing.T) {
+	for _, clocks := range [][]time.Duration{{0, 0, 0}, {-3 * time.Second, 0, 1500 * time.Millisecond}, {3 * time.Second, -time.Second, 0}, {0, 3 * time.Second, -time.Second}} {
+		is := is.New(t)
+		s := newOwnerSeries(t)
+		s.next(t, clocks[0])
+		run := s.core.firstRun()
+		end := s.h.now.Add(maxOrderDelay)
+		open := openStart{Run: run, Worker: "w000", Until: s.now().Add(maxOrderDelay)}
+		s.commit(t)
+		for _, clock := range clocks[1:] {
+			s.h.now = s.h.now.Add(time.Second)
+			s.next(t, clock)
+			s.commit(t)
+			until := s.core.latestExecution(&open).Add(-clock)
+			is.True(!until.Before(end))
+			// A clock that was ahead can't be told from a row that was seen late.
+			ahead := max(0, clocks[0]-clock)
+			is.True(until.Before(end.Add(ahead + 200*time.Millisecond)))
+		}
+	}
+}
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -338,7 +338,7 @@
 	if open.Run >= c.firstRun() {
 		return open.Until
 	}
-	until, latest := open.Until.Add(maxClockDifference), c.inheritedUntil()
+	until, latest := open.Until.Add(c.clockLag(open.Run)), c.inheritedUntil()
 	if until.After(latest) {
 		return latest
 	}
