--- a/scheduler/lives_model_test.go
+++ b/scheduler/lives_model_test.go
@@ -179,6 +179,8 @@
 	clocksFromZero bool
 	// slowClocks makes the clocks of the workers run at the lowest rate.
 	slowClocks bool
+	// ownerClocks are what the clocks of owners show beyond the time of the model, in turn.
+	ownerClocks []time.Duration
 	// kills is how long after its lease has expired a run ends.
 	kills time.Duration
 	// pastEnds is how many ends each worker has listed before.
@@ -221,10 +223,12 @@
 // livesModel plays a case.
 type livesModel struct {
 	livesCase
-	base    time.Time
-	now     time.Time
-	core    *Core
-	epoch   int64
+	base  time.Time
+	now   time.Time
+	core  *Core
+	epoch int64
+	// clock is what the owner's clock shows beyond the time of the model.
+	clock   time.Duration
 	workers []*livesWorker
 	events  []event
 	serial  int
@@ -486,7 +490,7 @@
 	m.revision++
 	m.tracef("%s of %v is accepted, gang %v", job.JobID, j.length, j.gang)
 	if !m.lost {
-		m.core.Add(m.now, job)
+		m.core.Add(m.ownerNow(), job)
 	}
 }
 
@@ -605,15 +609,16 @@
 // takeOver begins an owner that is recovered from the store, with dispatcher's options.
 func (m *livesModel) takeOver() {
 	m.epoch++
+	m.clock = m.ownerClock()
 	clear(m.unansweredStarts)
 	m.tracef("owner %d begins", m.epoch)
 	m.core = New(Options{
 		Epoch: m.epoch, MaxLease: livesMaxLease, PreviousOwnerEager: m.eager, PreviousOwnerTerm: m.term() + 200*time.Millisecond,
-		PreviousLeaseTerm: m.leaseTerm, PreviousCommitAt: m.storedAt,
-	}, m.now)
+		PreviousLeaseTerm: m.leaseTerm, PreviousCommitAt: m.shown(m.storedAt),
+	}, m.ownerNow())
 	m.sentAt, m.storedAt, m.startsEagerly = m.now, m.now, false
 	if !m.plain {
-		m.core.Renewed(m.now)
+		m.core.Renewed(m.ownerNow())
 	}
 	m.restoreRows()
 	for _, job := range m.accepted {
@@ -644,6 +649,9 @@
 		}
 		m.core.RestoreBirths(row)
 	}
+	if err := restoreHandover(m.core, m.rows); err != nil {
+		m.fail("decode", err.Error())
+	}
 }
 
 // readList tells the core the list, in which a worker that is down stands.
@@ -655,7 +663,7 @@
 			infos = append(infos, w.entry())
 		}
 	}
-	m.core.SetWorkers(m.now, infos)
+	m.core.SetWorkers(m.ownerNow(), infos)
 }
 
 // tick lets the owner commit and issue orders, as dispatcher does.
@@ -696,9 +704,10 @@
 		return
 	}
 	batch := m.core.TakeBatch(80)
-	if batch.Empty() && m.now.Sub(m.sentAt) < 200*time.Millisecond {
+	if batch.Empty() && m.now.Sub(m.sentAt) < 200*time.Millisecond && !m.core.HandoverOutdated() {
 		return
 	}
+	m.core.HandOver(batch)
 	m.inFlight = batch
 	core, sentAt, eager := m.core, m.now, m.nextEager()
 	if m.leaseTerm == 0 && !m.plain && core.LeasesBounded() {
@@ -720,10 +729,10 @@
 	}
 	m.inFlight, m.sentAt = nil, sentAt
 	if !m.plain {
-		core.Renewed(sentAt)
+		core.Renewed(m.shown(sentAt))
 	}
-	core.Committed(m.now, batch)
-	core.StoreReached(sentAt, m.revision)
+	core.Committed(m.ownerNow(), batch)
+	core.StoreReached(m.shown(sentAt), m.revision)
 	core.JobsKnown(m.revision)
 	m.startsEagerly = eager && m.slow && m.ofEarlierVersion()
 }
@@ -752,9 +761,9 @@
 func (m *livesModel) tickCore() Orders {
 	if m.startsEagerly {
 		defer m.core.startEagerly()()
-		return m.core.Tick(m.now)
+		return m.core.Tick(m.ownerNow())
 	}
-	orders := m.core.Tick(m.now)
+	orders := m.core.Tick(m.ownerNow())
 	if problem := unnamed(m.rows, orders.Starts); problem != "" {
 		m.fail("unnamed", problem)
 	}
