--- a/scheduler/repeat.go
+++ b/scheduler/repeat.go
@@ -65,12 +65,12 @@
 // mayRepeat reports whether the start of a waiting task may be repeated on its worker, advice
 // aside.
 func (c *Core) mayRepeat(t *task) bool {
-	if t.open == nil || !t.waits() || t.open.ended {
+	if t.open == nil || !t.waits() || !t.open.endedIn.IsZero() {
 		return false
 	}
 	w := c.workers[t.open.Worker]
 	return w != nil && w.eligible(c.now) && w.answeredFence > t.open.fence && c.compatible(t.step, w) &&
-		(requester.Resources{}).Fits(w.available()) && !t.step.keptApart(w) && c.strays[t.name()] == 0 && c.runsLeft > 0 &&
+		w.allocated.Add(w.reservedForOpen).Fits(w.info.Total) && !t.step.keptApart(w) && c.strays[t.name()] == 0 && c.runsLeft > 0 &&
 		(t.crashes == nil || !t.suspect() && c.crashHold(t) == WaitNothing)
 }
 
@@ -198,7 +198,9 @@
 		return
 	}
 	r.task.open.Until, r.task.open.repeatUntil = r.openBefore, r.repeatedBefore
-	r.task.open.ended = r.task.open.ended || result == OrderStaleRun
+	if result == OrderStaleRun {
+		r.task.open.endedIn = r.worker.bootedAt
+	}
 }
 
 // storedOpenStart is the stored form of an open start.
