--- a/scheduler/waitdetail_test.go
+++ b/scheduler/waitdetail_test.go
@@ -34,7 +34,8 @@
 	sentAt := h.now
 	h.now = h.now.Add(700 * time.Millisecond)
 	h.core.StartDone(h.now, start, OrderUnknown)
-	for range 3 { // the worker answers, and doesn't have the run
+	h.core.workers[start.Worker.HostID].suspendedUntil = h.now.Add(time.Minute) // so the start isn't repeated
+	for range 3 {                                                               // the worker answers, and doesn't have the run
 		h.advanceAnswered(100 * time.Millisecond)
 	}
 	line := h.waitsFor(t, "", WaitOpenStart, 5*time.Second)
