--- a/dispatcher/review39_test.go
+++ b/dispatcher/review39_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"kumquatstall/dispatcher"
+	"kumquatstall/requester"
 	"kumquatstall/scheduler"
 	"kumquatstall/standin"
 )
@@ -37,6 +39,13 @@
 	return u.orders
 }
 
+// sentTo reports whether the start of a run was sent to a worker.
+func (u *unansweredStarts) sentTo(task scheduler.TaskName, run scheduler.RunNumber, worker requester.HostID) bool {
+	return slices.ContainsFunc(u.sent(), func(order scheduler.StartOrder) bool {
+		return order.Task == task && order.Run == run && order.Worker.HostID == worker
+	})
+}
+
 // TestStartsInFlightWhenTheCellIsReleased guards against a successor that doesn't know of the
 // starts that its predecessor had sent right before it released the cell as planned: the next life
 // of their worker may execute them.
@@ -71,6 +80,9 @@
 		for _, w := range s.cell.Workers() {
 			runs, _ := w.Runs(time.Now())
 			for i := range runs {
+				if platform.sentTo(runs[i].Task, runs[i].Run, runs[i].Worker) {
+					continue // the same start again, which the worker has once however often it gets it
+				}
 				t.Errorf("%v: %v: it starts %v after an unanswered start, which may be executed until 12 s", runs[i].Task, &runs[i], runs[i].StartedAt.Sub(sentAt))
 			}
 		}
