Split lives_model_test.go by concept

A pure move: the sorted lines outside the imports of these files before and after are equal, 919 without blank ones, but for three package clauses and three file comments. go vet ./scheduler passes.

--- a/scheduler/lives_calls_test.go
+++ b/scheduler/lives_calls_test.go
@@ -1,13 +1,73 @@
 package scheduler
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 )
 
 // The calls of the model of lives: their fates, and what arrives when at which life.
 
+// callKind is the kind of a call to a worker.
+type callKind int
+
+const (
+	callStart callKind = iota
+	callStop
+	callPoll
+)
+
+func (k callKind) String() string { return [...]string{"start", "stop", "poll"}[k] }
+
+// livesCall is a call that a core has issued.
+type livesCall struct {
+	kind   callKind
+	worker int
+	epoch  int64
+	at     time.Duration
+	name   TaskName
+	run    RunNumber
+	fence  Fence
+	ack    int64
+	long   bool
+	// meant is the birth of the life for which it was meant, address where it was sent.
+	meant   time.Time
+	address netip.AddrPort
+	fate    livesFate
+	// stood is for how long the owner stood still before it was sent.
+	stood time.Duration
+}
+
+// callKey identifies a call across plays of a case.
+type callKey struct {
+	kind   callKind
+	worker int
+	at     time.Duration
+	name   TaskName
+	run    RunNumber
+}
+
+func (c *livesCall) key() callKey { return callKey{c.kind, c.worker, c.at, c.name, c.run} }
+
+func (c *livesCall) String() string {
+	text := fmt.Sprintf("%v of %.3f s to w%d by owner %d, generation %d", c.kind, c.at.Seconds(), c.worker, c.epoch, c.fence&(1<<generationBits-1))
+	if c.kind != callPoll {
+		text += fmt.Sprintf(", %s run %s", shortName(c.name), shortRun(c.run))
+	} else if c.ack > 0 {
+		text += fmt.Sprintf(", acknowledges end %d", c.ack)
+	}
+	return text
+}
+
+func shortName(name TaskName) string { return fmt.Sprintf("%s.%d", name.Job, name.Index) }
+
+// shortRun returns the epoch and the number of a run in it.
+func shortRun(number RunNumber) string {
+	return fmt.Sprintf("%d/%d", number/runsPerEpoch+1, number%runsPerEpoch)
+}
+
 // deliver sends the orders of the core.
 func (m *livesModel) deliver(orders Orders) {
 	core := m.core
