Count the workers that Reconciled waits for by its own rule

The log of waits (waitdetail.go) repeated the condition of Reconciled for a worker, and the time until which unknown workers may hold leases, so that a change of the one could leave the line false. Reconciled now uses unreportedInherited, and leasesUnknown uses leasesUnknownUntil, which the log reads too. No decision changes.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"kumquatstall/estimator"
@@ -336,13 +337,11 @@
 // lease has reported all of its runs and ends, or its lease has expired, and no unknown
 // start can be executed any more.
 func (c *Core) Reconciled() bool {
-	if c.leasesUnknown() || c.startsUnknown {
-		return false
-	}
-	for _, w := range c.sortedWorkers {
-		if w.inherited && !w.known(c) && c.now.Before(w.leaseExpiry(c)) {
-			return false
-		}
-	}
-	return true
+	return !c.leasesUnknown() && !c.startsUnknown && !slices.ContainsFunc(c.sortedWorkers, c.unreportedInherited)
+}
+
+// unreportedInherited reports whether Reconciled waits for what the worker has run for previous
+// owners.
+func (c *Core) unreportedInherited(w *worker) bool {
+	return w.inherited && !w.known(c) && c.now.Before(w.leaseExpiry(c))
 }
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -73,9 +73,12 @@
 // leasesUnknown reports whether workers that this owner does not know of may
 // still hold leases.
 func (c *Core) leasesUnknown() bool {
-	return c.unknownLeases && c.now.Before(c.tookOverAt.Add(c.longestUnreported()))
+	return c.unknownLeases && c.now.Before(c.leasesUnknownUntil())
 }
 
+// leasesUnknownUntil returns until when they may.
+func (c *Core) leasesUnknownUntil() time.Time { return c.tookOverAt.Add(c.longestUnreported()) }
+
 // grantLease returns the lease deadline for an order issued now, or 0 to not
 // renew the lease. The lease of an unresponsive worker is not renewed, so that
 // its tasks can start again elsewhere once it has expired.
--- a/scheduler/waitdetail.go
+++ b/scheduler/waitdetail.go
@@ -174,7 +174,7 @@
 func (c *Core) findUnknownRuns() WaitDetail {
 	var d WaitDetail
 	if c.leasesUnknown() {
-		d.LeasesUnknownUntil = c.tookOverAt.Add(c.longestUnreported())
+		d.LeasesUnknownUntil = c.leasesUnknownUntil()
 	}
 	if c.startsUnknown {
 		d.UnknownUntil = c.unknownUntil()
@@ -195,12 +195,6 @@
 	return d
 }
 
-// unreportedInherited reports whether Reconciled waits for what the worker has run for previous
-// owners.
-func (c *Core) unreportedInherited(w *worker) bool {
-	return w.inherited && !w.known(c) && c.now.Before(w.leaseExpiry(c))
-}
-
 // awaitedStart describes the open start of a task.
 func (c *Core) awaitedStart(t *task) AwaitedStart {
 	open := t.open
