Write the run of a log line in one place

The line of a start that isn't sent (waitlines.go) spelled out the fields of its run as writeLogRecord does, so that a renamed field could part them. Both now call logRun. The tests of both lines, which compare them to the letter, pass: TestLogOfALife, TestLogLinesAfterATick, TestStartAfterTheLeaseIsNotSentSilently and four more of waitlines_test.go, one run.

--- a/dispatcher/session.go
+++ b/dispatcher/session.go
@@ -348,7 +348,7 @@
 		event = event.Str("Job", string(record.Job))
 	}
 	if record.Task.Job != "" {
-		event = event.Int64("Occurrence", record.Task.Occurrence).Int("Step", record.Task.Step).Int("Task", record.Task.Index).Int64("Run", int64(record.Run))
+		logRun(event, record.Task, record.Run)
 	}
 	if record.Worker != "" {
 		event = event.Str("Worker", string(record.Worker))
@@ -364,6 +364,11 @@
 	event.Send()
 }
 
+// logRun adds to a line which run of a job's task it is about.
+func logRun(event *zerolog.Event, task scheduler.TaskName, run scheduler.RunNumber) {
+	event.Int64("Occurrence", task.Occurrence).Int("Step", task.Step).Int("Task", task.Index).Int64("Run", int64(run))
+}
+
 // logLife adds to a line what the core knows of the worker's incarnation and its lease.
 func logLife(event *zerolog.Event, record *scheduler.LogRecord) {
 	if record.Address.IsValid() {
--- a/dispatcher/waitlines.go
+++ b/dispatcher/waitlines.go
@@ -92,9 +92,9 @@
 // logNotSent logs that a start isn't sent as the owner's lease is over: the core may hear of
 // that no more.
 func (s *session) logNotSent(order scheduler.StartOrder) {
-	s.dispatcher.log.Info().Str("Event", "start not sent").Int64("Epoch", order.Fence.Epoch()).Str("Job", string(order.Task.Job)).
-		Int64("Occurrence", order.Task.Occurrence).Int("Step", order.Task.Step).Int("Task", order.Task.Index).Int64("Run", int64(order.Run)).
-		Str("Worker", string(order.Worker.HostID)).Str("Why", "the owner's lease is over").Send()
+	event := s.dispatcher.log.Info().Str("Event", "start not sent").Int64("Epoch", order.Fence.Epoch()).Str("Job", string(order.Task.Job))
+	logRun(event, order.Task, order.Run)
+	event.Str("Worker", string(order.Worker.HostID)).Str("Why", "the owner's lease is over").Send()
 }
 
 // logEnd logs the end of the ownership, and the starts that are left to a successor.
