Count open starts by epoch in one place

Awaited and Inherited each made and filled their own map of open starts by epoch. Both now call countEpoch. The assertion of the first stood only behind the line at which TestOpenStartWithoutAName fails, so TestOpenStartIsOfNoEpoch asks for it alone; it passes on the code before as well. In a trial with counts one epoch off, it and TestOpenStartOnASilentWorkerLooksSent fail.

--- a/scheduler/waitdetail.go
+++ b/scheduler/waitdetail.go
@@ -90,6 +90,15 @@
 // epoch returns the epoch of the owner that named a run.
 func (n RunNumber) epoch() int64 { return (int64(n)-1)/runsPerEpoch + 1 }
 
+// countEpoch counts a run by its epoch and returns the counts, which may have been nil.
+func countEpoch(counts map[int64]int, n RunNumber) map[int64]int {
+	if counts == nil {
+		counts = make(map[int64]int)
+	}
+	counts[n.epoch()]++
+	return counts
+}
+
 // logWait logs that a step has waited for one reason for longWait, and again from time to time
 // while it waits for starts or runs of lost owners.
 func (c *Core) logWait(s *step) {
@@ -303,10 +312,7 @@
 		if t.done || t.step.job().state.Ended() {
 			continue
 		}
-		if a.OpenByEpoch == nil {
-			a.OpenByEpoch = make(map[int64]int)
-		}
-		a.OpenByEpoch[t.open.Run.epoch()]++
+		a.OpenByEpoch = countEpoch(a.OpenByEpoch, t.open.Run)
 		if t.open.Run < c.firstRun() {
 			a.OpenInherited++
 		} else {
@@ -361,10 +367,7 @@
 		c.listedStarts[runKey{s.stored.name(), s.stored.Run}] = true
 	}
 	for _, t := range c.openTasks {
-		if taken.OpenByEpoch == nil {
-			taken.OpenByEpoch = make(map[int64]int)
-		}
-		taken.OpenByEpoch[t.open.Run.epoch()]++
+		taken.OpenByEpoch = countEpoch(taken.OpenByEpoch, t.open.Run)
 		if c.listedStarts[runKey{t.name(), t.open.Run}] {
 			taken.OpenListed++
 		} else {
--- a/scheduler/waitdetail_test.go
+++ b/scheduler/waitdetail_test.go
@@ -57,6 +57,18 @@
 	is.Equal(awaited.OpenByEpoch[1], 1)
 }
 
+// TestOpenStartIsOfNoEpoch guards against open starts that the load of an owner counts under no
+// epoch, or under another owner's.
+func TestOpenStartIsOfNoEpoch(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(2)
+	is.Equal(h.core.Load().Awaited.OpenByEpoch, nil)
+	start := h.unanswered(t)
+	h.now = h.now.Add(700 * time.Millisecond)
+	h.core.StartDone(h.now, start, OrderUnknown)
+	is.Equal(h.core.Load().Awaited.OpenByEpoch, map[int64]int{1: 1})
+}
+
 // TestOpenStartOnASilentWorkerLooksSent guards against a start of an earlier owner of which the
 // log doesn't tell whether its rows or only the list named it, and against a silent or a leaving
 // worker that is said to answer.
