Disturb workers and endpoints with one function

disturbWorkers and disturbEndpoints were the same but for the type of the host and its faults, and sleepUntil was retrier.Sleep once more. Both kinds of hosts now go through disturbHosts, and sleepUntil calls retrier.Sleep.

--- a/experimenter/inject.go
+++ b/experimenter/inject.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"kumquatstall/requester"
+	"kumquatstall/retrier"
 	"kumquatstall/runner"
 	"kumquatstall/standin"
 )
@@ -39,14 +40,7 @@
 // sleepUntil waits until the given time. It reports whether that was reached
 // before ctx ended.
 func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return retrier.Sleep(ctx, time.Until(at))
 }
 
 // injectFault injects one fault now and returns when it has ended.
@@ -60,12 +54,12 @@
 	case FaultLostAnswers:
 		r.disturbTable(ctx, end, standin.TableFaults{LoseEvery: fault.Value})
 	case FaultBlackHoleWorkers:
-		r.disturbWorkers(ctx, end, fault.Value, standin.WorkerFaults{FailAll: true})
+		disturbHosts(ctx, end, r.deployment.Workers, fault.Value, standin.WorkerFaults{FailAll: true})
 	case FaultFailingEndpoints:
-		r.disturbEndpoints(ctx, end, fault.Value, standin.EndpointFaults{FailEvery: 1})
+		disturbHosts(ctx, end, r.deployment.Endpoints, fault.Value, standin.EndpointFaults{FailEvery: 1})
 	case FaultSlowEndpoints:
 		const factor = 10
-		r.disturbEndpoints(ctx, end, fault.Value, standin.EndpointFaults{SlowFactor: factor})
+		disturbHosts(ctx, end, r.deployment.Endpoints, fault.Value, standin.EndpointFaults{SlowFactor: factor})
 	case FaultKillEntries:
 		for range fault.Value {
 			r.removeEntry(func(entry *runner.Entry) error {
@@ -88,27 +82,16 @@
 	r.deployment.Table.SetFaults(standin.TableFaults{})
 }
 
-// disturbWorkers gives the first count workers faults until end, or until ctx ends.
-func (r *activeRun) disturbWorkers(ctx context.Context, end time.Time, count int64, faults standin.WorkerFaults) {
-	disturbed := r.deployment.Workers[:min(int(count), len(r.deployment.Workers))]
-	for _, worker := range disturbed {
-		worker.SetFaults(faults)
-	}
-	sleepUntil(ctx, end)
-	for _, worker := range disturbed {
-		worker.SetFaults(standin.WorkerFaults{})
-	}
-}
-
-// disturbEndpoints gives the first count endpoints faults until end, or until ctx ends.
-func (r *activeRun) disturbEndpoints(ctx context.Context, end time.Time, count int64, faults standin.EndpointFaults) {
-	disturbed := r.deployment.Endpoints[:min(int(count), len(r.deployment.Endpoints))]
-	for _, endpoint := range disturbed {
-		endpoint.SetFaults(faults)
+// disturbHosts gives the first count hosts faults until end, or until ctx ends.
+func disturbHosts[F any, H interface{ SetFaults(F) }](ctx context.Context, end time.Time, hosts []H, count int64, faults F) {
+	disturbed := hosts[:min(int(count), len(hosts))]
+	for _, host := range disturbed {
+		host.SetFaults(faults)
 	}
 	sleepUntil(ctx, end)
-	for _, endpoint := range disturbed {
-		endpoint.SetFaults(standin.EndpointFaults{})
+	var none F
+	for _, host := range disturbed {
+		host.SetFaults(none)
 	}
 }
 
