Find the run of an answered order in one place

PaceDone and stopDone looked their run up with the same lines: the worker, its run, and whether the order was meant for the worker's current incarnation. Both now call currentRun, beside the fences.

--- a/scheduler/fence.go
+++ b/scheduler/fence.go
@@ -31,6 +31,17 @@
 // about it.
 func (c *Core) addressesCurrent(w *worker, fence Fence) bool { return fence >= w.bornFence }
 
+// currentRun returns the worker and the run that an order with that fence was about, and whether
+// the worker's current incarnation, for which the order was meant, still counts as having the run.
+func (c *Core) currentRun(ref WorkerRef, key runKey, fence Fence) (*worker, *run, bool) {
+	w, ok := c.workers[ref.HostID]
+	if !ok || !c.addressesCurrent(w, fence) {
+		return nil, nil, false
+	}
+	r, ok := w.runs[key]
+	return w, r, ok
+}
+
 // raiseGeneration makes the fence of further orders to a worker higher than that
 // of earlier ones. The generations of removed workers are kept, as they may be
 // listed again.
--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -96,14 +96,10 @@
 // of the worker: it changes neither what runs there nor its lease.
 func (c *Core) PaceDone(now time.Time, order PaceOrder, result OrderResult) {
 	c.now = now
-	w, ok := c.workers[order.Worker.HostID]
+	w, r, ok := c.currentRun(order.Worker, runKey{order.Task, order.Run}, order.Fence)
 	if !ok {
 		return
 	}
-	r, ok := w.runs[runKey{order.Task, order.Run}]
-	if !ok || !c.addressesCurrent(w, order.Fence) {
-		return
-	}
 	r.pace.inFlight = false
 	switch result {
 	case OrderAccepted:
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -142,14 +142,10 @@
 
 // stopDone handles the result of a stop that the owner or a carrier has sent.
 func (c *Core) stopDone(order StopOrder, result OrderResult) {
-	w, ok := c.workers[order.Worker.HostID]
+	w, r, ok := c.currentRun(order.Worker, runKey{order.Task, order.Run}, order.Fence)
 	if !ok {
 		return
 	}
-	r, ok := w.runs[runKey{order.Task, order.Run}]
-	if !ok || !c.addressesCurrent(w, order.Fence) {
-		return
-	}
 	r.stopInFlight = false
 	switch result {
 	case OrderAccepted:
