--- a/configurer/site.go
+++ b/configurer/site.go
@@ -23,8 +23,8 @@
 	Advertise netip.AddrPort `yaml:"Advertise,omitempty"`
 	Store     SiteStore      `yaml:"Store"`
 	// Advice is the address of the service that decides which workers may run a
-	// step.
-	Advice netip.AddrPort `yaml:"Advice"`
+	// step; absent or 0.0.0.0:0 if there is none.
+	Advice netip.AddrPort `yaml:"Advice,omitempty"`
 	Timing SiteTiming     `yaml:"Timing,omitempty"`
 	Limits SiteLimits     `yaml:"Limits,omitempty"`
 	Log    Log            `yaml:"Log,omitempty"`
@@ -140,14 +140,12 @@
 		{"Listen.Ready", s.Listen.Ready},
 		{"Listen.Links", s.Listen.Links},
 		{"Store.Address", s.Store.Address},
-		{"Advice", s.Advice},
 	}
 	for _, a := range addresses {
 		c.require(a.address.IsValid(), a.key, "an IP address and port")
 	}
-	for _, a := range addresses[3:] {
-		c.require(isHostAddress(a.address), a.key, "the address of a host, with a port")
-	}
+	c.require(isHostAddress(s.Store.Address), "Store.Address", "the address of a host, with a port")
+	c.require(!s.hasAdvice() || isHostAddress(s.Advice), "Advice", "the address of a host, with a port, or 0.0.0.0:0 for none")
 	c.require(!s.Advertise.IsValid() || isHostAddress(s.Advertise), "Advertise", "the address of a host, with a port")
 	c.require(s.Store.WritesPerSecond >= 0 && s.Store.WritesPerSecond <= maxRate, "Store.WritesPerSecond", "a rate between 0 and 1000000000")
 	c.require(s.Store.RowBytes == 0 || s.Store.RowBytes >= minRowBytes && s.Store.RowBytes <= maxRowBytes, "Store.RowBytes", "0, or between 4096 and 1000000000")
@@ -163,6 +161,11 @@
 	c.require(slices.Contains(levels, s.Log.Level), "Log.Level", "one of debug, info, warn, error")
 }
 
+// hasAdvice reports whether there is an advice service.
+func (s *Site) hasAdvice() bool {
+	return s.Advice.IsValid() && s.Advice != netip.AddrPortFrom(netip.IPv4Unspecified(), 0)
+}
+
 // isHostAddress reports whether an address is one that others can connect to.
 func isHostAddress(address netip.AddrPort) bool {
 	ip := address.Addr().Unmap()
