--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -260,6 +260,7 @@
 
 // closeStart records that the open start of a task cannot act any more.
 func (c *Core) closeStart(t *task) {
+	c.unname(t, t.open.Run)
 	t.open = nil
 	c.openTasks = slices.DeleteFunc(c.openTasks, func(other *task) bool { return other == t })
 	// No worker is freed by this, so a scan of freed workers would not find one.
@@ -272,6 +273,16 @@
 	t.step.forget(t)
 }
 
+// unname records that the list of intended starts needn't name a start any more that was closed, also
+// if its run was released before: a successor would take it for the last one of its task.
+func (c *Core) unname(t *task, number RunNumber) {
+	for _, s := range c.written {
+		if s.task == t && s.stored.Run == number {
+			s.run = nil
+		}
+	}
+}
+
 // closeStarts closes the open starts that cannot act any more. Those of tasks that have
 // ended keep their room until then.
 func (c *Core) closeStarts() {
--- a/scheduler/repeat_test.go
+++ b/scheduler/repeat_test.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -160,6 +162,95 @@
 	}
 }
 
+// TestClosedStartIsNotRepeated guards against two runs of a task at once: the list of intended starts
+// still names a start that an answer has closed, and the successor repeats it, while a later run is
+// at work on a worker that hasn't reported yet.
+func TestClosedStartIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(2)
+	h.advanceAnswered(20 * time.Second)
+	h.add("j", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 8000))
+	h.commit()
+	h.now = h.now.Add(10 * time.Millisecond)
+	orders := h.issue()
+	is.Equal(len(orders.Starts), 1)
+	first := orders.Starts[0]
+	w := h.core.workers[first.Worker.HostID]
+	h.answerPolls(orders, WorkerRef{})
+	// The run is stopped before its start is answered, and the report that lacks it overtakes the answer.
+	h.core.stop(w.runs[runKey{first.Task, first.Run}], "displaced")
+	for w.runs[runKey{first.Task, first.Run}] != nil {
+		h.now = h.now.Add(20 * time.Millisecond)
+		orders := h.core.Tick(h.now)
+		for _, stop := range orders.Stops {
+			h.core.StopDone(h.now, stop, OrderAccepted)
+		}
+		h.answerPolls(orders, WorkerRef{})
+	}
+	h.core.StartDone(h.now, first, OrderStaleRun)
+	w.suspendedUntil = h.now.Add(300 * time.Millisecond) // it gets nothing new for the moment
+	var second StartOrder
+	for range 40 { // for 2 s, so that the list is written without the second start
+		h.now = h.now.Add(50 * time.Millisecond)
+		h.commit()
+		orders := h.issue()
+		h.accept(orders)
+		if len(orders.Starts) > 0 {
+			second = orders.Starts[0]
+		}
+	}
+	is.True(second.Run > first.Run && second.Worker.HostID != first.Worker.HostID)
+	infos := []WorkerInfo{h.core.sortedWorkers[0].info, h.core.sortedWorkers[1].info}
+	h.core = New(Options{Epoch: 2, PreviousOwnerTerm: time.Second, PreviousCommitAt: h.now}, h.now)
+	h.core.RestoreLeasedWorkers(LeasedWorkersRow{Workers: []LeasedWorker{
+		{HostID: infos[0].HostID, Address: infos[0].Address}, {HostID: infos[1].HostID, Address: infos[1].Address},
+	}})
+	is.NoErr(h.core.Recover(JobRows{Job: jobOf("j", stepOf(1, 8000)), Progress: h.stored[ProgressKey("j")]}))
+	for key, value := range h.stored {
+		if value == nil {
+			delete(h.stored, key)
+		}
+	}
+	is.NoErr(restoreIntended(h.core, h.stored))
+	h.core.SetWorkers(h.now, infos)
+	for range 40 {
+		for _, start := range h.advanceSilent(second.Worker, 50*time.Millisecond) {
+			t.Fatalf("run %d starts on %s while run %d is at work on %s", start.Run, start.Worker.HostID, second.Run, second.Worker.HostID)
+		}
+	}
+}
+
+// TestStartWaitsForTheRowsThatCloseTheLast guards against a start that is sent while the rows of its
+// job still have an earlier one of its task as open, which a successor would repeat: an earlier
+// batch than these rows names it.
+func TestStartWaitsForTheRowsThatCloseTheLast(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(9)
+	first := h.givenUp(t, stepOf(1, 8000))
+	h.core.workers[first.Worker.HostID].suspendedUntil = h.now.Add(time.Minute) // it gets nothing new
+	for range 20 {
+		h.now = h.now.Add(20 * time.Millisecond)
+		h.answerPolls(h.core.Tick(h.now), WorkerRef{})
+		h.commit()
+	}
+	waiting := h.core.findTask(first.Task)
+	for i := range 6 {
+		h.add("k"+strconv.Itoa(i), Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 8000))
+	}
+	h.core.closeAnswered(waiting)
+	h.now = h.now.Add(20 * time.Millisecond)
+	h.core.Tick(h.now)
+	is.True(waiting.run != nil && waiting.run.toBeSent())
+	sent := false
+	for !sent {
+		batch := h.core.TakeBatch(2) // the list, and then a job at a time
+		is.True(!batch.Empty())
+		h.core.Committed(h.now, batch)
+		sent = slices.ContainsFunc(h.core.Tick(h.now).Starts, func(start StartOrder) bool { return start.Task == first.Task })
+		is.True(!sent || slices.ContainsFunc(batch.Writes, func(write RowWrite) bool { return write.Key == ProgressKey("j") }))
+	}
+}
+
 // givenUp has a job start on a worker that answers but for that start, which is given up.
 func (h *harness) givenUp(t *testing.T, step Step) StartOrder {
 	t.Helper()
