--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -93,7 +93,11 @@
 		return
 	}
 	stored := t.open.Until
-	c.prolongOpen(t, c.now.Add(arrivalMargin+longestDelay))
+	until := c.now.Add(arrivalMargin + longestDelay)
+	c.prolongOpen(t, until)
+	if t.run != nil && t.run.repeat && t.run.startFence > order.Fence {
+		t.run.openBefore = latest(t.run.openBefore, until)
+	}
 	if t.open.Until.Sub(stored) > answerTime {
 		c.storeOpen(t)
 	}
--- a/scheduler/repeat_test.go
+++ b/scheduler/repeat_test.go
@@ -251,6 +251,31 @@
 	}
 }
 
+// TestWithdrawnRepeatDoesNotProlong guards against a task that waits for as long as the store is slow,
+// and 13 s more: each repeat of its start that is withdrawn before it is sent makes its time begin anew.
+func TestWithdrawnRepeatDoesNotProlong(t *testing.T) {
+	h := newHarness(2)
+	first := h.givenUp(t, stepOf(1, 8000))
+	until := h.core.findTask(first.Task).open.Until
+	var inFlight *Batch
+	for begun := h.now; h.now.Sub(begun) < 10*time.Second; {
+		for range 15 { // the store takes 1.5 s for each commit
+			h.now = h.now.Add(100 * time.Millisecond)
+			orders := h.core.Tick(h.now)
+			is.New(t).Equal(len(orders.Starts), 0)
+			h.answerPolls(orders, WorkerRef{})
+		}
+		if inFlight != nil {
+			h.core.Committed(h.now, inFlight)
+		}
+		inFlight = h.core.TakeBatch(1000)
+	}
+	h.core.WithdrawIntended()
+	if late := h.core.findTask(first.Task).open.Until.Sub(until); late > 0 {
+		t.Fatalf("%d repeats are withdrawn, and the first order counts for %v more", h.core.stats.Withdrawn, late)
+	}
+}
+
 // givenUp has a job start on a worker that answers but for that start, which is given up.
 func (h *harness) givenUp(t *testing.T, step Step) StartOrder {
 	t.Helper()
