--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -155,6 +155,9 @@
 	case t != nil && result == OrderAccepted && !t.open.repeated:
 		t.open.Until = c.now
 	case t != nil:
+		if result == OrderStaleRun {
+			t.open.endedIn = c.workers[order.Worker.HostID].bootedAt
+		}
 		c.closeAnswered(t)
 	}
 }
--- a/scheduler/repeat_test.go
+++ b/scheduler/repeat_test.go
@@ -276,6 +276,34 @@
 	}
 }
 
+// TestAnswerToAnEarlierOrder guards against an answer to the first order of a start that is taken for
+// one to its repeat, which may still be executed.
+func TestAnswerToAnEarlierOrder(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(2)
+	h.advanceAnswered(20 * time.Second)
+	h.add("j", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 8000))
+	h.commit()
+	h.now = h.now.Add(10 * time.Millisecond)
+	orders := h.issue()
+	is.Equal(len(orders.Starts), 1)
+	first := orders.Starts[0]
+	h.answerPolls(orders, WorkerRef{})
+	h.now = h.now.Add(150 * time.Millisecond)
+	h.answerPolls(h.core.Tick(h.now), WorkerRef{})
+	// The run is stopped before its start is answered, as another order has no answer.
+	w := h.core.workers[first.Worker.HostID]
+	h.core.stop(w.runs[runKey{first.Task, first.Run}], "displaced")
+	h.core.raiseGeneration(w)
+	again := h.repeated(t, first)
+	sentAt := h.now
+	h.core.StartDone(h.now, first, OrderFenced)
+	open := h.core.findTask(first.Task).open
+	if r := w.runs[runKey{again.Task, again.Run}]; r == nil || r.settled || open.Until.Sub(sentAt) < maxOrderDelay {
+		t.Fatalf("after an answer to the first order the repeat counts for %v, want %v at least", open.Until.Sub(sentAt), maxOrderDelay)
+	}
+}
+
 // givenUp has a job start on a worker that answers but for that start, which is given up.
 func (h *harness) givenUp(t *testing.T, step Step) StartOrder {
 	t.Helper()
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -180,6 +180,9 @@
 		return
 	}
 	r, ok := w.runs[runKey{order.Task, order.Run}]
+	if ok && r.repeat && order.Fence < r.startFence {
+		r, ok = nil, false // this answers an earlier order of the run
+	}
 	if result == OrderUnknown {
 		c.giveUpStart(r, order)
 	} else {
