--- a/scheduler/batch.go
+++ b/scheduler/batch.go
@@ -157,8 +157,9 @@
 	// left are the jobs that the batch does not contain, unfinished those of which it
 	// contains a part; they let the others go first.
 	var left, unfinished []*job
+	unlisted := c.unlistedRepeats()
 	for i, j := range c.dirty {
-		if j.heldUntil.After(c.now) {
+		if j.heldUntil.After(c.now) || unlisted[j] {
 			left = append(left, j)
 			continue
 		}
--- a/scheduler/repeat_test.go
+++ b/scheduler/repeat_test.go
@@ -304,6 +304,99 @@
 	}
 }
 
+// TestEndOfARepeatedRunIsStoredWithItsStart guards against a successor that acknowledges the end of a
+// repeated run too soon: the rows say that its task is done, and the list that names the start again
+// couldn't be written yet.
+func TestEndOfARepeatedRunIsStoredWithItsStart(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(2)
+	first := h.givenUp(t, stepOf(1, 8000))
+	again := h.repeated(t, first)
+	h.core.StartAccepted(h.now, again, h.clock(again.Worker))
+	end := EndedRun{Number: 1, Task: again.Task, Run: again.Run, Kind: EndDone}
+	ended := false
+	answer := func(orders Orders) (acknowledged bool) {
+		for _, poll := range orders.Polls {
+			report := &Report{Clock: h.clock(poll.Worker), BootedAt: poll.Worker.BootedAt}
+			if poll.Worker.HostID == again.Worker.HostID {
+				if ended {
+					report.Ended = []EndedRun{end}
+				} else {
+					report.Running = []RunningTask{{Task: again.Task, Run: again.Run, Percent: 50}}
+				}
+				acknowledged = acknowledged || poll.AcknowledgedEnd > 0
+			}
+			h.core.PollDone(h.now, poll, report, OrderAccepted)
+		}
+		return acknowledged
+	}
+	for range 30 {
+		h.now = h.now.Add(100 * time.Millisecond)
+		answer(h.core.Tick(h.now))
+		h.commit()
+	}
+	ended = true
+	h.core.startsHeldUntil = h.now.Add(200 * time.Millisecond) // the store has just refused a list
+	h.now = h.now.Add(100 * time.Millisecond)
+	answer(h.core.Tick(h.now))
+	h.commit()
+	for key, value := range h.stored {
+		if value == nil {
+			delete(h.stored, key)
+		}
+	}
+	lostAt := h.now
+	infos := []WorkerInfo{h.core.sortedWorkers[0].info, h.core.sortedWorkers[1].info}
+	is.NoErr(h.takeOver(Options{Epoch: 2, PreviousOwnerTerm: time.Second}, JobRows{Job: h.core.jobs["j"].spec, Progress: h.stored[ProgressKey("j")]}))
+	is.NoErr(restoreIntended(h.core, h.stored))
+	h.core.SetWorkers(h.now, infos)
+	for h.now.Sub(lostAt) < 8*time.Second {
+		h.now = h.now.Add(100 * time.Millisecond)
+		if answer(h.core.Tick(h.now)) {
+			t.Fatalf("acknowledged %v after the owner was lost; orders may be executed for 8 s more", h.now.Sub(lostAt))
+		}
+		h.commit()
+	}
+}
+
+// TestRepeatIsListedBeforeItsRows guards against a successor that acknowledges the end of a repeated
+// run too soon: the repeat was sent, and the stored rows of its job have only the first order.
+func TestRepeatIsListedBeforeItsRows(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(9)
+	first := h.givenUp(t, stepOf(1, 8000))
+	h.commit()
+	for i := range 6 {
+		h.add("k"+strconv.Itoa(i), Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(1, 8000))
+	}
+	sent := false
+	for n := 0; !sent; n++ {
+		is.True(n < 40)
+		h.now = h.now.Add(20 * time.Millisecond)
+		orders := h.core.Tick(h.now)
+		sent = slices.ContainsFunc(orders.Starts, func(start StartOrder) bool { return start.repeats(first) })
+		h.answerPolls(orders, WorkerRef{})
+		if sent {
+			break
+		}
+		batch := h.core.TakeBatch(2) // the list, and then a job at a time
+		for _, write := range batch.Writes {
+			h.stored[write.Key] = write.Value
+		}
+		h.core.Committed(h.now, batch)
+	}
+	waiting := h.core.findTask(first.Task)
+	is.True(waiting.step.job().committedVersion < waiting.step.job().version)
+	infos := []WorkerInfo{h.core.sortedWorkers[0].info, h.core.sortedWorkers[1].info}
+	sentAt := h.now
+	is.NoErr(h.takeOver(Options{Epoch: 2, PreviousOwnerTerm: time.Second}, JobRows{Job: waiting.step.job().spec, Progress: h.stored[ProgressKey("j")]}))
+	is.NoErr(restoreIntended(h.core, h.stored))
+	h.core.SetWorkers(h.now, infos)
+	open := h.core.findTask(first.Task).open
+	is.True(open != nil && open.repeated)
+	is.True(h.core.latestExecution(open).Sub(sentAt) >= maxOrderDelay)
+}
+
 // givenUp has a job start on a worker that answers but for that start, which is given up.
 func (h *harness) givenUp(t *testing.T, step Step) StartOrder {
 	t.Helper()
--- a/scheduler/startlist.go
+++ b/scheduler/startlist.go
@@ -113,6 +113,25 @@
 	}
 }
 
+// unlistedRepeats returns the jobs whose rows, as they are now, don't have a repeated start that may
+// be executed and that no batch names either. Their rows wait for the list: a successor
+// that finds neither would acknowledge the end of the run too soon.
+func (c *Core) unlistedRepeats() map[*job]bool {
+	var jobs map[*job]bool
+	for _, t := range c.openTasks {
+		if !t.open.repeated || t.storesOpenStart() || slices.ContainsFunc(c.written, func(s *writtenStart) bool {
+			return s.taken && s.task == t && s.stored.Run == t.open.Run
+		}) {
+			continue
+		}
+		if jobs == nil {
+			jobs = make(map[*job]bool)
+		}
+		jobs[t.step.job()] = true
+	}
+	return jobs
+}
+
 // dropWritten removes from the list the starts that a successor needn't learn from it. Those
 // of a wide gang remain as long as one of them must: the gang waits for that one anyway, and
 // the ranges remain few.
