--- a/scheduler/repeat_test.go
+++ b/scheduler/repeat_test.go
@@ -152,7 +152,9 @@
 	h.add("j", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, gangOf(2, 8000))
 	h.commit()
 	h.now = h.now.Add(10 * time.Millisecond)
-	starts := h.issue().Starts
+	first := h.issue()
+	starts := first.Starts
+	h.answerPolls(first, WorkerRef{})
 	is.Equal(len(starts), 2)
 	h.core.StartAccepted(h.now, starts[1], h.clock(starts[1].Worker))
 	h.now = h.now.Add(OrderTimeout)
@@ -397,6 +399,23 @@
 	is.True(h.core.latestExecution(open).Sub(sentAt) >= maxOrderDelay)
 }
 
+// TestStartOfAnEagerOwnerIsNotRepeated guards against two runs of a task at once: the owner before
+// started eagerly, so a start that nothing names may be the last one of a task with an open start.
+func TestStartOfAnEagerOwnerIsNotRepeated(t *testing.T) {
+	h := newHarness(2)
+	first := h.givenUp(t, stepOf(1, 8000))
+	rows := h.takeRows()
+	infos := []WorkerInfo{h.core.sortedWorkers[0].info, h.core.sortedWorkers[1].info}
+	takenOverAt := h.now
+	is.New(t).NoErr(h.takeOver(Options{Epoch: 2, PreviousOwnerEager: true, PreviousOwnerTerm: time.Second}, rows))
+	h.core.SetWorkers(h.now, infos)
+	for h.now.Sub(takenOverAt) < 12*time.Second {
+		if starts := h.advanceAnswered(50 * time.Millisecond); len(starts) > 0 {
+			t.Fatalf("run %d of %s starts %v after the takeover, while a later run may be at work", starts[0].Run, first.Task.Job, h.now.Sub(takenOverAt))
+		}
+	}
+}
+
 // givenUp has a job start on a worker that answers but for that start, which is given up.
 func (h *harness) givenUp(t *testing.T, step Step) StartOrder {
 	t.Helper()
