--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -169,6 +169,10 @@
 	}
 }
 
+// handedOver reports whether the previous owner has handed on what it knew, as one of this version
+// does with each commit.
+func (c *Core) handedOver() bool { return len(c.clockLags) > 0 }
+
 // clockLag returns how much at most has to be added to the time in a start with that run
 // number, so that it is no earlier by this owner's clock. It was stored by the owner that has
 // issued the run, or by one since.
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -96,7 +96,7 @@
 	until := c.now.Add(arrivalMargin + longestDelay)
 	c.prolongOpen(t, until)
 	if t.run != nil && t.run.repeat && t.run.startFence > order.Fence {
-		t.run.openBefore = latest(t.run.openBefore, until)
+		t.run.untilBefore = latest(t.run.untilBefore, until)
 	}
 	if t.open.Until.Sub(stored) > answerTime {
 		c.storeOpen(t)
--- a/scheduler/repeat.go
+++ b/scheduler/repeat.go
@@ -49,10 +49,10 @@
 
 // repeatHolds returns what keeps the tasks of a step from being started again, or WaitNothing. An open
 // start is the last of its task, so that no other run of it is unknown, unless starts of a previous
-// owner are.
+// owner are, or that was of an earlier version, whose rows name starts that were closed.
 func (c *Core) repeatHolds(s *step) WaitReason {
 	switch {
-	case !c.runsKnown(s) && (c.startsUnknown || c.options.PreviousOwnerEager):
+	case !c.runsKnown(s) && (c.startsUnknown || c.options.PreviousOwnerEager || !c.handedOver()):
 		return WaitUnknownRuns
 	case s.job().refusals > 0:
 		return WaitRefused
@@ -120,7 +120,7 @@
 	if r == nil {
 		return
 	}
-	r.openBefore, r.repeatedBefore = t.open.Until, t.open.repeatUntil
+	r.untilBefore, r.repeatUntilBefore = t.open.Until, t.open.repeatUntil
 	t.open.repeated = true
 	c.prolongOpen(t, c.now.Add(t.step.def.sendingTime()+maxOrderDelay))
 	c.storeOpen(t)
@@ -197,7 +197,7 @@
 	if !r.repeat || r.task == nil || r.task.open == nil || r.task.open.Run != r.number {
 		return
 	}
-	r.task.open.Until, r.task.open.repeatUntil = r.openBefore, r.repeatedBefore
+	r.task.open.Until, r.task.open.repeatUntil = r.untilBefore, r.repeatUntilBefore
 	if result == OrderStaleRun {
 		r.task.open.endedIn = r.worker.bootedAt
 	}
--- a/scheduler/review39_test.go
+++ b/scheduler/review39_test.go
@@ -263,8 +263,10 @@
 	// for which one was, up to when a poll that acknowledged it was executed.
 	listedAt map[int64]time.Time
 	longest  time.Duration
-	counted  int
-	overdue  int
+	// endedAt is when each run ended.
+	endedAt map[int64]time.Time
+	counted int
+	overdue int
 }
 
 type reviewAnswer struct {
@@ -273,7 +275,7 @@
 }
 
 func newReviewWorker(h *harness) *reviewWorker {
-	return &reviewWorker{h: h, running: make(map[runKey]time.Time), listedAt: make(map[int64]time.Time)}
+	return &reviewWorker{h: h, running: make(map[runKey]time.Time), listedAt: make(map[int64]time.Time), endedAt: make(map[int64]time.Time)}
 }
 
 func (w *reviewWorker) after(wait time.Duration, do func()) {
@@ -316,6 +318,15 @@
 func (w *reviewWorker) end(key runKey) {
 	w.lastEnd++
 	w.ended = append(w.ended, EndedRun{Number: w.lastEnd, Task: key.name, Run: key.number, Kind: EndDone})
+	w.endedAt[w.lastEnd] = w.h.now
+}
+
+// keptFor returns for how long an end has been listed or, if no report had it yet, been there.
+func (w *reviewWorker) keptFor(number int64) time.Duration {
+	if listedAt, listed := w.listedAt[number]; listed {
+		return w.h.now.Sub(listedAt)
+	}
+	return w.h.now.Sub(w.endedAt[number])
 }
 
 // poll executes a poll and answers it.
@@ -405,7 +416,7 @@
 			largest = max(largest, len(w.ended))
 			if since := h.now.Sub(begun) - lateFor - maxOrderDelay; since == 2*time.Second {
 				for _, e := range w.ended {
-					if kept := h.now.Sub(w.listedAt[e.Number]); kept > time.Second {
+					if kept := w.keptFor(e.Number); kept > time.Second {
 						t.Errorf("one start in %d was late: 2 s after the last one's time an end is kept that has been listed for %v", every, kept)
 					}
 				}
@@ -416,8 +427,7 @@
 			t.Errorf("one start in %d is late: the worker keeps %d ends, want %d and those of its runs at most", every, largest, maxKeptEnds)
 		}
 		for _, e := range w.ended {
-			if listedAt, listed := w.listedAt[e.Number]; listed && h.now.Sub(listedAt) > time.Second {
-				kept := h.now.Sub(listedAt)
+			if kept := w.keptFor(e.Number); kept > time.Second {
 				t.Errorf("one start in %d was late: an end that has been listed for %v is never acknowledged", every, kept)
 			}
 		}
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -60,10 +60,10 @@
 	written *writtenStart
 	// ticket is the ticket with which the run starts; empty if it needs none.
 	ticket string
-	// repeat is true if the start repeats an open one; before it was, openBefore and
-	// repeatedBefore were the times until which that could be executed.
-	repeat                     bool
-	openBefore, repeatedBefore time.Time
+	// repeat is true if the start repeats an open one; before it was, untilBefore and
+	// repeatUntilBefore were the times until which that could be executed.
+	repeat                         bool
+	untilBefore, repeatUntilBefore time.Time
 	// givenUpAt is when the start was given up without an answer; zero before that.
 	givenUpAt time.Time
 	// confirmed is true if the worker's present incarnation has accepted the start.
