--- a/scheduler/ends.go
+++ b/scheduler/ends.go
@@ -64,7 +64,7 @@
 	c.noteResurfaced(w, key, ended.Kind.String())
 	t := c.findTask(ended.Task)
 	r := w.runs[key]
-	c.settleEnded(w, r, ended)
+	c.settleEnded(r, ended)
 	if r != nil {
 		// The end is certain, so no stop is needed.
 		r.phase, r.barredAt = runStopping, c.now
--- a/scheduler/lost_test.go
+++ b/scheduler/lost_test.go
@@ -192,7 +192,7 @@
 // free returns what is free on a worker, by what runs there and by what the owner
 // has to assume.
 func (f *fakeWorker) free() requester.Resources {
-	return f.row().Total.Sub(f.used().Max(f.ownersView().taken()))
+	return f.row().Total.Sub(f.used().Max(f.ownersView().allocated.Add(f.ownersView().reservedForOpen)))
 }
 
 // used returns what runs occupy on a worker.
--- a/scheduler/open.go
+++ b/scheduler/open.go
@@ -46,9 +46,8 @@
 	// repeatUntil is until when orders of this owner may be executed that repeat the start of an
 	// earlier owner; zero for none.
 	repeatUntil time.Time
-	// endedIn is the birth of the incarnation that has shown that it had the run and has it no
-	// more; zero for none.
-	endedIn time.Time
+	// ended is true if a worker has shown that it had the run and has it no more.
+	ended bool
 }
 
 const (
@@ -155,18 +154,16 @@
 	case t != nil && result == OrderAccepted && !t.open.repeated:
 		t.open.Until = c.now
 	case t != nil:
-		if result == OrderStaleRun {
-			t.open.endedIn = c.workers[order.Worker.HostID].bootedAt
-		}
+		t.open.ended = t.open.ended || result == OrderStaleRun
 		c.closeAnswered(t)
 	}
 }
 
 // settleEnded settles the start of a run whose end a worker has reported.
-func (c *Core) settleEnded(w *worker, r *run, ended EndedRun) {
+func (c *Core) settleEnded(r *run, ended EndedRun) {
 	t := c.openTask(ended.Task, ended.Run)
 	if t != nil {
-		t.open.endedIn = w.bootedAt
+		t.open.ended = true
 	}
 	if r != nil {
 		c.settle(r)
@@ -315,68 +312,27 @@
 	return t.open != nil && t.open.Worker == id && (t.run == nil || t.run.number != t.open.Run)
 }
 
-// reserveForOpen adds up what the open starts need on each worker, and counts them. The present
-// incarnation of a worker executes none that its reports have barred, and needs room for one of these
-// only if its task is to start there again. Its next one may execute all of them, beside the starts
-// that the present one hasn't confirmed, and has nothing else.
+// reserveForOpen adds up what the open starts need on each worker, and counts them.
 func (c *Core) reserveForOpen() {
 	for _, w := range c.sortedWorkers {
-		w.reservedForOpen, w.nextLife, w.stepOpens = requester.Resources{}, requester.Resources{}, nil
+		w.reservedForOpen, w.stepOpens = requester.Resources{}, nil
 	}
 	for _, t := range c.openTasks {
-		w := c.workers[t.open.Worker]
-		if w == nil {
-			continue
-		}
-		need := t.step.def.allocation()
-		c.reserveInNextLife(w, need)
-		if !t.openOn(t.open.Worker) {
-			continue
-		}
-		if !t.open.barred(w) || t.waits() && t.open.endedIn.IsZero() {
-			w.reservedForOpen = w.reservedForOpen.Add(need)
-		}
-		if w.stepOpens == nil {
-			w.stepOpens = make(map[StepName]int)
+		if w := c.workers[t.open.Worker]; w != nil && t.openOn(t.open.Worker) {
+			w.reservedForOpen = w.reservedForOpen.Add(t.step.def.allocation())
+			if w.stepOpens == nil {
+				w.stepOpens = make(map[StepName]int)
+			}
+			w.stepOpens[t.step.name()]++
 		}
-		w.stepOpens[t.step.name()]++
 	}
 	for _, s := range c.written {
 		if w := c.workers[s.stored.Worker]; w != nil && s.task == nil && c.mayAct(c.openOf(&s.stored)) {
-			need := c.allocationOf(&s.stored, w)
-			c.reserveInNextLife(w, need)
-			if w.answeredFence == 0 {
-				w.reservedForOpen = w.reservedForOpen.Add(need)
-			}
+			w.reservedForOpen = w.reservedForOpen.Add(c.allocationOf(&s.stored, w))
 		}
 	}
 }
 
-// barred reports whether the present incarnation of the worker executes none of the orders of the
-// start any more: it has answered under a higher fence, or the run has ended there.
-func (o *openStart) barred(w *worker) bool {
-	return w.answeredFence > o.fence || !o.endedIn.IsZero() && o.endedIn.Equal(w.bootedAt)
-}
-
-// reserveInNextLife adds what an open start needs in the next incarnation of a worker, and with the
-// first one what the starts need that the present incarnation hasn't confirmed.
-func (c *Core) reserveInNextLife(w *worker, need requester.Resources) {
-	if w.nextLife == (requester.Resources{}) {
-		for _, r := range w.runs {
-			if r.mayBeOfNextLife() {
-				w.nextLife = w.nextLife.Add(r.need)
-			}
-		}
-	}
-	w.nextLife = w.nextLife.Add(need)
-}
-
-// mayBeOfNextLife reports whether the next incarnation of the worker may have the run, beside its
-// open starts.
-func (r *run) mayBeOfNextLife() bool {
-	return !r.reported && !r.confirmed && (r.task == nil || r.task.open == nil || r.task.open.Run != r.number)
-}
-
 // allocationOf returns what a start needs whose task this owner doesn't schedule: the whole
 // worker if its job isn't known any more.
 func (c *Core) allocationOf(stored *IntendedStart, w *worker) requester.Resources {
--- a/scheduler/repeat.go
+++ b/scheduler/repeat.go
@@ -65,12 +65,12 @@
 // mayRepeat reports whether the start of a waiting task may be repeated on its worker, advice
 // aside.
 func (c *Core) mayRepeat(t *task) bool {
-	if t.open == nil || !t.waits() || !t.open.endedIn.IsZero() {
+	if t.open == nil || !t.waits() || t.open.ended {
 		return false
 	}
 	w := c.workers[t.open.Worker]
 	return w != nil && w.eligible(c.now) && w.answeredFence > t.open.fence && c.compatible(t.step, w) &&
-		w.allocated.Add(w.reservedForOpen).Fits(w.info.Total) && !t.step.keptApart(w) && c.strays[t.name()] == 0 && c.runsLeft > 0 &&
+		(requester.Resources{}).Fits(w.available()) && !t.step.keptApart(w) && c.strays[t.name()] == 0 && c.runsLeft > 0 &&
 		(t.crashes == nil || !t.suspect() && c.crashHold(t) == WaitNothing)
 }
 
@@ -198,9 +198,7 @@
 		return
 	}
 	r.task.open.Until, r.task.open.repeatUntil = r.untilBefore, r.repeatUntilBefore
-	if result == OrderStaleRun {
-		r.task.open.endedIn = r.worker.bootedAt
-	}
+	r.task.open.ended = r.task.open.ended || result == OrderStaleRun
 }
 
 // storedOpenStart is the stored form of an open start.
--- a/scheduler/repeat_test.go
+++ b/scheduler/repeat_test.go
@@ -432,34 +432,3 @@
 	h.core.StartDone(h.now, orders.Starts[0], OrderUnknown)
 	return orders.Starts[0]
 }
-
-// TestRoomOfARepeatedRunThatIsDone guards against room that an open start keeps on a worker which has
-// had its run: nothing else starts there for 12 s. The next life may execute the start beside
-// starts that were meant for this one, so those and it together are to have room.
-func TestRoomOfARepeatedRunThatIsDone(t *testing.T) {
-	is := is.New(t)
-	h := newHarness(1)
-	first := h.givenUp(t, stepOf(1, 3000))
-	again := h.repeated(t, first)
-	h.core.StartAccepted(h.now, again, h.clock(again.Worker))
-	w := h.core.workers[again.Worker.HostID]
-	report := func(ended []EndedRun, running ...RunningTask) {
-		h.now = h.now.Add(50 * time.Millisecond)
-		h.core.PollDone(h.now, PollOrder{Worker: w.ref(), Fence: h.core.fence(w), SentAt: h.now.Add(-time.Millisecond)}, &Report{Clock: h.clock(w.ref()), BootedAt: w.bootedAt, Running: running, Ended: ended}, OrderAccepted)
-	}
-	ended := []EndedRun{{Number: 1, Task: again.Task, Run: again.Run, Kind: EndDone}}
-	report(ended)
-	h.add("k", Policy{Service: "service", MaxAttempts: 3, Stretch: 9}, stepOf(2, 4000))
-	h.commit()
-	starts := h.issue().Starts
-	is.Equal(len(h.core.openTasks), 1)
-	is.Equal(len(starts), 1) // both would not fit beside the open start in the next life
-	h.core.StartAccepted(h.now, starts[0], h.clock(starts[0].Worker))
-	var more []StartOrder
-	for since := h.now; len(more) == 0 && h.now.Sub(since) < time.Second; {
-		report(ended, RunningTask{Task: starts[0].Task, Run: starts[0].Run})
-		more = h.issue().Starts
-	}
-	is.Equal(len(more), 1) // the present life has the first one
-	is.True(more[0].Task != starts[0].Task)
-}
--- a/scheduler/start.go
+++ b/scheduler/start.go
@@ -65,7 +65,7 @@
 		return "an earlier step is not done"
 	case s.job().spec.Occurrences > 0 && c.now.Before(s.occurrence.dueAt):
 		return "the occurrence is not due"
-	case repeat && !w.allocated.Add(w.reservedForOpen).Add(need).Fits(w.info.Total), !repeat && !need.Fits(w.available()):
+	case !need.Fits(w.available()):
 		return "the worker lacks the resources"
 	case !c.compatible(s, w):
 		return "the worker does not meet the step's constraints"
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -75,11 +75,9 @@
 	// underWay counts the starts that are under way (underway.go), members those of gangs.
 	underWay, members int
 	allocated         requester.Resources
-	// reservedForOpen is what the open starts need, as of the last placement pass, that the
-	// present incarnation may execute or that are to be repeated there. nextLife is what the next
-	// one may have by then, which may be there already: all open starts, and those that the
-	// present one hasn't confirmed; nothing if no start is open.
-	reservedForOpen, nextLife requester.Resources
+	// reservedForOpen is what the open starts need whose runs were released, as of the
+	// last placement pass: the worker's next incarnation may have them already.
+	reservedForOpen requester.Resources
 	// lasting is the part of allocated that tasks that last occupy.
 	lasting requester.Resources
 	// clock is a reading of the worker's clock, taken no later than clockAt.
@@ -195,9 +193,6 @@
 	w.runs[runKey{r.name, r.number}] = r
 	w.stepRuns[r.name.StepName]++
 	w.allocated = w.allocated.Add(r.need)
-	if w.nextLife != (requester.Resources{}) && r.mayBeOfNextLife() {
-		w.nextLife = w.nextLife.Add(r.need)
-	}
 	w.countTask(r, 1)
 }
 
@@ -258,13 +253,9 @@
 // those of its present runs are to be among them.
 const maxKeptEnds = 250
 
-// available returns the resources that no run occupies, and no open start may, in the present
-// incarnation and in the next one.
-func (w *worker) available() requester.Resources { return w.info.Total.Sub(w.taken()) }
-
-// taken returns the resources that runs and open starts may occupy.
-func (w *worker) taken() requester.Resources {
-	return w.allocated.Add(w.reservedForOpen).Max(w.nextLife)
+// available returns the resources that no run occupies, and no open start may.
+func (w *worker) available() requester.Resources {
+	return w.info.Total.Sub(w.allocated).Sub(w.reservedForOpen)
 }
 
 // AssumeUnknownLeases is called instead of RestoreLeasedWorkers if a row of
