--- a/scheduler/unread.go
+++ b/scheduler/unread.go
@@ -20,6 +20,10 @@
 // execute it any more. If only a clock tells that the known incarnation has answered the
 // start, its next answer to a poll is waited for as well.
 //
+// A start that was repeated (repeat.go) may be executed by the next incarnation after its run has
+// ended here. So its end, too, and those after it wait until none of its orders can be executed any
+// more, although its task doesn't start again.
+//
 // Meanwhile a worker keeps its ends. Once there are maxKeptEnds of them, or more than it
 // lists, it gets no new tasks, so that it lists those of all its runs soon.
 
