--- a/scheduler/startlist.go
+++ b/scheduler/startlist.go
@@ -117,17 +117,30 @@
 // be executed and that no batch names either. Their rows wait for the list: a successor
 // that finds neither would acknowledge the end of the run too soon.
 func (c *Core) unlistedRepeats() map[*job]bool {
-	var jobs map[*job]bool
+	var unstored []*task
 	for _, t := range c.openTasks {
-		if !t.open.repeated || t.storesOpenStart() || slices.ContainsFunc(c.written, func(s *writtenStart) bool {
-			return s.taken && s.task == t && s.stored.Run == t.open.Run
-		}) {
-			continue
+		if t.open.repeated && !t.storesOpenStart() {
+			unstored = append(unstored, t)
 		}
-		if jobs == nil {
-			jobs = make(map[*job]bool)
+	}
+	if len(unstored) == 0 {
+		return nil
+	}
+	type start struct {
+		task   *task
+		number RunNumber
+	}
+	named := make(map[start]bool, len(c.written))
+	for _, s := range c.written {
+		if s.taken {
+			named[start{s.task, s.stored.Run}] = true
+		}
+	}
+	jobs := make(map[*job]bool)
+	for _, t := range unstored {
+		if !named[start{t, t.open.Run}] {
+			jobs[t.step.job()] = true
 		}
-		jobs[t.step.job()] = true
 	}
 	return jobs
 }
